--- /dev/null
+++ b/.ci/closingLine.js
@@ -0,0 +1,15 @@
+/** Ends vitest's report with one plain line that says how many tests passed and failed. */
+export default class ClosingLine {
+  onTestRunEnd(modules) {
+    let passed = 0;
+    let failed = 0;
+    for (const module of modules) {
+      if (module.state() === "failed" && [...module.children.allTests()].length === 0) failed += 1;
+      for (const test of module.children.allTests()) {
+        if (test.result().state === "passed") passed += 1;
+        else if (test.result().state === "failed") failed += 1;
+      }
+    }
+    process.on("exit", () => console.log(`${passed} passed, ${failed} failed`));
+  }
+}
--- /dev/null
+++ b/src/link/frame.ts
@@ -0,0 +1,96 @@
+import * as r from "restructure";
+
+/** The newest layout of frames that this build speaks; it also reads the one before. */
+export const frameSequence = 1;
+
+/** What one process says to another: an ask of some kind, or the return of one. */
+export interface Frame {
+  sequence: number;
+  kind: number;
+  isReturn: boolean;
+  job: number;
+  body: Uint8Array;
+}
+
+/** Raised when bytes from a peer are no frame that this daemon takes. */
+export class FrameError extends Error {}
+
+const frame = new r.Struct({
+  sequence: r.uint8,
+  kind: r.uint8,
+  isReturn: new r.Boolean(r.uint8),
+  job: r.uint32,
+  body: new r.Buffer(r.uint32),
+});
+
+const maxFrameBytes = 64 * 1024 * 1024;
+const headBytes = 11;
+
+/** Reads a value exactly: bytes that are short, left over or out of range raise an error. */
+export const exactly = <T>(coder: r.Coder<T>, bytes: Uint8Array): T => {
+  let value: T;
+  try {
+    value = coder.fromBuffer(bytes);
+    if (coder.size(value) === bytes.length) return value;
+  } catch (error) {
+    throw new FrameError("The bytes don't fit the layout.", { cause: error });
+  }
+  throw new FrameError("The bytes are cut short or too many.");
+};
+
+export const Frame = {
+  encode: (value: Frame): Uint8Array => frame.toBuffer(value),
+};
+
+/** Puts frames together from the pieces in which bytes arrive. */
+export class FrameReader {
+  private pieces: Uint8Array[] = [];
+  private heldBytes = 0;
+  private wantedBytes = headBytes;
+
+  /** Takes a piece and gives the frames that it completes. */
+  read(piece: Uint8Array): Frame[] {
+    this.pieces.push(piece);
+    this.heldBytes += piece.length;
+    const frames: Frame[] = [];
+    while (this.heldBytes >= this.wantedBytes) {
+      const bytes = Buffer.concat(this.pieces, this.heldBytes);
+      const bodyBytes = bytes.readUInt32BE(headBytes - 4);
+      if (bodyBytes > maxFrameBytes) throw new FrameError(`A frame of ${bodyBytes} bytes is too large.`);
+      const wholeBytes = headBytes + bodyBytes;
+      if (bytes.length >= wholeBytes) {
+        const one = exactly(frame, bytes.subarray(0, wholeBytes));
+        if (one.sequence !== frameSequence && one.sequence !== frameSequence - 1)
+          throw new FrameError(`Frames of sequence ${one.sequence} aren't spoken here.`);
+        frames.push(one);
+      }
+      const rest = bytes.length >= wholeBytes ? bytes.subarray(wholeBytes) : bytes;
+      this.pieces = [rest];
+      this.heldBytes = rest.length;
+      this.wantedBytes = bytes.length >= wholeBytes ? headBytes : wholeBytes;
+    }
+    return frames;
+  }
+}
+
+if (import.meta.vitest) {
+  const { expect, test } = import.meta.vitest;
+  const sample: Frame = { sequence: 1, kind: 3, isReturn: true, job: 70000, body: new Uint8Array([1, 2, 3]) };
+  test("frames come whole out of pieces of any size", () => {
+    const bytes = Buffer.concat([Frame.encode(sample), Frame.encode({ ...sample, job: 2 })]);
+    for (let size = 1; size <= bytes.length; size += 1) {
+      const reader = new FrameReader();
+      const frames: Frame[] = [];
+      for (let at = 0; at < bytes.length; at += size) frames.push(...reader.read(bytes.subarray(at, at + size)));
+      expect(frames.map((one) => one.job)).toEqual([70000, 2]);
+      expect([...(frames[0]?.body ?? [])]).toEqual([1, 2, 3]);
+    }
+  });
+  test("oversized and foreign frames are refused", () => {
+    const large = Buffer.from(Frame.encode(sample));
+    large.writeUInt32BE(2 ** 31, 7);
+    expect(() => new FrameReader().read(large)).toThrow(FrameError);
+    const foreign = Buffer.from(Frame.encode({ ...sample, sequence: 9 }));
+    expect(() => new FrameReader().read(foreign)).toThrow(FrameError);
+  });
+}
--- /dev/null
+++ b/src/link/kind.ts
@@ -0,0 +1,76 @@
+import * as r from "restructure";
+
+/** One kind of exchange between processes: what is asked and what is returned. */
+export interface Kind<A, R> {
+  readonly number: number;
+  readonly ask: r.Coder<A>;
+  readonly return: r.Coder<R>;
+}
+
+const text = new r.String(r.uint32, "utf8");
+const flag = new r.Boolean(r.uint8);
+const entry = new r.Struct({ index: r.uint32, term: r.uint32, text });
+
+/** One entry of the record as it travels and as it lies on disk. */
+export type Entry = r.Held<typeof entry>;
+
+/** The layout of an entry. */
+export const entryCoder = entry;
+
+export const Kind = {
+  /** A voter is asked for its vote, or in a pre-vote whether it would give it. */
+  vote: {
+    number: 1,
+    ask: new r.Struct({ isPreVote: flag, term: r.uint32, candidate: text, lastIndex: r.uint32, lastTerm: r.uint32, handOver: flag }),
+    return: new r.Struct({ term: r.uint32, granted: flag }),
+  },
+  /** A leader sends entries, or none as a heartbeat. */
+  append: {
+    number: 2,
+    ask: new r.Struct({
+      term: r.uint32,
+      leader: text,
+      previousIndex: r.uint32,
+      previousTerm: r.uint32,
+      committed: r.uint32,
+      entries: new r.Array(entry, r.uint32),
+    }),
+    return: new r.Struct({ term: r.uint32, fits: flag, counts: flag, matched: r.uint32 }),
+  },
+  /** A leader sends its whole checkpoint to one too far behind. */
+  checkpoint: {
+    number: 3,
+    ask: new r.Struct({ term: r.uint32, leader: text, lastIndex: r.uint32, lastTerm: r.uint32, text }),
+    return: new r.Struct({ term: r.uint32, counts: flag, matched: r.uint32 }),
+  },
+  /** Recorders meet: who are you, and is your disk empty? */
+  meet: {
+    number: 4,
+    ask: new r.Struct({ machine: text, form: text }),
+    return: new r.Struct({ machine: text, state: text, fleet: text, leader: text }),
+  },
+  /** The leader asks a follower to stand at once. */
+  handOver: {
+    number: 5,
+    ask: new r.Struct({ term: r.uint32 }),
+    return: new r.Struct({ taken: flag }),
+  },
+  /** An edge or collector asks for a fresh view; the return is its grant. */
+  poll: {
+    number: 6,
+    ask: new r.Struct({ ferried: flag, text }),
+    return: new r.Struct({ leader: text, text }),
+  },
+  /** A command for the leader, ferried by whoever hears it. */
+  command: {
+    number: 7,
+    ask: new r.Struct({ ferried: flag, text }),
+    return: new r.Struct({ leader: text, text }),
+  },
+  /** A sketch goes up, the fleet's merged one comes down. */
+  push: {
+    number: 8,
+    ask: new r.Struct({ text, sketches: new r.Buffer(r.uint32) }),
+    return: new r.Struct({ text, sketches: new r.Buffer(r.uint32) }),
+  },
+};
--- /dev/null
+++ b/src/link/link.ts
@@ -0,0 +1,155 @@
+import type * as r from "restructure";
+import { Clock } from "../machine/clock.js";
+import { Holding } from "../machine/holding.js";
+import type { PartLog } from "../machine/logbook.js";
+import { Task } from "../machine/task.js";
+import { World } from "../machine/world.js";
+import { exactly, Frame, FrameError, FrameReader, frameSequence } from "./frame.js";
+import type { Kind } from "./kind.js";
+import type { Channel } from "./wire.js";
+
+interface Peer {
+  readonly address: string;
+  readonly outgoing: Holding<Uint8Array>;
+  readonly waiting: Map<number, (body: Uint8Array | undefined) => void>;
+  heardMs: number;
+  channel: Channel | undefined;
+}
+
+type Server = (body: Uint8Array) => Task<Uint8Array>;
+
+const silentMs = 1000;
+const backOffMs = 60;
+
+/** The links of one daemon to its peers: asks, and the returns that come back. */
+export class Link {
+  private readonly world: World;
+  private readonly log: PartLog;
+  private readonly peers = new Map<string, Peer>();
+  private readonly servers = new Map<number, Server>();
+  private nextJob = 1;
+  /** Links closed because of what came over them. */
+  droppedFrames = 0;
+
+  constructor(world: World) {
+    this.world = world;
+    this.log = world.logbook.part("link");
+  }
+
+  /** Takes asks of one kind. */
+  serve<A, R>(kind: Kind<A, R>, handle: (ask: A) => Task<R>): void {
+    this.servers.set(kind.number, function* (body) {
+      return kind.return.toBuffer(yield* handle(exactly(kind.ask, body)));
+    });
+  }
+
+  /** Listens for peers. */
+  *listen(address: string): Task {
+    yield* this.world.wire.listen(address, (channel) => World.start(this.world, "link", this.serving(channel)));
+  }
+
+  /** Asks a peer and waits for its return; `undefined` when none came in time or the link broke. */
+  *ask<A, R>(address: string, kind: Kind<A, R>, ask: A, waitMs: number): Task<R | undefined> {
+    const peer = this.peer(address);
+    const job = this.nextJob;
+    this.nextJob = (this.nextJob + 1) % 2 ** 32;
+    const sentMs = this.world.clock.nowMs();
+    const body = yield* Clock.within<Uint8Array | undefined>(this.world.clock, waitMs, (done) => {
+      peer.waiting.set(job, done);
+      const frame = Frame.encode({ sequence: frameSequence, kind: kind.number, isReturn: false, job, body: kind.ask.toBuffer(ask) });
+      if (peer.channel) peer.channel.send(frame);
+      else peer.outgoing.put(frame);
+    });
+    peer.waiting.delete(job);
+    if (body === undefined) {
+      if (peer.channel && peer.heardMs < sentMs && this.world.clock.nowMs() - peer.heardMs > silentMs) peer.channel.close();
+      return undefined;
+    }
+    try {
+      return exactly(kind.return, body);
+    } catch (error) {
+      this.refuse(peer.channel, error);
+      return undefined;
+    }
+  }
+
+  private peer(address: string): Peer {
+    const known = this.peers.get(address);
+    if (known) return known;
+    const peer: Peer = { address, outgoing: new Holding(), waiting: new Map(), heardMs: 0, channel: undefined };
+    this.peers.set(address, peer);
+    World.start(this.world, "link", this.keeping(peer));
+    return peer;
+  }
+
+  private *keeping(peer: Peer): Task {
+    for (;;) {
+      const first = yield* peer.outgoing.take();
+      const channel = yield* this.world.wire.connect(peer.address);
+      if (channel) {
+        peer.heardMs = this.world.clock.nowMs();
+        peer.channel = channel;
+        channel.send(first);
+        for (const frame of peer.outgoing.drain()) channel.send(frame);
+        yield* this.hearing(peer, channel);
+        peer.channel = undefined;
+        channel.close();
+      }
+      peer.outgoing.drain();
+      for (const done of [...peer.waiting.values()]) done(undefined);
+      yield* Clock.rest(this.world.clock, backOffMs);
+    }
+  }
+
+  private *hearing(peer: Peer, channel: Channel): Task {
+    const reader = new FrameReader();
+    for (;;) {
+      const piece = yield* channel.incoming.take();
+      if (piece === "closed") return;
+      peer.heardMs = this.world.clock.nowMs();
+      try {
+        for (const frame of reader.read(piece)) if (frame.isReturn) peer.waiting.get(frame.job)?.(frame.body);
+      } catch (error) {
+        this.refuse(channel, error);
+        return;
+      }
+    }
+  }
+
+  private *serving(channel: Channel): Task {
+    const reader = new FrameReader();
+    for (;;) {
+      const piece = yield* channel.incoming.take();
+      if (piece === "closed") return;
+      try {
+        for (const frame of reader.read(piece)) {
+          const server = this.servers.get(frame.kind);
+          if (!server || frame.isReturn) throw new FrameError(`Nothing here serves kind ${frame.kind}.`);
+          World.start(this.world, "link", this.answering(channel, frame, server));
+        }
+      } catch (error) {
+        this.refuse(channel, error);
+        return;
+      }
+    }
+  }
+
+  private *answering(channel: Channel, frame: Frame, server: Server): Task {
+    try {
+      const body = yield* server(frame.body);
+      channel.send(Frame.encode({ ...frame, sequence: frameSequence, isReturn: true, body }));
+    } catch (error) {
+      this.refuse(channel, error);
+    }
+  }
+
+  private refuse(channel: Channel | undefined, error: unknown): void {
+    if (!(error instanceof FrameError)) throw error;
+    this.droppedFrames += 1;
+    this.log.warn("A peer's frame was refused and its link closed.", { why: error.message });
+    channel?.close();
+  }
+}
+
+/** What a coder of asks or returns holds. */
+export type Held<C> = r.Held<C>;
--- /dev/null
+++ b/src/machine/holding.ts
@@ -0,0 +1,91 @@
+import { runEffects, tap } from "@most/core";
+import type { Stream } from "@most/types";
+import type { Clock } from "./clock.js";
+import { Task } from "./task.js";
+
+/** A queue of commands in front of the one owner of a table. */
+export class Holding<T> {
+  private readonly held: T[] = [];
+  private takers: Array<(item: T) => boolean> = [];
+
+  get size(): number {
+    return this.held.length;
+  }
+
+  put(item: T): void {
+    for (let taker = this.takers.shift(); taker !== undefined; taker = this.takers.shift()) {
+      if (taker(item)) return;
+    }
+    this.held.push(item);
+  }
+
+  /** All that is held now, without waiting. */
+  drain(): T[] {
+    return this.held.splice(0);
+  }
+
+  /** Waits for the next command. */
+  *take(): Task<T> {
+    return yield* Task.wait<T>((done) => this.begin(done));
+  }
+
+  /** Waits for the next command until a moment of the clock; `undefined` when none came. */
+  *takeUntil(clock: Clock, untilMs: number): Task<T | undefined> {
+    return yield* Task.wait<T | undefined>((done) => {
+      let open = true;
+      const cancel = clock.after(untilMs - clock.nowMs(), () => {
+        open = false;
+        done(undefined);
+      });
+      this.begin(
+        (item) => {
+          cancel();
+          done(item);
+        },
+        () => open,
+      );
+    });
+  }
+
+  /** Feeds the queue from a stream until the stream ends. */
+  feed(stream: Stream<T>, clock: Clock): void {
+    void runEffects(
+      tap((item) => this.put(item), stream),
+      clock.scheduler,
+    );
+  }
+
+  private begin(done: (item: T) => void, open: () => boolean = () => true): void {
+    const [first] = this.held.splice(0, 1);
+    if (first !== undefined) {
+      done(first);
+      return;
+    }
+    this.takers.push((item) => {
+      if (!open()) return false;
+      done(item);
+      return true;
+    });
+  }
+}
+
+if (import.meta.vitest) {
+  const { expect, test } = import.meta.vitest;
+  test("a command goes to the first taker still waiting", async () => {
+    const { VirtualClock } = await import("../rehearsal/virtualClock.js");
+    const virtual = new VirtualClock();
+    const clock = virtual.clock();
+    const holding = new Holding<string>();
+    const seen: Array<string | undefined> = [];
+    const fail = (error: unknown): void => {
+      throw error;
+    };
+    Task.start(holding.takeUntil(clock, 10), fail, (item) => seen.push(item));
+    virtual.runUntil(20);
+    Task.start(holding.takeUntil(clock, 50), fail, (item) => seen.push(item));
+    holding.put("a");
+    holding.put("b");
+    Task.start(holding.take(), fail, (item) => seen.push(item));
+    expect(seen).toEqual([undefined, "a", "b"]);
+  });
+}
--- /dev/null
+++ b/src/machine/logbook.ts
@@ -0,0 +1,41 @@
+import bunyan from "bunyan";
+
+/** The log of one part: short sentences behind a fixed prefix. */
+export interface PartLog {
+  say(sentence: string, fields?: Record<string, unknown>): void;
+  warn(sentence: string, fields?: Record<string, unknown>): void;
+  fault(sentence: string, error: unknown): void;
+}
+
+/** A daemon's log, by part. */
+export interface Logbook {
+  part(name: string): PartLog;
+}
+
+export const Logbook = {
+  /** Writes through bunyan to the standard error stream. */
+  open(machine: string, level: "debug" | "info" | "warn" | "error"): Logbook {
+    const log = bunyan.createLogger({ name: "daledoor", machine, level, stream: process.stderr });
+    return {
+      part: (name) => ({
+        say: (sentence, fields) => log.info(fields ?? {}, `${name}: ${sentence}`),
+        warn: (sentence, fields) => log.warn(fields ?? {}, `${name}: ${sentence}`),
+        fault: (sentence, error) => log.error({ err: error }, `${name}: ${sentence}`),
+      }),
+    };
+  },
+
+  /** Keeps lines in memory and raises what is at fault, for tests and the simulator. */
+  into(lines: (line: string) => void): Logbook {
+    return {
+      part: (name) => ({
+        say: (sentence, fields) => lines(`${name}: ${sentence}${fields ? ` ${JSON.stringify(fields)}` : ""}`),
+        warn: (sentence, fields) => lines(`${name}: ${sentence}${fields ? ` ${JSON.stringify(fields)}` : ""}`),
+        fault(sentence, error) {
+          lines(`${name}: ${sentence} ${error instanceof Error ? (error.stack ?? error.message) : String(error)}`);
+          throw error;
+        },
+      }),
+    };
+  },
+};
--- /dev/null
+++ b/src/machine/world.ts
@@ -0,0 +1,31 @@
+import type { BackEnds } from "../door/backEnds.js";
+import type { Wire } from "../link/wire.js";
+import type { Clock } from "./clock.js";
+import type { Disk } from "./disk.js";
+import type { Logbook } from "./logbook.js";
+import { Task } from "./task.js";
+
+/** All that a daemon touches outside itself: real in a process, virtual and seeded in the simulator. */
+export interface World {
+  readonly clock: Clock;
+  readonly wire: Wire;
+  readonly disk: Disk | undefined;
+  readonly backEnds: BackEnds;
+  readonly logbook: Logbook;
+  /** A number from 0 up to 1. */
+  random(): number;
+  /** The wall clock, for people to read; nothing is decided by it. */
+  wallTime(): Date;
+}
+
+export const World = {
+  /** Starts a task whose errors go to the log of a part. */
+  start<T>(world: World, part: string, task: Task<T>, ended?: (value: T) => void): void {
+    Task.start(task, (error) => world.logbook.part(part).fault("A task broke off.", error), ended);
+  },
+
+  /** A word no other draw gives again. */
+  nonce(world: World): string {
+    return Array.from({ length: 3 }, () => Math.floor(world.random() * 2 ** 32).toString(36)).join("-");
+  },
+};
--- /dev/null
+++ b/src/record/book.ts
@@ -0,0 +1,245 @@
+import { Map as Table } from "immutable";
+import { array, boolean, create, literal, number, object, optional, record, string, type, union, type Infer } from "superstruct";
+import type { Members } from "./recorder.js";
+
+const contractShape = object({
+  address: string(),
+  service: string(),
+  zone: string(),
+  warmth: number(),
+  /** The entry by which this contract came about; no two contracts share one. */
+  number: number(),
+  leaving: boolean(),
+});
+
+/** What the record holds about one back end. */
+export type Contract = Infer<typeof contractShape>;
+
+const returnShape = object({ code: number(), headers: record(string(), string()), body: string() });
+
+const keyShape = object({
+  bodyHash: string(),
+  job: string(),
+  /** What is known of the first request: in hand, or how it ended. */
+  verdict: union([literal("inHand"), literal("ran"), literal("mayHaveRun")]),
+  return: optional(returnShape),
+  atIndex: number(),
+});
+
+/** A key that is claimed, and the return it got. */
+export type KeyClaim = Infer<typeof keyShape>;
+
+/** A return that was kept for duplicates; the body in base 64. */
+export type KeptReturn = Infer<typeof returnShape>;
+
+const configShape = object({ sequence: number(), index: number(), changeId: string(), acceptedAt: string(), text: string() });
+
+/** A configuration as it was accepted. */
+export type AcceptedConfig = Infer<typeof configShape>;
+
+const deedShape = union([
+  object({ kind: literal("leads"), machine: string(), term: number() }),
+  object({ kind: literal("members"), voters: array(string()), learners: array(string()) }),
+  object({ kind: literal("rejoined"), machine: string(), nonce: string() }),
+  object({ kind: literal("config"), expected: number(), changeId: string(), acceptedAt: string(), text: string(), services: array(string()), routes: array(string()) }),
+  object({ kind: literal("contract"), address: string(), service: string(), zone: string(), warmth: number() }),
+  object({ kind: literal("leave"), address: string(), service: string() }),
+  object({ kind: literal("end"), address: string(), number: number(), why: string() }),
+  object({ kind: literal("claim"), scope: string(), bodyHash: string(), job: string() }),
+  object({ kind: literal("settle"), scope: string(), job: string(), verdict: union([literal("ran"), literal("mayHaveRun")]), return: optional(returnShape) }),
+  object({ kind: literal("release"), scope: string(), job: string() }),
+  object({ kind: literal("forget"), scopes: array(string()), upTo: number() }),
+  object({ kind: literal("note"), text: string() }),
+]);
+
+/** One entry of the record, as it is written. */
+export type Deed = Infer<typeof deedShape>;
+
+export const Deed = {
+  text: (deed: Deed): string => JSON.stringify(deed),
+};
+
+const bookShape = type({
+  voters: array(string()),
+  learners: array(string()),
+  configs: array(configShape),
+  changes: array(object({ changeId: string(), sequence: number() })),
+  contracts: array(contractShape),
+  directorySequence: number(),
+  keys: array(object({ scope: string(), claim: keyShape })),
+  numbers: record(string(), number()),
+  journal: array(object({ index: number(), text: string() })),
+});
+
+const keptConfigs = 200;
+const keptConfigBytes = 8 * 1024 * 1024;
+const keptChanges = 2000;
+const keptJournal = 1000;
+
+/** The tables that the record keeps, the same on every recorder that has applied the same entries. */
+export class Book {
+  configs: AcceptedConfig[] = [];
+  contracts = Table<string, Contract>();
+  directorySequence = 0;
+  keys = new Map<string, KeyClaim>();
+  numbers = new Map<string, number>();
+  journal: Array<{ index: number; text: string }> = [];
+  private changes = new Map<string, number>();
+  private applied = new Set<(deed: Deed, index: number) => void>();
+
+  /** The config in force. */
+  get inForce(): AcceptedConfig | undefined {
+    return this.configs.at(-1);
+  }
+
+  /** The sequence that a change id was accepted under, if it was. */
+  changeSequence(changeId: string): number | undefined {
+    return this.changes.get(changeId);
+  }
+
+  /** Hears of each entry once it is applied. */
+  onApplied(hook: (deed: Deed, index: number) => void): void {
+    this.applied.add(hook);
+  }
+
+  /** Applies one entry and tells its outcome, as JSON. */
+  apply(index: number, text: string): string {
+    const deed = create(JSON.parse(text), deedShape);
+    const outcome = this.take(index, deed);
+    for (const hook of this.applied) hook(deed, index);
+    return JSON.stringify(outcome);
+  }
+
+  /** All tables as one text. */
+  checkpoint(members: Members): string {
+    return JSON.stringify({
+      ...members,
+      configs: this.configs,
+      changes: [...this.changes].map(([changeId, sequence]) => ({ changeId, sequence })),
+      contracts: [...this.contracts.values()],
+      directorySequence: this.directorySequence,
+      keys: [...this.keys].map(([scope, claim]) => ({ scope, claim })),
+      numbers: Object.fromEntries(this.numbers),
+      journal: this.journal,
+    });
+  }
+
+  /** Takes all tables from a checkpoint and tells the members that it names. */
+  restore(text: string): Members {
+    const kept = create(JSON.parse(text), bookShape);
+    this.configs = kept.configs;
+    this.changes = new Map(kept.changes.map(({ changeId, sequence }) => [changeId, sequence]));
+    this.contracts = Table(kept.contracts.map((contract) => [contract.address, contract]));
+    this.directorySequence = kept.directorySequence;
+    this.keys = new Map(kept.keys.map(({ scope, claim }) => [scope, claim]));
+    this.numbers = new Map(Object.entries(kept.numbers));
+    this.journal = kept.journal;
+    return { voters: kept.voters, learners: kept.learners };
+  }
+
+  private take(index: number, deed: Deed): Record<string, unknown> {
+    switch (deed.kind) {
+      case "leads":
+        return this.note(index, `${deed.machine} leads the record in term ${deed.term}.`);
+      case "members":
+        return this.note(index, `Voters: ${deed.voters.join(", ")}; learners: ${deed.learners.join(", ") || "none"}.`);
+      case "rejoined":
+        return this.note(index, `${deed.machine} rejoined the record.`);
+      case "note":
+        return this.note(index, deed.text);
+      case "config": {
+        const current = this.inForce?.sequence ?? 0;
+        const known = this.changes.get(deed.changeId);
+        if (known !== undefined) return { accepted: known };
+        if (deed.expected !== current) return { lost: current };
+        const sequence = current + 1;
+        this.configs.push({ sequence, index, changeId: deed.changeId, acceptedAt: deed.acceptedAt, text: deed.text });
+        let bytes = this.configs.reduce((sum, config) => sum + config.text.length, 0);
+        while (this.configs.length > 1 && (this.configs.length > keptConfigs || bytes > keptConfigBytes)) bytes -= this.configs.shift()?.text.length ?? 0;
+        this.changes.set(deed.changeId, sequence);
+        for (const changeId of this.changes.keys()) {
+          if (this.changes.size <= keptChanges) break;
+          this.changes.delete(changeId);
+        }
+        for (const name of [...deed.services.map((service) => `service ${service}`), ...deed.routes.map((route) => `route ${route}`)])
+          if (!this.numbers.has(name)) this.numbers.set(name, this.numbers.size + 1);
+        this.note(index, `Config ${sequence} is in force (change ${deed.changeId}).`);
+        return { accepted: sequence };
+      }
+      case "contract": {
+        const { address, service, zone, warmth } = deed;
+        const former = this.contracts.get(address);
+        this.contracts = this.contracts.set(address, { address, service, zone, warmth, number: index, leaving: false });
+        this.directorySequence = index;
+        if (former && former.service !== service) this.note(index, `${address} now serves ${service}, no longer ${former.service}.`);
+        return { number: index };
+      }
+      case "leave": {
+        const contract = this.contracts.get(deed.address);
+        if (!contract || contract.service !== deed.service) return { known: false };
+        this.contracts = this.contracts.set(deed.address, { ...contract, leaving: true });
+        this.directorySequence = index;
+        return { known: true };
+      }
+      case "end": {
+        const contract = this.contracts.get(deed.address);
+        if (!contract || contract.number !== deed.number) return { known: false };
+        this.contracts = this.contracts.delete(deed.address);
+        this.directorySequence = index;
+        this.note(index, `${deed.address} of ${contract.service} ended: ${deed.why}.`);
+        return { known: true };
+      }
+      case "claim": {
+        const known = this.keys.get(deed.scope);
+        if (known && known.job !== deed.job) return { held: known };
+        this.keys.set(deed.scope, { bodyHash: deed.bodyHash, job: deed.job, verdict: "inHand", atIndex: index });
+        return { claimed: true };
+      }
+      case "settle": {
+        const known = this.keys.get(deed.scope);
+        if (known?.job !== deed.job) return { known: false };
+        this.keys.set(deed.scope, { ...known, verdict: deed.verdict, ...(deed.return ? { return: deed.return } : {}) });
+        return { known: true };
+      }
+      case "release": {
+        const known = this.keys.get(deed.scope);
+        if (known?.job === deed.job && known.verdict === "inHand") this.keys.delete(deed.scope);
+        return { known: true };
+      }
+      case "forget":
+        for (const scope of deed.scopes) if ((this.keys.get(scope)?.atIndex ?? Infinity) <= deed.upTo) this.keys.delete(scope);
+        return { known: true };
+    }
+  }
+
+  private note(index: number, text: string): Record<string, unknown> {
+    this.journal.push({ index, text });
+    if (this.journal.length > keptJournal) this.journal.splice(0, this.journal.length - keptJournal);
+    return {};
+  }
+}
+
+if (import.meta.vitest) {
+  const { expect, test } = import.meta.vitest;
+  const members = { voters: ["a"], learners: [] };
+  test("one of two racing configs loses, a repeated change id gets its first outcome, and a checkpoint keeps all", () => {
+    const book = new Book();
+    const put = (index: number, expected: number, changeId: string) =>
+      book.apply(index, Deed.text({ kind: "config", expected, changeId, acceptedAt: "", text: `{"n":"${changeId}"}`, services: ["s"], routes: ["r"] }));
+    expect([put(1, 0, "x"), put(2, 0, "y"), put(3, 0, "x")].map((text) => JSON.parse(text))).toEqual([{ accepted: 1 }, { lost: 1 }, { accepted: 1 }]);
+    const copy = new Book();
+    expect(copy.restore(book.checkpoint(members))).toEqual(members);
+    expect(copy.checkpoint(members)).toBe(book.checkpoint(members));
+  });
+  test("a key is one job's until it is released or forgotten", () => {
+    const book = new Book();
+    const claim = (index: number, job: string): unknown => JSON.parse(book.apply(index, Deed.text({ kind: "claim", scope: "k", bodyHash: "h", job })));
+    expect(claim(1, "one")).toEqual({ claimed: true });
+    expect(claim(2, "two")).toMatchObject({ held: { job: "one", verdict: "inHand" } });
+    book.apply(3, Deed.text({ kind: "settle", scope: "k", job: "one", verdict: "ran", return: { code: 201, headers: {}, body: "" } }));
+    book.apply(4, Deed.text({ kind: "release", scope: "k", job: "one" }));
+    expect(claim(5, "two")).toMatchObject({ held: { verdict: "ran", return: { code: 201 } } });
+    book.apply(6, Deed.text({ kind: "forget", scopes: ["k"], upTo: 1 }));
+    expect(claim(7, "two")).toEqual({ claimed: true });
+  });
+}
--- /dev/null
+++ b/src/record/recorder.ts
@@ -0,0 +1,770 @@
+import { array, create, enums, object, string, type Infer } from "superstruct";
+import { Clock } from "../machine/clock.js";
+import { Holding } from "../machine/holding.js";
+import type { PartLog } from "../machine/logbook.js";
+import { Task } from "../machine/task.js";
+import { World } from "../machine/world.js";
+import { Kind, type Entry } from "../link/kind.js";
+import type { Held, Link } from "../link/link.js";
+import type { Book } from "./book.js";
+import { Store, type LogRecord, type Standing } from "./store.js";
+import { Writer } from "./writer.js";
+
+/** The waits by which recorders elect; each is a duration on a monotonic clock. */
+export interface Waits {
+  heartbeatMs: number;
+  electionMinMs: number;
+  electionMaxMs: number;
+  /** How long a majority's acknowledgment lets the leader answer; shorter than the shortest election wait. */
+  leaderGrantMs: number;
+  stallMs: number;
+  /** How long a voter is silent before a learner takes its place. */
+  lostMs: number;
+}
+
+export const Waits = {
+  usual: { heartbeatMs: 80, electionMinMs: 500, electionMaxMs: 900, leaderGrantMs: 400, stallMs: 700, lostMs: 10_000 },
+};
+
+/** What became of a proposal: committed and applied here, or its fate is unknown. */
+export type Proposed = { index: number; outcome: string } | "notLeader" | "unknown";
+
+type VoteAsk = Held<typeof Kind.vote.ask>;
+type VoteReturn = Held<typeof Kind.vote.return>;
+type AppendAsk = Held<typeof Kind.append.ask>;
+type AppendReturn = Held<typeof Kind.append.return>;
+type CheckpointAsk = Held<typeof Kind.checkpoint.ask>;
+type CheckpointReturn = Held<typeof Kind.checkpoint.return>;
+
+type Command =
+  | { kind: "vote"; ask: VoteAsk; done: (ret: VoteReturn) => void }
+  | { kind: "append"; ask: AppendAsk; done: (ret: AppendReturn) => void }
+  | { kind: "checkpoint"; ask: CheckpointAsk; done: (ret: CheckpointReturn) => void }
+  | { kind: "handOver"; term: number; done: (taken: boolean) => void }
+  | { kind: "propose"; texts: string[]; done: (outcomes: Proposed[]) => void }
+  | { kind: "acked"; peer: string; term: number; sentMs: number; matched: number; counts: boolean }
+  | { kind: "voted"; peer: string; isPreVote: boolean; term: number; ret: VoteReturn }
+  | { kind: "written"; term: number; index: number }
+  | { kind: "outdated"; term: number }
+  | { kind: "rejoined" };
+
+const membersShape = object({ kind: enums(["members"]), voters: array(string()), learners: array(string()) });
+
+/** Who votes on the record and who only learns it. */
+export type Members = Omit<Infer<typeof membersShape>, "kind">;
+
+const markShape = object({ kind: enums(["rejoined"]), machine: string(), nonce: string() });
+
+const membersIn = (text: string): Members | undefined => (text.startsWith('{"kind":"members"') ? create(JSON.parse(text), membersShape) : undefined);
+
+const batchEntries = 256;
+const keptEntries = 2000;
+const checkpointBytes = 4 * 1024 * 1024;
+
+type Role = "follower" | "preCandidate" | "candidate" | "leader";
+
+/** A recorder: it replicates the record under a leader that a majority elected, and applies it to its book. */
+export class Recorder {
+  readonly self: string;
+  private readonly world: World;
+  private readonly link: Link;
+  private readonly seeds: string[];
+  private readonly waits: Waits;
+  private readonly log: PartLog;
+  private readonly book: Book;
+  private readonly store: Store;
+  private readonly writer: Writer;
+  private readonly holding = new Holding<Command>();
+
+  private state: "loading" | "empty" | "damaged" | "formed" = "loading";
+  private fleet = "";
+  private rejoining = "";
+  private role: Role = "follower";
+  private term = 0;
+  private votedFor = "";
+  private entries: Entry[] = [];
+  private baseIndex = 0;
+  private baseTerm = 0;
+  private members: Members;
+  private membersIndex = 0;
+  private baseMembers: Members;
+  private committed = 0;
+  private applied = 0;
+  private synced = 0;
+  private knownLeader = "";
+  private heardLeaderMs: number;
+  private leadingSinceIndex = 0;
+  private matched = new Map<string, number>();
+  private ackedSentMs = new Map<string, number>();
+  private votes = new Set<string>();
+  private nudges = new Map<string, Holding<true>>();
+  private promises = new Map<number, { term: number; done: (proposed: Proposed) => void }>();
+  private checkpointing = false;
+  private handedOver = false;
+  private cuts = 0;
+  private leaderHooks: Array<(leads: boolean) => void> = [];
+
+  constructor(world: World, link: Link, self: string, seeds: string[], waits: Waits, book: Book, store: Store) {
+    this.world = world;
+    this.link = link;
+    this.self = self;
+    this.seeds = seeds;
+    this.waits = waits;
+    this.book = book;
+    this.store = store;
+    this.log = world.logbook.part("record");
+    this.writer = new Writer(world.clock, store, this.log);
+    this.members = { voters: seeds, learners: [] };
+    this.baseMembers = this.members;
+    this.heardLeaderMs = world.clock.nowMs();
+  }
+
+  /** The leader as far as this recorder knows, or an empty word. */
+  get leader(): string {
+    return this.role === "leader" ? this.self : this.knownLeader;
+  }
+
+  /** Whether this recorder may answer for the fleet now. */
+  get hasGrant(): boolean {
+    return this.role === "leader" && this.applied >= this.leadingSinceIndex && this.world.clock.nowMs() < this.grantUntilMs();
+  }
+
+  /** How this recorder stands, for status and tests. */
+  get status() {
+    return {
+      state: this.rejoining ? "rejoining" : this.state,
+      role: this.role,
+      term: this.term,
+      leader: this.leader,
+      committed: this.committed,
+      applied: this.applied,
+      lastIndex: this.lastIndex,
+      voters: this.members.voters,
+      learners: this.members.learners,
+      disk: this.writer.breakdown ?? "well",
+      syncs: this.writer.syncs,
+      written: this.writer.written,
+    };
+  }
+
+  get currentMembers(): Members {
+    return this.members;
+  }
+
+  /** Hears each time this recorder begins or ceases to lead. */
+  onLeading(hook: (leads: boolean) => void): void {
+    this.leaderHooks.push(hook);
+  }
+
+  /** Asks the record to take an entry; ends once its fate is known, or known to be unknown. */
+  *propose(text: string): Task<Proposed> {
+    const outcomes = yield* Task.wait<Proposed[]>((done) => this.holding.put({ kind: "propose", texts: [text], done }));
+    return outcomes[0] ?? "unknown";
+  }
+
+  /** Steps down in favour of the follower that is furthest. */
+  yieldLeadership(): void {
+    if (this.role === "leader") this.handOver("A stop was asked for.");
+  }
+
+  /** The recorder's own task: loads, forms or rejoins, then follows, stands and leads. */
+  *own(): Task {
+    this.serve();
+    World.start(this.world, "record", this.writer.own());
+    const loaded = yield* this.store.load();
+    if (loaded.kind === "whole") this.adopt(loaded.standing);
+    else {
+      if (loaded.kind === "damaged") this.log.warn("The disk is damaged; rejoining as if it were lost.", { why: loaded.why });
+      this.state = loaded.kind;
+      yield* this.meeting();
+    }
+    if (this.rejoining) World.start(this.world, "record", this.rejoinTask());
+    this.heardLeaderMs = this.world.clock.nowMs();
+    for (;;) {
+      switch (this.role) {
+        case "follower":
+          yield* this.following();
+          break;
+        case "preCandidate":
+          yield* this.standing(true);
+          break;
+        case "candidate":
+          yield* this.standing(false);
+          break;
+        case "leader":
+          yield* this.leading();
+          break;
+      }
+    }
+  }
+
+  private serve(): void {
+    const { holding } = this;
+    const closed = (): boolean => this.state !== "formed";
+    this.link.serve(Kind.vote, function* (ask) {
+      if (closed()) return { term: 0, granted: false };
+      return yield* Task.wait<VoteReturn>((done) => holding.put({ kind: "vote", ask, done }));
+    });
+    this.link.serve(Kind.append, function* (ask) {
+      if (closed()) return { term: 0, fits: false, counts: false, matched: 0 };
+      return yield* Task.wait<AppendReturn>((done) => holding.put({ kind: "append", ask, done }));
+    });
+    this.link.serve(Kind.checkpoint, function* (ask) {
+      if (closed()) return { term: 0, counts: false, matched: 0 };
+      return yield* Task.wait<CheckpointReturn>((done) => holding.put({ kind: "checkpoint", ask, done }));
+    });
+    this.link.serve(Kind.handOver, function* ({ term }) {
+      if (closed()) return { taken: false };
+      return { taken: yield* Task.wait<boolean>((done) => holding.put({ kind: "handOver", term, done })) };
+    });
+    const meet = (form: string): Task<Held<typeof Kind.meet.return>> => this.met(form);
+    this.link.serve(Kind.meet, ({ form }) => meet(form));
+  }
+
+  private *met(form: string): Task<Held<typeof Kind.meet.return>> {
+    if (form && this.state === "empty") yield* this.form(form);
+    const unborn = this.state === "formed" && this.term === 0 && this.lastIndex === 0 && !this.rejoining;
+    return { machine: this.self, state: unborn ? "unborn" : this.state, fleet: this.fleet, leader: this.leader };
+  }
+
+  private *form(fleet: string): Task {
+    const standing: Standing = { fleet, rejoining: "", term: 0, votedFor: "", lastIndex: 0, lastTerm: 0, book: this.book.checkpoint(this.baseMembers), entries: [] };
+    yield* Task.wait<boolean>((done) => this.writer.checkpoint(standing, () => done(true)));
+    if (this.state === "empty") {
+      this.log.say("The fleet's record is formed.", { fleet });
+      this.adopt(standing);
+    }
+  }
+
+  private *meeting(): Task {
+    const others = this.seeds.filter((seed) => seed !== this.self);
+    const founder = this.seeds[0] === this.self && this.state === "empty";
+    for (let round = 0; this.state !== "formed"; round += 1) {
+      const met: Array<Held<typeof Kind.meet.return>> = [];
+      for (const seed of others) {
+        const ret = yield* this.link.ask(seed, Kind.meet, { machine: this.self, form: "" }, 300);
+        if (ret) met.push(ret);
+      }
+      if (this.statusIs("formed")) return;
+      const formed = met.find((one) => one.state === "formed");
+      const isOpen = (one: { state: string }): boolean => one.state === "empty" || one.state === "unborn";
+      if (formed) {
+        yield* this.beginRejoining(formed.fleet);
+        return;
+      }
+      if (founder && met.length === others.length && met.every(isOpen)) {
+        const fleet = met.find((one) => one.state === "unborn")?.fleet ?? World.nonce(this.world);
+        let joined = 0;
+        for (const one of met) {
+          if (one.state === "unborn") joined += one.fleet === fleet ? 1 : 0;
+          else {
+            const ret = yield* this.link.ask(one.machine, Kind.meet, { machine: this.self, form: fleet }, 2000);
+            if (ret?.state === "unborn" && ret.fleet === fleet) joined += 1;
+          }
+        }
+        if (joined === others.length) yield* this.form(fleet);
+      }
+      if (this.state === "damaged" && round % 20 === 19) this.log.warn("Waiting for a formed record to rejoin.");
+      yield* Clock.rest(this.world.clock, 100 + this.world.random() * 100);
+    }
+  }
+
+  private statusIs(state: string): boolean {
+    return this.state === state;
+  }
+
+  private *beginRejoining(fleet: string): Task {
+    const standing: Standing = {
+      fleet,
+      rejoining: World.nonce(this.world),
+      term: 0,
+      votedFor: "",
+      lastIndex: 0,
+      lastTerm: 0,
+      book: this.book.checkpoint({ voters: this.seeds, learners: [] }),
+      entries: [],
+    };
+    yield* Task.wait<boolean>((done) => this.writer.checkpoint(standing, () => done(true)));
+    this.log.warn("Rejoining: no vote and no acknowledgment until the record is learned again.");
+    this.adopt(standing);
+  }
+
+  private *rejoinTask(): Task {
+    while (this.rejoining) {
+      for (const address of new Set([this.knownLeader, ...this.seeds])) {
+        if (!address || address === this.self || !this.rejoining) continue;
+        const text = JSON.stringify({ kind: "rejoin", machine: this.self, nonce: this.rejoining });
+        const ret = yield* this.link.ask(address, Kind.command, { ferried: false, text }, 1000);
+        if (ret && ret.text.includes('"taken"')) break;
+      }
+      yield* Clock.rest(this.world.clock, 500);
+    }
+  }
+
+  private adopt(standing: Standing): void {
+    this.fleet = standing.fleet;
+    this.rejoining = standing.rejoining;
+    this.term = standing.term;
+    this.votedFor = standing.votedFor;
+    this.baseMembers = this.book.restore(standing.book);
+    this.baseIndex = standing.lastIndex;
+    this.baseTerm = standing.lastTerm;
+    this.entries = [...standing.entries];
+    this.committed = standing.lastIndex;
+    this.applied = standing.lastIndex;
+    this.synced = this.lastIndex;
+    this.readMembers();
+    this.state = "formed";
+  }
+
+  private get lastIndex(): number {
+    return this.baseIndex + this.entries.length;
+  }
+
+  private termAt(index: number): number | undefined {
+    if (index === this.baseIndex) return this.baseTerm;
+    return this.entries[index - this.baseIndex - 1]?.term;
+  }
+
+  private get lastTerm(): number {
+    return this.termAt(this.lastIndex) ?? 0;
+  }
+
+  private readMembers(): void {
+    this.members = this.baseMembers;
+    this.membersIndex = this.baseIndex;
+    for (const entry of this.entries) this.noteMembers(entry);
+  }
+
+  private noteMembers(entry: Entry): void {
+    const members = membersIn(entry.text);
+    if (!members) return;
+    this.members = members;
+    this.membersIndex = entry.index;
+  }
+
+  private get isVoter(): boolean {
+    return !this.rejoining && this.members.voters.includes(this.self);
+  }
+
+  private get majority(): number {
+    return Math.floor(this.members.voters.length / 2) + 1;
+  }
+
+  private grantUntilMs(): number {
+    const sent = this.members.voters
+      .map((voter) => (voter === this.self ? this.world.clock.nowMs() : (this.ackedSentMs.get(voter) ?? -Infinity)))
+      .sort((a, b) => b - a);
+    return (sent[this.majority - 1] ?? -Infinity) + this.waits.leaderGrantMs;
+  }
+
+  private electionWaitMs(): number {
+    const { electionMinMs, electionMaxMs } = this.waits;
+    return electionMinMs + this.world.random() * (electionMaxMs - electionMinMs);
+  }
+
+  private *following(): Task {
+    let untilMs = this.heardLeaderMs + this.electionWaitMs();
+    while (this.role === "follower") {
+      const command = yield* this.holding.takeUntil(this.world.clock, untilMs);
+      const heardMs = this.heardLeaderMs;
+      if (command) this.handle(command);
+      if (this.heardLeaderMs !== heardMs) untilMs = this.heardLeaderMs + this.electionWaitMs();
+      else if (this.world.clock.nowMs() >= untilMs) {
+        this.knownLeader = "";
+        if (this.isVoter && this.writer.breakdown === undefined && this.writer.waitingMs < this.waits.stallMs) this.role = "preCandidate";
+        else untilMs = this.world.clock.nowMs() + this.electionWaitMs();
+      }
+    }
+  }
+
+  private *standing(isPreVote: boolean): Task {
+    const role = this.role;
+    const term = this.term + 1;
+    this.votes = new Set();
+    if (isPreVote) this.startVoting(true, term, false);
+    else this.campaign(this.handedOver);
+    this.handedOver = false;
+    const untilMs = this.world.clock.nowMs() + this.electionWaitMs();
+    while (this.role === role) {
+      const command = yield* this.holding.takeUntil(this.world.clock, untilMs);
+      if (command) this.handle(command);
+      if (this.role === role && this.world.clock.nowMs() >= untilMs) {
+        this.role = "follower";
+        this.heardLeaderMs = this.world.clock.nowMs() - this.waits.electionMinMs;
+      }
+    }
+  }
+
+  private campaign(handOver: boolean): void {
+    this.knownLeader = "";
+    this.term += 1;
+    this.votedFor = this.self;
+    this.votes = new Set();
+    const { term } = this;
+    this.writer.append([{ kind: "vote", term, text: this.self }], () => {
+      if (this.role === "candidate" && this.term === term) this.startVoting(false, term, handOver);
+    });
+  }
+
+  private startVoting(isPreVote: boolean, term: number, handOver: boolean): void {
+    const ask: VoteAsk = { isPreVote, term, candidate: this.self, lastIndex: this.lastIndex, lastTerm: this.lastTerm, handOver };
+    this.holding.put({ kind: "voted", peer: this.self, isPreVote, term, ret: { term, granted: true } });
+    for (const peer of this.members.voters.filter((voter) => voter !== this.self)) World.start(this.world, "record", this.asking(peer, ask));
+  }
+
+  private *asking(peer: string, ask: VoteAsk): Task {
+    const ret = yield* this.link.ask(peer, Kind.vote, ask, this.waits.electionMinMs);
+    if (ret) this.holding.put({ kind: "voted", peer, isPreVote: ask.isPreVote, term: ask.term, ret });
+  }
+
+  private *leading(): Task {
+    const { term } = this;
+    this.knownLeader = this.self;
+    this.matched = new Map();
+    this.ackedSentMs = new Map();
+    this.nudges = new Map();
+    this.promises = new Map();
+    this.leadingSinceIndex = this.lastIndex + 1;
+    this.log.say("Leads the record.", { term });
+    this.add([JSON.stringify({ kind: "leads", machine: this.self, term })], () => undefined);
+    for (const hook of this.leaderHooks) hook(true);
+    const startedMs = this.world.clock.nowMs();
+    while (this.isLeading(term)) {
+      this.keepReplicating(term);
+      const command = yield* this.holding.takeUntil(this.world.clock, this.world.clock.nowMs() + this.waits.heartbeatMs);
+      if (command) this.handle(command);
+      if (!this.isLeading(term)) break;
+      const nowMs = this.world.clock.nowMs();
+      if (this.writer.breakdown !== undefined || this.writer.waitingMs > this.waits.stallMs) this.handOver("The disk doesn't keep up.");
+      else if (!this.members.voters.includes(this.self) && this.committed >= this.membersIndex) this.handOver("No longer a voter.");
+      else if (nowMs > Math.max(this.grantUntilMs(), startedMs) + 2 * this.waits.electionMaxMs) this.follow(this.term, "");
+      else this.replaceLost(startedMs);
+    }
+    for (const promise of this.promises.values()) promise.done("unknown");
+    this.promises = new Map();
+    for (const nudge of this.nudges.values()) nudge.put(true);
+    for (const hook of this.leaderHooks) hook(false);
+    this.log.say("Leads no more.", { term });
+  }
+
+  private isLeading(term: number): boolean {
+    return this.role === "leader" && this.term === term;
+  }
+
+  private handOver(why: string): void {
+    const { term } = this;
+    const heir = this.members.voters
+      .filter((voter) => voter !== this.self && this.ackedSentMs.has(voter))
+      .sort((a, b) => (this.matched.get(b) ?? 0) - (this.matched.get(a) ?? 0))[0];
+    this.log.warn("Hands over the lead.", { why, to: heir ?? "nobody" });
+    this.follow(this.term, "");
+    const link = this.link;
+    if (heir !== undefined)
+      World.start(
+        this.world,
+        "record",
+        (function* () {
+          yield* link.ask(heir, Kind.handOver, { term }, 300);
+        })(),
+      );
+  }
+
+  private replaceLost(startedMs: number): void {
+    if (this.committed < this.leadingSinceIndex || this.membersIndex > this.committed) return;
+    const nowMs = this.world.clock.nowMs();
+    const silentMs = (peer: string): number => nowMs - Math.max(startedMs, this.ackedSentMs.get(peer) ?? startedMs);
+    const { voters, learners } = this.members;
+    const lost = voters.find((voter) => voter !== this.self && silentMs(voter) > this.waits.lostMs);
+    const ready = learners.find((learner) => this.ackedSentMs.has(learner) && silentMs(learner) < this.waits.electionMaxMs && (this.matched.get(learner) ?? 0) + 64 >= this.committed);
+    if (voters.length > this.seeds.length && lost !== undefined) {
+      this.log.warn("A lost voter is taken off.", { voter: lost });
+      this.changeMembers({ voters: voters.filter((voter) => voter !== lost), learners: [...learners, lost] });
+    } else if (lost !== undefined && ready !== undefined) {
+      this.log.warn("A learner takes a lost voter's place.", { learner: ready, lost });
+      this.changeMembers({ voters: [...voters, ready], learners: learners.filter((learner) => learner !== ready) });
+    }
+  }
+
+  private changeMembers(members: Members): void {
+    this.add([JSON.stringify({ kind: "members", ...members })], () => undefined);
+  }
+
+  private keepReplicating(term: number): void {
+    for (const peer of [...this.members.voters, ...this.members.learners]) {
+      if (peer === this.self || this.nudges.has(peer)) continue;
+      const nudge = new Holding<true>();
+      this.nudges.set(peer, nudge);
+      World.start(this.world, "record", this.replicating(peer, term, nudge));
+    }
+  }
+
+  private *replicating(peer: string, term: number, nudge: Holding<true>): Task {
+    let next = this.lastIndex;
+    let sure = false;
+    while (this.isLeading(term) && (this.members.voters.includes(peer) || this.members.learners.includes(peer))) {
+      const sentMs = this.world.clock.nowMs();
+      if (next <= this.baseIndex) {
+        const standing = { term, leader: this.self, lastIndex: this.applied, lastTerm: this.termAt(this.applied) ?? 0, text: this.book.checkpoint(this.membersAt(this.applied)) };
+        const ret = yield* this.link.ask(peer, Kind.checkpoint, standing, 5000);
+        if (ret) {
+          this.holding.put({ kind: "acked", peer, term, sentMs, matched: ret.matched, counts: ret.counts });
+          if (ret.term > term) this.holding.put({ kind: "outdated", term: ret.term });
+          if (ret.matched >= standing.lastIndex) next = ret.matched + 1;
+        }
+      } else {
+        const from = next - this.baseIndex - 1;
+        const entries = this.entries.slice(from, from + (sure ? batchEntries : 0));
+        const previousTerm = this.termAt(next - 1) ?? 0;
+        const ask = { term, leader: this.self, previousIndex: next - 1, previousTerm, committed: this.committed, entries };
+        const ret = yield* this.link.ask(peer, Kind.append, ask, this.waits.electionMinMs);
+        if (ret && ret.term > term) this.holding.put({ kind: "outdated", term: ret.term });
+        else if (ret && ret.term === term) {
+          this.holding.put({ kind: "acked", peer, term, sentMs, matched: ret.fits ? ret.matched : 0, counts: ret.counts });
+          sure = ret.fits;
+          next = ret.fits ? Math.max(next, ret.matched + 1) : Math.max(0, Math.min(next - 1, ret.matched + 1));
+          if (!ret.fits || this.lastIndex >= next) continue;
+        }
+      }
+      nudge.drain();
+      yield* nudge.takeUntil(this.world.clock, this.world.clock.nowMs() + this.waits.heartbeatMs);
+    }
+    if (this.nudges.get(peer) === nudge) this.nudges.delete(peer);
+  }
+
+  private membersAt(index: number): Members {
+    let members = this.baseMembers;
+    for (const entry of this.entries) if (entry.index <= index) members = membersIn(entry.text) ?? members;
+    return members;
+  }
+
+  private add(texts: string[], done: (outcomes: Proposed[]) => void): void {
+    const { term } = this;
+    const first = this.lastIndex + 1;
+    const fresh = texts.map((text, at) => ({ index: first + at, term, text }));
+    const outcomes: Proposed[] = [];
+    for (const entry of fresh) {
+      this.entries.push(entry);
+      this.noteMembers(entry);
+      this.promises.set(entry.index, {
+        term,
+        done: (proposed) => {
+          outcomes.push(proposed);
+          if (outcomes.length === texts.length) done(outcomes);
+        },
+      });
+    }
+    this.write(fresh.map((entry) => ({ kind: "entry", ...entry })));
+    for (const nudge of this.nudges.values()) nudge.put(true);
+  }
+
+  private write(records: LogRecord[]): void {
+    const { term, lastIndex } = this;
+    this.writer.append(records, () => this.holding.put({ kind: "written", term, index: lastIndex }));
+  }
+
+  private handle(command: Command): void {
+    switch (command.kind) {
+      case "vote":
+        return this.handleVote(command.ask, command.done);
+      case "append":
+        return this.handleAppend(command.ask, command.done);
+      case "checkpoint":
+        return this.handleCheckpoint(command.ask, command.done);
+      case "handOver": {
+        const taken = command.term === this.term && this.isVoter && this.role === "follower" && this.writer.breakdown === undefined;
+        if (taken) {
+          this.handedOver = true;
+          this.role = "candidate";
+        }
+        return command.done(taken);
+      }
+      case "propose":
+        if (this.role === "leader") return this.add(command.texts, command.done);
+        return command.done(command.texts.map(() => "notLeader"));
+      case "acked":
+        return this.handleAcked(command);
+      case "voted":
+        return this.handleVoted(command);
+      case "written":
+        if (!this.isLeading(command.term)) return;
+        this.synced = Math.max(this.synced, command.index);
+        this.advance();
+        return;
+      case "outdated":
+        if (command.term > this.term) this.follow(command.term, "");
+        return;
+      case "rejoined":
+        this.rejoining = "";
+        this.log.say("Rejoined: votes and acknowledges again.");
+        return;
+    }
+  }
+
+  private follow(term: number, leader: string): void {
+    if (term > this.term) {
+      this.term = term;
+      this.votedFor = "";
+    }
+    const led = this.role === "leader";
+    this.role = "follower";
+    this.knownLeader = leader;
+    if (leader || led) this.heardLeaderMs = this.world.clock.nowMs();
+  }
+
+  private handleVote(ask: VoteAsk, done: (ret: VoteReturn) => void): void {
+    const hears = this.role === "leader" || this.world.clock.nowMs() - this.heardLeaderMs < this.waits.electionMinMs;
+    const upToDate = ask.lastTerm > this.lastTerm || (ask.lastTerm === this.lastTerm && ask.lastIndex >= this.lastIndex);
+    if ((hears && !ask.handOver) || this.rejoining || ask.term < this.term) return done({ term: this.term, granted: false });
+    if (ask.isPreVote) return done({ term: this.term, granted: upToDate && ask.term > this.term });
+    if (ask.term > this.term) this.follow(ask.term, "");
+    const granted = upToDate && (this.votedFor === "" || this.votedFor === ask.candidate);
+    const { term } = this;
+    if (granted) {
+      this.votedFor = ask.candidate;
+      this.heardLeaderMs = this.world.clock.nowMs();
+    }
+    this.writer.append([{ kind: "vote", term, text: this.votedFor }], () => done({ term, granted }));
+  }
+
+  private handleVoted(command: { peer: string; isPreVote: boolean; term: number; ret: VoteReturn }): void {
+    const { peer, isPreVote, term, ret } = command;
+    if (ret.term > term) return this.follow(ret.term, "");
+    if (isPreVote ? this.role !== "preCandidate" || term !== this.term + 1 : this.role !== "candidate" || term !== this.term) return;
+    if (!ret.granted) return;
+    this.votes.add(peer);
+    const count = this.members.voters.filter((voter) => this.votes.has(voter)).length;
+    if (count >= this.majority) this.role = isPreVote ? "candidate" : "leader";
+  }
+
+  private handleAppend(ask: AppendAsk, done: (ret: AppendReturn) => void): void {
+    if (ask.term < this.term) return done({ term: this.term, fits: false, counts: false, matched: 0 });
+    const records: LogRecord[] = ask.term > this.term ? [{ kind: "vote", term: ask.term, text: "" }] : [];
+    this.follow(ask.term, ask.leader);
+    const { term } = this;
+    const counts = !this.rejoining;
+    const before = this.termAt(ask.previousIndex);
+    if (ask.previousIndex >= this.baseIndex && before !== ask.previousTerm) {
+      return done({ term, fits: false, counts: false, matched: Math.min(this.lastIndex, ask.previousIndex - 1) });
+    }
+    for (const entry of ask.entries) {
+      if (entry.index <= this.baseIndex) continue;
+      const known = this.termAt(entry.index);
+      if (known === entry.term) continue;
+      if (known !== undefined) {
+        this.entries.splice(entry.index - this.baseIndex - 1);
+        this.synced = Math.min(this.synced, this.lastIndex);
+        this.cuts += 1;
+        records.push({ kind: "cut", index: entry.index });
+        this.readMembers();
+      }
+      this.entries.push(entry);
+      this.noteMembers(entry);
+      records.push({ kind: "entry", ...entry });
+    }
+    const matched = Math.max(ask.previousIndex, this.baseIndex, ask.entries.at(-1)?.index ?? 0);
+    const { cuts } = this;
+    const finish = (): void => {
+      if (this.term !== term || this.cuts !== cuts) return done({ term: this.term, fits: false, counts: false, matched: 0 });
+      this.synced = Math.max(this.synced, matched);
+      done({ term, fits: true, counts, matched });
+    };
+    this.commit(Math.min(ask.committed, matched));
+    if (records.length > 0 || this.synced < matched) this.writer.append(records, finish);
+    else finish();
+  }
+
+  private handleCheckpoint(ask: CheckpointAsk, done: (ret: CheckpointReturn) => void): void {
+    if (ask.term < this.term) return done({ term: this.term, counts: false, matched: 0 });
+    this.follow(ask.term, ask.leader);
+    const { term } = this;
+    const counts = !this.rejoining;
+    if (ask.lastIndex <= this.committed) return done({ term, counts, matched: this.committed });
+    const standing: Standing = {
+      fleet: this.fleet,
+      rejoining: this.rejoining,
+      term,
+      votedFor: this.votedFor,
+      lastIndex: ask.lastIndex,
+      lastTerm: ask.lastTerm,
+      book: ask.text,
+      entries: this.termAt(ask.lastIndex) === ask.lastTerm ? this.entries.slice(ask.lastIndex - this.baseIndex) : [],
+    };
+    this.adopt(standing);
+    this.synced = 0;
+    this.cuts += 1;
+    const { cuts } = this;
+    this.writer.checkpoint(standing, () => {
+      if (this.term !== term || this.cuts !== cuts) return done({ term: this.term, counts: false, matched: 0 });
+      this.synced = Math.max(this.synced, standing.lastIndex + standing.entries.length);
+      done({ term, counts, matched: ask.lastIndex });
+    });
+  }
+
+  private handleAcked(command: { peer: string; term: number; sentMs: number; matched: number; counts: boolean }): void {
+    if (!this.isLeading(command.term)) return;
+    const learner = this.members.learners.includes(command.peer);
+    if (command.counts || learner) {
+      this.matched.set(command.peer, Math.max(this.matched.get(command.peer) ?? 0, command.matched));
+      this.ackedSentMs.set(command.peer, Math.max(this.ackedSentMs.get(command.peer) ?? -Infinity, command.sentMs));
+    }
+    this.advance();
+  }
+
+  private advance(): void {
+    const reached = this.members.voters.map((voter) => (voter === this.self ? this.synced : (this.matched.get(voter) ?? 0))).sort((a, b) => b - a);
+    const index = reached[this.majority - 1] ?? 0;
+    if (index > this.committed && this.termAt(index) === this.term) {
+      this.commit(index);
+      for (const nudge of this.nudges.values()) nudge.put(true);
+    }
+  }
+
+  private commit(index: number): void {
+    this.committed = Math.max(this.committed, Math.min(index, this.lastIndex));
+    while (this.applied < this.committed) {
+      const entry = this.entries[this.applied - this.baseIndex];
+      if (!entry) break;
+      this.applied = entry.index;
+      if (entry.text.startsWith('{"kind":"rejoined"')) this.noteRejoined(entry.text);
+      const outcome = this.book.apply(entry.index, entry.text);
+      const promise = this.promises.get(entry.index);
+      this.promises.delete(entry.index);
+      promise?.done(promise.term === entry.term ? { index: entry.index, outcome } : "unknown");
+    }
+    if (!this.checkpointing && this.writer.addedBytes > checkpointBytes && this.state === "formed") this.writeCheckpoint("");
+  }
+
+  private noteRejoined(text: string): void {
+    const mark = create(JSON.parse(text), markShape);
+    if (mark.machine === this.self && this.rejoining !== "" && mark.nonce === this.rejoining) this.writeCheckpoint("rejoined");
+  }
+
+  private writeCheckpoint(then: "rejoined" | ""): void {
+    this.checkpointing = true;
+    const lastIndex = this.applied;
+    const lastTerm = this.termAt(lastIndex) ?? 0;
+    const members = this.membersAt(lastIndex);
+    const standing: Standing = {
+      fleet: this.fleet,
+      rejoining: then === "rejoined" ? "" : this.rejoining,
+      term: this.term,
+      votedFor: this.votedFor,
+      lastIndex,
+      lastTerm,
+      book: this.book.checkpoint(members),
+      entries: this.entries.slice(lastIndex - this.baseIndex),
+    };
+    const keepFrom = Math.max(this.baseIndex, lastIndex - keptEntries);
+    const keptMembers = this.membersAt(keepFrom);
+    const keptTerm = this.termAt(keepFrom) ?? 0;
+    this.entries = this.entries.slice(keepFrom - this.baseIndex);
+    this.baseIndex = keepFrom;
+    this.baseTerm = keptTerm;
+    this.baseMembers = keptMembers;
+    this.writer.checkpoint(standing, () => {
+      this.checkpointing = false;
+      if (then === "rejoined") this.holding.put({ kind: "rejoined" });
+    });
+  }
+}
--- /dev/null
+++ b/src/record/store.ts
@@ -0,0 +1,215 @@
+import { crc32 } from "node:zlib";
+import * as r from "restructure";
+import { array, create, number, object, string, type Infer } from "superstruct";
+import type { Disk } from "../machine/disk.js";
+import { Task } from "../machine/task.js";
+import { exactly } from "../link/frame.js";
+
+const entryShape = object({ index: number(), term: number(), text: string() });
+
+const standingShape = object({
+  fleet: string(),
+  /** Set while the recorder may neither vote nor acknowledge. */
+  rejoining: string(),
+  term: number(),
+  votedFor: string(),
+  lastIndex: number(),
+  lastTerm: number(),
+  book: string(),
+  entries: array(entryShape),
+});
+
+/** All that a recorder must still know after it has lost its memory. */
+export type Standing = Infer<typeof standingShape>;
+
+/** One change of a standing. */
+export type LogRecord =
+  | { kind: "entry"; term: number; index: number; text: string }
+  | { kind: "vote"; term: number; text: string }
+  | { kind: "cut"; index: number };
+
+/** What a recorder finds on its disk. */
+export type Loaded = { kind: "empty" } | { kind: "damaged"; why: string } | { kind: "whole"; standing: Standing };
+
+const payload = new r.Struct({ kind: r.uint8, term: r.uint32, index: r.uint32, text: new r.String(r.uint32, "utf8") });
+const headBytes = 8;
+
+const seal = (body: Uint8Array): Uint8Array => {
+  const head = Buffer.alloc(headBytes);
+  head.writeUInt32BE(body.length, 0);
+  head.writeUInt32BE(crc32(body), 4);
+  return Buffer.concat([head, body]);
+};
+
+const unseal = (bytes: Buffer, at: number): Buffer | undefined => {
+  if (at + headBytes > bytes.length) return undefined;
+  const end = at + headBytes + bytes.readUInt32BE(at);
+  if (end > bytes.length || end === at + headBytes) return undefined;
+  const body = bytes.subarray(at + headBytes, end);
+  return crc32(body) === bytes.readUInt32BE(at + 4) ? body : undefined;
+};
+
+const encode = (record: LogRecord): Uint8Array => {
+  switch (record.kind) {
+    case "entry":
+      return seal(payload.toBuffer({ kind: 1, term: record.term, index: record.index, text: record.text }));
+    case "vote":
+      return seal(payload.toBuffer({ kind: 2, term: record.term, index: 0, text: record.text }));
+    case "cut":
+      return seal(payload.toBuffer({ kind: 3, term: 0, index: record.index, text: "" }));
+  }
+};
+
+const replay = (standing: Standing, body: Buffer): void => {
+  const { kind, term, index, text } = exactly(payload, body);
+  if (kind === 1) {
+    if (index > standing.lastIndex) standing.entries.push({ index, term, text });
+    standing.term = Math.max(standing.term, term);
+  } else if (kind === 2) {
+    standing.term = term;
+    standing.votedFor = text;
+  } else standing.entries = standing.entries.filter((entry) => entry.index < index);
+};
+
+const slots = ["slot-a", "slot-b"];
+const logName = (sequence: number): string => `log-${sequence}`;
+
+const slotShape = object({ sequence: number(), standing: standingShape });
+
+/** Two checkpoint slots written in turn, and a short log after the newer one. */
+export class Store {
+  private readonly disk: Disk;
+  private sequence = 0;
+  private logBytes = 0;
+  private torn = false;
+
+  constructor(disk: Disk) {
+    this.disk = disk;
+  }
+
+  /** How much has been added to the log since the last checkpoint. */
+  get addedBytes(): number {
+    return this.logBytes;
+  }
+
+  /** Reads what the disk holds; a torn tail is cut, damage before it is told. */
+  *load(): Task<Loaded> {
+    const names = yield* this.disk.list();
+    let best: Infer<typeof slotShape> | undefined;
+    let broken = 0;
+    for (const name of slots) {
+      const bytes = yield* this.disk.read(name);
+      if (bytes === undefined) continue;
+      const body = unseal(Buffer.from(bytes), 0);
+      if (body === undefined) {
+        broken += 1;
+        continue;
+      }
+      const slot = create(JSON.parse(body.toString("utf8")), slotShape);
+      if (!best || slot.sequence > best.sequence) best = slot;
+    }
+    if (!best) {
+      const logged = names.some((name) => name.startsWith("log-"));
+      return logged || broken > 1 ? { kind: "damaged", why: "No slot can be read." } : { kind: "empty" };
+    }
+    this.sequence = best.sequence;
+    if (broken > 0 && names.includes(logName(best.sequence + 1)))
+      return { kind: "damaged", why: "The newer slot can't be read though its log was begun." };
+    const bytes = Buffer.from((yield* this.disk.read(logName(best.sequence))) ?? Buffer.alloc(0));
+    let at = 0;
+    for (let body = unseal(bytes, at); body !== undefined; body = unseal(bytes, at)) {
+      replay(best.standing, body);
+      at += headBytes + body.length;
+    }
+    if (at < bytes.length) {
+      for (let later = at + 1; later + headBytes < bytes.length; later += 1)
+        if (unseal(bytes, later) !== undefined) return { kind: "damaged", why: `The log is damaged at byte ${at}, before its tail.` };
+      yield* this.disk.truncate(logName(best.sequence), at);
+    }
+    this.logBytes = at;
+    for (const name of names)
+      if (name.startsWith("log-") && name !== logName(best.sequence)) yield* this.disk.remove(name);
+    return { kind: "whole", standing: best.standing };
+  }
+
+  /** Adds changes to the log; they last once this has ended. */
+  *append(records: LogRecord[]): Task {
+    const bytes = Buffer.concat(records.map(encode));
+    if (this.torn) yield* this.disk.truncate(logName(this.sequence), this.logBytes);
+    this.torn = true;
+    yield* this.disk.append(logName(this.sequence), bytes);
+    this.torn = false;
+    this.logBytes += bytes.length;
+  }
+
+  /** Writes a standing whole into the other slot and begins a new log. */
+  *checkpoint(standing: Standing): Task {
+    const sequence = this.sequence + 1;
+    const name = slots[sequence % slots.length] ?? "slot-a";
+    yield* this.disk.write(name, seal(Buffer.from(JSON.stringify({ sequence, standing }), "utf8")));
+    yield* this.disk.write(logName(sequence), Buffer.alloc(0));
+    const former = this.sequence;
+    this.sequence = sequence;
+    this.logBytes = 0;
+    this.torn = false;
+    if (former > 0) yield* this.disk.remove(logName(former));
+  }
+}
+
+if (import.meta.vitest) {
+  const { expect, test } = import.meta.vitest;
+  const { VirtualDisk } = await import("../rehearsal/virtualDisk.js");
+  const { VirtualClock } = await import("../rehearsal/virtualClock.js");
+  const standing: Standing = { fleet: "f", rejoining: "", term: 1, votedFor: "", lastIndex: 0, lastTerm: 0, book: "{}", entries: [] };
+  const setUp = () => {
+    const time = new VirtualClock();
+    const disk = new VirtualDisk(time.clock(), () => 0.5);
+    const run = <T>(task: Task<T>): T => {
+      const values: T[] = [];
+      Task.start(
+        task,
+        (error) => {
+          throw error;
+        },
+        (value) => values.push(value),
+      );
+      time.runUntil(time.nowMs() + 1000);
+      for (const value of values) return value;
+      throw new Error("The task has not ended.");
+    };
+    return { disk, run };
+  };
+
+  test("a torn tail is cut, damage before it is told, and nothing synced is lost", () => {
+    const { disk, run } = setUp();
+    const store = new Store(disk);
+    expect(run(store.load())).toEqual({ kind: "empty" });
+    run(store.checkpoint(standing));
+    for (let index = 1; index <= 3; index += 1) run(store.append([{ kind: "entry", index, term: 1, text: `e${index}` }]));
+    run(store.append([{ kind: "cut", index: 3 }, { kind: "vote", term: 4, text: "x" }]));
+    const name = "log-1";
+    const bytes = disk.peek(name);
+    for (let size = bytes.length; size >= 0; size -= 1) {
+      disk.poke(name, bytes.subarray(0, size));
+      const loaded = run(new Store(disk).load());
+      expect(loaded.kind).toBe("whole");
+      if (loaded.kind === "whole" && size === bytes.length)
+        expect([loaded.standing.entries.map((entry) => entry.text), loaded.standing.term]).toEqual([["e1", "e2"], 4]);
+    }
+    const bent = Buffer.from(bytes);
+    bent[12] = (bent[12] ?? 0) ^ 255;
+    disk.poke(name, bent);
+    expect(run(new Store(disk).load()).kind).toBe("damaged");
+  });
+
+  test("a checkpoint cut midway leaves the older slot and its log in force", () => {
+    const { disk, run } = setUp();
+    const store = new Store(disk);
+    run(store.load());
+    run(store.checkpoint(standing));
+    run(store.append([{ kind: "entry", index: 1, term: 1, text: "kept" }]));
+    disk.poke("slot-a", Buffer.from("half a slo"));
+    const loaded = run(new Store(disk).load());
+    expect(loaded.kind === "whole" && loaded.standing.entries.map((entry) => entry.text)).toEqual(["kept"]);
+  });
+}
--- /dev/null
+++ b/src/record/writer.ts
@@ -0,0 +1,91 @@
+import { Clock } from "../machine/clock.js";
+import { DiskBreakdown } from "../machine/disk.js";
+import { Holding } from "../machine/holding.js";
+import type { PartLog } from "../machine/logbook.js";
+import { Task } from "../machine/task.js";
+import type { LogRecord, Standing, Store } from "./store.js";
+
+type Order = { records: LogRecord[]; done: () => void } | { standing: Standing; done: () => void };
+
+const retryMs = 200;
+
+/** The owner of a recorder's disk: writes in order, many changes in one sync, and tries again after a breakdown. */
+export class Writer {
+  private readonly clock: Clock;
+  private readonly store: Store;
+  private readonly log: PartLog;
+  private readonly holding = new Holding<Order>();
+  private sinceMs: number | undefined;
+  /** Why the disk takes nothing now, or nothing. */
+  breakdown: string | undefined;
+  /** How many syncs have ended, and how many changes they carried. */
+  syncs = 0;
+  written = 0;
+
+  constructor(clock: Clock, store: Store, log: PartLog) {
+    this.clock = clock;
+    this.store = store;
+    this.log = log;
+  }
+
+  /** How long the oldest write has been waiting. */
+  get waitingMs(): number {
+    return this.sinceMs === undefined ? 0 : this.clock.nowMs() - this.sinceMs;
+  }
+
+  get addedBytes(): number {
+    return this.store.addedBytes;
+  }
+
+  append(records: LogRecord[], done: () => void): void {
+    this.holding.put({ records, done });
+  }
+
+  checkpoint(standing: Standing, done: () => void): void {
+    this.holding.put({ standing, done });
+  }
+
+  *own(): Task {
+    for (;;) {
+      const first = yield* this.holding.take();
+      this.sinceMs = this.clock.nowMs();
+      let group: Array<{ records: LogRecord[]; done: () => void }> = [];
+      for (const order of [first, ...this.holding.drain()]) {
+        if ("records" in order) group.push(order);
+        else {
+          yield* this.appendGroup(group);
+          group = [];
+          yield* this.persist(() => this.store.checkpoint(order.standing));
+          order.done();
+        }
+      }
+      yield* this.appendGroup(group);
+      this.sinceMs = undefined;
+    }
+  }
+
+  private *appendGroup(group: Array<{ records: LogRecord[]; done: () => void }>): Task {
+    const records = group.flatMap((order) => order.records);
+    if (records.length > 0) yield* this.persist(() => this.store.append(records));
+    this.written += records.length;
+    for (const order of group) order.done();
+  }
+
+  private *persist(write: () => Task): Task {
+    for (;;) {
+      try {
+        yield* write();
+        this.syncs += 1;
+        if (this.breakdown !== undefined) this.log.say("The disk takes writes again.");
+        this.breakdown = undefined;
+        return;
+      } catch (error) {
+        if (!(error instanceof DiskBreakdown)) throw error;
+        const why = error.cause instanceof Error ? error.cause.message : error.message;
+        if (this.breakdown === undefined) this.log.warn("The disk takes no writes; nothing is acknowledged.", { why });
+        this.breakdown = why;
+        yield* Clock.rest(this.clock, retryMs);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/rehearsal/draw.ts
@@ -0,0 +1,15 @@
+/** A seeded source of numbers. */
+export const Draw = {
+  /** Numbers from 0 up to 1, the same ones for the same seed. */
+  of(seed: number): () => number {
+    let state = (seed * 2654435761) >>> 0 || 1;
+    return () => {
+      state ^= state << 13;
+      state >>>= 0;
+      state ^= state >>> 17;
+      state ^= state << 5;
+      state >>>= 0;
+      return state / 2 ** 32;
+    };
+  },
+};
--- /dev/null
+++ b/src/rehearsal/virtualClock.ts
@@ -0,0 +1,54 @@
+import { newScheduler, newTimeline } from "@most/scheduler";
+import type { Scheduler } from "@most/types";
+import { Clock } from "../machine/clock.js";
+
+/** Time that moves only when told to; the streams' scheduler runs on it. */
+export class VirtualClock {
+  readonly scheduler: Scheduler;
+  private atMs = 0;
+  private due: { atMs: number; run: () => unknown } | undefined;
+
+  constructor() {
+    this.scheduler = newScheduler(
+      {
+        now: () => this.atMs,
+        setTimer: (run, waitMs) => {
+          const timer = { atMs: this.atMs + Math.max(0, waitMs), run };
+          this.due = timer;
+          return timer;
+        },
+        clearTimer: (timer) => {
+          if (this.due === timer) this.due = undefined;
+        },
+      },
+      newTimeline(),
+    );
+  }
+
+  nowMs(): number {
+    return this.atMs;
+  }
+
+  /** A machine's clock: skewed by an offset and running at a rate of its own; silent once `alive` says no. */
+  clock(offsetMs = 0, rate = 1, alive: () => boolean = () => true): Clock {
+    const base = Clock.of(this.scheduler);
+    return {
+      scheduler: this.scheduler,
+      nowMs: () => offsetMs + this.atMs * rate,
+      after: (waitMs, run) =>
+        base.after(waitMs / rate, () => {
+          if (alive()) run();
+        }),
+    };
+  }
+
+  /** Moves time on, running all that falls due. */
+  runUntil(untilMs: number): void {
+    for (let timer = this.due; timer !== undefined && timer.atMs <= untilMs; timer = this.due) {
+      this.due = undefined;
+      this.atMs = Math.max(this.atMs, timer.atMs);
+      timer.run();
+    }
+    this.atMs = Math.max(this.atMs, untilMs);
+  }
+}
