--- /dev/null
+++ b/src/contract/registry.ts
@@ -0,0 +1,280 @@
+import { create, number, object, optional, type, union } from "superstruct";
+import { Clock } from "../machine/clock.js";
+import { Holding } from "../machine/holding.js";
+import type { PartLog } from "../machine/logbook.js";
+import { Task } from "../machine/task.js";
+import { World } from "../machine/world.js";
+import type { Book, Contract } from "../record/book.js";
+import { Deed } from "../record/book.js";
+import type { Recorder } from "../record/recorder.js";
+import { Allowance } from "../zone/allowance.js";
+import { Config, mergePatch } from "./config.js";
+import { Order, Poll, type GrantedView, type Machine } from "./order.js";
+
+/** The waits by which the leader keeps contracts, keys and grants. */
+export interface Terms {
+  grantMs: number;
+  announceMs: number;
+  lapseMs: number;
+  leaveHoldMs: number;
+  keyMs: number;
+  silentMs: number;
+}
+
+export const Terms = {
+  usual: { grantMs: 1600, announceMs: 1000, lapseMs: 3500, leaveHoldMs: 2500, keyMs: 120_000, silentMs: 2500 },
+};
+
+interface Heard {
+  machine: Machine;
+  heardMs: number;
+  silent: boolean;
+}
+
+const configOutcome = union([object({ accepted: number() }), object({ lost: number() })]);
+const numbered = type({ number: optional(number()) });
+
+const breakdown = (word: string): string => JSON.stringify({ breakdown: word });
+
+/** What only the leader does: takes commands, keeps contracts and keys alive, and gives edges their views. */
+export class Registry {
+  private readonly world: World;
+  private readonly recorder: Recorder;
+  private readonly book: Book;
+  private readonly terms: Terms;
+  private readonly log: PartLog;
+  private readonly configs = new Holding<{ order: Extract<Order, { kind: "put" | "patch" }>; done: (text: string) => void }>();
+  private readonly heardBackEnds = new Map<string, { heardMs: number; leftMs: number }>();
+  private readonly machines = new Map<string, Heard>();
+  private keyAges: Array<{ scope: string; index: number; atMs: number }> = [];
+  readonly allowance = new Allowance();
+
+  constructor(world: World, recorder: Recorder, book: Book, terms: Terms) {
+    this.world = world;
+    this.recorder = recorder;
+    this.book = book;
+    this.terms = terms;
+    this.log = world.logbook.part("contract");
+    book.onApplied((deed, index) => {
+      if (deed.kind === "claim") this.keyAges.push({ scope: deed.scope, index, atMs: world.clock.nowMs() });
+      if (deed.kind === "forget") this.keyAges = this.keyAges.filter((age) => age.index > deed.upTo);
+    });
+    recorder.onLeading((leads) => {
+      if (leads) this.lead();
+    });
+  }
+
+  /** Carries out one command at the leader and tells the outcome as JSON. */
+  *command(text: string): Task<string> {
+    const order = Order.read(text);
+    switch (order.kind) {
+      case "announce":
+        return yield* this.announce(order);
+      case "leave":
+        return yield* this.leave(order.address, order.service);
+      case "drainBackEnd": {
+        const contract = this.book.contracts.get(order.address);
+        return contract ? yield* this.leave(contract.address, contract.service) : JSON.stringify({ known: false });
+      }
+      case "put":
+      case "patch":
+        return yield* Task.wait<string>((done) => this.configs.put({ order, done }));
+      case "get":
+        return this.read(order.sequence);
+      case "history":
+        return this.granted(() => ({ configs: this.book.configs.map(({ sequence, changeId, acceptedAt }) => ({ sequence, changeId, acceptedAt })), journal: this.book.journal }));
+      case "claim": {
+        const known = this.book.keys.get(order.scope);
+        if (known && known.job !== order.job && this.recorder.hasGrant) return JSON.stringify({ held: known });
+        return yield* this.enter(order);
+      }
+      case "settle":
+      case "release":
+        return yield* this.enterText(JSON.stringify(order));
+      case "rejoin":
+        return yield* this.rejoin(order.machine, order.nonce);
+      case "fleet":
+        return this.granted(() => this.fleetView());
+    }
+  }
+
+  /** Gives an edge or collector its view, if this recorder may answer now. */
+  *poll(text: string): Task<string> {
+    const poll = Poll.read(text);
+    if (!this.recorder.hasGrant) return breakdown("noGrant");
+    const nowMs = this.world.clock.nowMs();
+    const { machine } = poll;
+    const known = this.machines.get(machine.name);
+    if (!known || known.silent || known.machine.incarnation !== machine.incarnation) this.log.say("A machine shows itself.", { machine: machine.name, zone: machine.zone });
+    this.machines.set(machine.name, { machine, heardMs: nowMs, silent: false });
+    const inForce = this.book.inForce;
+    const services = [...this.book.numbers.keys()].filter((name) => name.startsWith("service ")).map((name) => name.slice(8));
+    const isEdge = machine.roles.includes("edge") && !machine.draining;
+    const capacities = isEdge
+      ? this.allowance.grant(
+          `${machine.name} ${machine.incarnation}`,
+          new Map(poll.capacities.map(({ service, capacity }) => [service, capacity])),
+          new Map(poll.wished.map(({ service, count }) => [service, count])),
+          services,
+          nowMs,
+        )
+      : new Map<string, number>();
+    const view: GrantedView = {
+      granted: true,
+      grantMs: this.terms.grantMs,
+      configSequence: inForce?.sequence ?? 0,
+      directorySequence: this.book.directorySequence,
+      capacities: [...capacities].map(([service, capacity]) => ({ service, capacity })),
+      collectors: [...this.machines.values()].filter((one) => one.machine.roles.includes("collector") && !one.silent).map((one) => ({ zone: one.machine.zone, peer: one.machine.peer })),
+      recorders: [...this.recorder.currentMembers.voters, ...this.recorder.currentMembers.learners],
+    };
+    if (inForce && poll.configSequence !== inForce.sequence) {
+      view.config = inForce.text;
+      view.numbers = [...this.book.numbers].map(([name, number]) => ({ name, number }));
+    }
+    if (poll.directorySequence !== this.book.directorySequence) view.directory = [...this.book.contracts.values()];
+    return JSON.stringify(view);
+  }
+
+  /** The owner of configs: one change after another. */
+  *ownConfigs(): Task {
+    for (;;) {
+      const { order, done } = yield* this.configs.take();
+      done(yield* this.changeConfig(order));
+    }
+  }
+
+  /** Ends contracts that fell silent, forgets keys that are old, and notes machines that are gone. */
+  *ownTime(): Task {
+    for (;;) {
+      yield* Clock.rest(this.world.clock, 500);
+      if (!this.recorder.hasGrant) continue;
+      const nowMs = this.world.clock.nowMs();
+      for (const contract of this.book.contracts.values()) {
+        const heard = this.heardBackEnds.get(contract.address);
+        if (!heard) this.heardBackEnds.set(contract.address, { heardMs: nowMs, leftMs: -Infinity });
+        else if (nowMs - heard.heardMs > this.terms.lapseMs) {
+          const why = contract.leaving ? "it left" : "no announcement came";
+          this.tell({ kind: "end", address: contract.address, number: contract.number, why });
+          heard.heardMs = nowMs;
+        }
+      }
+      for (const heard of this.machines.values()) {
+        if (heard.silent || nowMs - heard.heardMs < this.terms.silentMs) continue;
+        heard.silent = true;
+        this.log.warn("A machine fell silent.", { machine: heard.machine.name });
+        this.tell({ kind: "note", text: `Machine ${heard.machine.name} of zone ${heard.machine.zone} fell silent.` });
+      }
+      const old = this.keyAges.filter(({ atMs }) => nowMs - atMs > this.terms.keyMs);
+      if (old.length > 0) {
+        this.tell({ kind: "forget", scopes: old.map(({ scope }) => scope), upTo: Math.max(...old.map(({ index }) => index)) });
+      }
+    }
+  }
+
+  private lead(): void {
+    const nowMs = this.world.clock.nowMs();
+    this.allowance.lead(nowMs);
+    this.machines.clear();
+    this.heardBackEnds.clear();
+    this.keyAges = [...this.book.keys].map(([scope, { atIndex }]) => ({ scope, index: atIndex, atMs: nowMs }));
+  }
+
+  private granted(read: () => unknown): string {
+    return this.recorder.hasGrant ? JSON.stringify(read()) : breakdown("noGrant");
+  }
+
+  private *enter(deed: Deed): Task<string> {
+    return yield* this.enterText(Deed.text(deed));
+  }
+
+  private *enterText(text: string): Task<string> {
+    const proposed = yield* this.recorder.propose(text);
+    return typeof proposed === "string" ? breakdown(proposed) : proposed.outcome;
+  }
+
+  private tell(deed: Deed): void {
+    World.start(this.world, "contract", this.enter(deed));
+  }
+
+  private *announce({ address, service, zone, warmth }: Extract<Order, { kind: "announce" }>): Task<string> {
+    if (!this.recorder.hasGrant) return breakdown("noGrant");
+    const nowMs = this.world.clock.nowMs();
+    const known = this.book.contracts.get(address);
+    const heard = this.heardBackEnds.get(address);
+    const same = known?.service === service;
+    if (same && known.leaving && heard && nowMs - heard.leftMs < this.terms.leaveHoldMs) return this.announced(known.number, "leaving");
+    this.heardBackEnds.set(address, { heardMs: nowMs, leftMs: heard?.leftMs ?? -Infinity });
+    if (same && !known.leaving && known.zone === zone) return this.announced(known.number, "known");
+    const outcome = yield* this.enter({ kind: "contract", address, service, zone, warmth });
+    const entered = create(JSON.parse(outcome), numbered);
+    return entered.number === undefined ? outcome : this.announced(entered.number, "taken");
+  }
+
+  private announced(contract: Contract["number"], state: string): string {
+    return JSON.stringify({ contract, state, announceMs: this.terms.announceMs });
+  }
+
+  private *leave(address: string, service: string): Task<string> {
+    const known = this.book.contracts.get(address);
+    if (known?.service === service && known.leaving && this.recorder.hasGrant) return JSON.stringify({ known: true });
+    const outcome = yield* this.enter({ kind: "leave", address, service });
+    const nowMs = this.world.clock.nowMs();
+    this.heardBackEnds.set(address, { heardMs: nowMs, leftMs: nowMs });
+    return outcome;
+  }
+
+  private *changeConfig(order: Extract<Order, { kind: "put" | "patch" }>): Task<string> {
+    for (let round = 0; round < 5; round += 1) {
+      if (!this.recorder.hasGrant) return breakdown("noGrant");
+      const first = this.book.changeSequence(order.changeId);
+      if (first !== undefined) return JSON.stringify({ accepted: first });
+      const current = this.book.inForce;
+      const sequence = current?.sequence ?? 0;
+      if (order.base !== undefined && order.base !== sequence) return JSON.stringify({ lost: sequence });
+      const whole: unknown = order.kind === "put" ? order.value : mergePatch(JSON.parse(current?.text ?? JSON.stringify(Config.empty)), order.value);
+      const checked = Config.check(whole);
+      if ("faults" in checked) return JSON.stringify({ faults: checked.faults });
+      const { config } = checked;
+      const outcome = yield* this.enter({
+        kind: "config",
+        expected: sequence,
+        changeId: order.changeId,
+        acceptedAt: this.world.wallTime().toISOString(),
+        text: JSON.stringify(config),
+        services: Object.keys(config.services),
+        routes: Object.keys(config.routes),
+      });
+      const [failed, read] = configOutcome.validate(JSON.parse(outcome));
+      if (failed || "accepted" in read || order.base !== undefined) return outcome;
+    }
+    return breakdown("notLeader");
+  }
+
+  private read(sequence: number | undefined): string {
+    return this.granted(() => {
+      const found = sequence === undefined ? this.book.inForce : this.book.configs.find((config) => config.sequence === sequence);
+      return found ? { found: { sequence: found.sequence, changeId: found.changeId, acceptedAt: found.acceptedAt, text: found.text } } : { found: null };
+    });
+  }
+
+  private *rejoin(machine: string, nonce: string): Task<string> {
+    if (!this.recorder.hasGrant) return breakdown("noGrant");
+    if (!(yield* this.recorder.addLearner(machine))) return breakdown("busy");
+    const marked = yield* this.enter({ kind: "rejoined", machine, nonce });
+    return marked.includes("breakdown") ? marked : JSON.stringify({ taken: true });
+  }
+
+  private fleetView() {
+    const nowMs = this.world.clock.nowMs();
+    return {
+      leader: this.recorder.self,
+      voters: this.recorder.currentMembers.voters,
+      learners: this.recorder.currentMembers.learners,
+      machines: [...this.machines.values()].map(({ machine, heardMs, silent }) => ({ name: machine.name, zone: machine.zone, roles: machine.roles, peer: machine.peer, draining: machine.draining, silent, heardMsAgo: Math.round(nowMs - heardMs) })),
+      backEnds: [...this.book.contracts.values()].map(({ address, service, zone, leaving }) => ({ address, service, zone, leaving, heardMsAgo: Math.round(nowMs - (this.heardBackEnds.get(address)?.heardMs ?? nowMs)) })),
+      keys: this.book.keys.size,
+      configs: this.book.inForce?.sequence ?? 0,
+    };
+  }
+}
--- /dev/null
+++ b/src/door/job.ts
@@ -0,0 +1,31 @@
+import type { Task } from "../machine/task.js";
+import type { Return } from "./verdict.js";
+
+/** A caller's request, its body held whole. */
+export interface Job {
+  readonly method: string;
+  /** The path with its query, as the caller sent it. */
+  readonly target: string;
+  readonly headers: Record<string, string>;
+  readonly body: Uint8Array;
+}
+
+/** The way back to a caller. */
+export interface Caller {
+  readonly isGone: boolean;
+  whole(ret: Return): void;
+  begin(code: number, headers: Record<string, string>): void;
+  /** Passes a piece on; false once the caller is gone. */
+  piece(bytes: Uint8Array): Task<boolean>;
+  end(): void;
+  /** Breaks the connection, so that what was sent can't look complete. */
+  cut(): void;
+}
+
+export const Job = {
+  /** The path without its query. */
+  path(job: Job): string {
+    const query = job.target.indexOf("?");
+    return query < 0 ? job.target : job.target.slice(0, query);
+  },
+};
--- /dev/null
+++ b/src/door/keys.ts
@@ -0,0 +1,111 @@
+import { createHash } from "node:crypto";
+import { ClaimReturn, type Order } from "../contract/order.js";
+import type { Ferry } from "../contract/ferry.js";
+import { Clock } from "../machine/clock.js";
+import type { Task } from "../machine/task.js";
+import { World } from "../machine/world.js";
+import { Job } from "./job.js";
+import { Ending, type Return } from "./verdict.js";
+
+/** A key that this daemon holds: it may send until a moment of its own clock. */
+export interface Claim {
+  readonly scope: string;
+  readonly job: string;
+  readonly sendUntilMs: number;
+}
+
+const claimWaitMs = 2500;
+const sendMs = 3000;
+const inHandWaitMs = 1500;
+const settleMs = 8000;
+const keptBodyBytes = 64 * 1024;
+const keptHeaders = ["content-type", "location", "etag"];
+
+const hash = (...parts: Array<string | Uint8Array>): string => {
+  const sum = createHash("sha256");
+  for (const part of parts) sum.update(part).update("\0");
+  return sum.digest("hex");
+};
+
+/** Claims keys in the record before the first send, and settles or releases them after. */
+export class Keys {
+  private readonly world: World;
+  private readonly ferry: Ferry;
+  private readonly incarnation: string;
+  private claims = 0;
+  /** Settlements and releases under way. */
+  inHand = 0;
+
+  constructor(world: World, ferry: Ferry, incarnation: string) {
+    this.world = world;
+    this.ferry = ferry;
+    this.incarnation = incarnation;
+  }
+
+  /** Claims a request's key; an ending where another holds it or nobody can tell. */
+  *claim(job: Job, key: string): Task<Claim | Ending> {
+    const { clock } = this.world;
+    const startedMs = clock.nowMs();
+    this.claims += 1;
+    const scope = hash(job.method, Job.path(job), key);
+    const bodyHash = hash(job.target, job.body);
+    const name = `${this.incarnation}/${this.claims}`;
+    for (;;) {
+      const askedMs = clock.nowMs();
+      const text = yield* this.ferry.command({ kind: "claim", scope, bodyHash, job: name }, claimWaitMs);
+      if (text === undefined) {
+        this.release({ scope, job: name });
+        return Ending.drop("The key could not be claimed in the record.", 2);
+      }
+      const ret = ClaimReturn.read(text);
+      if ("claimed" in ret) return { scope, job: name, sendUntilMs: askedMs + sendMs };
+      if (ret.held.bodyHash !== bodyHash) return Ending.refusal(422, "This key came before with another body.");
+      if (ret.held.verdict === "mayHaveRun") return Ending.breakdown(409, "The first request with this key may have run; its return was lost.", "mayHaveRun", 120);
+      if (ret.held.verdict === "ran") {
+        const kept = ret.held.return;
+        if (!kept) return Ending.breakdown(409, "The first request with this key ran; its return was not kept.", "ran", 120);
+        const headers = { ...kept.headers, "x-daledoor-repeated": "true" };
+        return Ending.returned({ code: kept.code, headers, body: Buffer.from(kept.body, "base64") });
+      }
+      if (clock.nowMs() - startedMs > inHandWaitMs) return Ending.breakdown(409, "The first request with this key is still in hand.", "mayHaveRun", 2);
+      yield* Clock.rest(clock, 100);
+    }
+  }
+
+  /** Says in the record how the request ended. */
+  conclude(claim: Claim, ending: Ending): void {
+    const { scope, job } = claim;
+    if (ending.verdict === "neverRan") return this.release(claim);
+    const kept = ending.verdict === "ran" && typeof ending.ret !== "string" ? this.keep(ending.ret) : undefined;
+    this.tell({ kind: "settle", scope, job, verdict: ending.verdict, ...(kept ? { return: kept } : {}) });
+  }
+
+  private release({ scope, job }: Pick<Claim, "scope" | "job">): void {
+    this.tell({ kind: "release", scope, job });
+  }
+
+  private keep(ret: Return): { code: number; headers: Record<string, string>; body: string } | undefined {
+    if (ret.body.length > keptBodyBytes) return undefined;
+    const headers: Record<string, string> = {};
+    for (const name of keptHeaders) {
+      const value = ret.headers[name];
+      if (value !== undefined) headers[name] = value;
+    }
+    return { code: ret.code, headers, body: Buffer.from(ret.body).toString("base64") };
+  }
+
+  private tell(order: Order): void {
+    this.inHand += 1;
+    const { ferry } = this;
+    World.start(
+      this.world,
+      "door",
+      (function* () {
+        yield* ferry.command(order, settleMs);
+      })(),
+      () => {
+        this.inHand -= 1;
+      },
+    );
+  }
+}
--- a/src/link/link.ts
+++ b/src/link/link.ts
@@ -31,8 +31,12 @@
   /** Links closed because of what came over them. */
   droppedFrames = 0;
 
-  constructor(world: World) {
+  /** The address at which peers reach this daemon. */
+  readonly self: string;
+
+  constructor(world: World, self: string) {
     this.world = world;
+    this.self = self;
     this.log = world.logbook.part("link");
   }
 
@@ -44,8 +48,8 @@
   }
 
   /** Listens for peers. */
-  *listen(address: string): Task {
-    yield* this.world.wire.listen(address, (channel) => World.start(this.world, "link", this.serving(channel)));
+  *listen(): Task {
+    yield* this.world.wire.listen(this.self, (channel) => World.start(this.world, "link", this.serving(channel)));
   }
 
   /** Asks a peer and waits for its return; `undefined` when none came in time or the link broke. */
--- /dev/null
+++ b/src/machine/daemon.ts
@@ -0,0 +1,156 @@
+import { Ferry } from "../contract/ferry.js";
+import type { Machine } from "../contract/order.js";
+import { Registry, Terms } from "../contract/registry.js";
+import { View } from "../contract/view.js";
+import { Door } from "../door/door.js";
+import type { Caller, Job } from "../door/job.js";
+import type { Return } from "../door/verdict.js";
+import { Kind } from "../link/kind.js";
+import { Link } from "../link/link.js";
+import { Operators } from "../operator/operators.js";
+import { Book } from "../record/book.js";
+import { Recorder, Waits } from "../record/recorder.js";
+import { Store } from "../record/store.js";
+import { Budget } from "../zone/budget.js";
+import { Collector } from "../zone/collector.js";
+import { CountsForm } from "../zone/counts.js";
+import { EdgeCounts } from "../zone/edgeCounts.js";
+import { Shares } from "../zone/shares.js";
+import { Clock } from "./clock.js";
+import type { PartLog } from "./logbook.js";
+import { Settings, type Role } from "./settings.js";
+import { Source } from "./source.js";
+import type { Task } from "./task.js";
+import { World } from "./world.js";
+
+/** A caller's request as it arrives. */
+export interface Arrival {
+  readonly job: Job;
+  readonly caller: Caller;
+}
+
+/** An operator's or back end's request as it arrives. */
+export interface DeskArrival {
+  readonly job: Job;
+  readonly give: (ret: Return) => void;
+}
+
+const pollMs = 200;
+const pushMs = 2000;
+const drainMs = 6000;
+
+/** One machine's daemon: its roles, the links to its peers, and what it serves. */
+export class Daemon {
+  readonly callers = new Source<Arrival>();
+  readonly operators = new Source<DeskArrival>();
+  private readonly world: World;
+  private readonly settings: Settings;
+  private readonly roles: Role[];
+  private readonly log: PartLog;
+  private readonly incarnation: string;
+  private readonly link: Link;
+  private readonly ferry: Ferry;
+  private readonly budget = new Budget();
+  private readonly view: View;
+  private readonly shares: Shares;
+  private readonly edgeCounts: EdgeCounts;
+  private readonly desk: Operators;
+  readonly door: Door;
+  readonly recorder: Recorder | undefined;
+  private readonly registry: Registry | undefined;
+  private readonly collector: Collector | undefined;
+  private draining = false;
+
+  constructor(world: World, settings: Settings, waits: Waits = Waits.usual, terms: Terms = Terms.usual) {
+    this.world = world;
+    this.settings = settings;
+    this.roles = Settings.roles(settings);
+    this.log = world.logbook.part("machine");
+    this.incarnation = World.nonce(world);
+    this.link = new Link(world, settings.peers);
+    this.ferry = new Ferry(world, this.link, settings.seeds);
+    this.view = new View(world, this.ferry, () => this.machine(), this.budget);
+    this.shares = new Shares(settings.zone, () => world.random());
+    const self = { machine: settings.machine, incarnation: this.incarnation, zone: settings.zone };
+    this.edgeCounts = new EdgeCounts(world, this.link, CountsForm.usual, this.view, self);
+    this.door = new Door(world, this.view, this.ferry, this.budget, this.edgeCounts, this.shares, this.incarnation);
+    if (this.roles.includes("recorder") && world.disk) {
+      const book = new Book();
+      this.recorder = new Recorder(world, this.link, settings.peers, settings.seeds, waits, book, new Store(world.disk));
+      this.registry = new Registry(world, this.recorder, book, terms);
+    }
+    if (this.roles.includes("collector")) this.collector = new Collector(world, this.link, CountsForm.usual, settings.peers, this.incarnation, () => this.recorder?.leader || this.ferry.leader);
+    this.desk = new Operators(world, this.ferry, this.view, this.shares, {
+      status: () => this.status(),
+      notReady: () => this.notReady(),
+      counts: () => this.collector?.latest ?? this.edgeCounts.latest,
+    });
+  }
+
+  /** Starts all tasks; ends once the daemon listens for its peers. */
+  *start(): Task {
+    const { world, registry, recorder, collector } = this;
+    this.callers.each(world.clock.scheduler, ({ job, caller }) => World.start(world, "door", this.door.handle(job, caller)));
+    this.operators.each(world.clock.scheduler, ({ job, give }) => World.start(world, "operator", this.desk.handle(job), give));
+    if (recorder && registry) {
+      const leadership = {
+        get leads() {
+          return recorder.status.role === "leader";
+        },
+        get leader() {
+          return recorder.leader;
+        },
+      };
+      this.ferry.serve(Kind.command, leadership, (text) => registry.command(text));
+      this.ferry.serve(Kind.poll, leadership, (text) => registry.poll(text));
+    }
+    yield* this.link.listen();
+    if (recorder && registry) {
+      World.start(world, "record", recorder.own());
+      World.start(world, "contract", registry.ownConfigs());
+      World.start(world, "contract", registry.ownTime());
+    }
+    World.start(world, "contract", this.view.own(pollMs));
+    if (collector) World.start(world, "zone", collector.own(pushMs));
+    if (this.roles.includes("edge")) World.start(world, "zone", this.edgeCounts.pushing(pushMs));
+    this.log.say("Runs.", { roles: this.roles, zone: this.settings.zone });
+  }
+
+  /** Finishes the work in hand and takes no more; ends when all is done or the time for it is over. */
+  *drain(): Task {
+    const startedMs = this.world.clock.nowMs();
+    this.draining = true;
+    this.log.say("Draining.", { inHand: this.door.unfinished });
+    this.door.close();
+    this.recorder?.yieldLeadership();
+    while (this.door.unfinished > 0 && this.world.clock.nowMs() - startedMs < drainMs) yield* Clock.rest(this.world.clock, 20);
+    if (this.door.unfinished > 0) this.log.warn("Stops with work unfinished.", { inHand: this.door.unfinished });
+    else this.log.say("Drained.");
+  }
+
+  private machine(): Machine {
+    const { machine, zone, peers } = this.settings;
+    return { name: machine, zone, roles: this.roles, peer: peers, incarnation: this.incarnation, draining: this.draining };
+  }
+
+  private notReady(): string {
+    if (this.draining) return "draining";
+    if (!this.view.isGranted) return "no fresh grant";
+    return "";
+  }
+
+  private status(): Record<string, unknown> {
+    return {
+      ...this.machine(),
+      ready: this.notReady() === "",
+      granted: this.view.isGranted,
+      configSequence: this.view.configSequence,
+      polls: this.view.polls,
+      grants: this.view.grants,
+      droppedFrames: this.link.droppedFrames,
+      record: this.recorder?.status ?? null,
+      door: this.roles.includes("edge") ? { inHand: this.door.inHand, ...this.door.tally, capacities: Object.fromEntries(this.budget.capacities) } : null,
+      collector: this.collector ? { refused: this.collector.refused, coverage: this.collector.latest?.coverage ?? null } : null,
+    };
+  }
+}
--- a/src/machine/logbook.ts
+++ b/src/machine/logbook.ts
@@ -12,11 +12,15 @@
   part(name: string): PartLog;
 }
 
+/** From which weight on lines are written. */
+export type Level = "debug" | "info" | "warn" | "error";
+
 export const Logbook = {
   /** Writes through bunyan to the standard error stream. */
-  open(machine: string, level: "debug" | "info" | "warn" | "error"): Logbook {
+  open(machine: string, level: Level): Logbook & { setLevel(level: Level): void } {
     const log = bunyan.createLogger({ name: "daledoor", machine, level, stream: process.stderr });
     return {
+      setLevel: (changed) => log.level(changed),
       part: (name) => ({
         say: (sentence, fields) => log.info(fields ?? {}, `${name}: ${sentence}`),
         warn: (sentence, fields) => log.warn(fields ?? {}, `${name}: ${sentence}`),
--- /dev/null
+++ b/src/operator/operators.ts
@@ -0,0 +1,235 @@
+import { create, define, literal, max, min, nullable, number, object, optional, string, type, union, unknown, validate } from "superstruct";
+import { faultsOf, type Fault } from "../contract/config.js";
+import type { Ferry } from "../contract/ferry.js";
+import type { Order } from "../contract/order.js";
+import type { View } from "../contract/view.js";
+import type { Job } from "../door/job.js";
+import { Job as Jobs } from "../door/job.js";
+import { Return } from "../door/verdict.js";
+import type { Task } from "../machine/task.js";
+import { World } from "../machine/world.js";
+import { retryWindowMs, type Counts } from "../zone/counts.js";
+import type { Shares } from "../zone/shares.js";
+import { budgetRule } from "../zone/budget.js";
+import { Query } from "./language.js";
+
+const orderWaitMs = 4000;
+const heavyPhi = 0.1;
+
+const address = define<string>("address", (value) => (typeof value === "string" && /^[0-9a-fA-F.:[\]]+:\d{1,5}$/.test(value)) || "Expected an address of the form IP:port");
+const serviceName = define<string>("name", (value) => (typeof value === "string" && /^[a-z][a-z0-9-]{0,39}$/.test(value)) || "Expected the name of a service");
+const announcement = object({ service: serviceName, address, zone: serviceName, warmth: optional(max(min(number(), 0), 1)) });
+const leaving = object({ service: serviceName, address });
+
+const outcomeShape = union([
+  object({ accepted: number() }),
+  object({ lost: number() }),
+  object({ faults: define<Fault[]>("faults", Array.isArray) }),
+]);
+const foundShape = type({ found: nullable(object({ sequence: number(), changeId: string(), acceptedAt: string(), text: string() })) });
+const historyShape = type({ journal: define<Array<{ index: number; text: string }>>("journal", Array.isArray) });
+const readyShape = object({ ready: literal(true) });
+
+/** What the operators' port needs of its daemon. */
+export interface Desk {
+  status(): Record<string, unknown>;
+  /** Why the daemon is not ready, or an empty word. */
+  notReady(): string;
+  counts(): { counts: Counts; ageMs: number; coverage: { edges: number; oldestMs: number } } | undefined;
+}
+
+const unknownFate = (): Return =>
+  Return.json(504, { error: "Nobody could say whether this took effect. Repeat it with the same Change-Id, or read back.", verdict: "mayHaveRun" }, { "retry-after": "2" });
+
+const fault = (code: number, error: string, more: Record<string, unknown> = {}): Return => Return.json(code, { error, ...more });
+
+const parse = (body: Uint8Array): { value: unknown } | undefined => {
+  try {
+    const value: unknown = JSON.parse(Buffer.from(body).toString("utf8"));
+    return { value };
+  } catch {
+    return undefined;
+  }
+};
+
+/** Answers operators, back ends and the platform over HTTP. */
+export class Operators {
+  private readonly world: World;
+  private readonly ferry: Ferry;
+  private readonly view: View;
+  private readonly shares: Shares;
+  private readonly desk: Desk;
+
+  constructor(world: World, ferry: Ferry, view: View, shares: Shares, desk: Desk) {
+    this.world = world;
+    this.ferry = ferry;
+    this.view = view;
+    this.shares = shares;
+    this.desk = desk;
+  }
+
+  *handle(job: Job): Task<Return> {
+    const path = Jobs.path(job);
+    const at = `${job.method} ${path}`;
+    const sequence = /^\/config\/(\d{1,9})$/.exec(path)?.[1];
+    if (job.method === "GET" && sequence !== undefined) return yield* this.readConfig(Number(sequence));
+    switch (at) {
+      case "GET /ready": {
+        const why = this.desk.notReady();
+        return why === "" ? Return.json(200, create({ ready: true }, readyShape)) : Return.json(503, { ready: false, why });
+      }
+      case "GET /status":
+        return Return.json(200, this.desk.status());
+      case "GET /config":
+        return yield* this.readConfig(undefined);
+      case "GET /config/history":
+        return yield* this.read({ kind: "history" });
+      case "PUT /config":
+      case "PATCH /config":
+        return yield* this.change(job);
+      case "POST /backends/announce":
+        return yield* this.announced(job);
+      case "POST /backends/leave":
+        return yield* this.left(job);
+      case "POST /ask":
+        return yield* this.ask(Buffer.from(job.body).toString("utf8"));
+      default:
+        return fault(404, "Nothing is served at this path.", {
+          served: ["GET /ready", "GET /status", "GET|PUT|PATCH /config", "GET /config/SEQUENCE", "GET /config/history", "POST /backends/announce", "POST /backends/leave", "POST /ask"],
+        });
+    }
+  }
+
+  private *read(order: Order): Task<Return> {
+    const text = yield* this.ferry.command(order, orderWaitMs);
+    if (text === undefined) return fault(503, "No leader could be asked.");
+    return { code: 200, headers: { "content-type": "application/json" }, body: Buffer.from(`${text}\n`) };
+  }
+
+  private *readConfig(sequence: number | undefined): Task<Return> {
+    const text = yield* this.ferry.command({ kind: "get", ...(sequence === undefined ? {} : { sequence }) }, orderWaitMs);
+    if (text === undefined) return fault(503, "No leader could be asked.");
+    const { found } = create(JSON.parse(text), foundShape);
+    if (!found) return fault(404, sequence === undefined ? "No config was accepted yet." : `No config ${sequence} is kept.`);
+    const config: unknown = JSON.parse(found.text);
+    return Return.json(200, { sequence: found.sequence, changeId: found.changeId, acceptedAt: found.acceptedAt, config }, { etag: `"${found.sequence}"` });
+  }
+
+  private *change(job: Job): Task<Return> {
+    const parsed = parse(job.body);
+    if (!parsed) return fault(400, "The body is not JSON.", { faults: [{ path: "(whole)", expected: "JSON" }] });
+    const match = job.headers["if-match"];
+    const base = match === undefined ? undefined : /^(?:W\/)?"?(\d{1,9})"?$/.exec(match)?.[1];
+    if (match !== undefined && base === undefined) return fault(400, "If-Match names no sequence.", { faults: [{ path: "If-Match", expected: 'the sequence of a config, such as "12"' }] });
+    const changeId = job.headers["change-id"] ?? World.nonce(this.world);
+    if (changeId.length === 0 || changeId.length > 100) return fault(400, "A Change-Id has 1 to 100 characters.");
+    return yield* this.enter({ kind: job.method === "PUT" ? "put" : "patch", changeId, ...(base === undefined ? {} : { base: Number(base) }), value: parsed.value });
+  }
+
+  private *enter(order: Order): Task<Return> {
+    const text = yield* this.ferry.command(order, orderWaitMs);
+    if (text === undefined) return unknownFate();
+    const outcome = create(JSON.parse(text), outcomeShape);
+    if ("accepted" in outcome) return Return.json(200, { sequence: outcome.accepted }, { etag: `"${outcome.accepted}"` });
+    if ("lost" in outcome) return fault(412, `Another change came first; config ${outcome.lost} is in force.`, { sequence: outcome.lost });
+    return fault(400, "The config is refused whole.", { faults: outcome.faults });
+  }
+
+  private *announced(job: Job): Task<Return> {
+    const [failure, told] = validate(parse(job.body)?.value, announcement);
+    if (failure) return fault(400, "The announcement is refused.", { faults: faultsOf(failure.failures()) });
+    return yield* this.read({ kind: "announce", address: told.address, service: told.service, zone: told.zone, warmth: told.warmth ?? 1 });
+  }
+
+  private *left(job: Job): Task<Return> {
+    const [failure, told] = validate(parse(job.body)?.value, leaving);
+    if (failure) return fault(400, "The notice is refused.", { faults: faultsOf(failure.failures()) });
+    return yield* this.read({ kind: "leave", ...told });
+  }
+
+  private *ask(line: string): Task<Return> {
+    const read = Query.read(line);
+    if ("fault" in read) return fault(400, `"${read.fault.word}" is not understood; expected ${read.fault.expected}.`, { ...read.fault, forms: Query.forms });
+    const { query } = read;
+    switch (query.kind) {
+      case "showMachines":
+      case "showBackEnds":
+        return yield* this.showFleet(query.kind);
+      case "explain":
+        return yield* this.explain();
+      case "showService":
+        return this.showService(query.service);
+      case "showRoutes":
+        return Return.json(200, { sequence: this.view.configSequence, routes: this.view.mappings.all.map(({ name, service, goalMs, furtherTries, repeatable }) => ({ route: name, service, goalMs, furtherTries, repeatable })) });
+      case "showHeavyRoutes":
+        return this.showHeavy();
+      case "showShares":
+        return Return.json(200, { shares: this.allShares() });
+      case "whyShare": {
+        const found = this.allShares().find((share) => share.address === query.address);
+        return found ? Return.json(200, { ...found }) : fault(404, `No back end at ${query.address} is known here.`);
+      }
+      case "whyRoute": {
+        const mapping = this.view.mappings.all.find(({ name }) => name === query.route);
+        if (!mapping) return fault(404, `No route "${query.route}" is in force.`);
+        return Return.json(200, { route: mapping.name, service: mapping.service, why: `config ${this.view.configSequence} says so`, backEnds: this.shares.explain(this.view.backEnds(mapping.service), this.world.clock.nowMs()) });
+      }
+      case "moveRoute":
+        return yield* this.patch({ routes: { [query.route]: { service: query.service } } }, query.route);
+      case "setGoal": {
+        const goal = { latencyMs: query.latencyMs, ...(query.furtherTries === undefined ? {} : { furtherTries: query.furtherTries }) };
+        return yield* this.patch({ goals: { [query.route]: goal } }, query.route);
+      }
+      case "drainBackEnd":
+        return yield* this.read({ kind: "drainBackEnd", address: query.address });
+    }
+  }
+
+  private *patch(value: unknown, route: string): Task<Return> {
+    if (!this.view.mappings.all.some(({ name }) => name === route)) return fault(404, `No route "${route}" is in force.`);
+    return yield* this.enter({ kind: "patch", changeId: World.nonce(this.world), value });
+  }
+
+  private *showFleet(kind: "showMachines" | "showBackEnds"): Task<Return> {
+    const text = yield* this.ferry.command({ kind: "fleet" }, orderWaitMs);
+    if (text === undefined) return fault(503, "No leader could be asked.");
+    const fleet = create(JSON.parse(text), type({ leader: string(), voters: unknown(), learners: unknown(), machines: unknown(), backEnds: unknown() }));
+    const { leader, voters, learners, machines, backEnds } = fleet;
+    return kind === "showMachines" ? Return.json(200, { leader, voters, learners, machines }) : Return.json(200, { backEnds });
+  }
+
+  private *explain(): Task<Return> {
+    const text = yield* this.ferry.command({ kind: "history" }, orderWaitMs);
+    if (text === undefined) return fault(503, "No leader could be asked.");
+    return Return.json(200, { journal: create(JSON.parse(text), historyShape).journal.slice(-100) });
+  }
+
+  private showService(service: string): Return {
+    const number = this.view.numberOf("service", service);
+    if (number === undefined) return fault(404, `No service "${service}" is in force.`);
+    const latest = this.desk.counts();
+    const tries = latest?.counts.ofService(number, this.world.clock.nowMs(), retryWindowMs);
+    return Return.json(200, {
+      service,
+      windowMs: retryWindowMs,
+      firstTries: tries ? Math.round(tries.first) : null,
+      furtherTries: tries ? Math.round(tries.further) : null,
+      furtherTriesAllowed: tries ? Math.floor(budgetRule.earned * tries.first + budgetRule.pool) : null,
+      coverage: latest ? { ...latest.coverage, ageMs: Math.round(latest.ageMs) } : null,
+      backEnds: this.shares.explain(this.view.backEnds(service), this.world.clock.nowMs()),
+    });
+  }
+
+  private showHeavy(): Return {
+    const latest = this.desk.counts();
+    if (!latest) return fault(503, "The fleet's counts have not come yet.");
+    const heavy = latest.counts.heavyRoutes(heavyPhi, this.world.clock.nowMs(), retryWindowMs);
+    const routes = heavy.map(({ item, estimate }) => ({ route: this.view.nameOf(item)?.replace(/^route /, "") ?? `number ${item}`, requests: Math.round(estimate) }));
+    return Return.json(200, { atLeastPartOfAll: heavyPhi, windowMs: retryWindowMs, routes, coverage: { ...latest.coverage, ageMs: Math.round(latest.ageMs) } });
+  }
+
+  private allShares() {
+    const nowMs = this.world.clock.nowMs();
+    return this.view.services.flatMap((service) => this.shares.explain(this.view.backEnds(service), nowMs).map((share) => ({ service, ...share })));
+  }
+}
--- a/src/record/recorder.ts
+++ b/src/record/recorder.ts
@@ -46,6 +46,7 @@
   | { kind: "voted"; peer: string; isPreVote: boolean; term: number; ret: VoteReturn }
   | { kind: "written"; term: number; index: number }
   | { kind: "outdated"; term: number }
+  | { kind: "learn"; machine: string; done: (known: boolean) => void }
   | { kind: "rejoined" };
 
 const membersShape = object({ kind: enums(["members"]), voters: array(string()), learners: array(string()) });
@@ -162,6 +163,11 @@
     return outcomes[0] ?? "unknown";
   }
 
+  /** Has a recorder learn the record, unless it already does or votes; false while another change is under way. */
+  *addLearner(machine: string): Task<boolean> {
+    return yield* Task.wait<boolean>((done) => this.holding.put({ kind: "learn", machine, done }));
+  }
+
   /** Steps down in favour of the follower that is furthest. */
   yieldLeadership(): void {
     if (this.role === "leader") this.handOver("A stop was asked for.");
@@ -594,6 +600,13 @@
       case "outdated":
         if (command.term > this.term) this.follow(command.term, "");
         return;
+      case "learn": {
+        const { voters, learners } = this.members;
+        if (voters.includes(command.machine) || learners.includes(command.machine)) return command.done(true);
+        const free = this.role === "leader" && this.membersIndex <= this.committed && this.committed >= this.leadingSinceIndex;
+        if (free) this.changeMembers({ voters, learners: [...learners, command.machine] });
+        return command.done(free);
+      }
       case "rejoined":
         this.rejoining = "";
         this.log.say("Rejoined: votes and acknowledges again.");
--- /dev/null
+++ b/src/zone/collector.ts
@@ -0,0 +1,223 @@
+import { array, create, literal, number, object, optional, string, union, type Infer } from "superstruct";
+import type { Held, Link } from "../link/link.js";
+import { Kind } from "../link/kind.js";
+import { Clock } from "../machine/clock.js";
+import type { PartLog } from "../machine/logbook.js";
+import type { Task } from "../machine/task.js";
+import type { World } from "../machine/world.js";
+import { Counts, type CountsForm } from "./counts.js";
+import { SketchMismatchError } from "./ecmSketch.js";
+import { FrameError } from "../link/frame.js";
+
+const childShape = object({ machine: string(), incarnation: string(), parentSequence: number() });
+
+/** An edge as the tree counts it: a process, and how often it has changed its parent. */
+export type Child = Infer<typeof childShape>;
+
+const pushShape = object({
+  from: string(),
+  incarnation: string(),
+  tier: union([literal("edge"), literal("collector")]),
+  push: number(),
+  parentSequence: number(),
+  halfTripMs: number(),
+  /** A collector's children that its sketch holds, and those that it would like to hold. */
+  includes: array(childShape),
+  wants: array(childShape),
+});
+
+/** What goes up with a sketch. */
+export type Push = Infer<typeof pushShape>;
+
+const downShape = object({
+  taken: string(),
+  /** Children the root lets this collector hold. */
+  granted: array(childShape),
+  /** The child's last push that the returned sketch holds. */
+  includedPush: optional(number()),
+  coverage: object({ edges: number(), oldestMs: number() }),
+});
+
+/** What comes down with the fleet's sketch. */
+export type Down = Infer<typeof downShape>;
+
+export const Down = {
+  read: (text: string): Down => create(JSON.parse(text), downShape),
+};
+
+interface Kept {
+  push: Push;
+  counts: Counts;
+  atMs: number;
+}
+
+interface FleetCounts {
+  counts: Counts;
+  atMs: number;
+  coverage: Down["coverage"];
+  included: Map<string, number>;
+}
+
+const sameChild = (a: Child, b: Child): boolean => a.machine === b.machine && a.incarnation === b.incarnation && a.parentSequence === b.parentSequence;
+
+/** Merges the sketches of its children; at the leader it is the root, elsewhere it pushes to the root. */
+export class Collector {
+  private readonly world: World;
+  private readonly link: Link;
+  private readonly form: CountsForm;
+  private readonly self: string;
+  private readonly incarnation: string;
+  private readonly leader: () => string;
+  private readonly log: PartLog;
+  /** Edges that push here, by machine and process. */
+  private readonly children = new Map<string, Kept>();
+  private granted: Child[] = [];
+  /** At the root: what collectors pushed, and which collector counts which edge. */
+  private readonly collectors = new Map<string, Kept>();
+  private readonly countedBy = new Map<string, { child: Child; collector: string; atMs: number }>();
+  private fleet: FleetCounts | undefined;
+  private pushes = 0;
+  private halfTripMs = 0;
+  /** Children refused for what they sent. */
+  refused = 0;
+
+  constructor(world: World, link: Link, form: CountsForm, self: string, incarnation: string, leader: () => string) {
+    this.world = world;
+    this.link = link;
+    this.form = form;
+    this.self = self;
+    this.incarnation = incarnation;
+    this.leader = leader;
+    this.log = world.logbook.part("zone");
+    link.serve(Kind.push, (ask) => this.taking(ask));
+  }
+
+  /** The fleet's counts as last heard, and what they cover. */
+  get latest(): { counts: Counts; ageMs: number; coverage: Down["coverage"] } | undefined {
+    return this.fleet && { counts: this.fleet.counts, ageMs: this.world.clock.nowMs() - this.fleet.atMs, coverage: this.fleet.coverage };
+  }
+
+  /** Merges and pushes at its own pace. */
+  *own(pushMs: number): Task {
+    for (;;) {
+      yield* Clock.rest(this.world.clock, pushMs);
+      this.forget();
+      const children = [...this.children.values()].map(({ push }) => Collector.childOf(push));
+      const isGranted = (child: Child): boolean => this.granted.some((one) => sameChild(one, child));
+      const nowMs = this.world.clock.nowMs();
+      const held = [...this.children.values()].filter(({ push }) => isGranted(Collector.childOf(push)));
+      const merged = Counts.merge(
+        held.map(({ counts }) => counts),
+        this.form,
+        nowMs,
+      );
+      const included = new Map(held.map(({ push }) => [`${push.from} ${push.incarnation}`, push.push]));
+      this.pushes += 1;
+      const push: Push = {
+        from: this.self,
+        incarnation: this.incarnation,
+        tier: "collector",
+        push: this.pushes,
+        parentSequence: 0,
+        halfTripMs: this.halfTripMs,
+        includes: children.filter(isGranted),
+        wants: children.filter((child) => !isGranted(child)),
+      };
+      const leader = this.leader();
+      if (!leader) continue;
+      const ask = { text: JSON.stringify(push), sketches: merged.encode(nowMs) };
+      const ret = leader === this.self ? this.take(ask) : yield* this.link.ask(leader, Kind.push, ask, pushMs);
+      if (!ret) continue;
+      this.halfTripMs = leader === this.self ? 0 : (this.world.clock.nowMs() - nowMs) / 2;
+      const down = Down.read(ret.text);
+      if (down.taken !== "") continue;
+      this.granted = down.granted;
+      this.fleet = {
+        counts: Counts.decode(ret.sketches, this.form, this.world.clock.nowMs(), this.halfTripMs),
+        atMs: this.world.clock.nowMs(),
+        coverage: down.coverage,
+        included,
+      };
+    }
+  }
+
+  private static childOf({ from, incarnation, parentSequence }: Push): Child {
+    return { machine: from, incarnation, parentSequence };
+  }
+
+  private *taking(ask: Held<typeof Kind.push.ask>): Task<Held<typeof Kind.push.return>> {
+    return this.take(ask);
+  }
+
+  private take(ask: Held<typeof Kind.push.ask>): Held<typeof Kind.push.return> {
+    const nothing = { edges: 0, oldestMs: 0 };
+    const nowMs = this.world.clock.nowMs();
+    let kept: Kept;
+    try {
+      const push = create(JSON.parse(ask.text), pushShape);
+      kept = { push, atMs: nowMs, counts: Counts.decode(ask.sketches, this.form, nowMs, push.halfTripMs) };
+    } catch (error) {
+      if (!(error instanceof SketchMismatchError || error instanceof FrameError)) throw error;
+      this.refused += 1;
+      this.log.warn("A child's sketch was refused.", { why: error.message });
+      const down: Down = { taken: error.message, granted: [], coverage: nothing };
+      return { text: JSON.stringify(down), sketches: new Uint8Array() };
+    }
+    return kept.push.tier === "edge" ? this.takeEdge(kept) : this.takeCollector(kept);
+  }
+
+  private takeEdge(kept: Kept): Held<typeof Kind.push.return> {
+    const { push } = kept;
+    const name = `${push.from} ${push.incarnation}`;
+    const known = this.children.get(name);
+    if (!known || known.push.push <= push.push) this.children.set(name, kept);
+    const fleet = this.fleet;
+    const includedPush = fleet?.included.get(name);
+    const down: Down = {
+      taken: "",
+      granted: [],
+      ...(includedPush === undefined ? {} : { includedPush }),
+      coverage: fleet?.coverage ?? { edges: 0, oldestMs: 0 },
+    };
+    const nowMs = this.world.clock.nowMs();
+    return { text: JSON.stringify(down), sketches: (fleet?.counts ?? new Counts(this.form)).encode(nowMs) };
+  }
+
+  private takeCollector(kept: Kept): Held<typeof Kind.push.return> {
+    const { push } = kept;
+    const nowMs = this.world.clock.nowMs();
+    this.forget();
+    const granted: Child[] = [];
+    for (const child of [...push.includes, ...push.wants]) {
+      const name = `${child.machine} ${child.incarnation}`;
+      const counted = this.countedBy.get(name);
+      const mine = counted?.collector === push.from;
+      const moved = counted !== undefined && !mine && counted.child.parentSequence < child.parentSequence;
+      const stillHeld = counted && this.collectors.get(counted.collector)?.push.includes.some((one) => one.machine === child.machine && one.incarnation === child.incarnation);
+      if (counted === undefined || mine || (moved && !stillHeld)) {
+        this.countedBy.set(name, { child, collector: push.from, atMs: nowMs });
+        granted.push(child);
+      } else if (moved) counted.child = { ...counted.child, parentSequence: -1 };
+    }
+    const revoked = push.includes.filter((child) => {
+      const counted = this.countedBy.get(`${child.machine} ${child.incarnation}`);
+      return counted?.collector !== push.from || counted.child.parentSequence === -1;
+    });
+    if (revoked.length === 0) this.collectors.set(push.from, kept);
+    const merged = Counts.merge(
+      [...this.collectors.values()].map(({ counts }) => counts),
+      this.form,
+      nowMs,
+    );
+    const edges = [...this.collectors.values()].reduce((sum, one) => sum + one.push.includes.length, 0);
+    const oldestMs = Math.max(0, ...[...this.collectors.values()].map(({ atMs }) => nowMs - atMs));
+    const down: Down = { taken: "", granted: granted.filter((child) => !revoked.some((one) => sameChild(one, child))), coverage: { edges, oldestMs } };
+    return { text: JSON.stringify(down), sketches: merged.encode(nowMs) };
+  }
+
+  private forget(): void {
+    const oldMs = this.world.clock.nowMs() - this.form.tries.windowMs;
+    for (const table of [this.children, this.collectors]) for (const [name, { atMs }] of table) if (atMs < oldMs) table.delete(name);
+    for (const [name, { atMs }] of this.countedBy) if (atMs < oldMs) this.countedBy.delete(name);
+  }
+}
--- /dev/null
+++ b/src/zone/counts.ts
@@ -0,0 +1,119 @@
+import * as r from "restructure";
+import { exactly } from "../link/frame.js";
+import { DyadicSketch } from "./dyadicSketch.js";
+import { EcmSketch, SketchMismatchError, type AgedSketch, type SketchForm } from "./ecmSketch.js";
+import { stampOf } from "./exponentialHistogram.js";
+
+/** The window in which a service's repeats are held against its requests. */
+export const retryWindowMs = 10_000;
+
+/** What every sketch of the fleet has in common. */
+export interface CountsForm {
+  readonly tries: SketchForm;
+  readonly routes: SketchForm;
+  readonly routeBits: number;
+}
+
+export const CountsForm = {
+  /** Ours: a window twice the budget's, so that late counts still fall inside. */
+  usual: {
+    tries: { epsilon: 0.1, delta: 0.05, windowMs: 20_000, seed: 1 },
+    routes: { epsilon: 0.2, delta: 0.1, windowMs: 20_000, seed: 101 },
+    routeBits: 12,
+  },
+};
+
+const form = new r.Struct({ epsilon: r.double, delta: r.double, windowMs: r.uint32, seed: r.uint32 });
+const histogram = new r.Struct({ floorAge: r.uint16, levels: new r.Array(new r.Array(r.uint16, r.uint16), r.uint8) });
+const sketch = new r.Struct({ form, cells: new r.Array(new r.Struct({ cell: r.uint32, histogram }), r.uint16) });
+const counts = new r.Struct({ tries: sketch, routes: new r.Array(sketch, r.uint8) });
+
+/** First and further tries by service and requests by route, in a sliding window. */
+export class Counts {
+  readonly form: CountsForm;
+  private readonly tries: EcmSketch;
+  private readonly routes: DyadicSketch;
+
+  constructor(form: CountsForm, tries?: EcmSketch, routes?: DyadicSketch) {
+    this.form = form;
+    this.tries = tries ?? new EcmSketch(form.tries);
+    this.routes = routes ?? new DyadicSketch(form.routes, form.routeBits);
+  }
+
+  /** Counts a try sent to a back end of a service. */
+  countTry(service: number, isFurther: boolean, nowMs: number): void {
+    this.tries.add(service * 2 + (isFurther ? 1 : 0), stampOf(nowMs));
+  }
+
+  /** Counts a request taken on a route. */
+  countRoute(route: number, nowMs: number): void {
+    this.routes.add(route % 2 ** this.form.routeBits, stampOf(nowMs));
+  }
+
+  /** First and further tries of a service in the last `rangeMs`. */
+  ofService(service: number, nowMs: number, rangeMs: number): { first: number; further: number } {
+    const now = stampOf(nowMs);
+    return { first: this.tries.estimate(service * 2, now, rangeMs), further: this.tries.estimate(service * 2 + 1, now, rangeMs) };
+  }
+
+  /** Routes that make up at least `phi` of all requests in the last `rangeMs`, by number. */
+  heavyRoutes(phi: number, nowMs: number, rangeMs: number): Array<{ item: number; estimate: number }> {
+    return this.routes.heavy(phi, stampOf(nowMs), rangeMs);
+  }
+
+  expire(nowMs: number): void {
+    this.tries.expire(stampOf(nowMs));
+    this.routes.expire(stampOf(nowMs));
+  }
+
+  encode(nowMs: number): Uint8Array {
+    const now = stampOf(nowMs);
+    return counts.toBuffer({ tries: this.tries.aged(now), routes: this.routes.aged(now) });
+  }
+
+  /** Reads counts that were on their way for `olderMs`; those of another form are refused. */
+  static decode(bytes: Uint8Array, form: CountsForm, nowMs: number, olderMs: number): Counts {
+    const held = exactly(counts, bytes);
+    const now = stampOf(nowMs);
+    const known = (aged: AgedSketch): AgedSketch => aged;
+    if (held.routes.length !== form.routeBits) throw new SketchMismatchError("The sketch has another number of levels.");
+    return new Counts(
+      form,
+      EcmSketch.ofAged(known(held.tries), form.tries, now, olderMs),
+      DyadicSketch.ofAged(held.routes.map(known), form.routes, form.routeBits, now, olderMs),
+    );
+  }
+
+  static merge(inputs: Counts[], form: CountsForm, nowMs: number): Counts {
+    const now = stampOf(nowMs);
+    return new Counts(
+      form,
+      EcmSketch.merge(
+        inputs.map((input) => input.tries),
+        form.tries,
+        now,
+      ),
+      DyadicSketch.merge(
+        inputs.map((input) => input.routes),
+        form.routes,
+        form.routeBits,
+        now,
+      ),
+    );
+  }
+}
+
+if (import.meta.vitest) {
+  const { expect, test } = import.meta.vitest;
+  const { FrameError } = await import("../link/frame.js");
+  test("counts travel between clocks that disagree, and cut bytes are refused", () => {
+    const own = new Counts(CountsForm.usual);
+    for (let at = 0; at < 5000; at += 5) own.countTry(3, at % 50 === 0, 70_000 + at);
+    const bytes = own.encode(75_000);
+    const far = Counts.decode(bytes, CountsForm.usual, 999_999_123, 40);
+    const merged = Counts.merge([far, far], CountsForm.usual, 999_999_123);
+    expect(far.ofService(3, 999_999_123, 10_000).first).toBeGreaterThan(850);
+    expect(merged.ofService(3, 999_999_123, 10_000).further).toBeGreaterThan(170);
+    for (const size of [0, 10, bytes.length - 1]) expect(() => Counts.decode(bytes.subarray(0, size), CountsForm.usual, 0, 0)).toThrow(FrameError);
+  });
+}
