--- a/src/machine/daemon.ts
+++ b/src/machine/daemon.ts
@@ -122,7 +122,7 @@
     this.draining = true;
     this.log.say("Draining.", { inHand: this.door.unfinished });
     this.door.close();
-    this.recorder?.yieldLeadership();
+    if (this.recorder) yield* this.recorder.yieldLeadership();
     while (this.door.unfinished > 0 && this.world.clock.nowMs() - startedMs < drainMs) yield* Clock.rest(this.world.clock, 20);
     if (this.door.unfinished > 0) this.log.warn("Stops with work unfinished.", { inHand: this.door.unfinished });
     else this.log.say("Drained.");
--- a/src/record/recorder.ts
+++ b/src/record/recorder.ts
@@ -47,6 +47,7 @@
   | { kind: "written"; term: number; index: number }
   | { kind: "outdated"; term: number }
   | { kind: "learn"; machine: string; done: (known: boolean) => void }
+  | { kind: "yield"; done: (yielded: true) => void }
   | { kind: "rejoined" };
 
 const membersShape = object({ kind: enums(["members"]), voters: array(string()), learners: array(string()) });
@@ -169,8 +170,8 @@
   }
 
   /** Steps down in favour of the follower that is furthest. */
-  yieldLeadership(): void {
-    if (this.role === "leader") this.handOver("A stop was asked for.");
+  *yieldLeadership(): Task {
+    if (this.role === "leader") yield* Task.wait<true>((done) => this.holding.put({ kind: "yield", done }));
   }
 
   /** The recorder's own task: loads, forms or rejoins, then follows, stands and leads. */
@@ -600,6 +601,9 @@
       case "outdated":
         if (command.term > this.term) this.follow(command.term, "");
         return;
+      case "yield":
+        if (this.role === "leader") this.handOver("A stop was asked for.");
+        return command.done(true);
       case "learn": {
         const { voters, learners } = this.members;
         if (voters.includes(command.machine) || learners.includes(command.machine)) return command.done(true);
--- a/src/zone/shares.ts
+++ b/src/zone/shares.ts
@@ -18,6 +18,8 @@
 const steerMs = 500;
 const leastShare = 0.1;
 const farFactor = 0.4;
+/** How often the share alone decides, so that a back end that got better is seen again. */
+const lookAgain = 0.05;
 
 /** How much of a service's traffic each back end takes from this daemon, steered toward the goals. */
 export class Shares {
@@ -40,7 +42,7 @@
       from.filter((contract) => contract !== first),
       nowMs,
     );
-    if (!first || !second) return first;
+    if (!first || !second || this.random() < lookAgain) return first;
     return this.costMs(first, nowMs) <= this.costMs(second, nowMs) ? first : second;
   }
 
@@ -54,7 +56,7 @@
   ended(contract: Contract, tookMs: number, whole: boolean, goalMs: number, nowMs: number): void {
     const sight = this.sight(contract, nowMs);
     sight.inHand = Math.max(0, sight.inHand - 1);
-    sight.latencyMs += (tookMs - sight.latencyMs) * 0.15;
+    sight.latencyMs += (tookMs - sight.latencyMs) * 0.2;
     sight.breakdownRate += ((whole ? 0 : 1) - sight.breakdownRate) * 0.1;
     sight.streak = whole ? 0 : sight.streak + 1;
     if (!whole && sight.streak >= 2) sight.avoidUntilMs = nowMs + Math.min(5000, 250 * 2 ** Math.min(sight.streak, 6)) * (0.75 + this.random() * 0.5);
