--- a/src/machine/clock.ts
+++ b/src/machine/clock.ts
@@ -9,6 +9,9 @@
   after(waitMs: number, run: () => void): () => void;
 }
 
+// The scheduler runs what falls due within a millisecond at its start, which would be early.
+const roundingMs = 0.001;
+
 export const Clock = {
   /** The clock that a scheduler of streams keeps. */
   of(scheduler: Scheduler): Clock {
@@ -16,8 +19,10 @@
       scheduler,
       nowMs: () => currentTime(scheduler),
       after(waitMs, run) {
+        const nowMs = currentTime(scheduler);
+        const dueMs = Math.ceil(nowMs + Math.max(0, waitMs)) + roundingMs;
         const planned = delay(
-          Math.max(0, waitMs),
+          dueMs - nowMs,
           {
             run,
             error(_time: number, error: Error) {
--- /dev/null
+++ b/src/rehearsal/day.ts
@@ -0,0 +1,233 @@
+import { create, number, optional, string, type, unknown } from "superstruct";
+import type { Job } from "../door/job.js";
+import type { Return } from "../door/verdict.js";
+import { Clock } from "../machine/clock.js";
+import { Task } from "../machine/task.js";
+import type { CallerRecord, Ledger } from "./ledger.js";
+import { Profile, type Traffic } from "./profile.js";
+import type { StandIn } from "./standIn.js";
+
+/** How a caller's request ended, as the caller saw it. */
+export interface CallerEnd {
+  readonly code: number;
+  readonly broke: CallerRecord["broke"];
+  readonly body: Buffer;
+  readonly statedBytes: number | undefined;
+  readonly retryAfterS: number | undefined;
+}
+
+/** The way from callers, back ends and operators to daemons: virtual or real. */
+export interface Outside {
+  readonly clock: Clock;
+  random(): number;
+  /** Names of daemons that the platform sends a zone's new connections to. */
+  ready(zone: string): string[];
+  call(daemon: string, job: Job): Task<CallerEnd>;
+  /** Asks the operators' port of a daemon; any daemon where none is named. */
+  desk(daemon: string | undefined, job: Job): Task<Return | undefined>;
+  start(task: Task<unknown>): void;
+}
+
+const sequenced = type({ sequence: number() });
+const foundConfig = type({ config: optional(unknown()) });
+const ownBody = type({ of: string() });
+
+const bodyOf = (body: Buffer): string => {
+  try {
+    return create(JSON.parse(body.toString()), ownBody).of;
+  } catch {
+    return "";
+  }
+};
+
+/** What happens around the fleet in a day: callers, back ends and operators at their work. */
+export class Day {
+  private readonly outside: Outside;
+  private readonly profile: Profile;
+  private readonly ledger: Ledger;
+  private readonly rateFactor: number;
+  private calls = 0;
+  private changes = 0;
+  private moved: Record<string, string> = {};
+  /** The newest config that an operator knows to be accepted. */
+  sequence = 0;
+  private extraRoutes = 0;
+  isOver = false;
+
+  constructor(outside: Outside, profile: Profile, ledger: Ledger, rateFactor: number) {
+    this.outside = outside;
+    this.profile = profile;
+    this.ledger = ledger;
+    this.rateFactor = rateFactor;
+  }
+
+  /** Callers of one kind, each request at a time of its own. */
+  *callers(traffic: Traffic): Task {
+    const { clock } = this.outside;
+    while (!this.isOver) {
+      yield* Clock.rest(clock, (-Math.log(1 - this.outside.random()) * 1000) / (traffic.perSecond * this.rateFactor));
+      this.outside.start(this.person(traffic));
+    }
+  }
+
+  /** Callers who ask for the route that only one config has. */
+  *probers(perSecond: number): Task {
+    while (!this.isOver) {
+      yield* Clock.rest(this.outside.clock, 1000 / perSecond);
+      const accepted = this.ledger.of("accepted").slice(-3);
+      const probe = accepted[Math.floor(this.outside.random() * accepted.length)]?.probe;
+      const [service] = Object.keys(this.profile.backEnds);
+      if (probe !== undefined && service !== undefined) this.outside.start(this.oneCall(service, "GET", `/probe/${probe}`, undefined, Buffer.alloc(0)));
+    }
+  }
+
+  /** A back end's announcements, for as long as it makes any. */
+  *announcing(standIn: StandIn, everyMs: number): Task {
+    while (!this.isOver) {
+      if (standIn.isAnnouncing && standIn.isUp) {
+        const { service, address, zone, incarnation } = standIn;
+        yield* this.outside.desk(undefined, this.deskJob("POST", "/backends/announce", { service, address, zone, warmth: incarnation > 1 ? 0.3 : 1 }));
+      }
+      yield* Clock.rest(this.outside.clock, everyMs * (0.9 + this.outside.random() * 0.2));
+    }
+  }
+
+  /** A back end says that it is leaving until it is heard. */
+  *leave(standIn: StandIn): Task<boolean> {
+    standIn.isAnnouncing = false;
+    const { service, address, incarnation } = standIn;
+    for (let round = 0; round < 40 && !this.isOver; round += 1) {
+      const ret = yield* this.outside.desk(undefined, this.deskJob("POST", "/backends/leave", { service, address }));
+      if (ret?.code === 200) {
+        this.ledger.world.push({ kind: "left", atMs: this.outside.clock.nowMs(), address, service, incarnation });
+        return true;
+      }
+      yield* Clock.rest(this.outside.clock, 200);
+    }
+    return false;
+  }
+
+  /** An operator puts a new config in force, upon the newest that is known; racers differ by number. */
+  *putConfig(racer = 0): Task<boolean> {
+    const base = this.sequence;
+    const probe = (base + 1) * 10 + racer;
+    for (const [route, services] of Object.entries(this.profile.moves))
+      if (this.outside.random() < 0.3) this.moved[route] = services[Math.floor(this.outside.random() * services.length)] ?? "";
+    const text = JSON.stringify(Profile.config(this.profile, probe, this.moved, this.extraRoutes));
+    this.changes += 1;
+    const changeId = `change-${this.changes}`;
+    this.ledger.world.push({ kind: "sent", atMs: this.outside.clock.nowMs(), probe, text });
+    for (let round = 0; round < 60 && !this.isOver; round += 1) {
+      const ret = yield* this.outside.desk(undefined, {
+        method: "PUT",
+        target: "/config",
+        headers: { "content-type": "application/json", "if-match": `"${base}"`, "change-id": changeId },
+        body: Buffer.from(text),
+      });
+      const atMs = this.outside.clock.nowMs();
+      if (ret?.code === 200) {
+        const { sequence } = create(JSON.parse(Buffer.from(ret.body).toString()), sequenced);
+        this.sequence = Math.max(this.sequence, sequence);
+        this.ledger.world.push({ kind: "accepted", atMs, sequence, probe, text });
+        return true;
+      }
+      if (ret && ret.code >= 400 && ret.code < 500) {
+        this.ledger.world.push({ kind: "rejected", atMs, probe });
+        if (ret.code === 412) this.sequence = Math.max(this.sequence, create(JSON.parse(Buffer.from(ret.body).toString()), sequenced).sequence);
+        return false;
+      }
+      yield* Clock.rest(this.outside.clock, 150);
+    }
+    return false;
+  }
+
+  /** An operator sends what is no config; it must be refused. */
+  *putMalformed(): Task {
+    const probe = (this.sequence + 1) * 10 + 9;
+    const good = Profile.config(this.profile, probe);
+    const bad = [
+      "{not json",
+      JSON.stringify({ ...good, routes: { ...good.routes, astray: { match: { path: "/astray" }, service: "nowhere" } } }),
+      JSON.stringify({ ...good, goals: { checklists: { latencyMs: -1 } } }),
+      JSON.stringify({ ...good, surprise: true }),
+    ];
+    const body = Buffer.from(bad[Math.floor(this.outside.random() * bad.length)] ?? "");
+    const ret = yield* this.outside.desk(undefined, { method: "PUT", target: "/config", headers: { "if-match": `"${this.sequence}"` }, body });
+    if (ret && ret.code === 400) this.ledger.world.push({ kind: "rejected", atMs: this.outside.clock.nowMs(), probe });
+  }
+
+  /** From now on configs hold many more routes. */
+  growRoutes(count: number): void {
+    this.extraRoutes += count;
+  }
+
+  /** Reads back every config that was accepted, at the end of a day. */
+  *readBack(): Task {
+    for (const sequence of new Set(this.ledger.of("accepted").slice(-100).map((record) => record.sequence))) {
+      for (let round = 0; round < 10; round += 1) {
+        const ret = yield* this.outside.desk(undefined, this.deskJob("GET", `/config/${sequence}`));
+        if (!ret || ret.code === 503) {
+          yield* Clock.rest(this.outside.clock, 200);
+          continue;
+        }
+        const read = create(JSON.parse(Buffer.from(ret.body).toString()), foundConfig);
+        this.ledger.world.push({ kind: "readBack", atMs: this.outside.clock.nowMs(), sequence, text: ret.code === 200 ? JSON.stringify(read.config) : undefined });
+        break;
+      }
+    }
+  }
+
+  private *person(traffic: Traffic): Task {
+    const at = Math.floor(this.outside.random() * 1e6);
+    const path = traffic.path(at);
+    this.calls += 1;
+    const key = traffic.keyed ? `key-${this.calls}` : undefined;
+    const body = traffic.method === "POST" ? Buffer.from(JSON.stringify({ at })) : Buffer.alloc(0);
+    const twin = traffic.keyed && this.outside.random() < 0.03;
+    if (twin) this.outside.start(this.oneCall(traffic.service, traffic.method, path, key, body));
+    const tries = this.outside.random() < 0.5 ? 4 : 2;
+    for (let attempt = 0; attempt < tries && !this.isOver; attempt += 1) {
+      const record = yield* this.oneCall(traffic.service, traffic.method, path, key, body);
+      if (record.code > 0 && record.code < 500) return;
+      const obeys = this.outside.random() < 0.3;
+      yield* Clock.rest(this.outside.clock, obeys ? (record.retryAfterS ?? 1) * 1000 : this.outside.random() * 30);
+    }
+  }
+
+  private *oneCall(service: string, method: string, path: string, key: string | undefined, body: Buffer): Task<CallerRecord> {
+    const { clock } = this.outside;
+    this.calls += 1;
+    const zone = this.profile.zones[Math.floor(this.outside.random() * this.profile.zones.length)] ?? "";
+    const ready = this.outside.ready(zone);
+    const daemon = ready[Math.floor(this.outside.random() * ready.length)] ?? "";
+    const sentMs = clock.nowMs();
+    const record: CallerRecord = {
+      id: `c${this.calls}`, daemon, service, method, path, key, sentMs, endedMs: sentMs,
+      code: 0, broke: "refused", bodyOf: "", isWhole: false, isGarbage: false, retryAfterS: undefined,
+    };
+    if (daemon === "") {
+      yield* Clock.rest(clock, 20);
+      record.endedMs = clock.nowMs();
+    } else {
+      const end = yield* this.outside.call(daemon, {
+        method,
+        target: path,
+        headers: { "x-caller": record.id, "content-type": "application/json", ...(key === undefined ? {} : { "idempotency-key": key }) },
+        body,
+      });
+      record.endedMs = clock.nowMs();
+      record.code = end.code;
+      record.broke = end.broke;
+      record.retryAfterS = end.retryAfterS;
+      record.isWhole = end.statedBytes === end.body.length;
+      record.isGarbage = end.body.subarray(0, 7).toString() === "garbage";
+      if (record.isWhole && !record.isGarbage && end.code < 300) record.bodyOf = bodyOf(end.body);
+    }
+    this.ledger.callers.push(record);
+    return record;
+  }
+
+  private deskJob(method: string, target: string, body?: unknown): Job {
+    return { method, target, headers: { "content-type": "application/json" }, body: body === undefined ? Buffer.alloc(0) : Buffer.from(JSON.stringify(body)) };
+  }
+}
--- /dev/null
+++ b/src/rehearsal/gate.ts
@@ -0,0 +1,26 @@
+/** What every event of one machine passes: nothing while it is dead, all later while it is frozen. */
+export class Gate {
+  private readonly late: Array<() => void> = [];
+  private frozen = false;
+  isAlive = true;
+
+  pass(run: () => void): void {
+    if (!this.isAlive) return;
+    if (this.frozen) this.late.push(run);
+    else run();
+  }
+
+  freeze(): void {
+    this.frozen = true;
+  }
+
+  thaw(): void {
+    this.frozen = false;
+    for (let run = this.late.shift(); run !== undefined && !this.frozen; run = this.late.shift()) this.pass(run);
+  }
+
+  kill(): void {
+    this.isAlive = false;
+    this.late.splice(0);
+  }
+}
--- /dev/null
+++ b/src/rehearsal/judge.ts
@@ -0,0 +1,267 @@
+import { Config, safeMethods } from "../contract/config.js";
+import { Mappings } from "../contract/mapping.js";
+import { Ledger, type CallerRecord, type RunRecord } from "./ledger.js";
+
+/** A rule that was broken, and by what. */
+export interface Breach {
+  rule: string;
+  what: string;
+}
+
+type Rule = (ledger: Ledger) => Iterable<string>;
+
+const keyMs = 60_000;
+const leftMs = 2000;
+const staleMs = 2000;
+const slipMs = 250;
+const windowMs = 10_000;
+const drainMs = 6000;
+const recoverMs = 15_000;
+const probe = /^\/probe\/(\d+)$/;
+
+const groupBy = <T>(items: Iterable<T>, keyOf: (item: T) => string | undefined): Map<string, T[]> => {
+  const groups = new Map<string, T[]>();
+  for (const item of items) {
+    const key = keyOf(item);
+    if (key === undefined) continue;
+    const group = groups.get(key);
+    if (group) group.push(item);
+    else groups.set(key, [item]);
+  }
+  return groups;
+};
+
+const succeeded = (record: CallerRecord): boolean => record.code >= 200 && record.code < 300;
+
+const keyRanOnce: Rule = function* (ledger) {
+  const byKey = groupBy(ledger.runs, (run) => (run.key === undefined ? undefined : `${run.method} ${run.path} ${run.key}`));
+  for (const [key, runs] of byKey) {
+    const times = runs.map(({ atMs }) => atMs).sort((a, b) => a - b);
+    for (let at = 1; at < times.length; at += 1) {
+      const gapMs = (times[at] ?? 0) - (times[at - 1] ?? 0);
+      if (gapMs < keyMs) yield `${key} ran twice within ${Math.round(gapMs)} ms`;
+    }
+  }
+};
+
+const returnsAreTrue: Rule = function* (ledger) {
+  const keys = new Map(ledger.callers.map(({ id, key }) => [id, key]));
+  for (const record of ledger.callers.filter(succeeded)) {
+    if (record.isGarbage) yield `${record.id} got garbage as a success`;
+    else if (!record.isWhole) yield `${record.id} got a body that is cut short as a success`;
+    else {
+      const sameKey = record.key !== undefined && keys.get(record.bodyOf) === record.key;
+      if (record.bodyOf !== record.id && !sameKey && record.method !== "HEAD") yield `${record.id} got the return of ${record.bodyOf || "nobody"}`;
+    }
+  }
+};
+
+const droppedNeverRan: Rule = function* (ledger) {
+  const ran = new Set(ledger.runs.map(({ caller }) => caller));
+  for (const record of ledger.callers) if (record.code === 503 && ran.has(record.id)) yield `${record.id} was told to try later, but ran`;
+};
+
+const unrepeatableRanOnce: Rule = function* (ledger) {
+  for (const [caller, runs] of groupBy(ledger.runs, (run) => (safeMethods.has(run.method) ? undefined : run.caller)))
+    if (runs.length > 1) yield `${caller} ran ${runs.length} times`;
+};
+
+/** The most further tries that any window held, against what it might. */
+export const worstRepeats = (ledger: Ledger): Map<string, { further: number; requests: number; allowed: number }> => {
+  const worst = new Map<string, { further: number; requests: number; allowed: number }>();
+  const seen = new Set<string>();
+  const further: RunRecord[] = [];
+  for (const run of [...ledger.runs].sort((a, b) => a.atMs - b.atMs)) {
+    if (seen.has(run.caller)) further.push(run);
+    seen.add(run.caller);
+  }
+  const requests = groupBy(ledger.callers, ({ service }) => service);
+  for (const [service, runs] of groupBy(further, ({ meant }) => meant)) {
+    const sent = (requests.get(service) ?? []).map(({ sentMs }) => sentMs).sort((a, b) => a - b);
+    for (const { atMs } of runs) {
+      const inWindow = (time: number): boolean => time >= atMs && time < atMs + windowMs;
+      const count = runs.filter((run) => inWindow(run.atMs)).length;
+      const base = sent.filter(inWindow).length;
+      const allowed = base / 5 + 70;
+      const known = worst.get(service);
+      if (!known || count / allowed > known.further / known.allowed) worst.set(service, { further: count, requests: base, allowed });
+    }
+  }
+  return worst;
+};
+
+const repeatsAreBounded: Rule = function* (ledger) {
+  for (const [service, { further, requests, allowed }] of worstRepeats(ledger))
+    if (further > allowed) yield `${service} got ${further} repeats in ten seconds with ${requests} requests; ${Math.floor(allowed)} were allowed`;
+};
+
+const leaversGetNothing: Rule = function* (ledger) {
+  for (const left of ledger.of("left"))
+    for (const run of ledger.runs)
+      if (run.address === left.address && run.incarnation === left.incarnation && run.atMs > left.atMs + leftMs)
+        yield `${left.address} got work ${Math.round(run.atMs - left.atMs)} ms after its leave was heard`;
+};
+
+const probed = (record: CallerRecord): number | undefined => {
+  const number = probe.exec(record.path)?.[1];
+  return number === undefined ? undefined : Number(number);
+};
+
+const configsAreFresh: Rule = function* (ledger) {
+  const accepted = ledger.of("accepted");
+  const rejected = new Set(ledger.of("rejected").map((record) => record.probe));
+  const sent = ledger.of("sent").filter((record) => !rejected.has(record.probe));
+  for (const record of ledger.callers) {
+    const number = probed(record);
+    if (number === undefined) continue;
+    const newest = accepted.filter(({ atMs }) => atMs <= record.sentMs - staleMs).reduce((most, one) => Math.max(most, one.probe), 0);
+    if (record.code === 200 && newest > number) yield `${record.daemon} handled a request by config ${number} though ${newest} was accepted 2 s before it was sent`;
+    const mayBeNewer = sent.some((one) => one.probe > number && one.atMs <= record.endedMs);
+    if (newest === number && record.code === 404 && !mayBeNewer) yield `${record.daemon} did not yet know config ${number}, accepted 2 s before`;
+  }
+};
+
+const configsNeverSlipBack: Rule = function* (ledger) {
+  for (const [daemon, records] of groupBy(ledger.callers, (record) => (probed(record) !== undefined && record.code === 200 ? record.daemon : undefined))) {
+    const ended = [...records].sort((a, b) => a.endedMs - b.endedMs);
+    const sent = [...records].sort((a, b) => a.sentMs - b.sentMs);
+    let at = 0;
+    let newest = 0;
+    for (const record of sent) {
+      for (let earlier = ended[at]; earlier && earlier.endedMs <= record.sentMs - slipMs; earlier = ended[at]) {
+        newest = Math.max(newest, probed(earlier) ?? 0);
+        at += 1;
+      }
+      const number = probed(record) ?? 0;
+      if (number < newest) yield `${daemon} slipped back from config ${newest} to ${number}`;
+    }
+  }
+};
+
+const servicesWereAllowed: Rule = function* (ledger) {
+  const rejected = new Set(ledger.of("rejected").map((record) => record.probe));
+  const configs = ledger
+    .of("sent")
+    .filter((record) => !rejected.has(record.probe))
+    .map(({ text }) => new Mappings(Config.parse(text)));
+  const known = new Map<string, Set<string>>();
+  const reused = ledger.of("reused");
+  for (const run of ledger.runs) {
+    const name = `${run.method} ${run.path}`;
+    let allowed = known.get(name);
+    if (!allowed) {
+      allowed = new Set(configs.map((mappings) => mappings.find(run.method, run.path)?.service).filter((service) => service !== undefined));
+      known.set(name, allowed);
+    }
+    const justReused = reused.some(({ address, atMs }) => address === run.address && run.atMs >= atMs - leftMs && run.atMs <= atMs + leftMs);
+    if (!allowed.has(run.service) && !justReused) yield `${run.caller} (${name}) reached ${run.service}`;
+  }
+};
+
+const configsAreKept: Rule = function* (ledger) {
+  const accepted = ledger.of("accepted");
+  const rejected = new Set(ledger.of("rejected").map((record) => record.probe));
+  for (const [sequence, records] of groupBy(accepted, ({ sequence }) => String(sequence)))
+    if (new Set(records.map(({ text }) => text)).size > 1) yield `two configs were accepted as ${sequence}`;
+  for (const read of ledger.of("readBack")) {
+    const own = accepted.find(({ sequence }) => sequence === read.sequence);
+    if (own && read.text !== own.text) yield `config ${read.sequence} reads back ${read.text === undefined ? "as missing" : "changed"}`;
+    const newest = accepted.filter(({ atMs }) => atMs <= read.atMs).reduce((most, { sequence }) => Math.max(most, sequence), 0);
+    const mayBeNewer = ledger.of("sent").some(({ probe: number, atMs }) => atMs <= read.atMs && !rejected.has(number) && !accepted.some((one) => one.probe === number && one.atMs <= read.atMs));
+    if (read.text !== undefined && read.sequence > newest && !mayBeNewer) yield `config ${read.sequence} is in force though none accepted it`;
+  }
+  for (const record of ledger.callers) {
+    const number = probed(record);
+    if (number !== undefined && record.code === 200 && rejected.has(number)) yield `${record.daemon} serves by the rejected config ${number}`;
+  }
+};
+
+const stopsFinishWork: Rule = function* (ledger) {
+  for (const { daemon, atMs, endedMs } of ledger.of("stopped")) {
+    for (const record of ledger.callers)
+      if (record.daemon === daemon && record.sentMs < atMs && record.endedMs >= atMs && record.broke === "broken") yield `${daemon} dropped ${record.id} in hand when it was stopped`;
+    if (endedMs > atMs + drainMs + 1500) yield `${daemon} took ${Math.round(endedMs - atMs)} ms to stop`;
+  }
+};
+
+/** The part of requests sent in a time that were served. */
+export const servedPart = (ledger: Ledger, fromMs: number, untilMs: number): number => {
+  const sent = ledger.callers.filter(({ sentMs, path }) => sentMs >= fromMs && sentMs < untilMs && !probe.test(path));
+  return sent.length === 0 ? 0 : sent.filter(succeeded).length / sent.length;
+};
+
+const recoversInTime: Rule = function* (ledger) {
+  for (const { atMs } of ledger.of("recovered")) {
+    if (ledger.endMs < atMs + recoverMs + 2000) continue;
+    const part = servedPart(ledger, atMs + recoverMs, ledger.endMs - 1000);
+    if (part < 0.9) yield `${Math.round(part * 100)}% of requests were served 15 s after the fault's end`;
+  }
+};
+
+/** The brief's rules, each judged by what callers, back ends and operators recorded. */
+export const rules: Record<string, Rule> = {
+  "a key runs once in a minute": keyRanOnce,
+  "a return is the caller's own, whole and stamped": returnsAreTrue,
+  "what is told to try later never runs": droppedNeverRan,
+  "what may not be repeated runs once": unrepeatableRanOnce,
+  "repeats stay under a fifth plus seventy in ten seconds": repeatsAreBounded,
+  "a leaving back end gets no work two seconds on": leaversGetNothing,
+  "no request meets a config older than two seconds": configsAreFresh,
+  "a daemon never slips back to an older config": configsNeverSlipBack,
+  "no request reaches a service that was never allowed": servicesWereAllowed,
+  "only accepted configs are in force, and none is lost": configsAreKept,
+  "a stop finishes the work in hand": stopsFinishWork,
+  "most requests are served 15 s after a fault": recoversInTime,
+};
+
+/** Judges a run by all rules. */
+export const judge = (ledger: Ledger): Breach[] => Object.entries(rules).flatMap(([rule, find]) => [...find(ledger)].map((what) => ({ rule, what })));
+
+if (import.meta.vitest) {
+  const { expect, test } = import.meta.vitest;
+  const call = (record: Partial<CallerRecord>): CallerRecord => ({
+    id: "c1", daemon: "e1", service: "s", method: "GET", path: "/x/1", key: undefined, sentMs: 5000, endedMs: 5050, code: 200, broke: "",
+    bodyOf: record.id ?? "c1", isWhole: true, isGarbage: false, retryAfterS: undefined, ...record,
+  });
+  const ran = (record: Partial<RunRecord>): RunRecord => ({ atMs: 5020, address: "b1", service: "s", incarnation: 1, caller: "c1", path: "/x/1", method: "GET", key: undefined, meant: "s", ...record });
+  const configText = (number: number): string => JSON.stringify({ services: { s: {} }, routes: { x: { match: { path: "/x/*" }, service: "s" }, [`probe-${number}`]: { match: { path: `/probe/${number}` }, service: "s" } } });
+  const clean = (): Ledger => {
+    const ledger = new Ledger();
+    for (const number of [1, 2]) {
+      const [atMs, text] = [(number - 1) * 1000, configText(number)];
+      ledger.world.push({ kind: "sent", atMs, probe: number, text }, { kind: "accepted", atMs, sequence: number, probe: number, text });
+    }
+    ledger.callers.push(call({}));
+    ledger.runs.push(ran({}));
+    ledger.endMs = 60_000;
+    return ledger;
+  };
+  const planted: Record<string, (ledger: Ledger) => void> = {
+    "a key runs once in a minute": (ledger) => ledger.runs.push(ran({ caller: "a", method: "POST", key: "k" }), ran({ caller: "b", method: "POST", key: "k", atMs: 60_000 })),
+    "a return is the caller's own, whole and stamped": (ledger) => ledger.callers.push(call({ id: "c2", bodyOf: "c1" })),
+    "what is told to try later never runs": (ledger) => ledger.callers.push(call({ code: 503 })),
+    "what may not be repeated runs once": (ledger) => ledger.runs.push(ran({ caller: "c3", method: "POST" }), ran({ caller: "c3", method: "POST", atMs: 9000 })),
+    "repeats stay under a fifth plus seventy in ten seconds": (ledger) => {
+      for (let at = 0; at < 72; at += 1) ledger.runs.push(ran({ atMs: 5021 + at }));
+    },
+    "a leaving back end gets no work two seconds on": (ledger) => ledger.world.push({ kind: "left", atMs: 3000, address: "b1", service: "s", incarnation: 1 }),
+    "no request meets a config older than two seconds": (ledger) => ledger.callers.push(call({ path: "/probe/1" })),
+    "a daemon never slips back to an older config": (ledger) => ledger.callers.push(call({ path: "/probe/2", sentMs: 1500, endedMs: 1600 }), call({ path: "/probe/1", sentMs: 1900 })),
+    "no request reaches a service that was never allowed": (ledger) => ledger.runs.push(ran({ service: "other" })),
+    "only accepted configs are in force, and none is lost": (ledger) => ledger.world.push({ kind: "readBack", atMs: 9000, sequence: 2, text: undefined }),
+    "a stop finishes the work in hand": (ledger) => {
+      ledger.world.push({ kind: "stopped", atMs: 5010, daemon: "e1", endedMs: 5200 });
+      ledger.callers.push(call({ code: 0, broke: "broken" }));
+    },
+    "most requests are served 15 s after a fault": (ledger) => {
+      ledger.world.push({ kind: "recovered", atMs: 10_000 });
+      ledger.callers.push(call({ sentMs: 30_000, code: 503, id: "c9" }));
+    },
+  };
+  test.each(Object.keys(rules))("the judge of '%s' catches a planted breach and passes a clean run", (rule) => {
+    expect(judge(clean())).toEqual([]);
+    const ledger = clean();
+    planted[rule]?.(ledger);
+    expect(judge(ledger).map((breach) => breach.rule)).toEqual([rule]);
+  });
+}
--- /dev/null
+++ b/src/rehearsal/ledger.ts
@@ -0,0 +1,62 @@
+/** What a caller recorded of one request that it sent. */
+export interface CallerRecord {
+  readonly id: string;
+  readonly daemon: string;
+  readonly service: string;
+  readonly method: string;
+  readonly path: string;
+  readonly key: string | undefined;
+  readonly sentMs: number;
+  endedMs: number;
+  /** The return's code; 0 when the connection broke or was refused. */
+  code: number;
+  /** How the connection ended, for code 0. */
+  broke: "" | "refused" | "broken" | "silent";
+  /** Whose request the return speaks of, read from its body. */
+  bodyOf: string;
+  /** Whether the body was as long as stated, and looked whole to the caller. */
+  isWhole: boolean;
+  isGarbage: boolean;
+  retryAfterS: number | undefined;
+}
+
+/** What a back end recorded of one request that reached it. */
+export interface RunRecord {
+  readonly atMs: number;
+  readonly address: string;
+  readonly service: string;
+  readonly incarnation: number;
+  readonly caller: string;
+  readonly path: string;
+  readonly method: string;
+  readonly key: string | undefined;
+  /** The service that the daemon meant. */
+  readonly meant: string;
+}
+
+/** What operators and the world recorded. */
+export type WorldRecord =
+  | { kind: "sent"; atMs: number; probe: number; text: string }
+  | { kind: "accepted"; atMs: number; sequence: number; probe: number; text: string }
+  | { kind: "rejected"; atMs: number; probe: number }
+  | { kind: "readBack"; atMs: number; sequence: number; text: string | undefined }
+  | { kind: "left"; atMs: number; address: string; service: string; incarnation: number }
+  | { kind: "reused"; atMs: number; address: string; service: string }
+  | { kind: "killed"; atMs: number; daemon: string }
+  | { kind: "stopped"; atMs: number; daemon: string; endedMs: number }
+  | { kind: "fault"; atMs: number; what: string }
+  | { kind: "recovered"; atMs: number };
+
+/** All that callers, back ends and operators recorded of one run, on one clock. */
+export class Ledger {
+  readonly callers: CallerRecord[] = [];
+  readonly runs: RunRecord[] = [];
+  readonly world: WorldRecord[] = [];
+  endMs = 0;
+
+  /** The records of one kind. */
+  of<K extends WorldRecord["kind"]>(kind: K): Array<Extract<WorldRecord, { kind: K }>> {
+    const isKind = (record: WorldRecord): record is Extract<WorldRecord, { kind: K }> => record.kind === kind;
+    return this.world.filter(isKind);
+  }
+}
--- /dev/null
+++ b/src/rehearsal/rehearsal.ts
@@ -0,0 +1,102 @@
+import { Clock } from "../machine/clock.js";
+import type { Task } from "../machine/task.js";
+import { Draw } from "./draw.js";
+import { faults } from "./faults.js";
+import { judge, servedPart, worstRepeats, type Breach } from "./judge.js";
+import type { Profile } from "./profile.js";
+import { Simulation } from "./simulation.js";
+
+/** What one rehearsed day came to. */
+export interface Rehearsed {
+  readonly simulation: Simulation;
+  readonly faults: string[];
+  readonly breaches: Breach[];
+  readonly served: number;
+  readonly requests: number;
+  readonly configs: number;
+  readonly elections: number;
+  readonly worstRepeats: number;
+}
+
+/** How a day is rehearsed. */
+export interface RehearsalOptions {
+  readonly profile: Profile;
+  readonly seed: number;
+  /** How long failures go on. */
+  readonly dayMs: number;
+  /** The part of the profile's requests that are sent. */
+  readonly rateFactor: number;
+  /** Names of the failures to draw from; all where none are named. */
+  readonly only?: readonly string[];
+}
+
+const settleMs = 8000;
+const tailMs = 19_000;
+
+/** Rehearses one day: a fleet comes up, failures strike by seed, one last fault, then recovery; and judges it. */
+export const rehearse = ({ profile, seed, dayMs, rateFactor, only }: RehearsalOptions): Rehearsed => {
+  const simulation = new Simulation(profile, seed, rateFactor);
+  const random = Draw.of(seed + 7919);
+  const struck: string[] = [];
+  const names = only && only.length > 0 ? only : Object.keys(faults);
+
+  const strike = function* (): Task {
+    const name = names[Math.floor(random() * names.length)] ?? "";
+    struck.push(name);
+    simulation.ledger.world.push({ kind: "fault", atMs: simulation.time.nowMs(), what: name });
+    yield* faults[name]?.(simulation) ?? Clock.rest(simulation.clock, 1);
+  };
+  const striking = function* (): Task {
+    while (simulation.time.nowMs() < settleMs + dayMs) {
+      yield* Clock.rest(simulation.clock, random() * 3000);
+      if (simulation.time.nowMs() < settleMs + dayMs) yield* strike();
+    }
+    yield* strike();
+    simulation.network.heal();
+    for (const machine of simulation.machines) {
+      machine.gate.thaw();
+      if (!machine.daemon) simulation.boot(machine);
+      if (machine.disk) machine.disk.full = false;
+    }
+    for (const standIn of simulation.standIns) if (!standIn.isUp || !standIn.isAnnouncing) standIn.replace(standIn.service);
+    simulation.ledger.world.push({ kind: "recovered", atMs: simulation.time.nowMs() });
+  };
+  const configuring = function* (): Task {
+    while (!simulation.day.isOver) {
+      yield* simulation.day.putConfig();
+      yield* Clock.rest(simulation.clock, 1500 + random() * 4000);
+    }
+  };
+
+  simulation.begin();
+  simulation.start(configuring());
+  simulation.time.runUntil(settleMs);
+  for (let strikers = 0; strikers < 2; strikers += 1) simulation.start(striking());
+  while (simulation.ledger.of("recovered").length < 2 && simulation.time.nowMs() < settleMs + dayMs + 120_000) simulation.time.runUntil(simulation.time.nowMs() + 500);
+  const recoveredMs = Math.max(0, ...simulation.ledger.of("recovered").map(({ atMs }) => atMs));
+  const marks = simulation.ledger.world.filter((record) => record.kind !== "recovered" || record.atMs === recoveredMs);
+  simulation.ledger.world.splice(0, Infinity, ...marks);
+  simulation.time.runUntil(recoveredMs + tailMs);
+  simulation.ledger.endMs = simulation.time.nowMs();
+  let readBack = false;
+  simulation.start(
+    (function* () {
+      yield* simulation.day.readBack();
+      readBack = true;
+    })(),
+  );
+  while (!readBack) simulation.time.runUntil(simulation.time.nowMs() + 200);
+  simulation.day.isOver = true;
+
+  const { ledger } = simulation;
+  return {
+    simulation,
+    faults: struck,
+    breaches: judge(ledger),
+    served: servedPart(ledger, settleMs, ledger.endMs),
+    requests: ledger.callers.length,
+    configs: ledger.of("accepted").length,
+    elections: simulation.lines.filter((line) => line.includes("Leads the record")).length,
+    worstRepeats: Math.max(0, ...[...worstRepeats(ledger).values()].map(({ further, allowed }) => further / allowed)),
+  };
+};
--- /dev/null
+++ b/src/rehearsal/simulation.ts
@@ -0,0 +1,290 @@
+import type { BackEnds, Opened } from "../door/backEnds.js";
+import type { Caller, Job } from "../door/job.js";
+import type { Return } from "../door/verdict.js";
+import { Clock } from "../machine/clock.js";
+import { Daemon } from "../machine/daemon.js";
+import { Logbook } from "../machine/logbook.js";
+import type { Settings } from "../machine/settings.js";
+import { Task } from "../machine/task.js";
+import type { World } from "../machine/world.js";
+import { Day, type CallerEnd, type Outside } from "./day.js";
+import { Draw } from "./draw.js";
+import { Gate } from "./gate.js";
+import { Ledger } from "./ledger.js";
+import type { Profile } from "./profile.js";
+import { StandIn, type Reply } from "./standIn.js";
+import { VirtualClock } from "./virtualClock.js";
+import { VirtualDisk } from "./virtualDisk.js";
+import { VirtualNetwork } from "./virtualNetwork.js";
+
+/** One machine of a simulated fleet. */
+export interface SimMachine {
+  readonly settings: Settings;
+  readonly disk: VirtualDisk | undefined;
+  readonly offsetMs: number;
+  readonly rate: number;
+  gate: Gate;
+  daemon: Daemon | undefined;
+  isStopping: boolean;
+  /** Hears that the process is gone: every connection to it breaks. */
+  readonly gone: Set<() => void>;
+}
+
+const callerWaitMs = 9000;
+
+/** A whole fleet with its callers, back ends and operators in one process, on virtual time, repeatable by seed. */
+export class Simulation {
+  readonly time = new VirtualClock();
+  readonly clock: Clock;
+  readonly random: () => number;
+  readonly network: VirtualNetwork;
+  readonly ledger = new Ledger();
+  readonly machines: SimMachine[];
+  readonly standIns: StandIn[] = [];
+  readonly day: Day;
+  readonly profile: Profile;
+  readonly lines: string[] = [];
+
+  constructor(profile: Profile, seed: number, rateFactor: number) {
+    this.profile = profile;
+    this.clock = this.time.clock();
+    this.random = Draw.of(seed);
+    this.network = new VirtualNetwork(this.clock, this.random);
+    const peers = (at: number): string => `10.0.0.${at + 1}:7000`;
+    const count = profile.diskMachines + profile.smallMachines;
+    const seeds = [peers(0), peers(1), peers(2)];
+    this.machines = Array.from({ length: count }, (_, at) => {
+      const zone = profile.zones[at % profile.zones.length] ?? "";
+      const hasDisk = at < profile.diskMachines;
+      const settings: Settings = {
+        machine: `${hasDisk ? "disk" : "small"}-${at + 1}`,
+        zone,
+        operators: `10.0.0.${at + 1}:7070`,
+        peers: peers(at),
+        seeds,
+        ...(hasDisk ? { dataFolder: "data" } : { callers: `10.0.0.${at + 1}:8080` }),
+      };
+      const gate = new Gate();
+      const offsetMs = this.random() * 1e7;
+      const rate = 1 + (this.random() - 0.5) * 0.002;
+      const disk = hasDisk ? new VirtualDisk(this.machineClock(gate, offsetMs, rate), this.random) : undefined;
+      return { settings, disk, offsetMs, rate, gate, daemon: undefined, isStopping: false, gone: new Set() };
+    });
+    const bodyBytes = new Map(profile.traffic.map((one) => [`${one.method} /${one.path(0).split("/")[1] ?? ""}`, Math.min(one.bodyBytes, 300_000)]));
+    let port = 9000;
+    for (const [service, many] of Object.entries(profile.backEnds))
+      for (let at = 0; at < many; at += 1) this.standIns.push(new StandIn(`10.1.0.1:${(port += 1)}`, profile.zones[at % profile.zones.length] ?? "", service, this.ledger, this.random, bodyBytes));
+    this.day = new Day(this.outside(), profile, this.ledger, rateFactor);
+  }
+
+  /** Starts all machines, back ends and callers. */
+  begin(): void {
+    for (const machine of this.machines) this.boot(machine);
+    for (const standIn of this.standIns) this.start(this.day.announcing(standIn, 1000));
+    for (const traffic of this.profile.traffic) this.start(this.day.callers(traffic));
+    this.start(this.day.probers(5));
+  }
+
+  start(task: Task<unknown>): void {
+    Task.start(task, (error) => {
+      throw error;
+    });
+  }
+
+  boot(machine: SimMachine): void {
+    const gate = new Gate();
+    machine.gate = gate;
+    machine.isStopping = false;
+    const clock = this.machineClock(gate, machine.offsetMs, machine.rate);
+    machine.disk?.restart(clock);
+    const world: World = {
+      clock,
+      wire: this.network.wire(machine.settings.machine, gate),
+      disk: machine.disk,
+      backEnds: this.backEnds(machine, gate),
+      logbook: Logbook.into((line) => {
+        this.lines.push(`${(this.time.nowMs() / 1000).toFixed(3)} ${machine.settings.machine} ${line}`);
+      }),
+      random: this.random,
+      wallTime: () => new Date(1.8e12 + this.time.nowMs() + machine.offsetMs),
+    };
+    const daemon = new Daemon(world, machine.settings);
+    machine.daemon = daemon;
+    this.start(daemon.start());
+  }
+
+  /** The process dies at once; with `power`, what was not synced is lost or torn. */
+  kill(machine: SimMachine, power = false): void {
+    if (!machine.gate.isAlive) return;
+    machine.gate.kill();
+    machine.daemon = undefined;
+    if (power) machine.disk?.losePower();
+    else machine.disk?.finishWrites();
+    this.network.drop(machine.settings.machine);
+    for (const hear of [...machine.gone]) hear();
+    machine.gone.clear();
+    this.ledger.world.push({ kind: "killed", atMs: this.time.nowMs(), daemon: machine.settings.machine });
+  }
+
+  /** The machine is told to stop, and its process ends once drained. */
+  *stop(machine: SimMachine): Task {
+    const { daemon, gate } = machine;
+    if (!daemon || machine.isStopping) return;
+    const atMs = this.time.nowMs();
+    machine.isStopping = true;
+    yield* Task.wait<boolean>((done) => {
+      machine.gone.add(() => done(false));
+      Task.start(daemon.drain(), this.fail, () => gate.pass(() => done(true)));
+    });
+    if (!gate.isAlive) return;
+    yield* Clock.rest(this.clock, 50);
+    this.ledger.world.push({ kind: "stopped", atMs, daemon: machine.settings.machine, endedMs: this.time.nowMs() });
+    this.kill(machine);
+  }
+
+  private readonly fail = (error: unknown): void => {
+    throw error;
+  };
+
+  private machineClock(gate: Gate, offsetMs: number, rate: number): Clock {
+    const clock = this.time.clock(offsetMs, rate);
+    return { ...clock, after: (waitMs, run) => clock.after(waitMs, () => gate.pass(run)) };
+  }
+
+  private machine(name: string): SimMachine | undefined {
+    return this.machines.find(({ settings }) => settings.machine === name);
+  }
+
+  private outside(): Outside {
+    return {
+      clock: this.clock,
+      random: this.random,
+      start: (task) => this.start(task),
+      ready: (zone) => {
+        const open = this.machines.filter((one) => one.settings.callers !== undefined && one.daemon !== undefined && !one.isStopping);
+        const near = open.filter((one) => one.settings.zone === zone);
+        return (near.length > 0 ? near : open).map(({ settings }) => settings.machine);
+      },
+      call: (daemon, job) => this.call(daemon, job),
+      desk: (daemon, job) => this.desk(daemon, job),
+    };
+  }
+
+  private *call(name: string, job: Job): Task<CallerEnd> {
+    const machine = this.machine(name);
+    const broken = (broke: CallerEnd["broke"]): CallerEnd => ({ code: 0, broke, body: Buffer.alloc(0), statedBytes: undefined, retryAfterS: undefined });
+    const end = yield* Clock.within<CallerEnd>(this.clock, callerWaitMs, (done) => {
+      this.clock.after(this.network.tripMs(), () => {
+        if (!machine?.daemon || !machine.gate.isAlive) return void this.clock.after(this.network.tripMs(), () => done(broken("refused")));
+        const { daemon, gate } = machine;
+        let isGone = false;
+        let open: { code: number; headers: Record<string, string>; pieces: Buffer[] } | undefined;
+        const finish = (outcome: CallerEnd): void => {
+          isGone = true;
+          machine.gone.delete(gone);
+          this.clock.after(this.network.tripMs(), () => done(outcome));
+        };
+        const gone = (): void => finish(broken("broken"));
+        machine.gone.add(gone);
+        const ended = (code: number, headers: Record<string, string>, body: Buffer): CallerEnd => ({
+          code,
+          broke: "",
+          body,
+          statedBytes: Number(headers["content-length"] ?? body.length),
+          retryAfterS: headers["retry-after"] === undefined ? undefined : Number(headers["retry-after"]),
+        });
+        const random = this.random;
+        const clock = this.clock;
+        const caller: Caller = {
+          get isGone() {
+            return isGone;
+          },
+          whole: ({ code, headers, body }) => {
+            if (!isGone) finish(ended(code, headers, Buffer.from(body)));
+          },
+          begin: (code, headers) => {
+            open = { code, headers, pieces: [] };
+          },
+          *piece(bytes) {
+            open?.pieces.push(Buffer.from(bytes));
+            if (random() < 0.2) yield* Task.wait<boolean>((drained) => clock.after(2, () => gate.pass(() => drained(true))));
+            return !isGone;
+          },
+          end: () => {
+            if (!isGone && open) finish(ended(open.code, open.headers, Buffer.concat(open.pieces)));
+          },
+          cut: () => {
+            if (!isGone) finish(broken("broken"));
+          },
+        };
+        gate.pass(() => daemon.callers.put({ job, caller }));
+      });
+    });
+    return end ?? broken("silent");
+  }
+
+  private *desk(name: string | undefined, job: Job): Task<Return | undefined> {
+    const open = this.machines.filter((one) => one.daemon !== undefined);
+    const machine = name === undefined ? open[Math.floor(this.random() * open.length)] : this.machine(name);
+    return yield* Clock.within<Return | undefined>(this.clock, 5000, (done) => {
+      const back = (ret: Return | undefined): unknown => this.clock.after(this.network.tripMs(), () => done(ret));
+      this.clock.after(this.network.tripMs(), () => {
+        if (!machine?.daemon || !machine.gate.isAlive) return void back(undefined);
+        const { daemon, gate } = machine;
+        machine.gone.add(() => done(undefined));
+        gate.pass(() => daemon.operators.put({ job, give: back }));
+      });
+    });
+  }
+
+  private backEnds(machine: SimMachine, gate: Gate): BackEnds {
+    const simulation = this;
+    const place = machine.settings.machine;
+    return {
+      *send(address, _pool, job, untilMs) {
+        const waitMs = untilMs - (simulation.time.nowMs() * machine.rate + machine.offsetMs);
+        return yield* Task.wait<Opened>((done) => {
+          let isOver = false;
+          const give = (opened: Opened): void => {
+            if (isOver) return;
+            isOver = true;
+            cancel();
+            gate.pass(() => done(opened));
+          };
+          const cancel = simulation.clock.after(waitMs, () => give("late"));
+          if (simulation.network.isCut(place, "back ends")) return void simulation.clock.after(1000, () => give("refused"));
+          simulation.clock.after(simulation.network.tripMs(), () => {
+            const standIn = simulation.standIns.find((one) => one.address === address);
+            if (!standIn?.isUp) return void simulation.clock.after(simulation.network.tripMs(), () => give("refused"));
+            const { incarnation } = standIn;
+            const reply = standIn.run(job, simulation.time.nowMs());
+            simulation.clock.after(reply.waitMs, () => {
+              const isGone = !standIn.isUp || standIn.incarnation !== incarnation;
+              simulation.clock.after(simulation.network.tripMs(), () => give(reply.isLost || isGone ? "lost" : simulation.replied(reply, gate)));
+            });
+          });
+        });
+      },
+      keepOnly: () => undefined,
+      close: () => undefined,
+    };
+  }
+
+  private replied(reply: Reply, gate: Gate): Opened {
+    const { clock, network } = this;
+    const body = reply.body.subarray(0, reply.cutAt ?? reply.body.length);
+    let at = 0;
+    return {
+      code: reply.code,
+      headers: reply.headers,
+      *next() {
+        if (at >= body.length) return reply.cutAt === undefined ? "end" : "cut";
+        yield* Task.wait<boolean>((done) => clock.after(network.tripMs() / 10, () => gate.pass(() => done(true))));
+        const piece = body.subarray(at, at + 65_536);
+        at += piece.length;
+        return piece;
+      },
+      cancel: () => undefined,
+    };
+  }
+}
--- /dev/null
+++ b/src/rehearsal/standIn.ts
@@ -0,0 +1,94 @@
+import type { BackJob } from "../door/backEnds.js";
+import type { Ledger } from "./ledger.js";
+
+/** What a stand-in back end sends back, and when. */
+export interface Reply {
+  readonly waitMs: number;
+  /** Nothing at all is sent, and the connection breaks. */
+  readonly isLost: boolean;
+  readonly code: number;
+  readonly headers: Record<string, string>;
+  readonly body: Buffer;
+  /** The body is broken off after this many bytes. */
+  readonly cutAt: number | undefined;
+}
+
+/** How a stand-in misbehaves, each a part of its requests. */
+export interface Manners {
+  slowFactor: number;
+  losesPart: number;
+  garbagePart: number;
+  cutPart: number;
+}
+
+const honest: Manners = { slowFactor: 1, losesPart: 0, garbagePart: 0, cutPart: 0 };
+
+/** A back end of our own: it runs requests, records each, and misbehaves when told to. */
+export class StandIn {
+  readonly address: string;
+  readonly zone: string;
+  service: string;
+  incarnation = 1;
+  manners: Manners = { ...honest };
+  isUp = true;
+  isAnnouncing = true;
+  private readonly ledger: Ledger;
+  private readonly random: () => number;
+  private readonly bodyBytes: ReadonlyMap<string, number>;
+
+  constructor(address: string, zone: string, service: string, ledger: Ledger, random: () => number, bodyBytes: ReadonlyMap<string, number>) {
+    this.address = address;
+    this.zone = zone;
+    this.service = service;
+    this.ledger = ledger;
+    this.random = random;
+    this.bodyBytes = bodyBytes;
+  }
+
+  /** A new process takes the place of the old one, perhaps of another service. */
+  replace(service: string): void {
+    this.service = service;
+    this.incarnation += 1;
+    this.manners = { ...honest };
+    this.isUp = true;
+    this.isAnnouncing = true;
+  }
+
+  behave(manners: Partial<Manners>): void {
+    this.manners = { ...honest, ...manners };
+  }
+
+  /** Runs one request. */
+  run(job: BackJob, nowMs: number): Reply {
+    const caller = job.headers["x-caller"] ?? "";
+    const path = job.path.split("?")[0] ?? "";
+    const meant = job.headers["x-daledoor-service"] ?? "";
+    this.ledger.runs.push({
+      atMs: nowMs,
+      address: this.address,
+      service: this.service,
+      incarnation: this.incarnation,
+      caller,
+      path,
+      method: job.method,
+      key: job.headers["idempotency-key"],
+      meant,
+    });
+    const { slowFactor, losesPart, garbagePart, cutPart } = this.manners;
+    const waitMs = (3 + this.random() * 12 + (this.random() < 0.02 ? 60 : 0)) * slowFactor;
+    const stamp = job.headers["x-daledoor-job"] ?? "";
+    const pad = "x".repeat(this.bodyBytes.get(`${job.method} /${path.split("/")[1] ?? ""}`) ?? 100);
+    const isGarbage = this.random() < garbagePart;
+    const body = Buffer.from(isGarbage ? `garbage ${pad}` : JSON.stringify({ of: caller, service: this.service, pad }));
+    const headers: Record<string, string> = { "content-type": "application/json", "content-length": String(body.length) };
+    if (!isGarbage) headers["x-daledoor-stamp"] = stamp.startsWith(`${this.service}/`) ? stamp : `${this.service}/?`;
+    return {
+      waitMs,
+      isLost: this.random() < losesPart,
+      code: job.method === "POST" ? 201 : 200,
+      headers,
+      body,
+      cutAt: this.random() < cutPart ? Math.floor(body.length * this.random()) : undefined,
+    };
+  }
+}
--- a/src/rehearsal/virtualDisk.ts
+++ b/src/rehearsal/virtualDisk.ts
@@ -10,14 +10,18 @@
   private readonly random: () => number;
   private writing: { name: string; bytes: Buffer; keptBytes: number } | undefined;
   full = false;
-  /** Until when every sync waits, on the disk's own clock. */
-  stalledUntilMs = 0;
+  private stalledUntilMs = 0;
 
   constructor(clock: Clock, random: () => number) {
     this.clock = clock;
     this.random = random;
   }
 
+  /** Every sync waits for a while. */
+  stall(waitMs: number): void {
+    this.stalledUntilMs = this.clock.nowMs() + waitMs;
+  }
+
   /** A restarted machine meets its disk again, with a new clock. */
   restart(clock: Clock): void {
     this.clock = clock;
@@ -33,6 +37,12 @@
     }
   }
 
+  /** The process died but not the machine: a write under way reaches the disk. */
+  finishWrites(): void {
+    if (this.writing) this.files.set(this.writing.name, this.writing.bytes);
+    this.writing = undefined;
+  }
+
   /** The disk is replaced by an empty one. */
   wipe(): void {
     this.files.clear();
--- /dev/null
+++ b/src/rehearsal/virtualNetwork.ts
@@ -0,0 +1,119 @@
+import type { Clock } from "../machine/clock.js";
+import { Holding } from "../machine/holding.js";
+import { Task } from "../machine/task.js";
+import type { Channel, Wire } from "../link/wire.js";
+import type { Gate } from "./gate.js";
+
+interface End {
+  readonly place: string;
+  readonly gate: Gate;
+  readonly incoming: Holding<Uint8Array | "closed">;
+  isOpen: boolean;
+  /** When the last piece on its way to this end arrives, so that pieces keep their order. */
+  lastMs: number;
+}
+
+const resendMs = 200;
+const giveUpMs = 4000;
+
+/** A network between places: each piece takes time, and cuts hold it back until the connection breaks. */
+export class VirtualNetwork {
+  private readonly clock: Clock;
+  private readonly random: () => number;
+  private readonly listeners = new Map<string, { place: string; gate: Gate; accept: (channel: Channel) => void }>();
+  private readonly ends = new Set<End>();
+  private readonly cuts = new Set<string>();
+
+  constructor(clock: Clock, random: () => number) {
+    this.clock = clock;
+    this.random = random;
+  }
+
+  /** Cuts the way from one place to another, one way. */
+  cut(from: string, to: string): void {
+    this.cuts.add(`${from}>${to}`);
+  }
+
+  heal(): void {
+    this.cuts.clear();
+  }
+
+  isCut(from: string, to: string): boolean {
+    return this.cuts.has(`${from}>${to}`);
+  }
+
+  /** How long one way takes now. */
+  tripMs(): number {
+    return 0.2 + this.random() * 1.2 + (this.random() < 0.01 ? this.random() * 25 : 0);
+  }
+
+  /** All that a place held open breaks; its listeners are gone. */
+  drop(place: string): void {
+    for (const [address, listener] of this.listeners) if (listener.place === place) this.listeners.delete(address);
+    for (const end of this.ends) if (end.place === place) end.isOpen = false;
+  }
+
+  /** Delivers after a trip, trying again while the way is cut; `failed` once that has taken too long. */
+  deliver(from: string, to: string, gate: Gate, run: () => void, failed: () => void, waitMs = this.tripMs(), sinceMs = this.clock.nowMs()): void {
+    this.clock.after(waitMs, () => {
+      if (!this.isCut(from, to)) return gate.pass(run);
+      if (this.clock.nowMs() - sinceMs > giveUpMs) return failed();
+      this.deliver(from, to, gate, run, failed, resendMs, sinceMs);
+    });
+  }
+
+  /** The wire of one machine. */
+  wire(place: string, gate: Gate): Wire {
+    const network = this;
+    return {
+      *listen(address, accept) {
+        network.listeners.set(address, { place, gate, accept });
+      },
+      *connect(address) {
+        return yield* Task.wait<Channel | undefined>((done) => {
+          const give = (channel: Channel | undefined, waitMs: number): unknown => network.clock.after(waitMs, () => gate.pass(() => done(channel)));
+          const listener = network.listeners.get(address);
+          if (!listener || !listener.gate.isAlive) return void give(undefined, 2 * network.tripMs());
+          if (network.isCut(place, listener.place) || network.isCut(listener.place, place)) return void give(undefined, 1000);
+          const near: End = { place, gate, incoming: new Holding(), isOpen: true, lastMs: 0 };
+          const far: End = { place: listener.place, gate: listener.gate, incoming: new Holding(), isOpen: true, lastMs: 0 };
+          network.ends.add(near).add(far);
+          network.deliver(place, listener.place, listener.gate, () => listener.accept(network.channel(far, near)), () => network.close(near, far));
+          give(network.channel(near, far), 2 * network.tripMs() + 0.5);
+        });
+      },
+    };
+  }
+
+  private channel(own: End, other: End): Channel {
+    return {
+      incoming: own.incoming,
+      send: (bytes) => {
+        if (!own.isOpen || !other.isOpen) return this.close(own, other);
+        const nowMs = this.clock.nowMs();
+        const arriveMs = Math.max(other.lastMs + 0.001, nowMs + this.tripMs());
+        other.lastMs = arriveMs;
+        this.travel(own, other, bytes, arriveMs - nowMs, nowMs);
+      },
+      close: () => this.close(own, other),
+    };
+  }
+
+  private travel(own: End, other: End, bytes: Uint8Array, waitMs: number, sentMs: number): void {
+    this.clock.after(waitMs, () => {
+      if (!own.isOpen || !other.isOpen) return this.close(own, other);
+      if (!this.isCut(own.place, other.place)) return other.gate.pass(() => other.incoming.put(bytes));
+      const nowMs = this.clock.nowMs();
+      if (nowMs - sentMs > giveUpMs) return this.close(own, other);
+      this.travel(own, other, bytes, resendMs, sentMs);
+    });
+  }
+
+  private close(...ends: End[]): void {
+    for (const end of ends) {
+      if (!this.ends.delete(end)) continue;
+      end.isOpen = false;
+      this.clock.after(this.tripMs(), () => end.gate.pass(() => end.incoming.put("closed")));
+    }
+  }
+}
