--- a/src/rehearsal/day.ts
+++ b/src/rehearsal/day.ts
@@ -64,8 +64,9 @@
   /** Callers of one kind, each request at a time of its own. */
   *callers(traffic: Traffic): Task {
     const { clock } = this.outside;
-    while (!this.isOver) {
-      yield* Clock.rest(clock, (-Math.log(1 - this.outside.random()) * 1000) / (traffic.perSecond * this.rateFactor));
+    for (let nextMs = clock.nowMs(); !this.isOver; ) {
+      nextMs += (-Math.log(1 - this.outside.random()) * 1000) / (traffic.perSecond * this.rateFactor);
+      if (nextMs > clock.nowMs()) yield* Clock.rest(clock, nextMs - clock.nowMs());
       this.outside.start(this.person(traffic));
     }
   }
--- a/src/rehearsal/rehearsal.ts
+++ b/src/rehearsal/rehearsal.ts
@@ -100,3 +100,19 @@
     worstRepeats: Math.max(0, ...[...worstRepeats(ledger).values()].map(({ further, allowed }) => further / allowed)),
   };
 };
+
+if (import.meta.vitest) {
+  const { expect, test } = import.meta.vitest;
+  const { Profile } = await import("./profile.js");
+  const days = Object.values(Profile.all).flatMap((profile) => [1, 2, 3].map((seed) => ({ profile, seed, name: `${profile.name}, seed ${seed}` })));
+  test.each(days)("a day of all kinds of failures breaks no rule: $name", ({ profile, seed }) => {
+    const day = rehearse({ profile, seed, dayMs: 12_000, rateFactor: profile.name === "rastro" ? 0.08 : 0.2 });
+    expect(day.breaches).toEqual([]);
+    expect(day.requests).toBeGreaterThan(500);
+    expect(day.elections).toBeGreaterThan(0);
+  });
+  test("the same seed makes the same day", () => {
+    const lines = (): string[] => rehearse({ profile: Profile.all.kovacic, seed: 5, dayMs: 3000, rateFactor: 0.1, only: ["killLeader", "cutOffLeader"] }).simulation.lines;
+    expect(lines()).toEqual(lines());
+  });
+}
