Log an entry before a checkpoint can hold it: a restart found it twice

Cause: a follower committed, and so could begin a checkpoint, between taking entries into memory and ordering their write. The slot's tail then held them, and the new log held them again; replay pushed both, every later entry stood one place too far, and the apply loop met the same index for ever. Ruled out: slow decoding of grown configs (one index, 2.6 million applications), a lost cut record (none was written on that recorder). Also: replay tells a gap as damage and lets a repeated entry count once, and applying checks each entry's index.

--- a/src/contract/order.ts
+++ b/src/contract/order.ts
@@ -1,27 +1,36 @@
+import { FrameError } from "../link/frame.js";
+import { kindOf } from "../machine/kindOf.js";
 import { array, boolean, create, literal, number, object, optional, record, string, type, union, unknown, type Infer } from "superstruct";
 
 const returnShape = object({ code: number(), headers: record(string(), string()), body: string() });
 
-const orderShape = union([
-  object({ kind: literal("announce"), address: string(), service: string(), zone: string(), warmth: number() }),
-  object({ kind: literal("leave"), address: string(), service: string() }),
-  object({ kind: literal("put"), changeId: string(), base: optional(number()), value: unknown() }),
-  object({ kind: literal("patch"), changeId: string(), base: optional(number()), value: unknown() }),
-  object({ kind: literal("get"), sequence: optional(number()) }),
-  object({ kind: literal("history") }),
-  object({ kind: literal("claim"), scope: string(), bodyHash: string(), job: string() }),
-  object({ kind: literal("settle"), scope: string(), job: string(), verdict: union([literal("ran"), literal("mayHaveRun")]), return: optional(returnShape) }),
-  object({ kind: literal("release"), scope: string(), job: string() }),
-  object({ kind: literal("rejoin"), machine: string(), nonce: string() }),
-  object({ kind: literal("fleet") }),
-  object({ kind: literal("drainBackEnd"), address: string() }),
-]);
+const orderShapes = {
+  announce: object({ kind: literal("announce"), address: string(), service: string(), zone: string(), warmth: number() }),
+  leave: object({ kind: literal("leave"), address: string(), service: string() }),
+  put: object({ kind: literal("put"), changeId: string(), base: optional(number()), value: unknown() }),
+  patch: object({ kind: literal("patch"), changeId: string(), base: optional(number()), value: unknown() }),
+  get: object({ kind: literal("get"), sequence: optional(number()) }),
+  history: object({ kind: literal("history") }),
+  claim: object({ kind: literal("claim"), scope: string(), bodyHash: string(), job: string() }),
+  settle: object({ kind: literal("settle"), scope: string(), job: string(), verdict: union([literal("ran"), literal("mayHaveRun")]), return: optional(returnShape) }),
+  release: object({ kind: literal("release"), scope: string(), job: string() }),
+  rejoin: object({ kind: literal("rejoin"), machine: string(), nonce: string() }),
+  fleet: object({ kind: literal("fleet") }),
+  drainBackEnd: object({ kind: literal("drainBackEnd"), address: string() }),
+};
 
 /** A command for the leader, as daemons ferry it. */
-export type Order = Infer<typeof orderShape>;
+export type Order = Infer<(typeof orderShapes)[keyof typeof orderShapes]>;
+
+const isOrderKind = (kind: string): kind is keyof typeof orderShapes => Object.hasOwn(orderShapes, kind);
 
 export const Order = {
-  read: (text: string): Order => create(JSON.parse(text), orderShape),
+  read(text: string): Order {
+    const value: unknown = JSON.parse(text);
+    const kind = kindOf(value);
+    if (!isOrderKind(kind)) throw new FrameError(`No command is of the kind "${kind}".`);
+    return orderShapes[kind].create(value);
+  },
   text: (order: Order): string => JSON.stringify(order),
 };
 
@@ -94,7 +103,6 @@
   read: (text: string): ClaimReturn => create(JSON.parse(text), claimReturnShape),
 };
 
-const breakdownShape = type({ breakdown: string() });
 
 /** Whether a return only says that the command wasn't carried out, or perhaps wasn't. */
-export const isBreakdown = (text: string): boolean => breakdownShape.is(JSON.parse(text));
+export const isBreakdown = (text: string): boolean => text.startsWith('{"breakdown":');
--- a/src/record/book.ts
+++ b/src/record/book.ts
@@ -1,5 +1,6 @@
 import { Map as Table } from "immutable";
 import { array, boolean, create, literal, number, object, optional, record, string, type, union, type Infer } from "superstruct";
+import { kindOf } from "../machine/kindOf.js";
 import type { Members } from "./recorder.js";
 
 const contractShape = object({
@@ -37,26 +38,36 @@
 /** A configuration as it was accepted. */
 export type AcceptedConfig = Infer<typeof configShape>;
 
-const deedShape = union([
-  object({ kind: literal("leads"), machine: string(), term: number() }),
-  object({ kind: literal("members"), voters: array(string()), learners: array(string()) }),
-  object({ kind: literal("rejoined"), machine: string(), nonce: string() }),
-  object({ kind: literal("config"), expected: number(), changeId: string(), acceptedAt: string(), text: string(), services: array(string()), routes: array(string()) }),
-  object({ kind: literal("contract"), address: string(), service: string(), zone: string(), warmth: number() }),
-  object({ kind: literal("leave"), address: string(), service: string() }),
-  object({ kind: literal("end"), address: string(), number: number(), why: string() }),
-  object({ kind: literal("claim"), scope: string(), bodyHash: string(), job: string() }),
-  object({ kind: literal("settle"), scope: string(), job: string(), verdict: union([literal("ran"), literal("mayHaveRun")]), return: optional(returnShape) }),
-  object({ kind: literal("release"), scope: string(), job: string() }),
-  object({ kind: literal("forget"), scopes: array(string()), upTo: number() }),
-  object({ kind: literal("note"), text: string() }),
-]);
+const deedShapes = {
+  leads: object({ kind: literal("leads"), machine: string(), term: number() }),
+  members: object({ kind: literal("members"), voters: array(string()), learners: array(string()) }),
+  rejoined: object({ kind: literal("rejoined"), machine: string(), nonce: string() }),
+  config: object({ kind: literal("config"), expected: number(), changeId: string(), acceptedAt: string(), text: string(), services: array(string()), routes: array(string()) }),
+  contract: object({ kind: literal("contract"), address: string(), service: string(), zone: string(), warmth: number() }),
+  leave: object({ kind: literal("leave"), address: string(), service: string() }),
+  end: object({ kind: literal("end"), address: string(), number: number(), why: string() }),
+  claim: object({ kind: literal("claim"), scope: string(), bodyHash: string(), job: string() }),
+  settle: object({ kind: literal("settle"), scope: string(), job: string(), verdict: union([literal("ran"), literal("mayHaveRun")]), return: optional(returnShape) }),
+  release: object({ kind: literal("release"), scope: string(), job: string() }),
+  forget: object({ kind: literal("forget"), scopes: array(string()), upTo: number() }),
+  note: object({ kind: literal("note"), text: string() }),
+};
 
 /** One entry of the record, as it is written. */
-export type Deed = Infer<typeof deedShape>;
+export type Deed = Infer<(typeof deedShapes)[keyof typeof deedShapes]>;
+
+const isDeedKind = (kind: string): kind is keyof typeof deedShapes => Object.hasOwn(deedShapes, kind);
 
 export const Deed = {
   text: (deed: Deed): string => JSON.stringify(deed),
+
+  /** Reads an entry's text; one of an unknown kind can't be applied, so it stops this recorder. */
+  read(text: string): Deed {
+    const value: unknown = JSON.parse(text);
+    const kind = kindOf(value);
+    if (!isDeedKind(kind)) throw new Error(`The record holds an entry of the unknown kind "${kind}".`);
+    return deedShapes[kind].create(value);
+  },
 };
 
 const bookShape = type({
@@ -104,7 +115,7 @@
 
   /** Applies one entry and tells its outcome, as JSON. */
   apply(index: number, text: string): string {
-    const deed = create(JSON.parse(text), deedShape);
+    const deed = Deed.read(text);
     const outcome = this.take(index, deed);
     for (const hook of this.applied) hook(deed, index);
     return JSON.stringify(outcome);
--- a/src/record/recorder.ts
+++ b/src/record/recorder.ts
@@ -59,6 +59,9 @@
 
 const membersIn = (text: string): Members | undefined => (text.startsWith('{"kind":"members"') ? create(JSON.parse(text), membersShape) : undefined);
 
+/** Raised when the record in memory contradicts itself; the daemon must not go on. */
+export class RecordError extends Error {}
+
 const batchEntries = 256;
 const keptEntries = 2000;
 const checkpointBytes = 4 * 1024 * 1024;
@@ -686,9 +689,9 @@
       this.synced = Math.max(this.synced, matched);
       done({ term, fits: true, counts, matched });
     };
-    this.commit(Math.min(ask.committed, matched));
     if (records.length > 0 || this.synced < matched) this.writer.append(records, finish);
     else finish();
+    this.commit(Math.min(ask.committed, matched));
   }
 
   private handleCheckpoint(ask: CheckpointAsk, done: (ret: CheckpointReturn) => void): void {
@@ -741,7 +744,7 @@
     this.committed = Math.max(this.committed, Math.min(index, this.lastIndex));
     while (this.applied < this.committed) {
       const entry = this.entries[this.applied - this.baseIndex];
-      if (!entry) break;
+      if (entry?.index !== this.applied + 1) throw new RecordError(`Entry ${this.applied + 1} is not where it should be.`);
       this.applied = entry.index;
       if (entry.text.startsWith('{"kind":"rejoined"')) this.noteRejoined(entry.text);
       const outcome = this.book.apply(entry.index, entry.text);
--- a/src/record/store.ts
+++ b/src/record/store.ts
@@ -60,15 +60,21 @@
   }
 };
 
-const replay = (standing: Standing, body: Buffer): void => {
+/** Applies one change; false where it doesn't follow on what came before. */
+const replay = (standing: Standing, body: Buffer): boolean => {
   const { kind, term, index, text } = exactly(payload, body);
   if (kind === 1) {
-    if (index > standing.lastIndex) standing.entries.push({ index, term, text });
+    if (index > standing.lastIndex + standing.entries.length + 1) return false;
+    if (index > standing.lastIndex) {
+      standing.entries.splice(index - standing.lastIndex - 1);
+      standing.entries.push({ index, term, text });
+    }
     standing.term = Math.max(standing.term, term);
   } else if (kind === 2) {
     standing.term = term;
     standing.votedFor = text;
   } else standing.entries = standing.entries.filter((entry) => entry.index < index);
+  return true;
 };
 
 const slots = ["slot-a", "slot-b"];
@@ -118,7 +124,7 @@
     const bytes = Buffer.from((yield* this.disk.read(logName(best.sequence))) ?? Buffer.alloc(0));
     let at = 0;
     for (let body = unseal(bytes, at); body !== undefined; body = unseal(bytes, at)) {
-      replay(best.standing, body);
+      if (!replay(best.standing, body)) return { kind: "damaged", why: `The log has a gap at byte ${at}.` };
       at += headBytes + body.length;
     }
     if (at < bytes.length) {
@@ -202,6 +208,19 @@
     expect(run(new Store(disk).load()).kind).toBe("damaged");
   });
 
+  test("an entry that stands in the slot's tail and again in the log counts once; a gap is told", () => {
+    const { disk, run } = setUp();
+    const store = new Store(disk);
+    run(store.load());
+    const entries = [1, 2].map((index) => ({ index, term: 1, text: `e${index}` }));
+    run(store.checkpoint({ ...standing, entries }));
+    run(store.append([{ kind: "entry", index: 2, term: 1, text: "e2" }, { kind: "entry", index: 3, term: 1, text: "e3" }]));
+    const loaded = run(new Store(disk).load());
+    expect(loaded.kind === "whole" && loaded.standing.entries.map((entry) => entry.index)).toEqual([1, 2, 3]);
+    run(store.append([{ kind: "entry", index: 5, term: 1, text: "e5" }]));
+    expect(run(new Store(disk).load()).kind).toBe("damaged");
+  });
+
   test("a checkpoint cut midway leaves the older slot and its log in force", () => {
     const { disk, run } = setUp();
     const store = new Store(disk);
