--- a/src/door/door.ts
+++ b/src/door/door.ts
@@ -12,7 +12,7 @@
 import type { BackReturn, Opened } from "./backEnds.js";
 import { Job, type Caller } from "./job.js";
 import { Keys, type Claim } from "./keys.js";
-import { Ending, type Verdict } from "./verdict.js";
+import { Ending, Return, type Verdict } from "./verdict.js";
 
 /** One request on its way through the chain. */
 interface Passage {
@@ -94,6 +94,9 @@
       if (typeof ending.ret === "string") return;
       this.tally.byCode[ending.ret.code] = (this.tally.byCode[ending.ret.code] ?? 0) + 1;
       caller.whole(ending.ret);
+    } catch (error) {
+      this.log.fault("A request met what nobody foresaw.", error);
+      caller.whole(Return.json(500, { error: "The daemon broke down over this request.", verdict: "mayHaveRun" }));
     } finally {
       this.inHand -= 1;
     }
--- a/src/link/link.ts
+++ b/src/link/link.ts
@@ -1,4 +1,5 @@
 import type * as r from "restructure";
+import { StructError } from "superstruct";
 import { Clock } from "../machine/clock.js";
 import { Holding } from "../machine/holding.js";
 import type { PartLog } from "../machine/logbook.js";
@@ -148,7 +149,7 @@
   }
 
   private refuse(channel: Channel | undefined, error: unknown): void {
-    if (!(error instanceof FrameError)) throw error;
+    if (!(error instanceof FrameError || error instanceof StructError || error instanceof SyntaxError)) throw error;
     this.droppedFrames += 1;
     this.log.warn("A peer's frame was refused and its link closed.", { why: error.message });
     channel?.close();
--- a/src/machine/logbook.ts
+++ b/src/machine/logbook.ts
@@ -29,7 +29,7 @@
     };
   },
 
-  /** Keeps lines in memory and raises what is at fault, for tests and the simulator. */
+  /** Hands lines on and raises what is at fault, for tests and the simulator. */
   into(lines: (line: string) => void): Logbook {
     return {
       part: (name) => ({
--- a/src/machine/run.ts
+++ b/src/machine/run.ts
@@ -52,7 +52,11 @@
     };
     const life = function* (): Task<number> {
       const disk = settings.dataFolder === undefined ? undefined : yield* Disk.open(settings.dataFolder);
-      const world: World = { clock, wire, disk, backEnds, logbook, random: Math.random, wallTime: () => new Date() };
+      const broken = (part: string, error: unknown): void => {
+        logbook.part(part).fault("A task broke off; the daemon ends.", error);
+        end(1);
+      };
+      const world: World = { clock, wire, disk, backEnds, logbook, broken, random: Math.random, wallTime: () => new Date() };
       const daemon = new Daemon(world, settings);
       const callers = new HttpServer((job, caller) => daemon.callers.put({ job, caller }));
       const operators = new HttpServer((job, caller) => daemon.operators.put({ job, give: (ret) => caller.whole(ret) }));
--- a/src/machine/world.ts
+++ b/src/machine/world.ts
@@ -12,6 +12,8 @@
   readonly disk: Disk | undefined;
   readonly backEnds: BackEnds;
   readonly logbook: Logbook;
+  /** Hears that a task broke off on what nobody foresaw: the daemon must not go on half alive. */
+  broken(part: string, error: unknown): void;
   /** A number from 0 up to 1. */
   random(): number;
   /** The wall clock, for people to read; nothing is decided by it. */
@@ -19,9 +21,9 @@
 }
 
 export const World = {
-  /** Starts a task whose errors go to the log of a part. */
+  /** Starts a task of a part; should it break off, the daemon ends rather than go on without it. */
   start<T>(world: World, part: string, task: Task<T>, ended?: (value: T) => void): void {
-    Task.start(task, (error) => world.logbook.part(part).fault("A task broke off.", error), ended);
+    Task.start(task, (error) => world.broken(part, error), ended);
   },
 
   /** A word no other draw gives again. */
--- a/src/record/recorder.ts
+++ b/src/record/recorder.ts
@@ -152,6 +152,11 @@
     };
   }
 
+  /** The mark that must be committed before this recorder counts again, or an empty word. */
+  get nonce(): string {
+    return this.rejoining;
+  }
+
   get currentMembers(): Members {
     return this.members;
   }
@@ -788,3 +793,107 @@
     });
   }
 }
+
+if (import.meta.vitest) {
+  const { expect, test } = import.meta.vitest;
+  const { VirtualClock } = await import("../rehearsal/virtualClock.js");
+  const { VirtualNetwork } = await import("../rehearsal/virtualNetwork.js");
+  const { VirtualDisk } = await import("../rehearsal/virtualDisk.js");
+  const { Gate } = await import("../rehearsal/gate.js");
+  const { Draw } = await import("../rehearsal/draw.js");
+  const { Logbook } = await import("../machine/logbook.js");
+  const { Link: Links } = await import("../link/link.js");
+  const { Book: Books } = await import("./book.js");
+
+  const [own, second, third] = ["10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"];
+  const note = (index: number, term: number): Entry => ({ index, term, text: '{"kind":"note","text":"n"}' });
+
+  /** One recorder under test, and the wire by which a recorded trace is played to it. */
+  const stage = (formed: boolean) => {
+    const time = new VirtualClock();
+    const network = new VirtualNetwork(time.clock(), Draw.of(1));
+    const disk = new VirtualDisk(time.clock(), () => 0.5);
+    const fail = (error: unknown): void => {
+      throw error;
+    };
+    const worldOf = (place: string): World => ({
+      clock: time.clock(),
+      wire: network.wire(place, new Gate()),
+      disk,
+      backEnds: { *send() { return "refused"; }, keepOnly: () => undefined, close: () => undefined },
+      logbook: Logbook.into(() => undefined),
+      broken: (_part, error) => fail(error),
+      random: Draw.of(2),
+      wallTime: () => new Date(0),
+    });
+    const seeds = [own, second, third];
+    const begin = (): Recorder => {
+      const world = worldOf("own");
+      const link = new Links(world, own);
+      const recorder = new Recorder(world, link, own, seeds, Waits.usual, new Books(), new Store(disk));
+      Task.start(link.listen(), fail);
+      Task.start(recorder.own(), fail);
+      return recorder;
+    };
+    const player = new Links(worldOf("player"), second);
+    player.serve(Kind.meet, function* () {
+      return { machine: second, state: "formed", fleet: "f", leader: second };
+    });
+    Task.start(player.listen(), fail);
+    const ask = <A, R>(kind: Kind<A, R>, asked: A, waitMs = 200): R | undefined => {
+      const returns: Array<R | undefined> = [];
+      Task.start(player.ask(own, kind, asked, waitMs), fail, (ret) => returns.push(ret));
+      time.runUntil(time.nowMs() + waitMs);
+      return returns[0];
+    };
+    if (formed) {
+      const standing: Standing = { fleet: "f", rejoining: "", term: 1, votedFor: "", lastIndex: 0, lastTerm: 0, book: new Books().checkpoint({ voters: seeds, learners: [] }), entries: [note(1, 1)] };
+      Task.start(new Store(disk).checkpoint(standing), fail);
+      time.runUntil(100);
+    }
+    return { time, disk, begin, ask };
+  };
+  const append = (term: number, previousIndex: number, previousTerm: number, entries: Entry[], committed = 0): AppendAsk => ({ term, leader: second, previousIndex, previousTerm, committed, entries });
+  const vote = (term: number, lastIndex: number, lastTerm: number, isPreVote = false): VoteAsk => ({ isPreVote, term, candidate: third, lastIndex, lastTerm, handOver: false });
+
+  test("trace: no vote while a leader is heard, none for a shorter log, one in a term and kept over a restart", () => {
+    const { time, begin, ask } = stage(true);
+    begin();
+    time.runUntil(150);
+    expect(ask(Kind.vote, vote(2, 9, 9))?.granted).toBe(false);
+    expect(ask(Kind.append, append(2, 1, 1, []))).toMatchObject({ fits: true, counts: true, matched: 1 });
+    expect(ask(Kind.vote, vote(3, 9, 9, true))?.granted).toBe(false);
+    time.runUntil(time.nowMs() + 450);
+    expect(ask(Kind.vote, vote(9, 0, 0))?.granted).toBe(false);
+    expect(ask(Kind.vote, vote(9, 1, 1), 30)).toEqual({ term: 9, granted: true });
+    begin();
+    time.runUntil(time.nowMs() + 10);
+    time.runUntil(time.nowMs() + 500);
+    expect(ask(Kind.vote, { ...vote(9, 5, 5), candidate: second }, 30)?.granted).toBe(false);
+  });
+
+  test("trace: an entry is acknowledged once synced, and not under a term that has moved on", () => {
+    const { time, disk, begin, ask } = stage(true);
+    begin();
+    time.runUntil(150);
+    disk.stall(600);
+    expect(ask(Kind.append, append(2, 1, 1, [note(2, 2)]), 100)).toBeUndefined();
+    expect(ask(Kind.append, append(3, 1, 1, [note(2, 3)]), 1500)).toMatchObject({ term: 3, fits: true, matched: 2 });
+    expect(ask(Kind.append, append(2, 2, 2, [note(3, 2)]))).toMatchObject({ term: 3, fits: false });
+  });
+
+  test("trace: an emptied recorder neither votes nor counts until its own mark is committed", () => {
+    const { time, begin, ask } = stage(false);
+    const recorder = begin();
+    time.runUntil(400);
+    expect(recorder.status.state).toBe("rejoining");
+    expect(ask(Kind.vote, { ...vote(5, 9, 9), handOver: true })?.granted).toBe(false);
+    expect(ask(Kind.append, append(5, 0, 0, [note(1, 5), note(2, 5)], 2))).toMatchObject({ fits: true, counts: false, matched: 2 });
+    const foreign = { index: 3, term: 5, text: JSON.stringify({ kind: "rejoined", machine: own, nonce: "another" }) };
+    expect(ask(Kind.append, append(5, 2, 5, [foreign], 3))).toMatchObject({ counts: false });
+    expect(ask(Kind.append, append(5, 3, 5, []))).toMatchObject({ counts: false });
+    const mark = { index: 4, term: 5, text: JSON.stringify({ kind: "rejoined", machine: own, nonce: recorder.nonce }) };
+    ask(Kind.append, append(5, 3, 5, [mark], 4));
+    expect(ask(Kind.append, append(5, 4, 5, []))).toMatchObject({ counts: true, matched: 4 });
+  });
+}
--- a/src/rehearsal/simulation.ts
+++ b/src/rehearsal/simulation.ts
@@ -105,6 +105,7 @@
       logbook: Logbook.into((line) => {
         this.lines.push(`${(this.time.nowMs() / 1000).toFixed(3)} ${machine.settings.machine} ${line}`);
       }),
+      broken: (_part, error) => this.fail(error),
       random: this.random,
       wallTime: () => new Date(1.8e12 + this.time.nowMs() + machine.offsetMs),
     };
--- a/src/zone/collector.ts
+++ b/src/zone/collector.ts
@@ -7,7 +7,6 @@
 import type { World } from "../machine/world.js";
 import { Counts, type CountsForm } from "./counts.js";
 import { SketchMismatchError } from "./ecmSketch.js";
-import { FrameError } from "../link/frame.js";
 
 const childShape = object({ machine: string(), incarnation: string(), parentSequence: number() });
 
@@ -157,7 +156,7 @@
       const push = create(JSON.parse(ask.text), pushShape);
       kept = { push, atMs: nowMs, counts: Counts.decode(ask.sketches, this.form, nowMs, push.halfTripMs) };
     } catch (error) {
-      if (!(error instanceof SketchMismatchError || error instanceof FrameError)) throw error;
+      if (!(error instanceof SketchMismatchError)) throw error;
       this.refused += 1;
       this.log.warn("A child's sketch was refused.", { why: error.message });
       const down: Down = { taken: error.message, granted: [], coverage: nothing };
