--- /dev/null
+++ b/src/rehearsal/drillMain.ts
@@ -0,0 +1,83 @@
+import { cac } from "cac";
+import { Clock } from "../machine/clock.js";
+import type { Task } from "../machine/task.js";
+import { Fleet } from "./fleet.js";
+import { servedPart } from "./judge.js";
+import { bringUp, configuring, profileNamed, say, windUp } from "./report.js";
+
+interface Options {
+  profile: string;
+  zone?: string;
+  seconds: number;
+  rate: number;
+  seed: number;
+  keep?: boolean;
+}
+
+const hours = { quietMs: 10_000, recoverMs: 15_000, afterMs: 6000 };
+
+/** Takes every machine and back end of a zone away at once. */
+const takeOut = function* (fleet: Fleet, zone: string): Task {
+  const machines = fleet.machines.filter(({ settings }) => settings.zone === zone);
+  const standIns = fleet.standIns.filter((standIn) => standIn.zone === zone);
+  for (const machine of machines) fleet.start(fleet.kill(machine));
+  for (const standIn of standIns) fleet.start(fleet.crash(standIn));
+  yield* fleet.until(() => machines.every((machine) => machine.process === undefined), 5000);
+  say(`zone ${zone} is out: ${machines.map(({ settings }) => settings.machine).join(", ")} and ${standIns.length} back ends`);
+};
+
+/** Brings a zone's machines and back ends back. */
+const bringBack = function* (fleet: Fleet, zone: string): Task {
+  for (const machine of fleet.machines) if (machine.settings.zone === zone) fleet.boot(machine);
+  for (const standIn of fleet.standIns) if (standIn.zone === zone) yield* fleet.replace(standIn, standIn.service);
+  say(`zone ${zone} is back`);
+};
+
+const percent = (part: number): string => `${(part * 100).toFixed(2)}%`;
+
+const program = cac("drill");
+program
+  .command("", "Take a zone out of a running fleet, bring it back, and check every promise")
+  .option("--profile <name>", "kovacic or rastro", { default: "kovacic" })
+  .option("--zone <name>", "The zone to take out; by default the first")
+  .option("--seconds <count>", "How long the zone stays out", { default: 20 })
+  .option("--rate <part>", "Part of the profile's requests that are sent", { default: 0.5 })
+  .option("--seed <number>", "Seed of callers and back ends", { default: 1 })
+  .option("--keep", "Keep the folder with settings, data and logs")
+  .action(async (options: Options) => {
+    const profile = profileNamed(options.profile);
+    const zone = options.zone ?? profile?.zones[0] ?? "";
+    if (!profile?.zones.includes(zone)) {
+      if (profile) process.stderr.write(`There is no zone "${zone}"; there are ${profile.zones.join(", ")}.\n`);
+      process.exitCode = 2;
+      return;
+    }
+    const fleet = await Fleet.lay(profile, options.seed, options.rate);
+    for (const name of ["SIGINT", "SIGTERM"] as const) process.once(name, () => void fleet.end(false).then(() => process.exit(130)));
+    say(`Drill on ${profile.name}: zone ${zone} of ${profile.zones.join(", ")} goes out for ${options.seconds} s; logs under ${fleet.folder}`);
+    if (!(await bringUp(fleet))) process.exit(1);
+    const { clock, ledger } = fleet;
+    const fromMs = clock.nowMs();
+    fleet.beginCalls();
+    fleet.start(configuring(fleet));
+    await fleet.perform(Clock.rest(clock, hours.quietMs));
+    const outMs = clock.nowMs();
+    await fleet.perform(takeOut(fleet, zone));
+    await fleet.perform(Clock.rest(clock, options.seconds * 1000));
+    const backMs = clock.nowMs();
+    await fleet.perform(bringBack(fleet, zone));
+    ledger.world.push({ kind: "recovered", atMs: clock.nowMs() });
+    const ready = await fleet.perform(fleet.until(() => fleet.machines.every(({ isReady }) => isReady), hours.recoverMs));
+    const readyMs = clock.nowMs() - backMs;
+    await fleet.perform(Clock.rest(clock, Math.max(0, hours.recoverMs - readyMs) + hours.afterMs));
+    const endMs = clock.nowMs();
+    const breaches = await windUp(fleet, fromMs);
+    say(`Served before ${percent(servedPart(ledger, fromMs, outMs))}, in the first 5 s without the zone ${percent(servedPart(ledger, outMs, outMs + 5000))}, then ${percent(servedPart(ledger, outMs + 5000, backMs))}, after its return ${percent(servedPart(ledger, backMs, endMs))}`);
+    say(ready ? `All machines were ready ${(readyMs / 1000).toFixed(1)} s after the zone's return` : "NOT all machines became ready again");
+    const kept = breaches === 0 && ready;
+    say(kept ? "The drill is passed: every promise was kept." : "The drill is FAILED.");
+    await fleet.end(options.keep ?? false);
+    process.exit(kept ? 0 : 1);
+  });
+program.help();
+program.parse();
--- a/src/rehearsal/fleetMain.ts
+++ b/src/rehearsal/fleetMain.ts
@@ -3,8 +3,7 @@
 import { Clock } from "../machine/clock.js";
 import type { Task } from "../machine/task.js";
 import { Fleet, type FleetMachine } from "./fleet.js";
-import { judge, servedPart, worstRepeats, rules } from "./judge.js";
-import { Profile } from "./profile.js";
+import { bringUp, configuring, profileNamed, say, windUp } from "./report.js";
 
 interface Options {
   profile: string;
@@ -16,13 +15,8 @@
 }
 
 const leads = type({ record: type({ role: string() }) });
-const upMs = 30_000;
 const settleMs = 15_000;
 
-const say = (line: string): void => {
-  process.stdout.write(`${line}\n`);
-};
-
 const leaderOf = function* (fleet: Fleet): Task<FleetMachine | undefined> {
   for (const machine of fleet.machines) {
     const status = yield* fleet.status(machine);
@@ -92,40 +86,6 @@
   fleet.ledger.world.push({ kind: "recovered", atMs: clock.nowMs() });
 };
 
-const configuring = function* (fleet: Fleet): Task {
-  while (!fleet.day.isOver) {
-    yield* fleet.day.putConfig();
-    yield* Clock.rest(fleet.clock, 3000);
-  }
-};
-
-const quantile = (sorted: number[], part: number): number => Math.round(sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * part))] ?? 0);
-
-const report = (fleet: Fleet, fromMs: number): number => {
-  const { ledger } = fleet;
-  const byCode = new Map<string, number>();
-  for (const { code, broke } of ledger.callers) {
-    const name = code === 0 ? broke : String(code);
-    byCode.set(name, (byCode.get(name) ?? 0) + 1);
-  }
-  say(`Requests: ${ledger.callers.length}, ${(servedPart(ledger, fromMs, Infinity) * 100).toFixed(2)}% served`);
-  say(`  by return: ${[...byCode].sort(([a], [b]) => a.localeCompare(b)).map(([name, count]) => `${name}: ${count}`).join(", ")}`);
-  for (const { route, method } of fleet.profile.traffic) {
-    const sample = fleet.profile.traffic.find((one) => one.route === route)?.path(0).split("/")[1];
-    const took = ledger.callers.filter((one) => one.method === method && one.path.split("/")[1] === sample && one.code >= 200 && one.code < 300).map((one) => one.endedMs - one.sentMs).sort((a, b) => a - b);
-    say(`  ${route}: ${took.length} served, half within ${quantile(took, 0.5)} ms, 99 of 100 within ${quantile(took, 0.99)} ms`);
-  }
-  say(`Tries that reached back ends: ${ledger.runs.length}; configs accepted: ${ledger.of("accepted").length}`);
-  for (const [service, { further, requests, allowed }] of worstRepeats(ledger)) say(`  ${service}: worst ten seconds had ${further} repeats with ${requests} requests, ${Math.floor(allowed)} allowed`);
-  const breaches = judge(ledger);
-  for (const rule of Object.keys(rules)) {
-    const own = breaches.filter((breach) => breach.rule === rule);
-    say(`${own.length === 0 ? "kept  " : "BROKEN"} ${rule}${own.length > 0 ? ` (${own.length} times)` : ""}`);
-    for (const { what } of own.slice(0, 5)) say(`         ${what}`);
-  }
-  return breaches.length;
-};
-
 const program = cac("fleet");
 program
   .command("", "Start a whole fleet of real daemons on this machine, with callers and back ends, and judge it")
@@ -136,38 +96,22 @@
   .option("--calm", "Kill and break nothing")
   .option("--keep", "Keep the folder with settings, data and logs")
   .action(async (options: Options) => {
-    const profile = Object.values(Profile.all).find(({ name }) => name === options.profile);
+    const profile = profileNamed(options.profile);
     if (!profile) {
-      process.stderr.write(`fleet: there is no profile "${options.profile}"; there are ${Object.keys(Profile.all).join(" and ")}\n`);
       process.exitCode = 2;
       return;
     }
     const fleet = await Fleet.lay(profile, options.seed, options.rate);
     for (const name of ["SIGINT", "SIGTERM"] as const) process.once(name, () => void fleet.end(false).then(() => process.exit(130)));
     say(`${profile.name}: ${profile.diskMachines} machines with disks, ${profile.smallMachines} small ones, ${fleet.standIns.length} back ends; logs under ${fleet.folder}`);
-    await fleet.begin();
-    const up = await fleet.perform(fleet.until(() => fleet.machines.every(({ isReady }) => isReady), upMs));
-    const configured = up && (await fleet.perform(fleet.day.putConfig()));
-    if (!up || !configured) {
-      const late = fleet.machines.filter(({ isReady }) => !isReady).map(({ settings }) => settings.machine);
-      process.stderr.write(`fleet: ${up ? "the first config was not accepted" : `not ready: ${late.join(", ")}`}\n`);
-      await fleet.end(true);
-      process.exitCode = 1;
-      return;
-    }
-    await fleet.perform(Clock.rest(fleet.clock, 2500));
+    if (!(await bringUp(fleet))) process.exit(1);
     say("All machines are ready and a config is in force; callers come");
     const fromMs = fleet.clock.nowMs();
     fleet.beginCalls();
     fleet.start(configuring(fleet));
     if (!options.calm) fleet.start(trouble(fleet, options.seconds * 1000));
     await fleet.perform(Clock.rest(fleet.clock, options.seconds * 1000 + (options.calm ? 0 : settleMs)));
-    fleet.ledger.endMs = fleet.clock.nowMs();
-    fleet.day.isOver = true;
-    await fleet.perform(Clock.rest(fleet.clock, 3500));
-    fleet.day.isOver = false;
-    await fleet.perform(fleet.day.readBack());
-    const breaches = report(fleet, fromMs);
+    const breaches = await windUp(fleet, fromMs);
     await fleet.end(options.keep ?? false);
     process.exit(breaches > 0 ? 1 : 0);
   });
--- /dev/null
+++ b/src/rehearsal/report.ts
@@ -0,0 +1,81 @@
+import { Clock } from "../machine/clock.js";
+import type { Task } from "../machine/task.js";
+import type { Fleet } from "./fleet.js";
+import { judge, rules, servedPart, worstRepeats } from "./judge.js";
+import { Profile } from "./profile.js";
+
+const upMs = 30_000;
+const lastCallsMs = 3500;
+
+/** Prints one line for a person to read. */
+export const say = (line: string): void => {
+  process.stdout.write(`${line}\n`);
+};
+
+const quantile = (sorted: number[], part: number): number => Math.round(sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * part))] ?? 0);
+
+/** Prints what callers, back ends and operators recorded, rule by rule; tells how often a rule was broken. */
+export const report = (fleet: Fleet, fromMs: number): number => {
+  const { ledger } = fleet;
+  const byCode = new Map<string, number>();
+  for (const { code, broke } of ledger.callers) {
+    const name = code === 0 ? broke : String(code);
+    byCode.set(name, (byCode.get(name) ?? 0) + 1);
+  }
+  say(`Requests: ${ledger.callers.length}, ${(servedPart(ledger, fromMs, Infinity) * 100).toFixed(2)}% served`);
+  say(`  by return: ${[...byCode].sort(([a], [b]) => a.localeCompare(b)).map(([name, count]) => `${name}: ${count}`).join(", ")}`);
+  for (const { route, method } of fleet.profile.traffic) {
+    const sample = fleet.profile.traffic.find((one) => one.route === route)?.path(0).split("/")[1];
+    const took = ledger.callers.filter((one) => one.method === method && one.path.split("/")[1] === sample && one.code >= 200 && one.code < 300).map((one) => one.endedMs - one.sentMs).sort((a, b) => a - b);
+    say(`  ${route}: ${took.length} served, half within ${quantile(took, 0.5)} ms, 99 of 100 within ${quantile(took, 0.99)} ms`);
+  }
+  say(`Tries that reached back ends: ${ledger.runs.length}; configs accepted: ${ledger.of("accepted").length}`);
+  for (const [service, { further, requests, allowed }] of worstRepeats(ledger)) say(`  ${service}: worst ten seconds had ${further} repeats with ${requests} requests, ${Math.floor(allowed)} allowed`);
+  const breaches = judge(ledger);
+  for (const rule of Object.keys(rules)) {
+    const own = breaches.filter((breach) => breach.rule === rule);
+    say(`${own.length === 0 ? "kept  " : "BROKEN"} ${rule}${own.length > 0 ? ` (${own.length} times)` : ""}`);
+    for (const { what } of own.slice(0, 5)) say(`         ${what}`);
+  }
+  return breaches.length;
+};
+
+/** Starts a fleet and puts a first config in force; false, and why on the error stream, when that fails. */
+export const bringUp = async (fleet: Fleet): Promise<boolean> => {
+  await fleet.begin();
+  const up = await fleet.perform(fleet.until(() => fleet.machines.every(({ isReady }) => isReady), upMs));
+  const configured = up && (await fleet.perform(fleet.day.putConfig()));
+  if (configured) {
+    await fleet.perform(fleet.until(() => new Set(fleet.ledger.of("announced").map(({ address }) => address)).size >= fleet.standIns.length, upMs));
+    return true;
+  }
+  const late = fleet.machines.filter(({ isReady }) => !isReady).map(({ settings }) => settings.machine);
+  process.stderr.write(`${up ? "The first config was not accepted" : `Not ready: ${late.join(", ")}`}; logs under ${fleet.folder}\n`);
+  await fleet.end(true);
+  return false;
+};
+
+/** Lets callers come to their end, reads every config back, and reports. */
+export const windUp = async (fleet: Fleet, fromMs: number): Promise<number> => {
+  fleet.ledger.endMs = fleet.clock.nowMs();
+  fleet.day.isOver = true;
+  await fleet.perform(Clock.rest(fleet.clock, lastCallsMs));
+  fleet.day.isOver = false;
+  await fleet.perform(fleet.day.readBack());
+  return report(fleet, fromMs);
+};
+
+/** Puts a new config in force every few seconds. */
+export const configuring = function* (fleet: Fleet): Task {
+  while (!fleet.day.isOver) {
+    yield* fleet.day.putConfig();
+    yield* Clock.rest(fleet.clock, 3000);
+  }
+};
+
+/** The profile of a name; undefined, and the names there are on the error stream, when there is none. */
+export const profileNamed = (name: string): Profile | undefined => {
+  const profile = Object.values(Profile.all).find((one) => one.name === name);
+  if (!profile) process.stderr.write(`There is no profile "${name}"; there are ${Object.keys(Profile.all).join(" and ")}.\n`);
+  return profile;
+};
