--- a/src/contract/registry.ts
+++ b/src/contract/registry.ts
@@ -181,7 +181,7 @@
 
   private lead(): void {
     const nowMs = this.world.clock.nowMs();
-    this.allowance.lead(nowMs);
+    this.allowance.lead(nowMs, this.book.isFresh);
     this.machines.clear();
     this.ending.clear();
     this.heardBackEnds.clear();
--- a/src/record/book.ts
+++ b/src/record/book.ts
@@ -103,6 +103,11 @@
     return this.configs.at(-1);
   }
 
+  /** Whether nobody has led this record yet. */
+  get isFresh(): boolean {
+    return this.journal.length === 0;
+  }
+
   /** The sequence that a change id was accepted under, if it was. */
   changeSequence(changeId: string): number | undefined {
     return this.changes.get(changeId);
--- a/src/zone/allowance.ts
+++ b/src/zone/allowance.ts
@@ -16,11 +16,11 @@
   private aside: Array<{ service: string; amount: number; untilMs: number }> = [];
   private settledMs = Infinity;
 
-  /** A new leader grants nothing new until all that its forerunner granted has shown itself or expired. */
-  lead(nowMs: number): void {
+  /** A new leader grants nothing new until all that its forerunner granted has shown itself or expired; the first of all had none. */
+  lead(nowMs: number, isFirst: boolean): void {
     this.holders = new Map();
     this.aside = [];
-    this.settledMs = nowMs + keepMs;
+    this.settledMs = isFirst ? nowMs : nowMs + keepMs;
   }
 
   /** The capacities of one edge, given what it holds and how many further tries it wished for lately. */
--- a/src/zone/budget.ts
+++ b/src/zone/budget.ts
@@ -74,12 +74,13 @@
     for (let seed = 1; seed <= 20; seed += 1) {
       const random = Draw.of(seed);
       const allowance = new Allowance();
-      allowance.lead(0);
+      allowance.lead(0, true);
       let born = 0;
       const edges = Array.from({ length: 6 }, () => ({ name: `e${(born += 1)}`, budget: new Budget(), diesMs: random() * 120_000 }));
       const firsts: number[] = [];
       const furthers: number[] = [];
       for (let nowMs = 0; nowMs < 60_000; nowMs += 20) {
+        if (nowMs % 25_000 === 24_980) allowance.lead(nowMs, false);
         edges.forEach((edge, at) => {
           if (nowMs > edge.diesMs) edges[at] = { name: `e${(born += 1)}`, budget: new Budget(), diesMs: nowMs + random() * 40_000 };
           if (nowMs % 200 === 0 && random() < 0.9) {
