--- a/src/machine/daemon.ts
+++ b/src/machine/daemon.ts
@@ -128,6 +128,11 @@
     else this.log.say("Drained.");
   }
 
+  /** The config this daemon serves by, and whether it may serve now. */
+  get standing(): { configSequence: number; isGranted: boolean } {
+    return { configSequence: this.view.configSequence, isGranted: this.view.isGranted };
+  }
+
   private machine(): Machine {
     const { machine, zone, peers } = this.settings;
     return { name: machine, zone, roles: this.roles, peer: peers, incarnation: this.incarnation, draining: this.draining };
--- a/src/record/recorder.ts
+++ b/src/record/recorder.ts
@@ -20,10 +20,12 @@
   stallMs: number;
   /** How long a voter is silent before a learner takes its place. */
   lostMs: number;
+  /** How long the log grows until a checkpoint is written. */
+  checkpointBytes: number;
 }
 
 export const Waits = {
-  usual: { heartbeatMs: 80, electionMinMs: 500, electionMaxMs: 900, leaderGrantMs: 400, stallMs: 700, lostMs: 10_000 },
+  usual: { heartbeatMs: 80, electionMinMs: 500, electionMaxMs: 900, leaderGrantMs: 400, stallMs: 700, lostMs: 10_000, checkpointBytes: 4 * 1024 * 1024 },
 };
 
 /** What became of a proposal: committed and applied here, or its fate is unknown. */
@@ -64,7 +66,6 @@
 
 const batchEntries = 256;
 const keptEntries = 2000;
-const checkpointBytes = 4 * 1024 * 1024;
 
 type Role = "follower" | "preCandidate" | "candidate" | "leader";
 
@@ -757,7 +758,7 @@
       this.promises.delete(entry.index);
       promise?.done(promise.term === entry.term ? { index: entry.index, outcome } : "unknown");
     }
-    if (!this.checkpointing && this.writer.addedBytes > checkpointBytes && this.state === "formed") this.writeCheckpoint("");
+    if (!this.checkpointing && this.writer.addedBytes > this.waits.checkpointBytes && this.state === "formed") this.writeCheckpoint("");
   }
 
   private noteRejoined(text: string): void {
--- a/src/rehearsal/faults.ts
+++ b/src/rehearsal/faults.ts
@@ -92,6 +92,39 @@
     const one = pick(simulation, alive(simulation));
     if (one) yield* isolate(simulation, [one], simulation.random() < 0.4);
   },
+  *cutLeaderFromCore(simulation) {
+    const [leader] = leaders(simulation);
+    if (!leader) return;
+    for (const other of disks(simulation)) {
+      if (other === leader) continue;
+      simulation.network.cut(leader.settings.machine, other.settings.machine);
+      simulation.network.cut(other.settings.machine, leader.settings.machine);
+    }
+    yield* rest(simulation, 700, 1200);
+    simulation.start(simulation.day.putConfig());
+    yield* rest(simulation, 3000, 5000);
+    simulation.network.heal();
+  },
+  *loseDiskWhileAnotherLags(simulation) {
+    const [leader] = leaders(simulation);
+    const voters = leader?.daemon?.recorder?.currentMembers.voters ?? [];
+    const [lagging, emptied, more] = disks(simulation).filter((one) => one !== leader && voters.includes(one.settings.peers));
+    const whole = disks(simulation).every(({ daemon }) => daemon?.recorder?.status.state === "formed");
+    if (!leader || !lagging || !emptied || more || !whole) return;
+    for (const other of disks(simulation)) {
+      simulation.network.cut(lagging.settings.machine, other.settings.machine);
+      simulation.network.cut(other.settings.machine, lagging.settings.machine);
+    }
+    yield* simulation.day.putConfig();
+    simulation.kill(emptied, true);
+    emptied.disk?.wipe();
+    simulation.kill(leader);
+    simulation.network.heal();
+    if (!emptied.daemon) simulation.boot(emptied);
+    yield* rest(simulation, 2000, 4000);
+    if (!leader.daemon) simulation.boot(leader);
+    yield* rest(simulation, 4000, 6000);
+  },
   *splitCore(simulation) {
     const core = disks(simulation);
     for (const a of core) for (const b of core) if (a !== b) simulation.network.cut(a.settings.machine, b.settings.machine);
--- /dev/null
+++ b/src/rehearsal/measureMain.ts
@@ -0,0 +1,157 @@
+import { cac } from "cac";
+import { Waits } from "../record/recorder.js";
+import { Counts, CountsForm, retryWindowMs } from "../zone/counts.js";
+import { EcmSketch } from "../zone/ecmSketch.js";
+import { stampOf } from "../zone/exponentialHistogram.js";
+import { Draw } from "./draw.js";
+import { Profile } from "./profile.js";
+import { Simulation, type SimMachine } from "./simulation.js";
+
+const say = (line: string): void => {
+  process.stdout.write(`${line}\n`);
+};
+
+const spread = (values: number[], digits = 2): string => {
+  const sorted = [...values].sort((a, b) => a - b);
+  const at = (part: number): string => (sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * part))] ?? 0).toFixed(digits);
+  return `least ${at(0)}, half ${at(0.5)}, nine of ten ${at(0.9)}, most ${at(1)} (${sorted.length} readings)`;
+};
+
+const stepMs = 2;
+
+const until = (simulation: Simulation, holds: () => boolean, limitMs: number): number => {
+  const startMs = simulation.time.nowMs();
+  while (!holds() && simulation.time.nowMs() < startMs + limitMs) simulation.time.runUntil(simulation.time.nowMs() + stepMs);
+  return simulation.time.nowMs() - startMs;
+};
+
+const leading = (simulation: Simulation): SimMachine | undefined => simulation.machines.find(({ daemon }) => daemon?.recorder?.hasGrant);
+const edgesOf = (simulation: Simulation): SimMachine[] => simulation.machines.filter(({ settings, daemon }) => settings.callers !== undefined && daemon !== undefined);
+
+const fleetUp = (profile: Profile, seed: number, rate: number): Simulation => {
+  const simulation = new Simulation(profile, seed, rate);
+  simulation.begin();
+  until(simulation, () => leading(simulation) !== undefined && edgesOf(simulation).every(({ daemon }) => daemon?.standing.isGranted), 20_000);
+  return simulation;
+};
+
+const measureElections = (profile: Profile, seeds: number): void => {
+  const elected: number[] = [];
+  const shortest: number[] = [];
+  let stopped = 0;
+  for (let seed = 1; seed <= seeds; seed += 1) {
+    const simulation = fleetUp(profile, seed, 0.05);
+    simulation.time.runUntil(simulation.time.nowMs() + 1000 + simulation.random() * 500);
+    const old = leading(simulation);
+    if (!old) continue;
+    simulation.kill(old, true);
+    let lapsed = 0;
+    elected.push(until(simulation, () => leading(simulation) !== undefined, 10_000) / Waits.usual.electionMinMs);
+    until(
+      simulation,
+      () => {
+        lapsed = Math.max(lapsed, edgesOf(simulation).filter(({ daemon }) => !daemon?.standing.isGranted).length);
+        return false;
+      },
+      1500,
+    );
+    if (lapsed > 0) stopped += 1;
+    simulation.boot(old);
+    shortest.push(until(simulation, () => old.daemon?.recorder?.status.role === "follower" && (old.daemon?.recorder?.status.applied ?? -1) >= (leading(simulation)?.daemon?.recorder?.status.committed ?? Infinity), 10_000) / Waits.usual.electionMinMs);
+  }
+  say(`${profile.name}: a leader's death to the next leader's first answer, in shortest election waits: ${spread(elected)}`);
+  say(`${profile.name}: a restarted recorder has caught up, in shortest election waits: ${spread(shortest)}`);
+  say(`${profile.name}: leaders' deaths after which some edge lost its grant: ${stopped} of ${seeds}`);
+};
+
+const measureRollOut = (profile: Profile, seeds: number, extraRoutes: number): void => {
+  const delays: number[] = [];
+  for (let seed = 1; seed <= seeds; seed += 1) {
+    const simulation = fleetUp(profile, seed, 0.05);
+    simulation.day.growRoutes(extraRoutes);
+    for (let round = 0; round < 3; round += 1) {
+      const wanted = simulation.day.sequence + 1;
+      simulation.start(simulation.day.putConfig());
+      until(simulation, () => simulation.ledger.of("accepted").some(({ sequence }) => sequence === wanted), 10_000);
+      const startMs = simulation.time.nowMs();
+      const waiting = new Set(edgesOf(simulation));
+      until(
+        simulation,
+        () => {
+          for (const edge of waiting) {
+            if ((edge.daemon?.standing.configSequence ?? 0) < wanted) continue;
+            delays.push((simulation.time.nowMs() - startMs) / 1600);
+            waiting.delete(edge);
+          }
+          return waiting.size === 0;
+        },
+        5000,
+      );
+    }
+  }
+  say(`${profile.name}: an acceptance to an edge serving by it, in grants, with ${extraRoutes} more routes: ${spread(delays)}`);
+};
+
+const measureRecord = (profile: Profile, rate: number): void => {
+  const simulation = fleetUp(profile, 1, rate);
+  simulation.start(simulation.day.putConfig());
+  simulation.time.runUntil(simulation.time.nowMs() + 3000);
+  const status = () => leading(simulation)?.daemon?.recorder?.status;
+  const [before, fromMs, keyed] = [status(), simulation.time.nowMs(), simulation.ledger.callers.length];
+  simulation.time.runUntil(fromMs + 10_000);
+  const after = status();
+  if (!before || !after) return;
+  const writes = simulation.ledger.callers.slice(keyed).filter(({ key }) => key !== undefined).length;
+  const entries = after.written - before.written;
+  say(`${profile.name} at ${rate} of its rate: ${(writes / 10).toFixed(0)} keyed writes a second, ${(entries / 10).toFixed(0)} entries a second, ${(entries / (after.syncs - before.syncs)).toFixed(2)} entries in a sync`);
+};
+
+const measureSketches = (): void => {
+  for (const epsilon of [0.05, 0.1, 0.2]) {
+    const form = { ...CountsForm.usual, tries: { ...CountsForm.usual.tries, epsilon }, routes: { ...CountsForm.usual.routes, epsilon: epsilon * 2 } };
+    const random = Draw.of(3);
+    const leaves = Array.from({ length: 16 }, () => new Counts(form));
+    const sketches = Array.from({ length: 16 }, () => new EcmSketch(form.tries));
+    const times: number[][] = [[], [], []];
+    for (let atMs = 0; atMs < 15_000; atMs += 1.8) {
+      const leaf = Math.floor(random() * 16);
+      const service = random() < 0.75 ? 0 : random() < 0.85 ? 1 : 2;
+      leaves[leaf]?.countTry(service, false, atMs);
+      leaves[leaf]?.countRoute(Math.floor(200 * random() ** 4), atMs);
+      sketches[leaf]?.add(service * 2, stampOf(atMs));
+      times[service]?.push(atMs);
+    }
+    const bytes = (leaves[0]?.encode(15_000).length ?? 0) / 1024;
+    const cost: number[] = [];
+    let single = 0;
+    for (const fanIn of [1, 4, 16]) {
+      const startMs = performance.now();
+      for (let round = 0; round < 5; round += 1) Counts.merge(leaves.slice(0, fanIn), form, 15_000);
+      const tookMs = performance.now() - startMs;
+      if (fanIn === 1) single = tookMs;
+      cost.push(tookMs / single);
+    }
+    const root = EcmSketch.merge([EcmSketch.merge(sketches.slice(0, 8), form.tries, stampOf(15_000)), EcmSketch.merge(sketches.slice(8), form.tries, stampOf(15_000))], form.tries, stampOf(15_000));
+    const total = times.flat().filter((atMs) => atMs > 15_000 - retryWindowMs).length;
+    const worst = Math.max(...times.map((one, service) => Math.abs(root.estimate(service * 2, stampOf(15_000), retryWindowMs) - one.filter((atMs) => atMs > 15_000 - retryWindowMs).length) / total));
+    const cell = root.cellEpsilon;
+    const merged = 2 * cell * (1 + cell) + cell;
+    say(`eps ${epsilon}: an edge's push has ${bytes.toFixed(1)} KiB; merging 1, 4, 16 costs ${cost.map((one) => one.toFixed(1)).join(", ")}; error over two levels ${(worst * 100).toFixed(2)}% of all arrivals, bound ${((merged + cell + merged * cell) * 100).toFixed(1)}%`);
+  }
+};
+
+const program = cac("measure");
+program
+  .command("", "Measure elections, roll-outs, the record and the sketches; ratios and counts, no absolute times")
+  .option("--seeds <count>", "How many fleets each figure is drawn from", { default: 20 })
+  .action(({ seeds }: { seeds: number }) => {
+    for (const profile of Object.values(Profile.all)) {
+      measureElections(profile, seeds);
+      measureRollOut(profile, Math.ceil(seeds / 4), 0);
+      measureRollOut(profile, Math.ceil(seeds / 4), 2000);
+      for (const rate of [0.25, 1]) measureRecord(profile, rate);
+    }
+    measureSketches();
+  });
+program.help();
+program.parse();
--- a/src/rehearsal/simulation.ts
+++ b/src/rehearsal/simulation.ts
@@ -6,6 +6,7 @@
 import { Logbook } from "../machine/logbook.js";
 import type { Settings } from "../machine/settings.js";
 import { Task } from "../machine/task.js";
+import { Waits } from "../record/recorder.js";
 import type { World } from "../machine/world.js";
 import { Day, type CallerEnd, type Outside } from "./day.js";
 import { Draw } from "./draw.js";
@@ -31,6 +32,8 @@
 }
 
 const callerWaitMs = 9000;
+/** Small, so that a day sees many checkpoints. */
+const simCheckpointBytes = 60_000;
 
 /** A whole fleet with its callers, back ends and operators in one process, on virtual time, repeatable by seed. */
 export class Simulation {
@@ -109,7 +112,7 @@
       random: this.random,
       wallTime: () => new Date(1.8e12 + this.time.nowMs() + machine.offsetMs),
     };
-    const daemon = new Daemon(world, machine.settings);
+    const daemon = new Daemon(world, machine.settings, { ...Waits.usual, checkpointBytes: simCheckpointBytes });
     machine.daemon = daemon;
     this.start(daemon.start());
   }
