--- a/src/zone/collector.ts
+++ b/src/zone/collector.ts
@@ -220,3 +220,83 @@
     for (const [name, { atMs }] of this.countedBy) if (atMs < oldMs) this.countedBy.delete(name);
   }
 }
+
+if (import.meta.vitest) {
+  const { expect, test } = import.meta.vitest;
+  const { VirtualClock } = await import("../rehearsal/virtualClock.js");
+  const { VirtualNetwork } = await import("../rehearsal/virtualNetwork.js");
+  const { Gate } = await import("../rehearsal/gate.js");
+  const { Draw } = await import("../rehearsal/draw.js");
+  const { Logbook } = await import("../machine/logbook.js");
+  const { Link: Links } = await import("../link/link.js");
+  const { Task: Tasks } = await import("../machine/task.js");
+  const { CountsForm: Forms } = await import("./counts.js");
+
+  test("an edge that moves to another collector, or whose collector dies, is never counted twice", () => {
+    const time = new VirtualClock();
+    const network = new VirtualNetwork(time.clock(), Draw.of(3));
+    const fail = (error: unknown): void => {
+      throw error;
+    };
+    const gates = new Map<string, InstanceType<typeof Gate>>();
+    const linkAt = (address: string): { world: World; link: Link } => {
+      const gate = new Gate();
+      gates.set(address, gate);
+      const own = time.clock();
+      const world: World = {
+        clock: { ...own, after: (waitMs, run) => own.after(waitMs, () => gate.pass(run)) },
+        wire: network.wire(address, gate),
+        disk: undefined,
+        backEnds: { *send() { return "refused"; }, keepOnly: () => undefined, close: () => undefined },
+        logbook: Logbook.into(() => undefined),
+        broken: (_part, error) => fail(error),
+        random: Draw.of(4),
+        wallTime: () => new Date(0),
+      };
+      const link = new Links(world, address);
+      Tasks.start(link.listen(), fail);
+      return { world, link };
+    };
+    const [root, ...others] = ["10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"].map((address) => {
+      const { world, link } = linkAt(address);
+      const collector = new Collector(world, link, Forms.usual, address, `i-${address}`, () => "10.0.0.1:1");
+      Tasks.start(collector.own(2000), fail);
+      return { address, collector };
+    });
+    const { world, link } = linkAt("10.0.0.9:1");
+    const counts = new Counts(Forms.usual);
+    const [left, right] = others;
+    if (!root || !left || !right) throw new Error("A collector is missing.");
+    let parent = left.address;
+    let parentSequence = 1;
+    let push = 0;
+    let counted = 0;
+    let most = 0;
+    for (let atMs = 0; atMs < 60_000; atMs += 20) {
+      time.runUntil(atMs);
+      counts.countTry(1, false, time.nowMs());
+      counted += 1;
+      if (atMs === 20_000 || atMs === 34_000) {
+        if (atMs === 34_000) {
+          gates.get(right.address)?.kill();
+          network.drop(right.address);
+        }
+        parent = parent === left.address ? right.address : left.address;
+        parentSequence += 1;
+      }
+      if (atMs % 2000 === 0) {
+        push += 1;
+        const text = JSON.stringify({ from: "edge", incarnation: "one", tier: "edge", push, parentSequence, halfTripMs: 1, includes: [], wants: [] });
+        Tasks.start(link.ask(parent, Kind.push, { text, sketches: counts.encode(world.clock.nowMs()) }, 1500), fail);
+      }
+      const latest = root.collector.latest;
+      if (!latest || atMs < 12_000) continue;
+      const seen = latest.counts.ofService(1, time.nowMs(), 10_000).first;
+      most = Math.max(most, seen);
+    }
+    expect(counted).toBe(3000);
+    expect(most).toBeGreaterThan(250);
+    expect(most).toBeLessThan(450);
+    expect(root.collector.latest?.counts.ofService(1, time.nowMs(), 10_000).first).toBeGreaterThan(250);
+  });
+}
