A late announcement no longer brings back a back end that left

Cause: an announcement held up on its way (a cut link delivers late) was carried out after the leave and made a new contract; a hold of 2.5 s in the leader's memory is shorter than such a delay and is lost with the leader. Ruled out: edges serving on old views (their grants were new), the same back end announcing again (it had stopped before it left). Change: an announcement carries the directory's sequence that its daemon knew when it came; one older than the contract's last change is overtaken. What left or ended is kept for 30 s as such. An operator's drain now also lasts. Before: the new test gets a new contract for the late announcement. Also: a damaged disk is cleared under a mark before it is used again; leftovers could make every later start look damaged (found by random bytes on disk).

--- a/src/contract/order.ts
+++ b/src/contract/order.ts
@@ -5,7 +5,7 @@
 const returnShape = object({ code: number(), headers: record(string(), string()), body: string() });
 
 const orderShapes = {
-  announce: object({ kind: literal("announce"), address: string(), service: string(), zone: string(), warmth: number() }),
+  announce: object({ kind: literal("announce"), address: string(), service: string(), zone: string(), warmth: number(), seen: number() }),
   leave: object({ kind: literal("leave"), address: string(), service: string() }),
   put: object({ kind: literal("put"), changeId: string(), base: optional(number()), value: unknown() }),
   patch: object({ kind: literal("patch"), changeId: string(), base: optional(number()), value: unknown() }),
@@ -59,7 +59,7 @@
 /** What an edge or collector sends to get a fresh view. */
 export type Poll = Infer<typeof pollShape>;
 
-const contractShape = object({ address: string(), service: string(), zone: string(), warmth: number(), number: number(), leaving: boolean() });
+const contractShape = object({ address: string(), service: string(), zone: string(), warmth: number(), number: number(), leaving: boolean(), leftAt: number(), drained: boolean() });
 
 const viewShape = object({
   granted: literal(true),
--- a/src/contract/registry.ts
+++ b/src/contract/registry.ts
@@ -17,12 +17,14 @@
   announceMs: number;
   lapseMs: number;
   leaveHoldMs: number;
+  /** How long what is known of a back end that left is kept. */
+  purgeMs: number;
   keyMs: number;
   silentMs: number;
 }
 
 export const Terms = {
-  usual: { grantMs: 1600, announceMs: 1000, lapseMs: 3500, leaveHoldMs: 2500, keyMs: 120_000, silentMs: 2500 },
+  usual: { grantMs: 1600, announceMs: 1000, lapseMs: 3500, leaveHoldMs: 2500, purgeMs: 30_000, keyMs: 120_000, silentMs: 2500 },
 };
 
 interface Heard {
@@ -72,10 +74,10 @@
       case "announce":
         return yield* this.announce(order);
       case "leave":
-        return yield* this.leave(order.address, order.service);
+        return yield* this.leave(order.address, order.service, false);
       case "drainBackEnd": {
         const contract = this.book.contracts.get(order.address);
-        return contract ? yield* this.leave(contract.address, contract.service) : JSON.stringify({ known: false });
+        return contract ? yield* this.leave(contract.address, contract.service, true) : JSON.stringify({ known: false });
       }
       case "put":
       case "patch":
@@ -134,7 +136,8 @@
       view.numbers = [...this.book.numbers].map(([name, number]) => ({ name, number }));
     }
     for (const { address, number } of poll.refused) {
-      if (this.book.contracts.get(address)?.number === number && !this.ending.has(number)) {
+      const known = this.book.contracts.get(address);
+      if (known?.number === number && !known.leaving && !this.ending.has(number)) {
         this.ending.add(number);
         this.tell({ kind: "end", address, number, why: `it refused a connection from ${machine.name}` });
       }
@@ -159,10 +162,13 @@
       const nowMs = this.world.clock.nowMs();
       for (const contract of this.book.contracts.values()) {
         const heard = this.heardBackEnds.get(contract.address);
-        if (!heard) this.heardBackEnds.set(contract.address, { heardMs: nowMs, leftMs: -Infinity });
-        else if (nowMs - heard.heardMs > this.terms.lapseMs) {
-          const why = contract.leaving ? "it left" : "no announcement came";
-          this.tell({ kind: "end", address: contract.address, number: contract.number, why });
+        const { address, number, leaving } = contract;
+        if (!heard) this.heardBackEnds.set(address, { heardMs: nowMs, leftMs: leaving ? nowMs : -Infinity });
+        else if (leaving && nowMs - Math.max(heard.heardMs, heard.leftMs) > this.terms.purgeMs) {
+          this.tell({ kind: "purge", address, number });
+          this.heardBackEnds.delete(address);
+        } else if (!leaving && nowMs - heard.heardMs > this.terms.lapseMs) {
+          this.tell({ kind: "end", address, number, why: "no announcement came" });
           heard.heardMs = nowMs;
         }
       }
@@ -205,15 +211,18 @@
     World.start(this.world, "contract", this.enter(deed));
   }
 
-  private *announce({ address, service, zone, warmth }: Extract<Order, { kind: "announce" }>): Task<string> {
+  private *announce({ address, service, zone, warmth, seen }: Extract<Order, { kind: "announce" }>): Task<string> {
     if (!this.recorder.hasGrant) return breakdown("noGrant");
     const nowMs = this.world.clock.nowMs();
     const known = this.book.contracts.get(address);
     const heard = this.heardBackEnds.get(address);
     const same = known?.service === service;
-    if (same && known.leaving && heard && nowMs - heard.leftMs < this.terms.leaveHoldMs) return this.announced(known.number, "leaving");
+    const justLeft = heard !== undefined && nowMs - heard.leftMs < this.terms.leaveHoldMs;
+    if (same && known.leaving && !known.drained && justLeft) return this.announced(known.number, "leaving");
     this.heardBackEnds.set(address, { heardMs: nowMs, leftMs: heard?.leftMs ?? -Infinity });
+    if (same && known.drained) return this.announced(known.number, "drained");
     if (same && !known.leaving && known.zone === zone) return this.announced(known.number, "known");
+    if (known && seen < Math.max(known.number, known.leftAt)) return this.announced(known.number, "overtaken");
     const outcome = yield* this.enter({ kind: "contract", address, service, zone, warmth });
     const entered = create(JSON.parse(outcome), numbered);
     return entered.number === undefined ? outcome : this.announced(entered.number, "taken");
@@ -223,10 +232,10 @@
     return JSON.stringify({ contract, state, announceMs: this.terms.announceMs });
   }
 
-  private *leave(address: string, service: string): Task<string> {
+  private *leave(address: string, service: string, drained: boolean): Task<string> {
     const known = this.book.contracts.get(address);
-    if (known?.service === service && known.leaving && this.recorder.hasGrant) return JSON.stringify({ known: true });
-    const outcome = yield* this.enter({ kind: "leave", address, service });
+    if (known?.service === service && known.leaving && known.drained >= drained && this.recorder.hasGrant) return JSON.stringify({ known: true });
+    const outcome = yield* this.enter({ kind: "leave", address, service, drained });
     const nowMs = this.world.clock.nowMs();
     this.heardBackEnds.set(address, { heardMs: nowMs, leftMs: nowMs });
     return outcome;
@@ -281,8 +290,58 @@
       learners: this.recorder.currentMembers.learners,
       machines: [...this.machines.values()].map(({ machine, heardMs, silent }) => ({ name: machine.name, zone: machine.zone, roles: machine.roles, peer: machine.peer, draining: machine.draining, silent, heardMsAgo: Math.round(nowMs - heardMs) })),
       backEnds: [...this.book.contracts.values()].map(({ address, service, zone, leaving }) => ({ address, service, zone, leaving, heardMsAgo: Math.round(nowMs - (this.heardBackEnds.get(address)?.heardMs ?? nowMs)) })),
+      directorySequence: this.book.directorySequence,
       keys: this.book.keys.size,
       configs: this.book.inForce?.sequence ?? 0,
     };
   }
 }
+
+if (import.meta.vitest) {
+  const { expect, test } = import.meta.vitest;
+  const { Simulation } = await import("../rehearsal/simulation.js");
+  const { Profile } = await import("../rehearsal/profile.js");
+  const { Kind } = await import("../link/kind.js");
+  const { Link } = await import("../link/link.js");
+  const { Gate } = await import("../rehearsal/gate.js");
+  const { Logbook } = await import("../machine/logbook.js");
+
+  test("an announcement that was overtaken by the back end's leave, or by another service at its address, changes nothing", () => {
+    const simulation = new Simulation(Profile.all.rastro, 1, 0.01);
+    simulation.begin();
+    simulation.time.runUntil(5000);
+    const fail = (error: unknown): void => {
+      throw error;
+    };
+    const world: World = {
+      clock: simulation.clock,
+      wire: simulation.network.wire("late", new Gate()),
+      disk: undefined,
+      backEnds: { *send() { return "refused"; }, keepOnly: () => undefined, close: () => undefined },
+      logbook: Logbook.into(() => undefined),
+      broken: (_part, error) => fail(error),
+      random: simulation.random,
+      wallTime: () => new Date(0),
+    };
+    const link = new Link(world, "late");
+    const leader = simulation.machines.find(({ daemon }) => daemon?.recorder?.hasGrant)?.settings.peers ?? "";
+    const order = (sent: Order): string => {
+      const returns: string[] = [];
+      Task.start(link.ask(leader, Kind.command, { ferried: true, text: Order.text(sent) }, 2000), fail, (ret) => returns.push(ret?.text ?? ""));
+      simulation.time.runUntil(simulation.time.nowMs() + 200);
+      return returns[0] ?? "";
+    };
+    const [one] = simulation.standIns;
+    if (!one) throw new Error("There is no back end.");
+    one.isAnnouncing = false;
+    const { address, service, zone } = one;
+    const late: Order = { kind: "announce", address, service, zone, warmth: 1, seen: Number(/"directorySequence":(\d+)/.exec(order({ kind: "fleet" }))?.[1] ?? "0") };
+    expect(order({ kind: "leave", address, service })).toBe('{"known":true}');
+    simulation.time.runUntil(simulation.time.nowMs() + 4000);
+    expect(order(late)).toContain('"overtaken"');
+    const fresh = { ...late, seen: 1_000_000 };
+    expect(order({ ...fresh, service: "triage" })).toContain('"taken"');
+    expect(order(late)).toContain('"overtaken"');
+    expect(order(fresh)).toContain('"taken"');
+  });
+}
--- a/src/contract/view.ts
+++ b/src/contract/view.ts
@@ -23,7 +23,8 @@
   private untilMs = -Infinity;
   private heard = false;
   private directoryByService = new Map<string, Contract[]>();
-  private directorySequence = -1;
+  /** The newest change of the directory that is known here. */
+  directorySequence = -1;
   private numbers = new Map<string, number>();
   private names = new Map<number, string>();
   mappings = new Mappings(Config.empty);
--- a/src/operator/operators.ts
+++ b/src/operator/operators.ts
@@ -138,7 +138,7 @@
   private *announced(job: Job): Task<Return> {
     const [failure, told] = validate(parse(job.body)?.value, announcement);
     if (failure) return fault(400, "The announcement is refused.", { faults: faultsOf(failure.failures()) });
-    return yield* this.read({ kind: "announce", address: told.address, service: told.service, zone: told.zone, warmth: told.warmth ?? 1 });
+    return yield* this.read({ kind: "announce", address: told.address, service: told.service, zone: told.zone, warmth: told.warmth ?? 1, seen: Math.max(0, this.view.directorySequence) });
   }
 
   private *left(job: Job): Task<Return> {
--- a/src/record/book.ts
+++ b/src/record/book.ts
@@ -10,7 +10,12 @@
   warmth: number(),
   /** The entry by which this contract came about; no two contracts share one. */
   number: number(),
+  /** It left, was drained or ended; it stays here for a while, so that a late announcement can't bring it back. */
   leaving: boolean(),
+  /** The entry by which it left, or 0. */
+  leftAt: number(),
+  /** Set by an operator: it stays away however often it announces itself. */
+  drained: boolean(),
 });
 
 /** What the record holds about one back end. */
@@ -44,8 +49,9 @@
   rejoined: object({ kind: literal("rejoined"), machine: string(), nonce: string() }),
   config: object({ kind: literal("config"), expected: number(), changeId: string(), acceptedAt: string(), text: string(), services: array(string()), routes: array(string()) }),
   contract: object({ kind: literal("contract"), address: string(), service: string(), zone: string(), warmth: number() }),
-  leave: object({ kind: literal("leave"), address: string(), service: string() }),
+  leave: object({ kind: literal("leave"), address: string(), service: string(), drained: boolean() }),
   end: object({ kind: literal("end"), address: string(), number: number(), why: string() }),
+  purge: object({ kind: literal("purge"), address: string(), number: number() }),
   claim: object({ kind: literal("claim"), scope: string(), bodyHash: string(), job: string() }),
   settle: object({ kind: literal("settle"), scope: string(), job: string(), verdict: union([literal("ran"), literal("mayHaveRun")]), return: optional(returnShape) }),
   release: object({ kind: literal("release"), scope: string(), job: string() }),
@@ -185,26 +191,32 @@
       case "contract": {
         const { address, service, zone, warmth } = deed;
         const former = this.contracts.get(address);
-        this.contracts = this.contracts.set(address, { address, service, zone, warmth, number: index, leaving: false });
+        this.contracts = this.contracts.set(address, { address, service, zone, warmth, number: index, leaving: false, leftAt: 0, drained: false });
         this.directorySequence = index;
         if (former && former.service !== service) this.note(index, `${address} now serves ${service}, no longer ${former.service}.`);
         return { number: index };
       }
       case "leave": {
-        const contract = this.contracts.get(deed.address);
-        if (!contract || contract.service !== deed.service) return { known: false };
-        this.contracts = this.contracts.set(deed.address, { ...contract, leaving: true });
+        const { address, service } = deed;
+        const contract = this.contracts.get(address) ?? { address, service, zone: "", warmth: 0, number: index, leaving: true, leftAt: index, drained: false };
+        if (contract.service !== service) return { known: false };
+        this.contracts = this.contracts.set(address, { ...contract, leaving: true, leftAt: index, drained: contract.drained || deed.drained });
+        if (deed.drained) this.note(index, `${deed.address} of ${deed.service} is drained by an operator.`);
         this.directorySequence = index;
         return { known: true };
       }
       case "end": {
         const contract = this.contracts.get(deed.address);
         if (!contract || contract.number !== deed.number) return { known: false };
-        this.contracts = this.contracts.delete(deed.address);
+        this.contracts = this.contracts.set(deed.address, { ...contract, leaving: true, leftAt: index });
         this.directorySequence = index;
         this.note(index, `${deed.address} of ${contract.service} ended: ${deed.why}.`);
         return { known: true };
       }
+      case "purge":
+        if (this.contracts.get(deed.address)?.number === deed.number) this.contracts = this.contracts.delete(deed.address);
+        this.directorySequence = index;
+        return { known: true };
       case "claim": {
         const known = this.keys.get(deed.scope);
         if (known && known.job !== deed.job) return { held: known };
--- a/src/record/recorder.ts
+++ b/src/record/recorder.ts
@@ -190,7 +190,10 @@
     const loaded = yield* this.store.load();
     if (loaded.kind === "whole") this.adopt(loaded.standing);
     else {
-      if (loaded.kind === "damaged") this.log.warn("The disk is damaged; rejoining as if it were lost.", { why: loaded.why });
+      if (loaded.kind === "damaged") {
+        this.log.warn("The disk is damaged; rejoining as if it were lost.", { why: loaded.why });
+        yield* this.writer.persist(() => this.store.clear());
+      }
       this.state = loaded.kind;
       yield* this.meeting();
     }
--- a/src/record/store.ts
+++ b/src/record/store.ts
@@ -78,6 +78,7 @@
 };
 
 const slots = ["slot-a", "slot-b"];
+const clearing = "clearing";
 const logName = (sequence: number): string => `log-${sequence}`;
 
 const slotShape = object({ sequence: number(), standing: standingShape });
@@ -88,6 +89,7 @@
   private sequence = 0;
   private logBytes = 0;
   private torn = false;
+  private isClearing = false;
 
   constructor(disk: Disk) {
     this.disk = disk;
@@ -101,6 +103,7 @@
   /** Reads what the disk holds; a torn tail is cut, damage before it is told. */
   *load(): Task<Loaded> {
     const names = yield* this.disk.list();
+    if (names.includes(clearing)) return { kind: "damaged", why: "The disk was being cleared." };
     let best: Infer<typeof slotShape> | undefined;
     let broken = 0;
     for (const name of slots) {
@@ -138,6 +141,15 @@
     return { kind: "whole", standing: best.standing };
   }
 
+  /** Clears a damaged disk. A mark stands from before the first file goes until a new checkpoint is whole. */
+  *clear(): Task {
+    yield* this.disk.write(clearing, Buffer.alloc(0));
+    for (const name of yield* this.disk.list()) if (name !== clearing) yield* this.disk.remove(name);
+    this.sequence = 0;
+    this.logBytes = 0;
+    this.isClearing = true;
+  }
+
   /** Adds changes to the log; they last once this has ended. */
   *append(records: LogRecord[]): Task {
     const bytes = Buffer.concat(records.map(encode));
@@ -159,6 +171,8 @@
     this.logBytes = 0;
     this.torn = false;
     if (former > 0) yield* this.disk.remove(logName(former));
+    if (this.isClearing) yield* this.disk.remove(clearing);
+    this.isClearing = false;
   }
 }
 
@@ -221,6 +235,37 @@
     expect(run(new Store(disk).load()).kind).toBe("damaged");
   });
 
+  test("whatever bytes stand in its files, a disk is read as damaged or whole, and then takes writes", async () => {
+    const { Draw } = await import("../rehearsal/draw.js");
+    const random = Draw.of(6);
+    const seen = new Set<string>();
+    for (let round = 0; round < 200; round += 1) {
+      const { disk, run } = setUp();
+      const store = new Store(disk);
+      run(store.load());
+      run(store.checkpoint(standing));
+      run(store.append([{ kind: "entry", index: 1, term: 1, text: "a" }]));
+      if (round % 2 === 0) run(store.checkpoint({ ...standing, entries: [{ index: 1, term: 1, text: "a" }] }));
+      for (const name of run(disk.list())) {
+        if (random() < 0.5) continue;
+        const bytes = disk.peek(name);
+        const at = Math.floor(random() * bytes.length);
+        if (random() < 0.5) disk.poke(name, bytes.subarray(0, at));
+        else disk.poke(name, Buffer.concat([bytes.subarray(0, at), Buffer.from([Math.floor(random() * 256), 7]), bytes.subarray(at + 2)]));
+      }
+      const again = new Store(disk);
+      const loaded = run(again.load());
+      seen.add(loaded.kind);
+      if (loaded.kind === "damaged") {
+        run(again.clear());
+        expect(run(new Store(disk).load()).kind).toBe("damaged");
+      }
+      run(again.checkpoint(standing));
+      expect(run(new Store(disk).load())).toMatchObject({ kind: "whole", standing: { entries: [] } });
+    }
+    expect([...seen].sort()).toEqual(["damaged", "whole"]);
+  });
+
   test("a checkpoint cut midway leaves the older slot and its log in force", () => {
     const { disk, run } = setUp();
     const store = new Store(disk);
--- a/src/record/writer.ts
+++ b/src/record/writer.ts
@@ -71,7 +71,8 @@
     for (const order of group) order.done();
   }
 
-  private *persist(write: () => Task): Task {
+  /** Does a piece of work on the disk, again and again until it is done. */
+  *persist(write: () => Task): Task {
     for (;;) {
       try {
         yield* write();
--- a/src/zone/shares.ts
+++ b/src/zone/shares.ts
@@ -130,7 +130,7 @@
   const { Draw } = await import("../rehearsal/draw.js");
   test("a slow back end, a failing one and a far one take less, and the reason is told", () => {
     const shares = new Shares("a", Draw.of(4));
-    const contract = (address: string, zone = "a"): Contract => ({ address, service: "s", zone, warmth: 1, number: 1, leaving: false });
+    const contract = (address: string, zone = "a"): Contract => ({ address, service: "s", zone, warmth: 1, number: 1, leaving: false, leftAt: 0, drained: false });
     const contracts = [contract("well"), contract("slow"), contract("failing"), contract("far", "b")];
     const taken = new Map<string, number>();
     for (let nowMs = 0; nowMs < 20_000; nowMs += 10) {
