--- a/src/machine/daemon.ts
+++ b/src/machine/daemon.ts
@@ -78,6 +78,9 @@
       const book = new Book();
       this.recorder = new Recorder(world, this.link, settings.peers, settings.seeds, waits, book, new Store(world.disk));
       this.registry = new Registry(world, this.recorder, book, terms);
+      book.onApplied((deed) => {
+        if (deed.kind === "config" && book.inForce) world.archive?.keep(book.inForce);
+      });
     }
     if (this.roles.includes("collector")) this.collector = new Collector(world, this.link, CountsForm.usual, settings.peers, this.incarnation, () => this.recorder?.leader || this.ferry.leader);
     this.desk = new Operators(world, this.ferry, this.view, this.shares, {
@@ -107,6 +110,7 @@
     yield* this.link.listen();
     if (recorder && registry) {
       World.start(world, "record", recorder.own());
+      if (world.archive) World.start(world, "operator", world.archive.own());
       World.start(world, "contract", registry.ownConfigs());
       World.start(world, "contract", registry.ownTime());
     }
--- a/src/machine/run.ts
+++ b/src/machine/run.ts
@@ -1,6 +1,7 @@
 import { readFile } from "node:fs/promises";
 import { BackEnds } from "../door/backEnds.js";
 import { Wire } from "../link/wire.js";
+import { Archive } from "../operator/archive.js";
 import { Clock } from "./clock.js";
 import { Daemon } from "./daemon.js";
 import { Disk } from "./disk.js";
@@ -56,7 +57,8 @@
         logbook.part(part).fault("A task broke off; the daemon ends.", error);
         end(1);
       };
-      const world: World = { clock, wire, disk, backEnds, logbook, broken, random: Math.random, wallTime: () => new Date() };
+      const archive = settings.dataFolder === undefined ? undefined : new Archive(settings.dataFolder, logbook.part("operator"));
+      const world: World = { clock, wire, disk, archive, backEnds, logbook, broken, random: Math.random, wallTime: () => new Date() };
       const daemon = new Daemon(world, settings);
       const callers = new HttpServer((job, caller) => daemon.callers.put({ job, caller }));
       const operators = new HttpServer((job, caller) => daemon.operators.put({ job, give: (ret) => caller.whole(ret) }));
--- a/src/machine/world.ts
+++ b/src/machine/world.ts
@@ -1,5 +1,6 @@
 import type { BackEnds } from "../door/backEnds.js";
 import type { Wire } from "../link/wire.js";
+import type { Archive } from "../operator/archive.js";
 import type { Clock } from "./clock.js";
 import type { Disk } from "./disk.js";
 import type { Logbook } from "./logbook.js";
@@ -11,6 +12,8 @@
   readonly wire: Wire;
   readonly disk: Disk | undefined;
   readonly backEnds: BackEnds;
+  /** Where accepted configs are also kept, on a machine with a disk. */
+  readonly archive?: Archive | undefined;
   readonly logbook: Logbook;
   /** Hears that a task broke off on what nobody foresaw: the daemon must not go on half alive. */
   broken(part: string, error: unknown): void;
--- a/src/record/store.ts
+++ b/src/record/store.ts
@@ -144,7 +144,7 @@
   /** Clears a damaged disk. A mark stands from before the first file goes until a new checkpoint is whole. */
   *clear(): Task {
     yield* this.disk.write(clearing, Buffer.alloc(0));
-    for (const name of yield* this.disk.list()) if (name !== clearing) yield* this.disk.remove(name);
+    for (const name of yield* this.disk.list()) if (slots.includes(name) || name.startsWith("log-")) yield* this.disk.remove(name);
     this.sequence = 0;
     this.logBytes = 0;
     this.isClearing = true;
