--- a/src/contract/config.ts
+++ b/src/contract/config.ts
@@ -51,7 +51,7 @@
 export const faultsOf = (failures: Iterable<{ path: Array<string | number>; message: string; type: string; refinement: string | undefined }>): Fault[] =>
   [...failures].map((failure) => ({
     path: failure.path.join(".") || "(whole)",
-    expected: failure.type === "never" ? "no such field" : failure.message,
+    expected: failure.type === "never" ? "no such field" : failure.message.replace(/^Expected /, ""),
   }));
 
 export const Config = {
--- a/src/contract/registry.ts
+++ b/src/contract/registry.ts
@@ -304,7 +304,7 @@
   const { Kind } = await import("../link/kind.js");
   const { Link } = await import("../link/link.js");
   const { Gate } = await import("../rehearsal/gate.js");
-  const { Logbook } = await import("../machine/logbook.js");
+  const { virtualWorld } = await import("../rehearsal/virtualWorld.js");
 
   test("an announcement that was overtaken by the back end's leave, or by another service at its address, changes nothing", () => {
     const simulation = new Simulation(Profile.all.rastro, 1, 0.01);
@@ -313,16 +313,7 @@
     const fail = (error: unknown): void => {
       throw error;
     };
-    const world: World = {
-      clock: simulation.clock,
-      wire: simulation.network.wire("late", new Gate()),
-      disk: undefined,
-      backEnds: { *send() { return "refused"; }, keepOnly: () => undefined, close: () => undefined },
-      logbook: Logbook.into(() => undefined),
-      broken: (_part, error) => fail(error),
-      random: simulation.random,
-      wallTime: () => new Date(0),
-    };
+    const world = virtualWorld({ clock: simulation.clock, wire: simulation.network.wire("late", new Gate()), random: simulation.random });
     const link = new Link(world, "late");
     const leader = simulation.machines.find(({ daemon }) => daemon?.recorder?.hasGrant)?.settings.peers ?? "";
     const order = (sent: Order): string => {
--- a/src/link/frame.ts
+++ b/src/link/frame.ts
@@ -47,6 +47,12 @@
   private pieces: Uint8Array[] = [];
   private heldBytes = 0;
   private wantedBytes = headBytes;
+  private readonly newest: number;
+
+  /** Takes frames of the newest sequence that is spoken here, and of the one before. */
+  constructor(newest = frameSequence) {
+    this.newest = newest;
+  }
 
   /** Takes a piece and gives the frames that it completes. */
   read(piece: Uint8Array): Frame[] {
@@ -60,7 +66,7 @@
       const wholeBytes = headBytes + bodyBytes;
       if (bytes.length >= wholeBytes) {
         const one = exactly(frame, bytes.subarray(0, wholeBytes));
-        if (one.sequence !== frameSequence && one.sequence !== frameSequence - 1)
+        if (one.sequence !== this.newest && one.sequence !== this.newest - 1)
           throw new FrameError(`Frames of sequence ${one.sequence} aren't spoken here.`);
         frames.push(one);
       }
--- a/src/operator/operators.ts
+++ b/src/operator/operators.ts
@@ -38,8 +38,8 @@
   counts(): { counts: Counts; ageMs: number; coverage: { edges: number; oldestMs: number } } | undefined;
 }
 
-const unknownFate = (): Return =>
-  Return.json(504, { error: "Nobody could say whether this took effect. Repeat it with the same Change-Id, or read back.", verdict: "mayHaveRun" }, { "retry-after": "2" });
+const unknownFate = (changeId: string): Return =>
+  Return.json(504, { error: "Nobody could say whether this took effect. Repeat it with the same Change-Id, or read back.", changeId, verdict: "mayHaveRun" }, { "retry-after": "2" });
 
 const fault = (code: number, error: string, more: Record<string, unknown> = {}): Return => Return.json(code, { error, ...more });
 
@@ -126,9 +126,9 @@
     return yield* this.enter({ kind: job.method === "PUT" ? "put" : "patch", changeId, ...(base === undefined ? {} : { base: Number(base) }), value: parsed.value });
   }
 
-  private *enter(order: Order): Task<Return> {
+  private *enter(order: Extract<Order, { kind: "put" | "patch" }>): Task<Return> {
     const text = yield* this.ferry.command(order, orderWaitMs);
-    if (text === undefined) return unknownFate();
+    if (text === undefined) return unknownFate(order.changeId);
     const outcome = create(JSON.parse(text), outcomeShape);
     if ("accepted" in outcome) return Return.json(200, { sequence: outcome.accepted }, { etag: `"${outcome.accepted}"` });
     if ("lost" in outcome) return fault(412, `Another change came first; config ${outcome.lost} is in force.`, { sequence: outcome.lost });
--- a/src/record/recorder.ts
+++ b/src/record/recorder.ts
@@ -805,7 +805,7 @@
   const { VirtualDisk } = await import("../rehearsal/virtualDisk.js");
   const { Gate } = await import("../rehearsal/gate.js");
   const { Draw } = await import("../rehearsal/draw.js");
-  const { Logbook } = await import("../machine/logbook.js");
+  const { virtualWorld } = await import("../rehearsal/virtualWorld.js");
   const { Link: Links } = await import("../link/link.js");
   const { Book: Books } = await import("./book.js");
 
@@ -820,16 +820,7 @@
     const fail = (error: unknown): void => {
       throw error;
     };
-    const worldOf = (place: string): World => ({
-      clock: time.clock(),
-      wire: network.wire(place, new Gate()),
-      disk,
-      backEnds: { *send() { return "refused"; }, keepOnly: () => undefined, close: () => undefined },
-      logbook: Logbook.into(() => undefined),
-      broken: (_part, error) => fail(error),
-      random: Draw.of(2),
-      wallTime: () => new Date(0),
-    });
+    const worldOf = (place: string): World => virtualWorld({ clock: time.clock(), wire: network.wire(place, new Gate()), disk, random: Draw.of(2) });
     const seeds = [own, second, third];
     const begin = (): Recorder => {
       const world = worldOf("own");
--- a/src/rehearsal/simulation.ts
+++ b/src/rehearsal/simulation.ts
@@ -3,11 +3,9 @@
 import type { Return } from "../door/verdict.js";
 import { Clock } from "../machine/clock.js";
 import { Daemon } from "../machine/daemon.js";
-import { Logbook } from "../machine/logbook.js";
 import type { Settings } from "../machine/settings.js";
 import { Task } from "../machine/task.js";
 import { Waits } from "../record/recorder.js";
-import type { World } from "../machine/world.js";
 import { Day, type CallerEnd, type Outside } from "./day.js";
 import { Draw } from "./draw.js";
 import { Gate } from "./gate.js";
@@ -17,6 +15,7 @@
 import { VirtualClock } from "./virtualClock.js";
 import { VirtualDisk } from "./virtualDisk.js";
 import { VirtualNetwork } from "./virtualNetwork.js";
+import { virtualWorld } from "./virtualWorld.js";
 
 /** One machine of a simulated fleet. */
 export interface SimMachine {
@@ -100,18 +99,15 @@
     machine.isStopping = false;
     const clock = this.machineClock(gate, machine.offsetMs, machine.rate);
     machine.disk?.restart(clock);
-    const world: World = {
+    const world = virtualWorld({
       clock,
       wire: this.network.wire(machine.settings.machine, gate),
       disk: machine.disk,
       backEnds: this.backEnds(machine, gate),
-      logbook: Logbook.into((line) => {
-        this.lines.push(`${(this.time.nowMs() / 1000).toFixed(3)} ${machine.settings.machine} ${line}`);
-      }),
-      broken: (_part, error) => this.fail(error),
+      lines: (line) => this.lines.push(`${(this.time.nowMs() / 1000).toFixed(3)} ${machine.settings.machine} ${line}`),
       random: this.random,
       wallTime: () => new Date(1.8e12 + this.time.nowMs() + machine.offsetMs),
-    };
+    });
     const daemon = new Daemon(world, machine.settings, { ...Waits.usual, checkpointBytes: simCheckpointBytes });
     machine.daemon = daemon;
     this.start(daemon.start());
--- /dev/null
+++ b/src/rehearsal/virtualWorld.ts
@@ -0,0 +1,39 @@
+import type { BackEnds } from "../door/backEnds.js";
+import type { Wire } from "../link/wire.js";
+import type { Clock } from "../machine/clock.js";
+import type { Disk } from "../machine/disk.js";
+import { Logbook } from "../machine/logbook.js";
+import type { World } from "../machine/world.js";
+
+/** What a virtual world is made of; what isn't named is absent or silent. */
+export interface VirtualParts {
+  readonly clock: Clock;
+  readonly wire: Wire;
+  readonly random: () => number;
+  readonly disk?: Disk | undefined;
+  readonly backEnds?: BackEnds;
+  readonly lines?: (line: string) => void;
+  readonly wallTime?: () => Date;
+}
+
+const noBackEnds: BackEnds = {
+  *send() {
+    return "refused";
+  },
+  keepOnly: () => undefined,
+  close: () => undefined,
+};
+
+/** A world on virtual parts, in which a task that breaks off ends the run. */
+export const virtualWorld = ({ clock, wire, random, disk, backEnds = noBackEnds, lines = () => undefined, wallTime = () => new Date(0) }: VirtualParts): World => ({
+  clock,
+  wire,
+  disk,
+  backEnds,
+  logbook: Logbook.into(lines),
+  broken: (_part, error) => {
+    throw error;
+  },
+  random,
+  wallTime,
+});
--- a/src/zone/collector.ts
+++ b/src/zone/collector.ts
@@ -227,7 +227,7 @@
   const { VirtualNetwork } = await import("../rehearsal/virtualNetwork.js");
   const { Gate } = await import("../rehearsal/gate.js");
   const { Draw } = await import("../rehearsal/draw.js");
-  const { Logbook } = await import("../machine/logbook.js");
+  const { virtualWorld } = await import("../rehearsal/virtualWorld.js");
   const { Link: Links } = await import("../link/link.js");
   const { Task: Tasks } = await import("../machine/task.js");
   const { CountsForm: Forms } = await import("./counts.js");
@@ -243,16 +243,7 @@
       const gate = new Gate();
       gates.set(address, gate);
       const own = time.clock();
-      const world: World = {
-        clock: { ...own, after: (waitMs, run) => own.after(waitMs, () => gate.pass(run)) },
-        wire: network.wire(address, gate),
-        disk: undefined,
-        backEnds: { *send() { return "refused"; }, keepOnly: () => undefined, close: () => undefined },
-        logbook: Logbook.into(() => undefined),
-        broken: (_part, error) => fail(error),
-        random: Draw.of(4),
-        wallTime: () => new Date(0),
-      };
+      const world = virtualWorld({ clock: { ...own, after: (waitMs, run) => own.after(waitMs, () => gate.pass(run)) }, wire: network.wire(address, gate), random: Draw.of(4) });
       const link = new Links(world, address);
       Tasks.start(link.listen(), fail);
       return { world, link };
