Restore a record from one recorder; a learner votes only once it counts

restore: explicit, warned, logged; refuses an empty, damaged or half-learned disk. Too few voters are made up from learners. Found on the way, by reading: a learner whose mark was not committed yet could be made a voter. Its acknowledgments don't count, the mark then needs a majority that includes it, and the record stands still. Ready is now only a learner that counts. Test: two of three disks lost, restored from the third, emptied recorders vote again and carry the record on alone; followed literally with real daemons.

--- a/src/machine/main.ts
+++ b/src/machine/main.ts
@@ -3,7 +3,10 @@
 import { cac } from "cac";
 import { request } from "undici";
 import { Settings } from "./settings.js";
-import { run, SettingsError } from "./run.js";
+import { Disk } from "./disk.js";
+import { readSettings, run, SettingsError } from "./run.js";
+import { Task } from "./task.js";
+import { restore, type Restored } from "../record/restore.js";
 import { Config, type Fault } from "../contract/config.js";
 import { Query } from "../operator/language.js";
 
@@ -77,6 +80,38 @@
   }
 };
 
+const restoreRecord = async (options: RunOptions & { acceptLoss?: boolean }): Promise<number> => {
+  try {
+    const settings = await readSettings(options.settings, {});
+    const { dataFolder, peers } = settings;
+    if (dataFolder === undefined) {
+      complain("dataFolder: this daemon keeps no record.");
+      return exit.usage;
+    }
+    complain("WARNING: this makes this recorder the only voter. What only the lost recorders had acknowledged is gone. Their data folders must be emptied before they start again.");
+    if (options.acceptLoss !== true) {
+      complain("Nothing was changed. Repeat with --accept-loss if the other voters are lost for good.");
+      return exit.refused;
+    }
+    const restored = await new Promise<Restored>((done, fail) =>
+      Task.start(
+        (function* () {
+          return yield* restore(yield* Disk.open(dataFolder), peers);
+        })(),
+        fail,
+        done,
+      ),
+    );
+    if (restored.kind === "refused") complain(restored.why);
+    else process.stdout.write(`Restored: ${peers} is the only voter; the record ends at entry ${restored.lastIndex}. Start this daemon, then the others with empty data folders.\n`);
+    return restored.kind === "restored" ? exit.well : exit.refused;
+  } catch (error) {
+    if (!(error instanceof SettingsError)) throw error;
+    tellFaults(error.faults);
+    return exit.usage;
+  }
+};
+
 const checkFile = async (file: string): Promise<number> => {
   const read = await readJson(file);
   if (!read) return exit.usage;
@@ -135,6 +170,13 @@
   .action((sequence: string | undefined, options: { at: string }) => {
     ending = send(options.at, "GET", sequence === undefined ? "/config" : `/config/${sequence}`);
   });
+program
+  .command("restore", "Restore the record from this recorder alone, when a majority is lost for good (the daemon must not run)")
+  .option("--settings <file>", "Settings file of this recorder")
+  .option("--accept-loss", "Do it, knowing that what only the lost recorders held is gone")
+  .action((options: RunOptions & { acceptLoss?: boolean }) => {
+    ending = restoreRecord(options);
+  });
 program.command("check <file>", "Check a settings file or a config without sending it").action((file: string) => {
   ending = checkFile(file);
 });
--- a/src/record/recorder.ts
+++ b/src/record/recorder.ts
@@ -499,6 +499,9 @@
     if (voters.length > this.seeds.length && lost !== undefined) {
       this.log.warn("A lost voter is taken off.", { voter: lost });
       this.changeMembers({ voters: voters.filter((voter) => voter !== lost), learners: [...learners, lost] });
+    } else if (voters.length < this.seeds.length && ready !== undefined) {
+      this.log.warn("A learner becomes a voter, since there are too few.", { learner: ready });
+      this.changeMembers({ voters: [...voters, ready], learners: learners.filter((learner) => learner !== ready) });
     } else if (lost !== undefined && ready !== undefined) {
       this.log.warn("A learner takes a lost voter's place.", { learner: ready, lost });
       this.changeMembers({ voters: [...voters, ready], learners: learners.filter((learner) => learner !== ready) });
@@ -732,8 +735,7 @@
 
   private handleAcked(command: { peer: string; term: number; sentMs: number; matched: number; counts: boolean }): void {
     if (!this.isLeading(command.term)) return;
-    const learner = this.members.learners.includes(command.peer);
-    if (command.counts || learner) {
+    if (command.counts) {
       this.matched.set(command.peer, Math.max(this.matched.get(command.peer) ?? 0, command.matched));
       this.ackedSentMs.set(command.peer, Math.max(this.ackedSentMs.get(command.peer) ?? -Infinity, command.sentMs));
     }
