--- a/src/door/door.ts
+++ b/src/door/door.ts
@@ -115,6 +115,7 @@
 
   private *grant(_passage: Passage, rest: () => Task<Ending>): Task<Ending> {
     if (!this.view.isGranted) return Ending.drop("This daemon's view is not proven fresh.");
+    if (this.view.configSequence === 0) return Ending.drop("No config is in force yet.");
     return yield* rest();
   }
 
--- a/src/rehearsal/day.ts
+++ b/src/rehearsal/day.ts
@@ -1,4 +1,4 @@
-import { create, number, optional, string, type, unknown } from "superstruct";
+import { create, number, optional, string, type, unknown, type Struct } from "superstruct";
 import type { Job } from "../door/job.js";
 import type { Return } from "../door/verdict.js";
 import { Clock } from "../machine/clock.js";
@@ -31,10 +31,13 @@
 const sequenced = type({ sequence: number() });
 const foundConfig = type({ config: optional(unknown()) });
 const ownBody = type({ of: string() });
+const verdictBody = type({ verdict: string() });
 
-const bodyOf = (body: Buffer): string => {
+/** The one word that a body holds under a shape, or an empty one. */
+const wordIn = (body: Buffer, shape: Struct<{ of: string }> | Struct<{ verdict: string }>): string => {
   try {
-    return create(JSON.parse(body.toString()), ownBody).of;
+    const read = shape.create(JSON.parse(body.toString()));
+    return "of" in read ? read.of : read.verdict;
   } catch {
     return "";
   }
@@ -206,7 +209,7 @@
     const sentMs = clock.nowMs();
     const record: CallerRecord = {
       id: `c${this.calls}`, daemon, service, method, path, key, sentMs, endedMs: sentMs,
-      code: 0, broke: "refused", bodyOf: "", isWhole: false, isGarbage: false, retryAfterS: undefined,
+      code: 0, broke: "refused", bodyOf: "", isWhole: false, isGarbage: false, retryAfterS: undefined, verdict: "",
     };
     if (daemon === "") {
       yield* Clock.rest(clock, 20);
@@ -224,7 +227,8 @@
       record.retryAfterS = end.retryAfterS;
       record.isWhole = end.statedBytes === end.body.length;
       record.isGarbage = end.body.subarray(0, 7).toString() === "garbage";
-      if (record.isWhole && !record.isGarbage && end.code < 300) record.bodyOf = bodyOf(end.body);
+      if (record.isWhole && !record.isGarbage && end.code < 300) record.bodyOf = wordIn(end.body, ownBody);
+      if (record.isWhole && end.code >= 400) record.verdict = wordIn(end.body, verdictBody);
     }
     this.ledger.callers.push(record);
     return record;
--- a/src/rehearsal/judge.ts
+++ b/src/rehearsal/judge.ts
@@ -224,7 +224,7 @@
   const { expect, test } = import.meta.vitest;
   const call = (record: Partial<CallerRecord>): CallerRecord => ({
     id: "c1", daemon: "e1", service: "s", method: "GET", path: "/x/1", key: undefined, sentMs: 5000, endedMs: 5050, code: 200, broke: "",
-    bodyOf: record.id ?? "c1", isWhole: true, isGarbage: false, retryAfterS: undefined, ...record,
+    bodyOf: record.id ?? "c1", isWhole: true, isGarbage: false, retryAfterS: undefined, verdict: "", ...record,
   });
   const ran = (record: Partial<RunRecord>): RunRecord => ({ atMs: 5020, address: "b1", service: "s", incarnation: 1, caller: "c1", path: "/x/1", method: "GET", key: undefined, meant: "s", ...record });
   const configText = (number: number): string => JSON.stringify({ services: { s: {} }, routes: { x: { match: { path: "/x/*" }, service: "s" }, [`probe-${number}`]: { match: { path: `/probe/${number}` }, service: "s" } } });
--- a/src/rehearsal/ledger.ts
+++ b/src/rehearsal/ledger.ts
@@ -18,6 +18,8 @@
   isWhole: boolean;
   isGarbage: boolean;
   retryAfterS: number | undefined;
+  /** What a daemon said of whether it ran; empty where it said nothing. */
+  verdict: string;
 }
 
 /** What a back end recorded of one request that reached it. */
--- a/src/rehearsal/report.ts
+++ b/src/rehearsal/report.ts
@@ -1,6 +1,7 @@
 import { Clock } from "../machine/clock.js";
 import type { Task } from "../machine/task.js";
 import type { Fleet } from "./fleet.js";
+import type { CallerRecord } from "./ledger.js";
 import { judge, rules, servedPart, worstRepeats } from "./judge.js";
 import { Profile } from "./profile.js";
 
@@ -17,13 +18,17 @@
 /** Prints what callers, back ends and operators recorded, rule by rule; tells how often a rule was broken. */
 export const report = (fleet: Fleet, fromMs: number): number => {
   const { ledger } = fleet;
-  const byCode = new Map<string, number>();
-  for (const { code, broke } of ledger.callers) {
-    const name = code === 0 ? broke : String(code);
-    byCode.set(name, (byCode.get(name) ?? 0) + 1);
-  }
+  const tallied = (nameOf: (record: CallerRecord) => string): string => {
+    const counts = new Map<string, number>();
+    for (const record of ledger.callers) counts.set(nameOf(record), (counts.get(nameOf(record)) ?? 0) + 1);
+    return [...counts]
+      .sort(([a], [b]) => a.localeCompare(b))
+      .map(([name, count]) => `${name}: ${count}`)
+      .join(", ");
+  };
   say(`Requests: ${ledger.callers.length}, ${(servedPart(ledger, fromMs, Infinity) * 100).toFixed(2)}% served`);
-  say(`  by return: ${[...byCode].sort(([a], [b]) => a.localeCompare(b)).map(([name, count]) => `${name}: ${count}`).join(", ")}`);
+  say(`  by return: ${tallied(({ code, broke }) => (code === 0 ? broke : String(code)))}`);
+  say(`  by verdict: ${tallied(({ code, verdict }) => (code === 0 ? "none heard" : verdict || "ran"))}`);
   for (const { route, method } of fleet.profile.traffic) {
     const sample = fleet.profile.traffic.find((one) => one.route === route)?.path(0).split("/")[1];
     const took = ledger.callers.filter((one) => one.method === method && one.path.split("/")[1] === sample && one.code >= 200 && one.code < 300).map((one) => one.endedMs - one.sentMs).sort((a, b) => a - b);
