--- a/src/rehearsal/simulation.ts
+++ b/src/rehearsal/simulation.ts
@@ -172,7 +172,8 @@
     };
   }
 
-  private *call(name: string, job: Job): Task<CallerEnd> {
+  /** Sends one request to a daemon as a caller does. */
+  *call(name: string, job: Job): Task<CallerEnd> {
     const machine = this.machine(name);
     const broken = (broke: CallerEnd["broke"]): CallerEnd => ({ code: 0, broke, body: Buffer.alloc(0), statedBytes: undefined, retryAfterS: undefined });
     const end = yield* Clock.within<CallerEnd>(this.clock, callerWaitMs, (done) => {
