--- a/src/rehearsal/fleet.ts
+++ b/src/rehearsal/fleet.ts
@@ -154,6 +154,13 @@
     });
   }
 
+  /** Freezes a daemon's process for a while, as a machine that swaps or moves does. */
+  *freeze(machine: FleetMachine, forMs: number): Task {
+    machine.process?.kill("SIGSTOP");
+    yield* Clock.rest(this.clock, forMs);
+    machine.process?.kill("SIGCONT");
+  }
+
   /** Tells a daemon to stop and waits until its process has ended. */
   *stop(machine: FleetMachine): Task {
     const child = machine.process;
--- a/src/rehearsal/fleetMain.ts
+++ b/src/rehearsal/fleetMain.ts
@@ -32,7 +32,7 @@
   };
   const startedMs = clock.nowMs();
   const edges = fleet.machines.filter(({ settings }) => settings.callers !== undefined);
-  const [edgeToKill, edgeToStop] = edges;
+  const [edgeToKill, edgeToStop, edgeToFreeze] = edges;
   yield* after(0.15, startedMs);
   const leader = yield* leaderOf(fleet);
   if (leader) {
@@ -74,6 +74,11 @@
     say(`${liar.address} of ${liar.service} loses answers, sends garbage and cuts bodies short`);
     liar.behave({ losesPart: 0.3, garbagePart: 0.3, cutPart: 0.3 });
   }
+  yield* after(0.55, startedMs);
+  if (edgeToFreeze) {
+    say(`${edgeToFreeze.settings.machine}, an edge, is frozen for twice a grant`);
+    yield* fleet.freeze(edgeToFreeze, 3200);
+  }
   yield* after(0.7, startedMs);
   liar?.behave({});
   if (edgeToStop) {
