--- a/src/contract/config.ts
+++ b/src/contract/config.ts
@@ -1,4 +1,4 @@
-import { array, boolean, define, enums, integer, max, min, nonempty, object, optional, record, size, string, validate, type Infer, type Struct } from "superstruct";
+import { array, boolean, define, enums, integer, max, min, nonempty, object, optional, record, validate, type Infer, type Struct } from "superstruct";
 
 const name = define<string>("name", (value) => (typeof value === "string" && /^[a-z][a-z0-9-]{0,39}$/.test(value)) || "Expected a name of lower-case letters, digits and dashes");
 const header = define<string>("header", (value) => (typeof value === "string" && /^[a-z][a-z0-9-]{0,59}$/.test(value)) || "Expected a header's name in lower case");
@@ -134,8 +134,6 @@
   return merged;
 };
 
-/** A field sized for what operators name their changes. */
-export const changeIdShape = size(string(), 1, 100);
 
 if (import.meta.vitest) {
   const { expect, test } = import.meta.vitest;
--- a/src/link/kind.ts
+++ b/src/link/kind.ts
@@ -14,9 +14,6 @@
 /** One entry of the record as it travels and as it lies on disk. */
 export type Entry = r.Held<typeof entry>;
 
-/** The layout of an entry. */
-export const entryCoder = entry;
-
 export const Kind = {
   /** A voter is asked for its vote, or in a pre-vote whether it would give it. */
   vote: {
--- a/src/record/book.ts
+++ b/src/record/book.ts
@@ -21,6 +21,7 @@
 /** What the record holds about one back end. */
 export type Contract = Infer<typeof contractShape>;
 
+/** A return that was kept for duplicates; the body in base 64. */
 const returnShape = object({ code: number(), headers: record(string(), string()), body: string() });
 
 const keyShape = object({
@@ -35,9 +36,6 @@
 /** A key that is claimed, and the return it got. */
 export type KeyClaim = Infer<typeof keyShape>;
 
-/** A return that was kept for duplicates; the body in base 64. */
-export type KeptReturn = Infer<typeof returnShape>;
-
 const configShape = object({ sequence: number(), index: number(), changeId: string(), acceptedAt: string(), text: string() });
 
 /** A configuration as it was accepted. */
--- a/src/rehearsal/day.ts
+++ b/src/rehearsal/day.ts
@@ -3,6 +3,7 @@
 import type { Return } from "../door/verdict.js";
 import { Clock } from "../machine/clock.js";
 import { Task } from "../machine/task.js";
+import type { Settings } from "../machine/settings.js";
 import type { CallerRecord, Ledger } from "./ledger.js";
 import { Profile, type Traffic } from "./profile.js";
 import type { StandIn } from "./standIn.js";
@@ -20,8 +21,8 @@
 export interface Outside {
   readonly clock: Clock;
   random(): number;
-  /** Names of daemons that the platform sends a zone's new connections to. */
-  ready(zone: string): string[];
+  /** The edges that the platform sends new connections to. */
+  ready(): Array<Pick<Settings, "machine" | "zone">>;
   call(daemon: string, job: Job): Task<CallerEnd>;
   /** Asks the operators' port of a daemon; any daemon where none is named. */
   desk(daemon: string | undefined, job: Job): Task<Return | undefined>;
@@ -204,8 +205,10 @@
     const { clock } = this.outside;
     this.calls += 1;
     const zone = this.profile.zones[Math.floor(this.outside.random() * this.profile.zones.length)] ?? "";
-    const ready = this.outside.ready(zone);
-    const daemon = ready[Math.floor(this.outside.random() * ready.length)] ?? "";
+    const ready = this.outside.ready();
+    const near = ready.filter((one) => one.zone === zone);
+    const open = near.length > 0 ? near : ready;
+    const daemon = open[Math.floor(this.outside.random() * open.length)]?.machine ?? "";
     const sentMs = clock.nowMs();
     const record: CallerRecord = {
       id: `c${this.calls}`, daemon, service, method, path, key, sentMs, endedMs: sentMs,
--- a/src/rehearsal/fleet.ts
+++ b/src/rehearsal/fleet.ts
@@ -281,11 +281,7 @@
       clock: this.clock,
       random: this.random,
       start: (task) => this.start(task),
-      ready: (zone) => {
-        const open = this.machines.filter((one) => one.settings.callers !== undefined && one.isReady);
-        const near = open.filter((one) => one.settings.zone === zone);
-        return (near.length > 0 ? near : open).map(({ settings }) => settings.machine);
-      },
+      ready: () => this.machines.filter((one) => one.settings.callers !== undefined && one.isReady).map(({ settings }) => settings),
       call: (daemon, job) => this.call(daemon, job),
       desk: (daemon, job) => this.desk(daemon, job),
     };
--- a/src/rehearsal/simulation.ts
+++ b/src/rehearsal/simulation.ts
@@ -162,11 +162,7 @@
       clock: this.clock,
       random: this.random,
       start: (task) => this.start(task),
-      ready: (zone) => {
-        const open = this.machines.filter((one) => one.settings.callers !== undefined && one.daemon !== undefined && !one.isStopping);
-        const near = open.filter((one) => one.settings.zone === zone);
-        return (near.length > 0 ? near : open).map(({ settings }) => settings.machine);
-      },
+      ready: () => this.machines.filter((one) => one.settings.callers !== undefined && one.daemon !== undefined && !one.isStopping).map(({ settings }) => settings),
       call: (daemon, job) => this.call(daemon, job),
       desk: (daemon, job) => this.desk(daemon, job),
     };
--- a/src/zone/allowance.ts
+++ b/src/zone/allowance.ts
@@ -43,11 +43,6 @@
     return new Map(holder.capacities);
   }
 
-  /** What each edge holds of a service's pool, for those who ask why. */
-  held(service: string): Array<{ edge: string; capacity: number }> {
-    return [...this.holders].map(([edge, { capacities }]) => ({ edge, capacity: capacities.get(service) ?? 0 }));
-  }
-
   private target(holder: Holder, service: string): number {
     const weightOf = (one: Holder): number => 5 + (one.wished.get(service) ?? 0);
     const sum = [...this.holders.values()].reduce((total, one) => total + weightOf(one), 0);
--- a/src/zone/exponentialHistogram.ts
+++ b/src/zone/exponentialHistogram.ts
@@ -48,11 +48,6 @@
     return this.levels.every((level) => level.length === 0);
   }
 
-  /** How many buckets are held. */
-  get bucketCount(): number {
-    return this.levels.reduce((sum, level) => sum + level.length, 0);
-  }
-
   /** Counts one arrival. One that comes out of order is counted at the newest stamp. */
   add(stamp: number): void {
     if (this.floor === undefined) {
