--- a/src/contract/ferry.ts
+++ b/src/contract/ferry.ts
@@ -3,7 +3,7 @@
 import { Clock } from "../machine/clock.js";
 import { Task } from "../machine/task.js";
 import type { World } from "../machine/world.js";
-import { isBreakdown, Order } from "./order.js";
+import { breakdownReturn, isBreakdown, Order } from "./order.js";
 
 type Asked = Held<typeof Kind.command.ask>;
 type Returned = Held<typeof Kind.command.return>;
@@ -15,7 +15,7 @@
 }
 
 const oneAskMs = 700;
-const notLeader = '{"breakdown":"notLeader"}';
+const notLeader = breakdownReturn("notLeader");
 
 /** Brings commands and polls to whoever leads, through any recorder. */
 export class Ferry {
@@ -46,7 +46,7 @@
       if (leadership.leads) return { leader, text: yield* handle(ask.text) };
       if (!ask.ferried && leader && leader !== link.self) {
         const ret = yield* link.ask(leader, kind, { ferried: true, text: ask.text }, oneAskMs);
-        return ret ?? { leader, text: '{"breakdown":"unknown"}' };
+        return ret ?? { leader, text: breakdownReturn("unknown") };
       }
       return { leader, text: notLeader };
     });
--- a/src/contract/order.ts
+++ b/src/contract/order.ts
@@ -106,5 +106,8 @@
 };
 
 
+/** A return that says that a command wasn't carried out, or perhaps wasn't, in a word. */
+export const breakdownReturn = (word: string): string => JSON.stringify({ breakdown: word });
+
 /** Whether a return only says that the command wasn't carried out, or perhaps wasn't. */
 export const isBreakdown = (text: string): boolean => text.startsWith('{"breakdown":');
--- a/src/contract/registry.ts
+++ b/src/contract/registry.ts
@@ -9,7 +9,7 @@
 import type { Recorder } from "../record/recorder.js";
 import { Allowance } from "../zone/allowance.js";
 import { Config, mergePatch } from "./config.js";
-import { Order, Poll, type GrantedView, type Machine } from "./order.js";
+import { breakdownReturn, isBreakdown, Order, Poll, type GrantedView, type Machine } from "./order.js";
 
 /** The waits by which the leader keeps contracts, keys and grants. */
 export interface Terms {
@@ -36,8 +36,6 @@
 const configOutcome = union([object({ accepted: number() }), object({ lost: number() })]);
 const numbered = type({ number: optional(number()) });
 
-const breakdown = (word: string): string => JSON.stringify({ breakdown: word });
-
 /** What only the leader does: takes commands, keeps contracts and keys alive, and gives edges their views. */
 export class Registry {
   private readonly world: World;
@@ -104,7 +102,7 @@
   /** Gives an edge or collector its view, if this recorder may answer now. */
   *poll(text: string): Task<string> {
     const poll = Poll.read(text);
-    if (!this.recorder.hasGrant) return breakdown("noGrant");
+    if (!this.recorder.hasGrant) return breakdownReturn("noGrant");
     const nowMs = this.world.clock.nowMs();
     const { machine } = poll;
     const known = this.machines.get(machine.name);
@@ -195,7 +193,7 @@
   }
 
   private granted(read: () => unknown): string {
-    return this.recorder.hasGrant ? JSON.stringify(read()) : breakdown("noGrant");
+    return this.recorder.hasGrant ? JSON.stringify(read()) : breakdownReturn("noGrant");
   }
 
   private *enter(deed: Deed): Task<string> {
@@ -204,7 +202,7 @@
 
   private *enterText(text: string): Task<string> {
     const proposed = yield* this.recorder.propose(text);
-    return typeof proposed === "string" ? breakdown(proposed) : proposed.outcome;
+    return typeof proposed === "string" ? breakdownReturn(proposed) : proposed.outcome;
   }
 
   private tell(deed: Deed): void {
@@ -212,7 +210,7 @@
   }
 
   private *announce({ address, service, zone, warmth, seen }: Extract<Order, { kind: "announce" }>): Task<string> {
-    if (!this.recorder.hasGrant) return breakdown("noGrant");
+    if (!this.recorder.hasGrant) return breakdownReturn("noGrant");
     const nowMs = this.world.clock.nowMs();
     const known = this.book.contracts.get(address);
     const heard = this.heardBackEnds.get(address);
@@ -243,7 +241,7 @@
 
   private *changeConfig(order: Extract<Order, { kind: "put" | "patch" }>): Task<string> {
     for (let round = 0; round < 5; round += 1) {
-      if (!this.recorder.hasGrant) return breakdown("noGrant");
+      if (!this.recorder.hasGrant) return breakdownReturn("noGrant");
       const first = this.book.changeSequence(order.changeId);
       if (first !== undefined) return JSON.stringify({ accepted: first });
       const current = this.book.inForce;
@@ -265,7 +263,7 @@
       const [failed, read] = configOutcome.validate(JSON.parse(outcome));
       if (failed || "accepted" in read || order.base !== undefined) return outcome;
     }
-    return breakdown("notLeader");
+    return breakdownReturn("notLeader");
   }
 
   private read(sequence: number | undefined): string {
@@ -276,10 +274,10 @@
   }
 
   private *rejoin(machine: string, nonce: string): Task<string> {
-    if (!this.recorder.hasGrant) return breakdown("noGrant");
-    if (!(yield* this.recorder.addLearner(machine))) return breakdown("busy");
+    if (!this.recorder.hasGrant) return breakdownReturn("noGrant");
+    if (!(yield* this.recorder.addLearner(machine))) return breakdownReturn("busy");
     const marked = yield* this.enter({ kind: "rejoined", machine, nonce });
-    return marked.includes("breakdown") ? marked : JSON.stringify({ taken: true });
+    return isBreakdown(marked) ? marked : JSON.stringify({ taken: true });
   }
 
   private fleetView() {
--- a/src/machine/run.ts
+++ b/src/machine/run.ts
@@ -64,8 +64,8 @@
       const operators = new HttpServer((job, caller) => daemon.operators.put({ job, give: (ret) => caller.whole(ret) }));
       yield* daemon.start();
       yield* operators.listen(settings.operators);
-      const isEdge = Settings.roles(settings).includes("edge") && settings.callers !== undefined;
-      if (isEdge && settings.callers !== undefined) yield* callers.listen(settings.callers);
+      const callersAt = Settings.roles(settings).includes("edge") ? settings.callers : undefined;
+      if (callersAt !== undefined) yield* callers.listen(callersAt);
 
       const signals = new Source<"SIGTERM" | "SIGINT" | "SIGHUP">();
       for (const name of ["SIGTERM", "SIGINT", "SIGHUP"] as const) process.on(name, () => signals.put(name));
@@ -86,7 +86,7 @@
           if (name !== "SIGHUP") done(name);
         }),
       );
-      if (isEdge) callers.close();
+      if (callersAt !== undefined) callers.close();
       yield* daemon.drain();
       yield* Clock.rest(clock, 50);
       callers.end();
--- a/src/rehearsal/gate.ts
+++ b/src/rehearsal/gate.ts
@@ -1,3 +1,5 @@
+import type { Clock } from "../machine/clock.js";
+
 /** What every event of one machine passes: nothing while it is dead, all later while it is frozen. */
 export class Gate {
   private readonly late: Array<() => void> = [];
@@ -10,6 +12,11 @@
     else run();
   }
 
+  /** A clock whose timers pass this gate. */
+  clock(clock: Clock): Clock {
+    return { ...clock, after: (waitMs, run) => clock.after(waitMs, () => this.pass(run)) };
+  }
+
   freeze(): void {
     this.frozen = true;
   }
--- a/src/rehearsal/simulation.ts
+++ b/src/rehearsal/simulation.ts
@@ -149,8 +149,7 @@
   };
 
   private machineClock(gate: Gate, offsetMs: number, rate: number): Clock {
-    const clock = this.time.clock(offsetMs, rate);
-    return { ...clock, after: (waitMs, run) => clock.after(waitMs, () => gate.pass(run)) };
+    return gate.clock(this.time.clock(offsetMs, rate));
   }
 
   private machine(name: string): SimMachine | undefined {
--- a/src/zone/collector.ts
+++ b/src/zone/collector.ts
@@ -242,8 +242,7 @@
     const linkAt = (address: string): { world: World; link: Link } => {
       const gate = new Gate();
       gates.set(address, gate);
-      const own = time.clock();
-      const world = virtualWorld({ clock: { ...own, after: (waitMs, run) => own.after(waitMs, () => gate.pass(run)) }, wire: network.wire(address, gate), random: Draw.of(4) });
+      const world = virtualWorld({ clock: gate.clock(time.clock()), wire: network.wire(address, gate), random: Draw.of(4) });
       const link = new Links(world, address);
       Tasks.start(link.listen(), fail);
       return { world, link };
--- a/src/zone/counts.ts
+++ b/src/zone/counts.ts
@@ -1,7 +1,7 @@
 import * as r from "restructure";
 import { exactly } from "../link/frame.js";
 import { DyadicSketch } from "./dyadicSketch.js";
-import { EcmSketch, SketchMismatchError, type AgedSketch, type SketchForm } from "./ecmSketch.js";
+import { EcmSketch, SketchMismatchError, type SketchForm } from "./ecmSketch.js";
 import { stampOf } from "./exponentialHistogram.js";
 
 /** The window in which a service's repeats are held against its requests. */
@@ -75,12 +75,11 @@
   static decode(bytes: Uint8Array, form: CountsForm, nowMs: number, olderMs: number): Counts {
     const held = exactly(counts, bytes);
     const now = stampOf(nowMs);
-    const known = (aged: AgedSketch): AgedSketch => aged;
     if (held.routes.length !== form.routeBits) throw new SketchMismatchError("The sketch has another number of levels.");
     return new Counts(
       form,
-      EcmSketch.ofAged(known(held.tries), form.tries, now, olderMs),
-      DyadicSketch.ofAged(held.routes.map(known), form.routes, form.routeBits, now, olderMs),
+      EcmSketch.ofAged(held.tries, form.tries, now, olderMs),
+      DyadicSketch.ofAged(held.routes, form.routes, form.routeBits, now, olderMs),
     );
   }
 
