Keep every accepted config: a history on each recorder's disk

Ruled out: a larger number in the book (memory, every checkpoint and every catch-up would grow with it); the Git-like store (off the path of acceptance, may lag or fail without consequence); one copy at the leader alone (gone with it). Change: configs leave the book for files of 64 that are only added to and are synced before the checkpoint that no longer names them. A recorder that took a checkpoint, was emptied, or finds damage learns the rest from the others, and counts neither for entries nor as formed until its history is whole. A config that nobody who is reached holds is told as unknown (503), never as missing. The slot no longer grows with the number of configs.

--- a/src/contract/registry.ts
+++ b/src/contract/registry.ts
@@ -81,9 +81,9 @@
       case "patch":
         return yield* Task.wait<string>((done) => this.configs.put({ order, done }));
       case "get":
-        return this.read(order.sequence);
+        return yield* this.read(order.sequence);
       case "history":
-        return this.granted(() => ({ configs: this.book.configs.map(({ sequence, changeId, acceptedAt }) => ({ sequence, changeId, acceptedAt })), journal: this.book.journal }));
+        return this.granted(() => ({ configs: this.book.recent, journal: this.book.journal }));
       case "claim": {
         const known = this.book.keys.get(order.scope);
         if (known && known.job !== order.job && this.recorder.hasGrant) return JSON.stringify({ held: known });
@@ -266,11 +266,13 @@
     return breakdownReturn("notLeader");
   }
 
-  private read(sequence: number | undefined): string {
-    return this.granted(() => {
-      const found = sequence === undefined ? this.book.inForce : this.book.configs.find((config) => config.sequence === sequence);
-      return found ? { found: { sequence: found.sequence, changeId: found.changeId, acceptedAt: found.acceptedAt, text: found.text } } : { found: null };
-    });
+  private *read(sequence: number | undefined): Task<string> {
+    if (!this.recorder.hasGrant) return breakdownReturn("noGrant");
+    const newest = this.book.inForce?.sequence ?? 0;
+    if ((sequence ?? 1) > newest || sequence === 0) return JSON.stringify({ found: null });
+    const found = yield* this.recorder.config(sequence ?? newest);
+    if (!found) return breakdownReturn("unknown");
+    return this.granted(() => ({ found: { sequence: found.sequence, changeId: found.changeId, acceptedAt: found.acceptedAt, text: found.text } }));
   }
 
   private *rejoin(machine: string, nonce: string): Task<string> {
--- a/src/link/kind.ts
+++ b/src/link/kind.ts
@@ -70,4 +70,10 @@
     ask: new r.Struct({ text, sketches: new r.Buffer(r.uint32) }),
     return: new r.Struct({ text, sketches: new r.Buffer(r.uint32) }),
   },
+  /** A recorder asks another for accepted configs, from one on. */
+  history: {
+    number: 9,
+    ask: new r.Struct({ from: r.uint32 }),
+    return: new r.Struct({ configs: new r.Buffer(r.uint32) }),
+  },
 };
--- a/src/record/book.ts
+++ b/src/record/book.ts
@@ -36,10 +36,10 @@
 /** A key that is claimed, and the return it got. */
 export type KeyClaim = Infer<typeof keyShape>;
 
-const configShape = object({ sequence: number(), index: number(), changeId: string(), acceptedAt: string(), text: string() });
+export const acceptedConfigShape = object({ sequence: number(), index: number(), changeId: string(), acceptedAt: string(), text: string() });
 
 /** A configuration as it was accepted. */
-export type AcceptedConfig = Infer<typeof configShape>;
+export type AcceptedConfig = Infer<typeof acceptedConfigShape>;
 
 const deedShapes = {
   leads: object({ kind: literal("leads"), machine: string(), term: number() }),
@@ -77,7 +77,8 @@
 const bookShape = type({
   voters: array(string()),
   learners: array(string()),
-  configs: array(configShape),
+  configs: array(acceptedConfigShape),
+  recent: optional(array(object({ sequence: number(), changeId: string(), acceptedAt: string() }))),
   changes: array(object({ changeId: string(), sequence: number() })),
   contracts: array(contractShape),
   directorySequence: number(),
@@ -86,14 +87,16 @@
   journal: array(object({ index: number(), text: string() })),
 });
 
-const keptConfigs = 200;
-const keptConfigBytes = 8 * 1024 * 1024;
+const keptRecent = 200;
 const keptChanges = 2000;
 const keptJournal = 1000;
 
 /** The tables that the record keeps, the same on every recorder that has applied the same entries. */
 export class Book {
+  /** The config in force last, and before it those that this recorder's history may not yet hold. */
   configs: AcceptedConfig[] = [];
+  /** What is told of the last configs. */
+  recent: Array<Omit<AcceptedConfig, "text" | "index">> = [];
   contracts = Table<string, Contract>();
   directorySequence = 0;
   keys = new Map<string, KeyClaim>();
@@ -131,11 +134,17 @@
     return JSON.stringify(outcome);
   }
 
-  /** All tables as one text. */
-  checkpoint(members: Members): string {
+  /** Lets go of configs that the history holds, save the one in force. */
+  letGo(upTo: number): void {
+    this.configs = this.after(upTo);
+  }
+
+  /** All tables as one text, without the configs up to one that the history holds. */
+  checkpoint(members: Members, historyUpTo = 0): string {
     return JSON.stringify({
       ...members,
-      configs: this.configs,
+      configs: this.after(historyUpTo),
+      recent: this.recent,
       changes: [...this.changes].map(([changeId, sequence]) => ({ changeId, sequence })),
       contracts: [...this.contracts.values()],
       directorySequence: this.directorySequence,
@@ -149,6 +158,7 @@
   restore(text: string): Members {
     const kept = create(JSON.parse(text), bookShape);
     this.configs = kept.configs;
+    this.recent = kept.recent ?? kept.configs.map(({ sequence, changeId, acceptedAt }) => ({ sequence, changeId, acceptedAt }));
     this.changes = new Map(kept.changes.map(({ changeId, sequence }) => [changeId, sequence]));
     this.contracts = Table(kept.contracts.map((contract) => [contract.address, contract]));
     this.directorySequence = kept.directorySequence;
@@ -158,6 +168,10 @@
     return { voters: kept.voters, learners: kept.learners };
   }
 
+  private after(upTo: number): AcceptedConfig[] {
+    return this.configs.filter((config, at) => config.sequence > upTo || at === this.configs.length - 1);
+  }
+
   private take(index: number, deed: Deed): Record<string, unknown> {
     switch (deed.kind) {
       case "leads":
@@ -175,8 +189,7 @@
         if (deed.expected !== current) return { lost: current };
         const sequence = current + 1;
         this.configs.push({ sequence, index, changeId: deed.changeId, acceptedAt: deed.acceptedAt, text: deed.text });
-        let bytes = this.configs.reduce((sum, config) => sum + config.text.length, 0);
-        while (this.configs.length > 1 && (this.configs.length > keptConfigs || bytes > keptConfigBytes)) bytes -= this.configs.shift()?.text.length ?? 0;
+        this.recent = [...this.recent.slice(1 - keptRecent), { sequence, changeId: deed.changeId, acceptedAt: deed.acceptedAt }];
         this.changes.set(deed.changeId, sequence);
         for (const changeId of this.changes.keys()) {
           if (this.changes.size <= keptChanges) break;
--- a/src/record/recorder.ts
+++ b/src/record/recorder.ts
@@ -6,7 +6,8 @@
 import { World } from "../machine/world.js";
 import { Kind, type Entry } from "../link/kind.js";
 import type { Held, Link } from "../link/link.js";
-import type { Book } from "./book.js";
+import type { AcceptedConfig, Book } from "./book.js";
+import { History } from "./history.js";
 import { Store, type LogRecord, type Standing } from "./store.js";
 import { Writer } from "./writer.js";
 
@@ -50,7 +51,8 @@
   | { kind: "outdated"; term: number }
   | { kind: "learn"; machine: string; done: (known: boolean) => void }
   | { kind: "yield"; done: (yielded: true) => void }
-  | { kind: "rejoined" };
+  | { kind: "rejoined" }
+  | { kind: "kept" };
 
 const membersShape = object({ kind: enums(["members"]), voters: array(string()), learners: array(string()) });
 
@@ -64,6 +66,8 @@
 /** Raised when the record in memory contradicts itself; the daemon must not go on. */
 export class RecordError extends Error {}
 
+const historyWaitMs = 600;
+const learnMs = 200;
 const batchEntries = 256;
 const keptEntries = 2000;
 
@@ -138,7 +142,7 @@
   /** How this recorder stands, for status and tests. */
   get status() {
     return {
-      state: this.rejoining ? "rejoining" : this.state,
+      state: this.rejoining || !this.hasHistory ? "rejoining" : this.state,
       role: this.role,
       term: this.term,
       leader: this.leader,
@@ -198,6 +202,7 @@
       yield* this.meeting();
     }
     if (this.rejoining) World.start(this.world, "record", this.rejoinTask());
+    World.start(this.world, "record", this.learning());
     this.heardLeaderMs = this.world.clock.nowMs();
     for (;;) {
       switch (this.role) {
@@ -236,6 +241,7 @@
       if (closed()) return { taken: false };
       return { taken: yield* Task.wait<boolean>((done) => holding.put({ kind: "handOver", term, done })) };
     });
+    this.link.serve(Kind.history, ({ from }) => this.historyFrom(from));
     const meet = (form: string): Task<Held<typeof Kind.meet.return>> => this.met(form);
     this.link.serve(Kind.meet, ({ form }) => meet(form));
   }
@@ -288,6 +294,65 @@
     }
   }
 
+  /** One accepted config, from here or from another recorder; `undefined` where nobody who is reached holds it. */
+  *config(sequence: number): Task<AcceptedConfig | undefined> {
+    const own = this.book.configs.find((config) => config.sequence === sequence) ?? (yield* this.store.history.read(sequence));
+    return own ?? (yield* this.fetched(sequence))[0];
+  }
+
+  /** Whether every config that was ever accepted is kept here; without them this recorder doesn't count for new entries. */
+  private get hasHistory(): boolean {
+    return (this.book.configs[0]?.sequence ?? 1) <= this.store.history.newest + 1;
+  }
+
+  private *historyFrom(from: number): Task<Held<typeof Kind.history.return>> {
+    if (this.state !== "formed") return { configs: new Uint8Array() };
+    const configs = yield* this.store.history.piece(from);
+    return { configs: configs.length > 0 ? configs : History.pack(this.book.configs.filter((config, at) => config.sequence >= from && this.book.configs[0]?.sequence === config.sequence - at && from >= (this.book.configs[0]?.sequence ?? 0))) };
+  }
+
+  /** Configs from one on, as another recorder holds them; none where nobody who is reached does. */
+  private *fetched(from: number): Task<AcceptedConfig[]> {
+    const { voters, learners } = this.members;
+    for (const peer of new Set([...voters, ...learners, ...this.seeds])) {
+      if (peer === this.self) continue;
+      const ret = yield* this.link.ask(peer, Kind.history, { from }, historyWaitMs);
+      const configs = ret ? History.unpack(ret.configs, from) : [];
+      if (configs.length > 0) return configs;
+    }
+    return [];
+  }
+
+  /** Learns what the history lacks, after a checkpoint from the leader or damage on the disk. */
+  private *learning(): Task {
+    const { history } = this.store;
+    yield* history.check();
+    for (;;) {
+      const [file] = history.damaged;
+      if (this.state === "formed" && !this.hasHistory) {
+        const configs = yield* this.fetched(history.newest + 1);
+        if (configs.length > 0) yield* Task.wait<boolean>((done) => this.writer.keep(configs, () => done(true)));
+        if (this.hasHistory) this.log.say("The history of configs is whole.", { newest: history.newest });
+        else if (configs.length > 0) continue;
+      } else if (this.state === "formed" && file !== undefined) yield* this.mending(file);
+      yield* Clock.rest(this.world.clock, learnMs);
+    }
+  }
+
+  private *mending(file: number): Task {
+    const { history } = this.store;
+    const { from, to } = History.span(file, history.newest);
+    this.log.warn("A file of the history is damaged; its configs are learned from the others.", { from, to });
+    const configs: AcceptedConfig[] = [];
+    for (let next = from; next <= to; next = from + configs.length) {
+      const more = yield* this.fetched(next);
+      if (more.length === 0) return;
+      configs.push(...more.filter(({ sequence }) => sequence <= to));
+    }
+    yield* Task.wait<boolean>((done) => this.writer.keep(configs, () => done(true), file));
+    this.log.say("A damaged file of the history is whole again.", { from, to });
+  }
+
   private statusIs(state: string): boolean {
     return this.state === state;
   }
@@ -626,6 +691,9 @@
         if (free) this.changeMembers({ voters, learners: [...learners, command.machine] });
         return command.done(free);
       }
+      case "kept":
+        this.book.letGo(this.store.history.newest);
+        return;
       case "rejoined":
         this.rejoining = "";
         this.log.say("Rejoined: votes and acknowledges again.");
@@ -674,7 +742,7 @@
     const records: LogRecord[] = ask.term > this.term ? [{ kind: "vote", term: ask.term, text: "" }] : [];
     this.follow(ask.term, ask.leader);
     const { term } = this;
-    const counts = !this.rejoining;
+    const counts = !this.rejoining && this.hasHistory;
     const before = this.termAt(ask.previousIndex);
     if (ask.previousIndex >= this.baseIndex && before !== ask.previousTerm) {
       return done({ term, fits: false, counts: false, matched: Math.min(this.lastIndex, ask.previousIndex - 1) });
@@ -710,7 +778,7 @@
     if (ask.term < this.term) return done({ term: this.term, counts: false, matched: 0 });
     this.follow(ask.term, ask.leader);
     const { term } = this;
-    const counts = !this.rejoining;
+    const counts = !this.rejoining && this.hasHistory;
     if (ask.lastIndex <= this.committed) return done({ term, counts, matched: this.committed });
     const standing: Standing = {
       fleet: this.fleet,
@@ -776,6 +844,9 @@
     const lastIndex = this.applied;
     const lastTerm = this.termAt(lastIndex) ?? 0;
     const members = this.membersAt(lastIndex);
+    const newest = this.book.inForce?.sequence ?? 0;
+    const keeps = this.hasHistory;
+    if (keeps) this.writer.keep(this.book.configs, () => this.holding.put({ kind: "kept" }));
     const standing: Standing = {
       fleet: this.fleet,
       rejoining: then === "rejoined" ? "" : this.rejoining,
@@ -783,7 +854,7 @@
       votedFor: this.votedFor,
       lastIndex,
       lastTerm,
-      book: this.book.checkpoint(members),
+      book: this.book.checkpoint(members, keeps ? newest : 0),
       entries: this.entries.slice(lastIndex - this.baseIndex),
     };
     const keepFrom = Math.max(this.baseIndex, lastIndex - keptEntries);
--- a/src/record/store.ts
+++ b/src/record/store.ts
@@ -1,9 +1,10 @@
-import { crc32 } from "node:zlib";
 import * as r from "restructure";
 import { array, create, number, object, string, type Infer } from "superstruct";
 import type { Disk } from "../machine/disk.js";
 import { Task } from "../machine/task.js";
 import { exactly } from "../link/frame.js";
+import { History } from "./history.js";
+import { seal, sealBytes, unseal } from "./seal.js";
 
 const entryShape = object({ index: number(), term: number(), text: string() });
 
@@ -32,23 +33,6 @@
 export type Loaded = { kind: "empty" } | { kind: "damaged"; why: string } | { kind: "whole"; standing: Standing };
 
 const payload = new r.Struct({ kind: r.uint8, term: r.uint32, index: r.uint32, text: new r.String(r.uint32, "utf8") });
-const headBytes = 8;
-
-const seal = (body: Uint8Array): Uint8Array => {
-  const head = Buffer.alloc(headBytes);
-  head.writeUInt32BE(body.length, 0);
-  head.writeUInt32BE(crc32(body), 4);
-  return Buffer.concat([head, body]);
-};
-
-const unseal = (bytes: Buffer, at: number): Buffer | undefined => {
-  if (at + headBytes > bytes.length) return undefined;
-  const end = at + headBytes + bytes.readUInt32BE(at);
-  if (end > bytes.length || end === at + headBytes) return undefined;
-  const body = bytes.subarray(at + headBytes, end);
-  return crc32(body) === bytes.readUInt32BE(at + 4) ? body : undefined;
-};
-
 const encode = (record: LogRecord): Uint8Array => {
   switch (record.kind) {
     case "entry":
@@ -86,6 +70,8 @@
 /** Two checkpoint slots written in turn, and a short log after the newer one. */
 export class Store {
   private readonly disk: Disk;
+  /** Every accepted config, beside the slots. */
+  readonly history: History;
   private sequence = 0;
   private logBytes = 0;
   private torn = false;
@@ -93,6 +79,7 @@
 
   constructor(disk: Disk) {
     this.disk = disk;
+    this.history = new History(disk);
   }
 
   /** How much has been added to the log since the last checkpoint. */
@@ -118,7 +105,7 @@
       if (!best || slot.sequence > best.sequence) best = slot;
     }
     if (!best) {
-      const logged = names.some((name) => name.startsWith("log-"));
+      const logged = names.some((name) => name.startsWith("log-") || History.isName(name));
       return logged || broken > 1 ? { kind: "damaged", why: "No slot can be read." } : { kind: "empty" };
     }
     this.sequence = best.sequence;
@@ -128,23 +115,25 @@
     let at = 0;
     for (let body = unseal(bytes, at); body !== undefined; body = unseal(bytes, at)) {
       if (!replay(best.standing, body)) return { kind: "damaged", why: `The log has a gap at byte ${at}.` };
-      at += headBytes + body.length;
+      at += sealBytes + body.length;
     }
     if (at < bytes.length) {
-      for (let later = at + 1; later + headBytes < bytes.length; later += 1)
+      for (let later = at + 1; later + sealBytes < bytes.length; later += 1)
         if (unseal(bytes, later) !== undefined) return { kind: "damaged", why: `The log is damaged at byte ${at}, before its tail.` };
       yield* this.disk.truncate(logName(best.sequence), at);
     }
     this.logBytes = at;
     for (const name of names)
       if (name.startsWith("log-") && name !== logName(best.sequence)) yield* this.disk.remove(name);
+    yield* this.history.load(names);
     return { kind: "whole", standing: best.standing };
   }
 
   /** Clears a damaged disk. A mark stands from before the first file goes until a new checkpoint is whole. */
   *clear(): Task {
     yield* this.disk.write(clearing, Buffer.alloc(0));
-    for (const name of yield* this.disk.list()) if (slots.includes(name) || name.startsWith("log-")) yield* this.disk.remove(name);
+    for (const name of yield* this.disk.list()) if (slots.includes(name) || name.startsWith("log-") || History.isName(name)) yield* this.disk.remove(name);
+    yield* this.history.load([]);
     this.sequence = 0;
     this.logBytes = 0;
     this.isClearing = true;
--- a/src/record/writer.ts
+++ b/src/record/writer.ts
@@ -3,9 +3,10 @@
 import { Holding } from "../machine/holding.js";
 import type { PartLog } from "../machine/logbook.js";
 import { Task } from "../machine/task.js";
+import type { AcceptedConfig } from "./book.js";
 import type { LogRecord, Standing, Store } from "./store.js";
 
-type Order = { records: LogRecord[]; done: () => void } | { standing: Standing; done: () => void };
+type Order = { records: LogRecord[]; done: () => void } | { standing: Standing; done: () => void } | { configs: AcceptedConfig[]; file: number | undefined; done: () => void };
 
 const retryMs = 200;
 
@@ -45,6 +46,11 @@
     this.holding.put({ standing, done });
   }
 
+  /** Has the history keep configs, or write a damaged file of it anew. */
+  keep(configs: AcceptedConfig[], done: () => void, file?: number): void {
+    this.holding.put({ configs, file, done });
+  }
+
   *own(): Task {
     for (;;) {
       const first = yield* this.holding.take();
@@ -55,7 +61,7 @@
         else {
           yield* this.appendGroup(group);
           group = [];
-          yield* this.persist(() => this.store.checkpoint(order.standing));
+          yield* this.persist(() => this.work(order));
           order.done();
         }
       }
@@ -64,6 +70,11 @@
     }
   }
 
+  private work(order: Exclude<Order, { records: LogRecord[] }>): Task {
+    if ("standing" in order) return this.store.checkpoint(order.standing);
+    return order.file === undefined ? this.store.history.append(order.configs) : this.store.history.mend(order.file, order.configs);
+  }
+
   private *appendGroup(group: Array<{ records: LogRecord[]; done: () => void }>): Task {
     const records = group.flatMap((order) => order.records);
     if (records.length > 0) yield* this.persist(() => this.store.append(records));
--- a/src/rehearsal/day.ts
+++ b/src/rehearsal/day.ts
@@ -168,19 +168,19 @@
     this.extraRoutes += count;
   }
 
-  /** Reads back every config that was accepted, at the end of a day. */
+  /** Reads back every config that was accepted, at the end of a day; one that nobody returns reads as missing. */
   *readBack(): Task {
-    for (const sequence of new Set(this.ledger.of("accepted").slice(-100).map((record) => record.sequence))) {
+    for (const sequence of new Set(this.ledger.of("accepted").map((record) => record.sequence))) {
+      let text: string | undefined;
       for (let round = 0; round < 10; round += 1) {
         const ret = yield* this.outside.desk(undefined, this.deskJob("GET", `/config/${sequence}`));
-        if (!ret || ret.code === 503) {
-          yield* Clock.rest(this.outside.clock, 200);
-          continue;
+        if (ret && ret.code !== 503) {
+          if (ret.code === 200) text = JSON.stringify(create(JSON.parse(Buffer.from(ret.body).toString()), foundConfig).config);
+          break;
         }
-        const read = create(JSON.parse(Buffer.from(ret.body).toString()), foundConfig);
-        this.ledger.world.push({ kind: "readBack", atMs: this.outside.clock.nowMs(), sequence, text: ret.code === 200 ? JSON.stringify(read.config) : undefined });
-        break;
+        yield* Clock.rest(this.outside.clock, 200);
       }
+      this.ledger.world.push({ kind: "readBack", atMs: this.outside.clock.nowMs(), sequence, text });
     }
   }
 
