Bounds for the record at its fullest: returns, keys, frames, checkpoint and restore

A batch of 256 entries could hold 256 MiB of configs, and 2,000 entries behind a checkpoint 2 GiB. A restore checked each key through a struct and stood for a second, longer than two heartbeats and an election; a slot held the book as text in text. Ruled out: fewer keys (the rule wants a minute of them), a larger frame. Change: a return of at most 16 KiB is kept, 8 MiB all together, the oldest go first (their keys stay; duplicates are told that it ran); 100,000 keys, then claims are dropped with a time to come back; batches of 4 MiB, 16 MiB behind a checkpoint; the book lies in a slot under its own seal; the table of keys is checked in one go.

--- a/src/contract/order.ts
+++ b/src/contract/order.ts
@@ -90,6 +90,7 @@
 
 const claimReturnShape = union([
   object({ claimed: literal(true) }),
+  object({ full: literal(true) }),
   object({
     held: type({
       bodyHash: string(),
--- a/src/contract/registry.ts
+++ b/src/contract/registry.ts
@@ -5,7 +5,7 @@
 import { Task } from "../machine/task.js";
 import { World } from "../machine/world.js";
 import type { Book, Contract } from "../record/book.js";
-import { Deed } from "../record/book.js";
+import { Deed, heldKeys } from "../record/book.js";
 import type { Recorder } from "../record/recorder.js";
 import { Allowance } from "../zone/allowance.js";
 import { Config, mergePatch } from "./config.js";
@@ -98,6 +98,7 @@
       case "claim": {
         const known = this.book.keys.get(order.scope);
         if (known && known.job !== order.job && this.recorder.hasGrant) return JSON.stringify({ held: known });
+        if (!known && this.book.keys.size >= heldKeys) return this.granted(() => ({ full: true }));
         return yield* this.enter(order);
       }
       case "settle":
--- a/src/door/keys.ts
+++ b/src/door/keys.ts
@@ -18,7 +18,7 @@
 const sendMs = 3000;
 const inHandWaitMs = 1500;
 const settleMs = 8000;
-const keptBodyBytes = 64 * 1024;
+const keptBodyBytes = 16 * 1024;
 const keptHeaders = ["content-type", "location", "etag"];
 
 const hash = (...parts: Array<string | Uint8Array>): string => {
@@ -59,6 +59,7 @@
       }
       const ret = ClaimReturn.read(text);
       if ("claimed" in ret) return { scope, job: name, sendUntilMs: askedMs + sendMs };
+      if ("full" in ret) return Ending.drop("Too many keys are held.", 30);
       if (ret.held.bodyHash !== bodyHash) return Ending.refusal(422, "This key came before with another body.");
       if (ret.held.verdict === "mayHaveRun") return Ending.breakdown(409, "The first request with this key may have run; its return was lost.", "mayHaveRun", 120);
       if (ret.held.verdict === "ran") {
--- a/src/record/book.ts
+++ b/src/record/book.ts
@@ -1,5 +1,5 @@
 import { Map as Table } from "immutable";
-import { array, boolean, create, literal, number, object, optional, record, string, tuple, type, union, type Infer } from "superstruct";
+import { array, boolean, create, define, literal, number, object, optional, record, string, tuple, type, union, type Infer } from "superstruct";
 import { kindOf } from "../machine/kindOf.js";
 import { Numbering } from "./numbering.js";
 import type { Members } from "./recorder.js";
@@ -25,23 +25,43 @@
 /** A return that was kept for duplicates; the body in base 64. */
 const returnShape = object({ code: number(), headers: record(string(), string()), body: string() });
 
-const keyShape = object({
-  bodyHash: string(),
-  job: string(),
-  /** What is known of the first request: in hand, or how it ended. */
-  verdict: union([literal("inHand"), literal("ran"), literal("mayHaveRun")]),
-  return: optional(returnShape),
-  atIndex: number(),
-});
-
 /** A key that is claimed, and the return it got. */
-export type KeyClaim = Infer<typeof keyShape>;
+export interface KeyClaim {
+  bodyHash: string;
+  job: string;
+  /** What is known of the first request: in hand, or how it ended. */
+  verdict: "inHand" | "ran" | "mayHaveRun";
+  return?: Infer<typeof returnShape>;
+  atIndex: number;
+}
 
 export const acceptedConfigShape = object({ sequence: number(), index: number(), changeId: string(), acceptedAt: string(), text: string() });
 
 /** A configuration as it was accepted. */
 export type AcceptedConfig = Infer<typeof acceptedConfigShape>;
 
+const isKeyClaim = (value: unknown): value is KeyClaim =>
+  typeof value === "object" &&
+  value !== null &&
+  "bodyHash" in value &&
+  typeof value.bodyHash === "string" &&
+  "job" in value &&
+  typeof value.job === "string" &&
+  "verdict" in value &&
+  (value.verdict === "inHand" || value.verdict === "ran" || value.verdict === "mayHaveRun") &&
+  "atIndex" in value &&
+  typeof value.atIndex === "number" &&
+  (!("return" in value) || returnShape.is(value.return));
+
+/** The table of keys is large, so that it is checked in one go. */
+const keysShape = define<Array<{ scope: string; claim: KeyClaim }>>(
+  "keys",
+  (value) => Array.isArray(value) && value.every((one: unknown) => typeof one === "object" && one !== null && "scope" in one && typeof one.scope === "string" && "claim" in one && isKeyClaim(one.claim)),
+);
+
+/** How many keys are held at most; then claims are dropped, so that a checkpoint always fits a frame. */
+export const heldKeys = 100_000;
+
 const deedShapes = {
   leads: object({ kind: literal("leads"), machine: string(), term: number() }),
   members: object({ kind: literal("members"), voters: array(string()), learners: array(string()) }),
@@ -85,15 +105,18 @@
   changes: array(object({ changeId: string(), sequence: number() })),
   contracts: array(contractShape),
   directorySequence: number(),
-  keys: array(object({ scope: string(), claim: keyShape })),
+  keys: keysShape,
   numbering: type({ inForce: array(tuple([string(), number()])), resting: array(tuple([string(), number()])), free: array(number()), next: number() }),
   journal: array(object({ index: number(), text: string() })),
   holders: optional(array(string())),
+  returns: array(string()),
 });
 
 const keptRecent = 200;
 const keptChanges = 2000;
 const keptJournal = 1000;
+/** How many bytes of returns are kept for duplicates, all together; beyond that the oldest go. */
+export const keptReturnBytes = 8 * 1024 * 1024;
 
 /** The tables that the record keeps, the same on every recorder that has applied the same entries. */
 export class Book {
@@ -109,6 +132,9 @@
   journal: Array<{ index: number; text: string }> = [];
   /** The edges that may hold a part of a pool of further tries, so that a new leader knows whom to wait for. */
   holders = new Set<string>();
+  /** The keys whose returns are kept, in the order in which they came, with the bytes of each. */
+  private returns = new Map<string, number>();
+  private returnBytes = 0;
   private changes = new Map<string, number>();
   private applied = new Set<(deed: Deed, index: number) => void>();
 
@@ -150,6 +176,7 @@
       contracts: [...this.contracts.values()],
       directorySequence: this.directorySequence,
       keys: [...this.keys].map(([scope, claim]) => ({ scope, claim })),
+      returns: [...this.returns.keys()],
       numbering: this.numbering.state,
       journal: this.journal,
       holders: [...this.holders],
@@ -165,6 +192,8 @@
     this.contracts = Table(kept.contracts.map((contract) => [contract.address, contract]));
     this.directorySequence = kept.directorySequence;
     this.keys = new Map(kept.keys.map(({ scope, claim }) => [scope, claim]));
+    this.returns = new Map(kept.returns.map((scope) => [scope, this.keys.get(scope)?.return?.body.length ?? 0]));
+    this.returnBytes = [...this.returns.values()].reduce((sum, bytes) => sum + bytes, 0);
     this.numbering.restore(kept.numbering);
     this.journal = kept.journal;
     this.holders = new Set(kept.holders ?? []);
@@ -241,11 +270,12 @@
         const known = this.keys.get(deed.scope);
         if (known?.job !== deed.job) return { known: false };
         this.keys.set(deed.scope, { ...known, verdict: deed.verdict, ...(deed.return ? { return: deed.return } : {}) });
+        if (deed.return) this.boundReturns(deed.scope, deed.return.body.length);
         return { known: true };
       }
       case "release": {
         const known = this.keys.get(deed.scope);
-        if (known?.job === deed.job && known.verdict === "inHand") this.keys.delete(deed.scope);
+        if (known?.job === deed.job && known.verdict === "inHand") this.forgetKey(deed.scope);
         return { known: true };
       }
       case "holder":
@@ -255,11 +285,30 @@
         for (const edge of deed.edges) this.holders.delete(edge);
         return {};
       case "forget":
-        for (const scope of deed.scopes) if ((this.keys.get(scope)?.atIndex ?? Infinity) <= deed.upTo) this.keys.delete(scope);
+        for (const scope of deed.scopes) if ((this.keys.get(scope)?.atIndex ?? Infinity) <= deed.upTo) this.forgetKey(scope);
         return { known: true };
     }
   }
 
+  /** Notes a kept return; the oldest ones go where all together are too large. */
+  private boundReturns(scope: string, bodyBytes: number): void {
+    this.returns.set(scope, bodyBytes);
+    this.returnBytes += bodyBytes;
+    for (const [oldest, bytes] of this.returns) {
+      if (this.returnBytes <= keptReturnBytes) return;
+      this.returns.delete(oldest);
+      this.returnBytes -= bytes;
+      const claim = this.keys.get(oldest);
+      if (claim) this.keys.set(oldest, { bodyHash: claim.bodyHash, job: claim.job, verdict: claim.verdict, atIndex: claim.atIndex });
+    }
+  }
+
+  private forgetKey(scope: string): void {
+    this.keys.delete(scope);
+    this.returnBytes -= this.returns.get(scope) ?? 0;
+    this.returns.delete(scope);
+  }
+
   private note(index: number, text: string): Record<string, unknown> {
     this.journal.push({ index, text });
     if (this.journal.length > keptJournal) this.journal.splice(0, this.journal.length - keptJournal);
@@ -290,4 +339,20 @@
     book.apply(6, Deed.text({ kind: "forget", scopes: ["k"], upTo: 1 }));
     expect(claim(7, "two")).toEqual({ claimed: true });
   });
+  test("kept returns are bounded all together: the oldest go, their keys stay, on a restored copy too", () => {
+    let book = new Book();
+    const body = "x".repeat(64 * 1024);
+    const many = Math.ceil(keptReturnBytes / body.length) + 40;
+    for (let at = 0; at < many; at += 1) {
+      book.apply(2 * at + 1, Deed.text({ kind: "claim", scope: `k${at}`, bodyHash: "h", job: "j" }));
+      book.apply(2 * at + 2, Deed.text({ kind: "settle", scope: `k${at}`, job: "j", verdict: "ran", return: { code: 201, headers: {}, body } }));
+      if (at !== Math.floor(many / 2)) continue;
+      const copy = new Book();
+      copy.restore(book.checkpoint(members));
+      book = copy;
+    }
+    expect(book.checkpoint(members).length).toBeLessThan(keptReturnBytes * 1.1);
+    expect([...book.keys.values()].filter((claim) => claim.return).length).toBe(Math.floor(keptReturnBytes / body.length));
+    expect(JSON.parse(book.apply(9999, Deed.text({ kind: "claim", scope: "k0", bodyHash: "h", job: "other" })))).toEqual({ held: { bodyHash: "h", job: "j", verdict: "ran", atIndex: 1 } });
+  });
 }
--- a/src/record/recorder.ts
+++ b/src/record/recorder.ts
@@ -68,8 +68,22 @@
 
 const historyWaitMs = 600;
 const learnMs = 200;
-const batchEntries = 256;
-const keptEntries = 2000;
+/** What one frame of entries carries at most, unless a single entry is larger. */
+const batch = { entries: 256, bytes: 4 * 1024 * 1024 };
+/** What is kept of the log behind a checkpoint, for followers that lag a little. */
+const kept = { entries: 2000, bytes: 16 * 1024 * 1024 };
+
+/** How many entries from the first on stay within a bound; at least one. */
+const within = (entries: Iterable<Entry>, bound: { entries: number; bytes: number }): number => {
+  let count = 0;
+  let heldBytes = 0;
+  for (const { text } of entries) {
+    heldBytes += text.length;
+    if (count > 0 && (count >= bound.entries || heldBytes > bound.bytes)) break;
+    count += 1;
+  }
+  return count;
+};
 
 type Role = "follower" | "preCandidate" | "candidate" | "leader";
 
@@ -601,7 +615,8 @@
         }
       } else {
         const from = next - this.baseIndex - 1;
-        const entries = this.entries.slice(from, from + (sure ? batchEntries : 0));
+        const following: Entry[] = sure ? this.entries.slice(from, from + batch.entries) : [];
+        const entries: Entry[] = following.slice(0, within(following, batch));
         const previousTerm = this.termAt(next - 1) ?? 0;
         const ask = { term, leader: this.self, previousIndex: next - 1, previousTerm, committed: this.committed, entries };
         const ret = yield* this.link.ask(peer, Kind.append, ask, this.waits.electionMinMs);
@@ -857,7 +872,8 @@
       book: this.book.checkpoint(members, keeps ? newest : 0),
       entries: this.entries.slice(lastIndex - this.baseIndex),
     };
-    const keepFrom = Math.max(this.baseIndex, lastIndex - keptEntries);
+    const applied = this.entries.slice(0, lastIndex - this.baseIndex).reverse();
+    const keepFrom = lastIndex - (applied.length > 0 ? within(applied, kept) : 0);
     const keptMembers = this.membersAt(keepFrom);
     const keptTerm = this.termAt(keepFrom) ?? 0;
     this.entries = this.entries.slice(keepFrom - this.baseIndex);
@@ -964,4 +980,9 @@
     ask(Kind.append, append(5, 3, 5, [mark], 4));
     expect(ask(Kind.append, append(5, 4, 5, []))).toMatchObject({ counts: true, matched: 4 });
   });
+
+  test("entries go and stay in bounded numbers and bytes, a large one alone", () => {
+    const entries = (bytes: number, count: number): Entry[] => Array.from({ length: count }, (_, at) => ({ index: at + 1, term: 1, text: "x".repeat(bytes) }));
+    expect([within(entries(10, 900), batch), within(entries(1024 * 1024, 300), batch), within(entries(9 * 1024 * 1024, 3), batch), within([], batch)]).toEqual([256, 4, 1, 0]);
+  });
 }
--- a/src/record/store.ts
+++ b/src/record/store.ts
@@ -1,5 +1,5 @@
 import * as r from "restructure";
-import { array, create, number, object, string, type Infer } from "superstruct";
+import { array, create, number, object, omit, string, type Infer } from "superstruct";
 import type { Disk } from "../machine/disk.js";
 import { Task } from "../machine/task.js";
 import { exactly } from "../link/frame.js";
@@ -65,7 +65,7 @@
 const clearing = "clearing";
 const logName = (sequence: number): string => `log-${sequence}`;
 
-const slotShape = object({ sequence: number(), standing: standingShape });
+const slotShape = object({ sequence: number(), standing: omit(standingShape, ["book"]) });
 
 /** Two checkpoint slots written in turn, and a short log after the newer one. */
 export class Store {
@@ -91,18 +91,19 @@
   *load(): Task<Loaded> {
     const names = yield* this.disk.list();
     if (names.includes(clearing)) return { kind: "damaged", why: "The disk was being cleared." };
-    let best: Infer<typeof slotShape> | undefined;
+    let best: { sequence: number; standing: Standing } | undefined;
     let broken = 0;
     for (const name of slots) {
       const bytes = yield* this.disk.read(name);
       if (bytes === undefined) continue;
       const body = unseal(Buffer.from(bytes), 0);
-      if (body === undefined) {
+      const book = body && unseal(Buffer.from(bytes), sealBytes + body.length);
+      if (body === undefined || book === undefined) {
         broken += 1;
         continue;
       }
-      const slot = create(JSON.parse(body.toString("utf8")), slotShape);
-      if (!best || slot.sequence > best.sequence) best = slot;
+      const { sequence, standing } = create(JSON.parse(body.toString("utf8")), slotShape);
+      if (!best || sequence > best.sequence) best = { sequence, standing: { ...standing, book: book.toString("utf8") } };
     }
     if (!best) {
       const logged = names.some((name) => name.startsWith("log-") || History.isName(name));
@@ -153,7 +154,9 @@
   *checkpoint(standing: Standing): Task {
     const sequence = this.sequence + 1;
     const name = slots[sequence % slots.length] ?? "slot-a";
-    yield* this.disk.write(name, seal(Buffer.from(JSON.stringify({ sequence, standing }), "utf8")));
+    const { book, ...rest } = standing;
+    const head = seal(Buffer.from(JSON.stringify({ sequence, standing: rest }), "utf8"));
+    yield* this.disk.write(name, Buffer.concat([head, seal(Buffer.from(book, "utf8"))]));
     yield* this.disk.write(logName(sequence), Buffer.alloc(0));
     const former = this.sequence;
     this.sequence = sequence;
