A stop still serves what callers sent before they could know

Cause: the test with real processes failed once in three: "dropped c644 in hand when it was stopped". A stop closed idle connections at once; a request that was on its way over a kept one was lost. Ruled out: answering later on the closed connection (it is gone); waiting until idle connections end by themselves (15 s). Change: for 300 ms a stopping daemon serves on, every return asks for another connection; then it closes.

--- a/src/machine/daemon.ts
+++ b/src/machine/daemon.ts
@@ -38,6 +38,8 @@
 const pollMs = 200;
 const pushMs = 2000;
 const drainMs = 6000;
+/** How long a stopping daemon still serves what comes: callers sent it before they could know. */
+const onTheWayMs = 300;
 
 /** One machine's daemon: its roles, the links to its peers, and what it serves. */
 export class Daemon {
@@ -121,12 +123,14 @@
   }
 
   /** Finishes the work in hand and takes no more; ends when all is done or the time for it is over. */
-  *drain(): Task {
+  *drain(closeToCallers: () => void = () => undefined): Task {
     const startedMs = this.world.clock.nowMs();
     this.draining = true;
     this.log.say("Draining.", { inHand: this.door.unfinished });
-    this.door.close();
     if (this.recorder) yield* this.recorder.yieldLeadership();
+    yield* Clock.rest(this.world.clock, onTheWayMs);
+    this.door.close();
+    closeToCallers();
     while (this.door.unfinished > 0 && this.world.clock.nowMs() - startedMs < drainMs) yield* Clock.rest(this.world.clock, 20);
     if (this.door.unfinished > 0) this.log.warn("Stops with work unfinished; it is given up on.", { inHand: this.door.unfinished });
     this.door.abandon();
--- a/src/machine/run.ts
+++ b/src/machine/run.ts
@@ -86,8 +86,10 @@
           if (name !== "SIGHUP") done(name);
         }),
       );
-      if (callersAt !== undefined) callers.close();
-      yield* daemon.drain();
+      callers.partWithCallers();
+      yield* daemon.drain(() => {
+        if (callersAt !== undefined) callers.close();
+      });
       yield* Clock.rest(clock, 50);
       callers.end();
       operators.close();
