--- a/src/rehearsal/fleet.ts
+++ b/src/rehearsal/fleet.ts
@@ -143,6 +143,13 @@
     });
   }
 
+  /** No file of a daemon may grow past a size any more, as on a full disk; or they may again. */
+  *fillDisk(machine: FleetMachine, isFull: boolean): Task {
+    const pid = machine.process?.pid;
+    if (pid === undefined) return;
+    yield* Task.wait<boolean>((done) => spawn("prlimit", [`--fsize=${isFull ? "1" : "unlimited"}:unlimited`, `--pid=${pid}`], { stdio: "ignore" }).once("exit", () => done(true)));
+  }
+
   /** Kills a daemon's process at once. */
   *kill(machine: FleetMachine): Task {
     const child = machine.process;
@@ -339,7 +346,7 @@
 if (import.meta.vitest) {
   const { expect, test } = import.meta.vitest;
   const { judge } = await import("./judge.js");
-  const { create, string, number, type } = await import("superstruct");
+  const { create, is, string, number, type } = await import("superstruct");
   const small: Profile = {
     name: "small",
     zones: ["a", "b", "c"],
@@ -352,6 +359,7 @@
     ],
     moves: {},
   };
+  const diskShape = type({ record: type({ disk: string() }) });
   const recorderShape = type({ record: type({ committed: number(), role: string(), state: string() }) });
 
   test("real processes: all recorders killed at once come back with every config, a stop drains, no rule is broken", async () => {
@@ -392,6 +400,41 @@
     }
   });
 
+  test("real processes: a leader whose disk is full hands over, nothing accepted is lost, and it takes writes again", async () => {
+    const fleet = await Fleet.lay({ ...small, smallMachines: 1 }, 2, 1);
+    const recorders = fleet.machines.filter(({ settings }) => settings.dataFolder !== undefined);
+    const leaderOf = async (): Promise<FleetMachine | undefined> => {
+      for (const machine of recorders) {
+        const status = await fleet.perform(fleet.status(machine));
+        if (is(status, recorderShape) && status.record.role === "leader") return machine;
+      }
+      return undefined;
+    };
+    const diskOf = async (machine: FleetMachine): Promise<string> => create(await fleet.perform(fleet.status(machine)), diskShape).record.disk;
+    try {
+      await fleet.begin();
+      expect(await fleet.perform(fleet.until(() => fleet.machines.every(({ isReady }) => isReady), 30_000))).toBe(true);
+      expect(await fleet.perform(fleet.day.putConfig())).toBe(true);
+      const leader = await leaderOf();
+      if (!leader) throw new Error("Nobody leads.");
+      await fleet.perform(fleet.fillDisk(leader, true));
+      for (let count = 0; count < 5; count += 1) expect(await fleet.perform(fleet.day.putConfig())).toBe(true);
+      expect(await leaderOf()).not.toBe(leader);
+      await expect.poll(() => diskOf(leader), { timeout: 20_000 }).not.toBe("well");
+      await fleet.perform(fleet.fillDisk(leader, false));
+      await expect.poll(() => diskOf(leader), { timeout: 20_000 }).toBe("well");
+      const other = await leaderOf();
+      if (other) await fleet.perform(fleet.kill(other));
+      expect(await fleet.perform(fleet.day.putConfig())).toBe(true);
+      await fleet.perform(fleet.day.readBack());
+      expect(fleet.ledger.of("readBack")).toHaveLength(7);
+      expect(judge(fleet.ledger)).toEqual([]);
+      expect(fleet.failures).toEqual([]);
+    } finally {
+      await fleet.end(false);
+    }
+  });
+
   test("real processes: faults in the settings end with code 2, each named", async () => {
     const child = spawn(process.execPath, [daemonProgram, "run", "--machine", "x", "--peers", "nowhere"], { stdio: ["ignore", "ignore", "pipe"] });
     const pieces: Buffer[] = [];
