Wider margins for repeats; fleet breaks a service down and waits for recovery

Cause: with every answer of a service lost at Kovačič's full rate, repeats stood at 90 to 97% of what is allowed (351 of 389, 389 of 401, 375 of 416): a lossy network brings tries closer together than they were sent. `fleet` never made the budget bite, and its judge passed over recovery where a run ended too soon. 40,000 keys in place of 100,000: a checkpoint of these took two grants of a leader, longer than an election's wait. Ruled out: judging repeats as of when they were sent (the service sees what arrives). Change: the guard looks back 11 s and allows 0.185 and 66, the sketch 0.165 and 45; fleet has a phase in which a service loses 7 of 10 answers and says who decided; a recovery that can't be told is a breach.

--- a/src/record/book.ts
+++ b/src/record/book.ts
@@ -59,8 +59,8 @@
   (value) => Array.isArray(value) && value.every((one: unknown) => typeof one === "object" && one !== null && "scope" in one && typeof one.scope === "string" && "claim" in one && isKeyClaim(one.claim)),
 );
 
-/** How many keys are held at most; then claims are dropped, so that a checkpoint always fits a frame. */
-export const heldKeys = 100_000;
+/** How many keys are held at most; then claims are dropped, so that a checkpoint fits a frame and is made within a leader's grant. */
+export const heldKeys = 40_000;
 
 const deedShapes = {
   leads: object({ kind: literal("leads"), machine: string(), term: number() }),
--- a/src/rehearsal/fleetMain.ts
+++ b/src/rehearsal/fleetMain.ts
@@ -1,5 +1,5 @@
 import { cac } from "cac";
-import { is, string, type } from "superstruct";
+import { is, number, string, type } from "superstruct";
 import { Clock } from "../machine/clock.js";
 import type { Task } from "../machine/task.js";
 import { Fleet, type FleetMachine } from "./fleet.js";
@@ -14,8 +14,10 @@
   keep?: boolean;
 }
 
+const decided = type({ door: type({ furtherTries: number(), furtherRefused: type({ sketch: number(), guard: number() }) }) });
 const leads = type({ record: type({ role: string() }) });
-const settleMs = 15_000;
+/** How long callers come after the last fault: the time to recover, and then some. */
+const settleMs = 18_000;
 
 const leaderOf = function* (fleet: Fleet): Task<FleetMachine | undefined> {
   for (const machine of fleet.machines) {
@@ -25,6 +27,19 @@
   return undefined;
 };
 
+/** Says who decided on the further tries of the daemons that run. */
+const decisions = function* (fleet: Fleet): Task {
+  const sum = { granted: 0, sketch: 0, guard: 0 };
+  for (const machine of fleet.machines) {
+    const status = yield* fleet.status(machine);
+    if (!is(status, decided)) continue;
+    sum.granted += status.door.furtherTries;
+    sum.sketch += status.door.furtherRefused.sketch;
+    sum.guard += status.door.furtherRefused.guard;
+  }
+  say(`  ${sum.granted} further tries were granted, ${sum.sketch} refused by the sketch, ${sum.guard} by the guard`);
+};
+
 const trouble = function* (fleet: Fleet, secondsMs: number): Task {
   const { clock } = fleet;
   const after = function* (part: number, startedMs: number): Task {
@@ -79,8 +94,15 @@
     say(`${edgeToFreeze.settings.machine}, an edge, is frozen for twice a grant`);
     yield* fleet.freeze(edgeToFreeze, 3200);
   }
-  yield* after(0.7, startedMs);
   liar?.behave({});
+  yield* after(0.6, startedMs);
+  const [service] = Object.keys(fleet.profile.backEnds);
+  const broken = fleet.standIns.filter((standIn) => standIn.service === service);
+  say(`all ${broken.length} back ends of ${service ?? ""} lose 7 of 10 answers`);
+  for (const standIn of broken) standIn.behave({ losesPart: 0.7 });
+  yield* after(0.7, startedMs);
+  for (const standIn of broken) standIn.behave({});
+  yield* decisions(fleet);
   if (edgeToStop) {
     say(`${edgeToStop.settings.machine}, an edge, is told to stop and started again`);
     yield* fleet.stop(edgeToStop);
@@ -114,8 +136,8 @@
     const fromMs = fleet.clock.nowMs();
     fleet.beginCalls();
     fleet.start(configuring(fleet));
-    if (!options.calm) fleet.start(trouble(fleet, options.seconds * 1000));
-    await fleet.perform(Clock.rest(fleet.clock, options.seconds * 1000 + (options.calm ? 0 : settleMs)));
+    await fleet.perform(options.calm ? Clock.rest(fleet.clock, options.seconds * 1000) : trouble(fleet, options.seconds * 1000));
+    if (!options.calm) await fleet.perform(Clock.rest(fleet.clock, settleMs));
     const breaches = await windUp(fleet, fromMs);
     await fleet.end(options.keep ?? false);
     process.exit(breaches > 0 ? 1 : 0);
--- a/src/rehearsal/judge.ts
+++ b/src/rehearsal/judge.ts
@@ -191,7 +191,10 @@
 
 const recoversInTime: Rule = function* (ledger) {
   for (const { atMs } of ledger.of("recovered")) {
-    if (ledger.endMs < atMs + recoverMs + 2000) continue;
+    if (ledger.endMs < atMs + recoverMs + 2000) {
+      yield "the run ended too soon after the fault to tell";
+      continue;
+    }
     const part = servedPart(ledger, atMs + recoverMs, ledger.endMs - 1000);
     if (part < 0.9) yield `${Math.round(part * 100)}% of requests were served 15 s after the fault's end`;
   }
--- a/src/rehearsal/measureMain.ts
+++ b/src/rehearsal/measureMain.ts
@@ -1,5 +1,7 @@
 import { cac } from "cac";
+import { Book, Deed, heldKeys } from "../record/book.js";
 import { Waits } from "../record/recorder.js";
+import { seal } from "../record/seal.js";
 import { Counts, CountsForm, retryWindowMs } from "../zone/counts.js";
 import { EcmSketch } from "../zone/ecmSketch.js";
 import { stampOf } from "../zone/exponentialHistogram.js";
@@ -154,11 +156,45 @@
   }
 };
 
+/** A book at its fullest: keys with their returns, routes, back ends. */
+const fullBook = (keys: number, bodyBytes: number): Book => {
+  const book = new Book();
+  let index = 0;
+  const apply = (deed: Deed): void => void book.apply((index += 1), Deed.text(deed));
+  const names = Array.from({ length: 5000 }, (_, at) => `route-${at}`);
+  const routes = Object.fromEntries(names.map((name) => [name, { match: { path: `/${name}/*` }, service: "issues" }]));
+  apply({ kind: "config", expected: 0, changeId: "c", acceptedAt: "", text: JSON.stringify({ services: { issues: {} }, routes }), services: ["issues"], routes: names });
+  for (let at = 0; at < 400; at += 1) apply({ kind: "contract", address: `10.0.0.1:${at}`, service: "issues", zone: "red", warmth: 1 });
+  for (let at = 0; at < keys; at += 1) {
+    const scope = String(at).padStart(64, "f");
+    const job = `abcdef-ghijkl-mnopqr/${at}`;
+    apply({ kind: "claim", scope, bodyHash: "a".repeat(64), job });
+    apply({ kind: "settle", scope, job, verdict: "ran", return: { code: 201, headers: { "content-type": "application/json" }, body: "x".repeat(bodyBytes) } });
+  }
+  return book;
+};
+
+const measureBounds = (): void => {
+  const members = { voters: ["a"], learners: [] };
+  const inGrants = (run: () => unknown): number => {
+    const startMs = performance.now();
+    run();
+    return (performance.now() - startMs) / Waits.usual.leaderGrantMs;
+  };
+  for (const [keys, bodyBytes] of [[14_400, 120], [14_400, 21_844], [heldKeys, 120]] as const) {
+    const book = fullBook(keys, bodyBytes);
+    let text = "";
+    const made = Array.from({ length: 5 }, () => inGrants(() => seal(Buffer.from((text = book.checkpoint(members)), "utf8"))));
+    const restored = Array.from({ length: 5 }, () => inGrants(() => new Book().restore(text)));
+    say(`${keys} keys, returns of ${bodyBytes} bytes, 5,000 routes, 400 back ends: a checkpoint of ${(text.length / 2 ** 20).toFixed(1)} MiB, made in ${spread(made)} and restored in ${spread(restored)} of a leader's grant`);
+  }
+};
+
 const program = cac("measure");
 program
   .command("", "Measure elections, roll-outs, the record and the sketches; ratios and counts, no absolute times")
   .option("--seeds <count>", "How many fleets each figure is drawn from", { default: 20 })
-  .option("--only <part>", "elections, rollout, record, sketches or budget")
+  .option("--only <part>", "elections, rollout, record, sketches, bounds or budget")
   .action(({ seeds, only }: { seeds: number; only?: string }) => {
     const wants = (part: string): boolean => only === undefined || only === part;
     for (const profile of Object.values(Profile.all)) {
@@ -168,6 +204,7 @@
       if (wants("budget")) measureDecisions(profile, Math.ceil(seeds / 10), 1);
     }
     if (wants("sketches")) measureSketches();
+    if (wants("bounds")) measureBounds();
   });
 program.help();
 program.parse();
--- a/src/zone/budget.ts
+++ b/src/zone/budget.ts
@@ -4,14 +4,14 @@
 export const repeatRule = { earned: 0.2, pool: 70 };
 
 /** Ours: what the sketch decides by on the ordinary path. */
-export const sketchRule = { earned: 0.17, pool: 45 };
+export const sketchRule = { earned: 0.165, pool: 45 };
 
-/** Ours: what the exact guard allows at most, between the sketch's limits and the rule's, since clocks run at their own pace. */
-export const guardRule = { earned: 0.196, pool: 68 };
+/** Ours: what the exact guard allows at most, between the sketch's limits and the rule's. */
+export const guardRule = { earned: 0.185, pool: 66 };
 
 const slotMs = 100;
-/** A little longer than the window, since no edge's clock is exact. */
-const heldSlots = Math.ceil((retryWindowMs * 1.03) / slotMs) + 1;
+/** Longer than the window, since clocks run at their own pace and a lossy network brings tries closer together than they were sent. */
+const heldSlots = Math.ceil((retryWindowMs + 1000) / slotMs);
 
 interface Slot {
   at: number;
@@ -191,8 +191,8 @@
     budget.giveBack("s", 5000);
     expect(budget.take("s", undefined, 5050)).toBe("granted");
     expect(budget.take("s", undefined, 15_000)).toBe("guard");
-    expect(budget.take("s", undefined, 15_800)).toBe("granted");
-    budget.setCapacities(new Map(), 15_900);
+    expect(budget.take("s", undefined, 16_200)).toBe("granted");
+    budget.setCapacities(new Map(), 16_250);
     expect(budget.capacities.get("s")).toBe(1);
   });
 }
