--- a/src/record/recorder.ts
+++ b/src/record/recorder.ts
@@ -321,8 +321,10 @@
 
   private *historyFrom(from: number): Task<Held<typeof Kind.history.return>> {
     if (this.state !== "formed") return { configs: new Uint8Array() };
-    const configs = yield* this.store.history.piece(from);
-    return { configs: configs.length > 0 ? configs : History.pack(this.book.configs.filter((config, at) => config.sequence >= from && this.book.configs[0]?.sequence === config.sequence - at && from >= (this.book.configs[0]?.sequence ?? 0))) };
+    const kept = yield* this.store.history.piece(from);
+    const [first] = this.book.configs;
+    const inBook = kept.length === 0 && first !== undefined && from >= first.sequence;
+    return { configs: inBook ? History.pack(this.book.configs.filter(({ sequence }) => sequence >= from)) : kept };
   }
 
   /** Configs from one on, as another recorder holds them; none where nobody who is reached does. */
