The sketch is asked over eleven stretches of the window, as the guard looks at all

Between 1 and 2.5 s after its outbreak the sketch's stretches held requests from before it, and so allowed more than the guard, which looks at every stretch. Conclusion: kept; the first second of a storm remains the guard's.

--- a/src/zone/edgeCounts.ts
+++ b/src/zone/edgeCounts.ts
@@ -13,7 +13,7 @@
 /** Which part of what is left may be taken before the next counts come: others take theirs meanwhile, some of it not yet counted. */
 const roundPart = 0.5;
 /** The stretches of the window in which the sketch holds further tries against first ones. */
-const stretchesMs = [1000, 2500, 5000, retryWindowMs];
+const stretchesMs = [500, 1000, 1500, 2000, 2500, 3000, 4000, 5000, 6500, 8000, retryWindowMs];
 /** How many further tries of each daemon are taken for granted when what is left is parted. */
 const evenTries = 1;
 /** An edge's own counts, and the fleet's as they last came down the tree. */
