A nudge that is held already is put once, by the holding itself

Cause: read over the whole change; three owners of a nudge wrote the same check. Ruled out: other mends now: the two readings of the sketch in EdgeCounts share look-ups only, and the poll's scan of names for services is noted on the issue.

--- a/src/contract/view.ts
+++ b/src/contract/view.ts
@@ -48,7 +48,7 @@
     this.budget = budget;
     this.log = world.logbook.part("contract");
     budget.onShort = () => {
-      if (this.nudge.size === 0) this.nudge.put(true);
+      this.nudge.putOnce(true);
     };
   }
 
--- a/src/machine/holding.ts
+++ b/src/machine/holding.ts
@@ -19,6 +19,11 @@
     this.held.push(item);
   }
 
+  /** Puts a command unless one is held already, where one says as much as many. */
+  putOnce(item: T): void {
+    if (this.held.length === 0) this.put(item);
+  }
+
   /** All that is held now, without waiting. */
   drain(): T[] {
     return this.held.splice(0);
--- a/src/zone/collector.ts
+++ b/src/zone/collector.ts
@@ -180,7 +180,7 @@
     const name = `${push.from} ${push.incarnation}`;
     const known = this.children.get(name);
     if (!known || known.push.push <= push.push) this.children.set(name, kept);
-    if (push.isHurried && this.nudge.size === 0) this.nudge.put(true);
+    if (push.isHurried) this.nudge.putOnce(true);
     const fleet = this.fleet;
     const includedPush = fleet?.included.get(name);
     const down: Down = {
--- a/src/zone/edgeCounts.ts
+++ b/src/zone/edgeCounts.ts
@@ -92,7 +92,7 @@
 
   /** Has the next push go sooner, since further tries are wished for. */
   hurry(): void {
-    if (this.nudge.size === 0) this.nudge.put(true);
+    this.nudge.putOnce(true);
   }
 
   /** Pushes to the zone's collector, or to another where it has none, for as long as the daemon runs; sooner where it is hurried. */
