--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,10 +1,10 @@
 import tseslint from "typescript-eslint";
 
 export default tseslint.config(
-  { ignores: ["dist/", "node_modules/", "data/"] },
+  { ignores: ["dist/", "target/", "node_modules/", "data/"] },
   ...tseslint.configs.recommended,
   {
-    files: ["src/**/*.ts"],
+    files: ["src/**/*.ts", "platform/**/*.ts", "test/**/*.ts"],
     languageOptions: { parserOptions: { projectService: true } },
     rules: {
       "@typescript-eslint/no-explicit-any": "error",
--- a/src/contract/config.ts
+++ b/src/contract/config.ts
@@ -1,44 +1,90 @@
-import { array, boolean, define, enums, integer, max, min, nonempty, object, optional, record, validate, type Infer, type Struct } from "superstruct";
-
-const name = define<string>("name", (value) => (typeof value === "string" && /^[a-z][a-z0-9-]{0,39}$/.test(value)) || "Expected a name of lower-case letters, digits and dashes");
-const header = define<string>("header", (value) => (typeof value === "string" && /^[a-z][a-z0-9-]{0,59}$/.test(value)) || "Expected a header's name in lower case");
-const pathPattern = define<string>(
-  "path",
-  (value) => (typeof value === "string" && /^\/[^\s?#*]{0,500}\*?$/.test(value)) || "Expected a path that begins with / and may end with *",
-);
+import { array, object, optional, record, string, validate, type Infer } from "superstruct";
+import { Guarded, isObject } from "./guarded.js";
+
+/** The name of a service or a route. */
+export const nameShape = Guarded.text("name", /^(?!__proto__$)[A-Za-z0-9._-]{1,100}$/, "a name of letters, digits, dashes, underscores and dots, 100 at most");
+const header = Guarded.text("header", /^[a-z][a-z0-9-]{0,59}$/, "a header's name in lower case");
+const pathPattern = Guarded.text("path", /^\/[^\s?#*]{0,500}\*?$/, "a path that begins with / and may end with *");
+const host = Guarded.text("host", /^(?:[A-Za-z0-9._-]{1,253}|\[[0-9A-Fa-f:.]{2,45}\])$/, "a host's name without a port");
+const healthPath = Guarded.text("path", /^\/[^\s#]{0,999}$/, "a path that begins with /");
+const word = Guarded.text("word", /^[\w./-]{1,40}$/, "a word");
+const weight = Guarded.leaf<number>("weight", (value) => typeof value === "number" && value >= 0 && value <= 1e12, "a weight of 0 or more");
+/** Any JSON, kept and given back as it was sent. */
+const opaque = Guarded.leaf<NonNullable<unknown> | null>("JSON", (value) => value !== undefined, "JSON");
 const methods = ["GET", "HEAD", "OPTIONS", "POST", "PUT", "PATCH", "DELETE"] as const;
-const within = (low: number, high: number) => max(min(integer(), low), high);
+const { flag, many, maybe, one, section, whole, within } = Guarded;
 
-const isObject = (value: unknown): value is Record<string, unknown> => typeof value === "object" && value !== null && !Array.isArray(value);
+/** What may be repeated on a route: safe requests and downloads always, unsafe ones never, idempotent ones are run once for each key. */
+const routeKinds = ["safe", "unsafe", "idempotent", "download"] as const;
 
-const serviceShape = object({
+const serviceShape = whole(object({
   /** The header in which this service's back ends echo a request's number and service. */
-  stampHeader: optional(header),
+  stampHeader: maybe(header),
   /** How many requests one daemon has in hand at one back end at most. */
-  inHand: optional(within(1, 10_000)),
-});
-
-const routeShape = object({
-  match: object({ methods: optional(nonempty(array(enums(methods)))), path: pathPattern }),
-  service: name,
+  inHand: maybe(within(1, 10_000)),
+  /** Where its back ends tell of their health. */
+  healthPath: maybe(healthPath),
+  /** How many connections one back end bears. */
+  maxConnections: maybe(within(1, 1_000_000)),
+  protocol: maybe(word),
+  tls: maybe(flag()),
+  /** Whether its back ends keep a record of keys of their own. */
+  keepsKeys: maybe(flag()),
+  /** What an adapter keeps with this item, unread. */
+  origin: maybe(opaque),
+}));
+
+const routeShape = whole(object({
+  match: whole(object({ methods: maybe(many(one(methods))), path: pathPattern, host: maybe(host) })),
+  /** The service that serves this route; `split` names several. */
+  service: maybe(nameShape),
+  /** Services that share this route by weight. */
+  split: maybe(many(whole(object({ service: nameShape, weight })))),
+  /** What may be repeated; it decides in place of `repeat`, `keyed` and the methods. */
+  kind: maybe(one(routeKinds)),
   /** Whether a try that may have run may be sent again; only for safe methods. */
-  repeat: optional(enums(["safe", "never"])),
+  repeat: maybe(one(["safe", "never"])),
   /** Whether writes on this route must carry an Idempotency-Key. */
-  keyed: optional(boolean()),
+  keyed: maybe(flag()),
+  /** The largest number of back ends that one request may be sent to. */
+  attempts: maybe(within(1, 10)),
   /** How long one try may take until it is given up on. */
-  giveUpMs: optional(within(50, 30_000)),
-});
-
-const goalShape = object({
-  latencyMs: within(1, 60_000),
-  furtherTries: optional(within(0, 5)),
-});
-
-const configShape = object({
-  services: record(name, serviceShape),
-  routes: record(name, routeShape),
-  goals: optional(record(name, goalShape)),
-});
+  giveUpMs: maybe(within(1, 600_000)),
+  /** The rank of its requests, 0 the highest. */
+  priority: maybe(within(0, 9)),
+  /** What an adapter keeps with this item, unread. */
+  origin: maybe(opaque),
+}));
+
+const goalShape = whole(object({
+  latencyMs: within(1, 600_000),
+  furtherTries: maybe(within(0, 5)),
+}));
+
+const limitsShape = whole(object({
+  /** How large the head of a request may be. */
+  headerBytes: maybe(within(1, 2 ** 31 - 1)),
+  /** How large the body of a request may be. */
+  bodyBytes: maybe(within(0, Number.MAX_SAFE_INTEGER)),
+  /** How long the head of a request may take to come. */
+  headerMs: maybe(within(1, 86_400_000)),
+  /** How long a connection may stay without a request. */
+  idleMs: maybe(within(1, 86_400_000)),
+  /** What an adapter keeps with this item, unread. */
+  origin: maybe(opaque),
+}));
+
+/** The shape of a whole configuration. */
+export const configShape = whole(object({
+  services: section(nameShape, serviceShape),
+  routes: section(nameShape, routeShape),
+  goals: maybe(section(nameShape, goalShape)),
+  limits: maybe(limitsShape),
+  /** What an adapter keeps with the whole, unread. */
+  origin: maybe(opaque),
+}));
+
+type Route = Infer<typeof routeShape>;
 
 /** A whole configuration, in the operators' words. */
 export type Config = Infer<typeof configShape>;
@@ -56,21 +102,38 @@
     expected: failure.type === "never" ? "no such field" : failure.message.replace(/^Expected /, ""),
   }));
 
-export const Config = {
-  /** Reads and checks a configuration whole: all its faults, or none and the config. */
+/** The services that serve a route, with their weights. */
+export const splitsOf = (route: Route): ReadonlyArray<{ service: string; weight: number }> => route.split ?? (route.service === undefined ? [] : [{ service: route.service, weight: 1 }]);
+
+const routeFaults = function* (config: Config, at: string, route: Route): Iterable<Fault> {
+  if ((route.service === undefined) === (route.split === undefined)) yield { path: `${at}.service`, expected: "either a service or a split" };
+  for (const [place, { service }] of splitsOf(route).entries())
+    if (!Object.hasOwn(config.services, service)) yield { path: `${at}.${route.split ? `split.${place}.service` : "service"}`, expected: `a service that is defined, not "${service}"` };
+  if (route.split?.every((part) => part.weight === 0)) yield { path: `${at}.split`, expected: "a weight above 0" };
+  if (route.kind === undefined && route.repeat === "safe" && (route.match.methods ?? methods).some((method) => !safeMethods.has(method)))
+    yield { path: `${at}.repeat`, expected: `"never", or a match on safe methods alone` };
+};
+
+const shapeFaults = (value: unknown): Fault[] => {
+  const [error] = validate(value, configShape);
+  return error ? faultsOf(error.failures()) : [{ path: "(whole)", expected: "a config" }];
+};
+
+/** Checks configs whole. */
+export class ConfigChecker {
+  /** All faults of a configuration, or none and the config. */
   check(value: unknown): { config: Config } | { faults: Fault[] } {
-    const [error, config] = validate(value, configShape);
-    if (error) return { faults: faultsOf(error.failures()) };
+    if (!Guarded.passes(configShape, value)) return { faults: shapeFaults(value) };
     const faults: Fault[] = [];
-    for (const [routeName, route] of Object.entries(config.routes)) {
-      if (!(route.service in config.services)) faults.push({ path: `routes.${routeName}.service`, expected: `a service that is defined, not "${route.service}"` });
-      if (route.repeat === "safe" && (route.match.methods ?? methods).some((method) => !safeMethods.has(method)))
-        faults.push({ path: `routes.${routeName}.repeat`, expected: `"never", or a match on safe methods alone` });
-    }
-    for (const goalName of Object.keys(config.goals ?? {}))
-      if (!(goalName in config.routes)) faults.push({ path: `goals.${goalName}`, expected: "the name of a route that is defined" });
-    return faults.length > 0 ? { faults } : { config };
-  },
+    for (const [name, route] of Object.entries(value.routes)) faults.push(...routeFaults(value, `routes.${name}`, route));
+    for (const name of Object.keys(value.goals ?? {})) if (!Object.hasOwn(value.routes, name)) faults.push({ path: `goals.${name}`, expected: "the name of a route that is defined" });
+    return faults.length > 0 ? { faults } : { config: value };
+  }
+}
+
+export const Config = {
+  /** Reads and checks a configuration whole: all its faults, or none and the config. */
+  check: (value: unknown): { config: Config } | { faults: Fault[] } => new ConfigChecker().check(value),
 
   /** Reads a configuration that was checked before it was recorded. */
   parse(text: string): Config {
@@ -83,40 +146,12 @@
   empty: { services: {}, routes: {}, goals: {} },
 };
 
-/** One section of configs, each part of which is checked anew only where it differs from the last one read. */
-class SectionReader<T> {
-  private readonly shape: Struct<T, unknown>;
-  private known = new Map<string, { text: string; part: T }>();
-
-  constructor(shape: Struct<T, unknown>) {
-    this.shape = shape;
-  }
-
-  read(section: unknown): Record<string, T> {
-    const parts: Record<string, T> = {};
-    const known = new Map<string, { text: string; part: T }>();
-    for (const [name, value] of Object.entries(isObject(section) ? section : {})) {
-      const text = JSON.stringify(value);
-      const former = this.known.get(name);
-      const read = former?.text === text ? former : { text, part: this.shape.create(value) };
-      known.set(name, read);
-      parts[name] = read.part;
-    }
-    this.known = known;
-    return parts;
-  }
-}
-
-/** Reads configs that were accepted, one after another, at the cost of what changed. */
+/** Reads configs that were accepted: their shape alone is looked at. */
 export class ConfigReader {
-  private readonly services = new SectionReader(serviceShape);
-  private readonly routes = new SectionReader(routeShape);
-  private readonly goals = new SectionReader(goalShape);
-
   read(text: string): Config {
     const value: unknown = JSON.parse(text);
-    const { services, routes, goals }: Record<string, unknown> = isObject(value) ? value : {};
-    return { services: this.services.read(services), routes: this.routes.read(routes), goals: this.goals.read(goals) };
+    if (Guarded.passes(configShape, value)) return value;
+    throw new Error(`A recorded config has faults: ${JSON.stringify(shapeFaults(value))}`);
   }
 }
 
@@ -134,28 +169,36 @@
   return merged;
 };
 
+/** Items to put, each whole; a goal that is null goes, and so do limits that are null. */
+export const itemsShape = object({
+  services: optional(record(string(), opaque)),
+  routes: optional(record(string(), opaque)),
+  goals: optional(record(string(), opaque)),
+  limits: optional(opaque),
+  origin: optional(opaque),
+});
+
+/** Names of items to remove; one that isn't there is passed over. */
+export const namesShape = object({ services: array(string()), routes: array(string()), goals: array(string()) });
 
-if (import.meta.vitest) {
-  const { expect, test } = import.meta.vitest;
-  const good = {
-    services: { sightings: {} },
-    routes: { post: { match: { methods: ["POST"], path: "/sightings" }, service: "sightings", keyed: true } },
-    goals: { post: { latencyMs: 200 } },
+const amendSection = (section: unknown, put: Record<string, unknown> = {}, removed: Iterable<string> = []): Record<string, unknown> => {
+  const gone = new Set(removed);
+  const kept = Object.entries(isObject(section) ? section : {}).filter(([name]) => !gone.has(name));
+  return Object.fromEntries([...kept, ...Object.entries(put)]);
+};
+
+/** A config from which named items are removed and in which others are put, each whole; a removed route takes its goal along. */
+export const amend = (target: unknown, put: Infer<typeof itemsShape>, remove: Infer<typeof namesShape>): Record<string, unknown> => {
+  const whole = isObject(target) ? target : {};
+  const goals = amendSection(whole["goals"], put.goals, [...remove.goals, ...remove.routes]);
+  const amended: Record<string, unknown> = {
+    ...whole,
+    services: amendSection(whole["services"], put.services, remove.services),
+    routes: amendSection(whole["routes"], put.routes, remove.routes),
+    goals: Object.fromEntries(Object.entries(goals).filter(([, goal]) => goal !== null)),
+    ...(put.limits === undefined ? {} : { limits: put.limits }),
+    ...(put.origin === undefined ? {} : { origin: put.origin }),
   };
-  test("a config is refused whole with every fault and its path", () => {
-    expect(Config.check(good)).toEqual({ config: good });
-    const checked = Config.check({ ...good, goals: { post: { latencyMs: -3 }, ghost: { latencyMs: 5 } }, extra: 1 });
-    expect("faults" in checked && checked.faults.map((fault) => fault.path).sort()).toEqual(["extra", "goals.post.latencyMs"]);
-    const semantic = Config.check({ ...good, routes: { post: { match: { path: "/x" }, service: "nowhere", repeat: "safe" } }, goals: { ghost: { latencyMs: 5 } } });
-    expect("faults" in semantic && semantic.faults.map((fault) => fault.path)).toEqual(["routes.post.service", "routes.post.repeat", "goals.ghost"]);
-  });
-  test("a reader of accepted configs reads each as it stands, whatever came before", () => {
-    const reader = new ConfigReader();
-    const more = { ...good, routes: { ...good.routes, late: { match: { path: "/late" }, service: "sightings" } }, goals: { post: { latencyMs: 90 } } };
-    for (const config of [good, more, good, { services: {}, routes: {}, goals: {} }, more]) expect(reader.read(JSON.stringify(config))).toEqual(config);
-    expect(() => reader.read(JSON.stringify({ ...good, goals: { post: { latencyMs: -1 } } }))).toThrow();
-  });
-  test("a merge patch adds, changes and removes", () => {
-    expect(mergePatch({ a: { b: 1, c: 2 }, d: [1] }, { a: { b: null, e: 3 }, d: [2] })).toEqual({ a: { c: 2, e: 3 }, d: [2] });
-  });
-}
+  if (put.limits === null) delete amended["limits"];
+  return amended;
+};
--- a/src/contract/ferry.ts
+++ b/src/contract/ferry.ts
@@ -1,8 +1,9 @@
 import { Kind } from "../link/kind.js";
 import type { Held, Link } from "../link/link.js";
 import { Clock } from "../machine/clock.js";
+import { Holding } from "../machine/holding.js";
 import { Task } from "../machine/task.js";
-import type { World } from "../machine/world.js";
+import { World } from "../machine/world.js";
 import { breakdownReturn, isBreakdown, Order } from "./order.js";
 
 type Asked = Held<typeof Kind.command.ask>;
@@ -15,56 +16,153 @@
 }
 
 const oneAskMs = 700;
+/** How long one that isn't known to lead is waited for, before another is asked too. */
+const strangerMs = 200;
+/** How long one that was silent is asked after the others only. */
+const silentMs = 3000;
+/** How often one that ferries on looks whether another leads by now. */
+const lookMs = 20;
+/** For how long a leader that isn't reached may well be lost: the others choose another within that time. */
+const hiddenMs = 1500;
 const notLeader = breakdownReturn("notLeader");
 
-/** Brings commands and polls to whoever leads, through any recorder. */
+/** Brings commands and polls to whoever leads, through any daemon. */
 export class Ferry {
   private readonly world: World;
   private readonly link: Link;
-  private recorders: string[];
-  private readonly seeds: string[];
+  private readonly contacts: () => readonly string[];
+  private known: readonly string[] = [];
+  private isRecorder = false;
+  /** Who was silent, and until when others go before them. */
+  private readonly silentUntilMs = new Map<string, number>();
+  /** Who ferries on to a leader that isn't reached from here, or nobody. */
+  private way = "";
+  private hiddenSinceMs: number | undefined;
   /** Who led when last heard. */
   leader = "";
 
-  constructor(world: World, link: Link, seeds: string[]) {
+  /** Finds the leader through recorders that are known, or through any daemons that `contacts` names. */
+  constructor(world: World, link: Link, contacts: () => readonly string[]) {
     this.world = world;
     this.link = link;
-    this.seeds = seeds;
-    this.recorders = seeds;
+    this.contacts = contacts;
   }
 
   /** Learns which recorders there are. */
   know(recorders: readonly string[]): void {
-    this.recorders = [...new Set([...recorders, ...this.seeds])];
+    this.known = recorders;
+  }
+
+  /** The recorders as last heard of. */
+  get recorders(): readonly string[] {
+    return this.known;
+  }
+
+  /** Serves both kinds where there is no recorder: tells who leads, as far as is known here. */
+  serveWay(): void {
+    const way = (): Returned => ({ leader: this.leader, text: notLeader });
+    for (const kind of [Kind.command, Kind.poll])
+      this.link.serve(kind, function* () {
+        return way();
+      });
   }
 
   /** Serves a kind at a recorder: here if it leads, else ferried on once. */
   serve(kind: typeof Kind.command | typeof Kind.poll, leadership: Leadership, handle: (text: string) => Task<string>): void {
     const { link } = this;
+    this.isRecorder = true;
+    const ferry = (leader: string, text: string): Task<Returned | undefined> => this.ferryOn(kind, leader, text, leadership);
     link.serve(kind, function* (ask: Asked): Task<Returned> {
       const { leader } = leadership;
       if (leadership.leads) return { leader, text: yield* handle(ask.text) };
       if (!ask.ferried && leader && leader !== link.self) {
-        const ret = yield* link.ask(leader, kind, { ferried: true, text: ask.text }, oneAskMs);
-        return ret ?? { leader, text: breakdownReturn("unknown") };
+        const ret = yield* ferry(leader, ask.text);
+        if (ret) return ret;
+        if (leadership.leads) return { leader: link.self, text: yield* handle(ask.text) };
+        return { leader: leadership.leader, text: notLeader };
       }
       return { leader, text: notLeader };
     });
   }
 
-  /** Asks the leader once, by the way that last worked or the next one. */
+  /** Asks the leader on another's behalf; nothing once it turns out that another one leads. */
+  private *ferryOn(kind: typeof Kind.command | typeof Kind.poll, leader: string, text: string, leadership: Leadership): Task<Returned | undefined> {
+    const { clock } = this.world;
+    const ended = new Holding<Returned>();
+    World.start(this.world, "contract", this.link.ask(leader, kind, { ferried: true, text }, oneAskMs), (ret) => ended.put(ret ?? { leader, text: breakdownReturn("unknown") }));
+    for (;;) {
+      const ret = yield* ended.takeUntil(clock, clock.nowMs() + lookMs);
+      if (ret) return ret;
+      if (leadership.leads || (leadership.leader !== "" && leadership.leader !== leader)) return undefined;
+    }
+  }
+
+  /** Asks the leader, by the way that last worked; then by others, until one returns or `waitMs` are over. */
   *once(kind: typeof Kind.command | typeof Kind.poll, text: string, waitMs: number): Task<string | undefined> {
-    const target = this.leader || this.recorders[Math.floor(this.world.random() * this.recorders.length)] || "";
-    const ret = yield* this.link.ask(target, kind, { ferried: false, text }, waitMs);
-    if (ret && !isBreakdown(ret.text)) {
-      this.leader = ret.leader;
-      return ret.text;
+    const { clock } = this.world;
+    const untilMs = clock.nowMs() + waitMs;
+    const asked = new Set<string>();
+    let ferries = this.way !== "";
+    let target = this.way || this.leader || this.next(asked);
+    while (target !== "" && clock.nowMs() < untilMs) {
+      asked.add(target);
+      const leads = target === this.leader;
+      const sentMs = clock.nowMs();
+      const ret = yield* this.link.ask(target, kind, { ferried: !ferries, text }, Math.min(untilMs - clock.nowMs(), leads ? waitMs : ferries ? this.ferryMs : strangerMs));
+      if (ret === undefined) {
+        if (leads && this.link.hasHeard(target, sentMs)) return undefined;
+        if (leads || ferries) this.leader = "";
+        if (!ferries) this.noteSilent(target);
+        this.way = "";
+        ferries = false;
+        target = this.next(asked);
+        continue;
+      }
+      this.silentUntilMs.delete(target);
+      if (!isBreakdown(ret.text)) {
+        this.leader = ret.leader;
+        this.way = ret.leader !== target && this.isSilent(ret.leader) ? target : "";
+        if (this.way === "") this.hiddenSinceMs = undefined;
+        return ret.text;
+      }
+      const named = ret.text === notLeader && ret.leader !== target ? ret.leader : "";
+      this.way = "";
+      this.leader = "";
+      if (named === "" || (ferries && this.isSilent(named))) return undefined;
+      ferries = this.isSilent(named);
+      if (!ferries && asked.has(named)) return undefined;
+      if (!ferries) this.leader = named;
+      if (!ferries) target = named;
     }
-    const namesAnother = ret !== undefined && ret.leader !== target && ret.text === notLeader;
-    this.leader = namesAnother ? ret.leader : "";
     return undefined;
   }
 
+  /** How long one is waited for that ferries on: longer once it is plain that the leader lives, but isn't reached from here. */
+  private get ferryMs(): number {
+    const nowMs = this.world.clock.nowMs();
+    this.hiddenSinceMs ??= nowMs;
+    return nowMs - this.hiddenSinceMs < hiddenMs ? strangerMs : oneAskMs;
+  }
+
+  private noteSilent(target: string): void {
+    this.silentUntilMs.set(target, this.world.clock.nowMs() + silentMs);
+  }
+
+  private isSilent(target: string): boolean {
+    return (this.silentUntilMs.get(target) ?? -Infinity) > this.world.clock.nowMs();
+  }
+
+  /** Whom to ask where the leader isn't known: recorders before others, those that were silent last. */
+  private next(asked: ReadonlySet<string>): string {
+    const isOpen = (peer: string): boolean => !asked.has(peer) && (this.isRecorder || peer !== this.link.self);
+    const known = this.known.filter(isOpen);
+    const all = [...new Set([...known, ...this.contacts().filter(isOpen)])];
+    for (const peer of this.silentUntilMs.keys()) if (!this.isSilent(peer)) this.silentUntilMs.delete(peer);
+    const pools = [known.filter((peer) => !this.isSilent(peer)), all.filter((peer) => !this.isSilent(peer)), all];
+    const pool = pools.find((one) => one.length > 0) ?? [];
+    return pool[Math.floor(this.world.random() * pool.length)] ?? "";
+  }
+
   /** Has a command carried out. Each is safe to repeat, so it is, until `waitMs` are over: then its fate is unknown. */
   *command(order: Order, waitMs: number): Task<string | undefined> {
     const untilMs = this.world.clock.nowMs() + waitMs;
--- a/src/contract/mapping.ts
+++ b/src/contract/mapping.ts
@@ -1,76 +1,129 @@
-import { Config, safeMethods } from "./config.js";
+import { Config, safeMethods, splitsOf } from "./config.js";
+import { PathIndex } from "./pathIndex.js";
+
+type Route = Config["routes"][string];
 
 /** Where one kind of request goes: a route as the daemons use it. */
 export interface Mapping {
   readonly name: string;
+  /** The host in lower case, or undefined for any. */
+  readonly host: string | undefined;
+  /** The services that serve it, with their weights. */
+  readonly splits: ReadonlyArray<{ readonly service: string; readonly weight: number }>;
+  /** The first of its services, or the only one. */
   readonly service: string;
   readonly methods: ReadonlySet<string> | undefined;
   readonly path: string;
   readonly isPrefix: boolean;
+  readonly kind: NonNullable<Route["kind"]>;
+  readonly isDownload: boolean;
   readonly repeatable: boolean;
   readonly keyed: boolean;
+  /** The largest number of back ends that one request may be sent to. */
+  readonly attempts: number;
+  readonly furtherTries: number;
   readonly giveUpMs: number;
   readonly goalMs: number;
-  readonly furtherTries: number;
+  /** The rank of its requests, 0 the highest. */
+  readonly priority: number;
   readonly stampHeader: string;
   readonly inHandLimit: number;
+  /** A service by weight, for a draw from 0 up to 1. */
+  choose(draw: number): string;
+  /** Whether requests may go to a service. */
+  takes(service: string): boolean;
 }
 
-const usual = { giveUpMs: 5000, goalMs: 1000, furtherTries: 1, stampHeader: "x-daledoor-stamp", inHand: 200 };
+/** A service as the daemons use it. */
+export type MappedService = Config["services"][string];
+
+const usual = { giveUpMs: 5000, goalMs: 1000, furtherTries: 1, stampHeader: "x-daledoor-stamp", inHand: 200, priority: 5 };
+
+/** A host's name as hosts are compared: in lower case, without a port. */
+export const hostName = (host: string): string => host.toLowerCase().replace(/:\d*$/, "");
+
+const repeatableBy = (route: Route): boolean =>
+  route.repeat === undefined ? (route.match.methods ?? ["POST"]).every((method) => safeMethods.has(method)) : route.repeat === "safe";
+
+const chooseFrom = (splits: Mapping["splits"], draw: number): string => {
+  const served = splits.filter(({ weight }) => weight > 0);
+  let left = draw * served.reduce((sum, { weight }) => sum + weight, 0);
+  return served.find(({ weight }) => (left -= weight) < 0)?.service ?? served.at(-1)?.service ?? "";
+};
+
+const mappingOf = (config: Config, name: string, route: Route): Mapping => {
+  const isPrefix = route.match.path.endsWith("*");
+  const splits = splitsOf(route);
+  const service = splits[0]?.service ?? "";
+  const shape = Object.hasOwn(config.services, service) ? config.services[service] : undefined;
+  const goal = config.goals && Object.hasOwn(config.goals, name) ? config.goals[name] : undefined;
+  const repeatable = route.kind === undefined ? repeatableBy(route) : route.kind === "safe" || route.kind === "download";
+  const keyed = route.kind === undefined ? (route.keyed ?? false) : route.kind === "idempotent";
+  const furtherTries = route.attempts === undefined ? (goal?.furtherTries ?? usual.furtherTries) : route.attempts - 1;
+  return {
+    name,
+    host: route.match.host === undefined ? undefined : hostName(route.match.host),
+    splits,
+    service,
+    methods: route.match.methods ? new Set<string>(route.match.methods) : undefined,
+    path: isPrefix ? route.match.path.slice(0, -1) : route.match.path,
+    isPrefix,
+    kind: route.kind ?? (keyed ? "idempotent" : repeatable ? "safe" : "unsafe"),
+    isDownload: route.kind === "download",
+    repeatable,
+    keyed,
+    attempts: furtherTries + 1,
+    furtherTries,
+    giveUpMs: route.giveUpMs ?? usual.giveUpMs,
+    goalMs: goal?.latencyMs ?? usual.goalMs,
+    priority: route.priority ?? usual.priority,
+    stampHeader: shape?.stampHeader ?? usual.stampHeader,
+    inHandLimit: shape?.inHand ?? usual.inHand,
+    choose: (draw) => (splits.length > 1 ? chooseFrom(splits, draw) : service),
+    takes: (wanted) => splits.some((one) => one.service === wanted && one.weight > 0),
+  };
+};
 
 /** All mappings of one config, the most exact first. */
 export class Mappings {
-  private readonly exact = new Map<string, Mapping[]>();
-  private readonly prefixes: Mapping[] = [];
-  readonly all: Mapping[] = [];
+  private readonly hosts = new Map<string, PathIndex>();
+  private readonly anyHost = new PathIndex();
+  private readonly byName = new Map<string, Mapping>();
+  readonly all: readonly Mapping[];
+  readonly limits: NonNullable<Config["limits"]>;
+  private readonly services: Config["services"];
 
   constructor(config: Config) {
-    for (const [name, route] of Object.entries(config.routes)) {
-      const isPrefix = route.match.path.endsWith("*");
-      const service = config.services[route.service];
-      const goal = config.goals?.[name];
-      const methods = route.match.methods ? new Set<string>(route.match.methods) : undefined;
-      const mapping: Mapping = {
-        name,
-        service: route.service,
-        methods,
-        path: isPrefix ? route.match.path.slice(0, -1) : route.match.path,
-        isPrefix,
-        repeatable: route.repeat === undefined ? [...(methods ?? ["POST"])].every((method) => safeMethods.has(method)) : route.repeat === "safe",
-        keyed: route.keyed ?? false,
-        giveUpMs: route.giveUpMs ?? usual.giveUpMs,
-        goalMs: goal?.latencyMs ?? usual.goalMs,
-        furtherTries: goal?.furtherTries ?? usual.furtherTries,
-        stampHeader: service?.stampHeader ?? usual.stampHeader,
-        inHandLimit: service?.inHand ?? usual.inHand,
-      };
-      this.all.push(mapping);
-      if (isPrefix) this.prefixes.push(mapping);
-      else this.exact.set(mapping.path, [...(this.exact.get(mapping.path) ?? []), mapping]);
-    }
-    this.prefixes.sort((a, b) => b.path.length - a.path.length || a.name.localeCompare(b.name));
+    this.limits = config.limits ?? {};
+    this.services = config.services;
+    this.all = Object.entries(config.routes).map(([name, route]) => mappingOf(config, name, route));
+    for (const mapping of this.all) this.byName.set(mapping.name, mapping);
+    for (const mapping of this.all) if (!mapping.isPrefix) this.index(mapping.host).add(mapping);
+    for (const mapping of this.all.filter(({ isPrefix }) => isPrefix).sort((a, b) => (a.name < b.name ? -1 : 1))) this.index(mapping.host).add(mapping);
   }
 
-  /** The mapping of a request, the longest match first. */
-  find(method: string, path: string): Mapping | undefined {
-    const takes = (mapping: Mapping): boolean => mapping.methods === undefined || mapping.methods.has(method);
-    return this.exact.get(path)?.find(takes) ?? this.prefixes.find((mapping) => path.startsWith(mapping.path) && takes(mapping));
+  /** The mapping of a request: one for its host before one for any, then the longest match. */
+  find(method: string, path: string, host = ""): Mapping | undefined {
+    const ofHost = this.hosts.size === 0 || host === "" ? undefined : this.hosts.get(hostName(host));
+    return ofHost?.find(method, path) ?? this.anyHost.find(method, path);
+  }
+
+  /** The mapping of a route's name. */
+  named(name: string): Mapping | undefined {
+    return this.byName.get(name);
   }
-}
 
-if (import.meta.vitest) {
-  const { expect, test } = import.meta.vitest;
-  test("the most exact mapping that takes the method is found", () => {
-    const mappings = new Mappings({
-      services: { a: {}, b: {} },
-      routes: {
-        all: { match: { path: "/x/*" }, service: "a" },
-        deep: { match: { path: "/x/y/*", methods: ["GET"] }, service: "b" },
-        one: { match: { path: "/x/y/z", methods: ["PUT"] }, service: "b" },
-      },
-    });
-    const found = (method: string, path: string) => mappings.find(method, path)?.name;
-    expect([found("GET", "/x/y/z"), found("PUT", "/x/y/z"), found("POST", "/x/y/q"), found("GET", "/")]).toEqual(["deep", "one", "all", undefined]);
-    expect(mappings.all.map((mapping) => mapping.repeatable)).toEqual([false, true, false]);
-  });
+  /** A service of this config by its name. */
+  service(name: string): MappedService | undefined {
+    return Object.hasOwn(this.services, name) ? this.services[name] : undefined;
+  }
+
+  private index(host: string | undefined): PathIndex {
+    if (host === undefined) return this.anyHost;
+    const known = this.hosts.get(host);
+    if (known) return known;
+    const index = new PathIndex();
+    this.hosts.set(host, index);
+    return index;
+  }
 }
--- a/src/contract/order.ts
+++ b/src/contract/order.ts
@@ -1,15 +1,34 @@
+import { itemsShape, namesShape } from "./config.js";
 import { FrameError } from "../link/frame.js";
 import { kindOf } from "../machine/kindOf.js";
-import { array, boolean, create, literal, number, object, optional, record, string, type, union, unknown, type Infer } from "superstruct";
+import { Contract } from "../record/book.js";
+import { array, boolean, create, define, literal, number, object, optional, record, string, type, union, unknown, type Infer } from "superstruct";
 
 const returnShape = object({ code: number(), headers: record(string(), string()), body: string() });
 
+/** What every change of the config tells: who sends it, upon which version, and the version it is to have. */
+const changeFields = { changeId: string(), base: optional(number()), version: optional(number()) };
+
 const orderShapes = {
-  announce: object({ kind: literal("announce"), address: string(), service: string(), zone: string(), warmth: number(), seen: number() }),
-  leave: object({ kind: literal("leave"), address: string(), service: string() }),
-  put: object({ kind: literal("put"), changeId: string(), base: optional(number()), value: unknown() }),
-  patch: object({ kind: literal("patch"), changeId: string(), base: optional(number()), value: unknown() }),
-  get: object({ kind: literal("get"), sequence: optional(number()) }),
+  announce: object({
+    kind: literal("announce"),
+    address: string(),
+    service: string(),
+    zone: string(),
+    warmth: number(),
+    seen: number(),
+    instance: optional(string()),
+    capacity: optional(number()),
+    warmMs: optional(number()),
+    order: optional(number()),
+    draining: optional(boolean()),
+  }),
+  /** A back end that leaves is named by its instance, or by its address and service. */
+  leave: object({ kind: literal("leave"), address: optional(string()), service: optional(string()), instance: optional(string()) }),
+  put: object({ kind: literal("put"), ...changeFields, value: unknown() }),
+  patch: object({ kind: literal("patch"), ...changeFields, value: unknown() }),
+  amend: object({ kind: literal("amend"), ...changeFields, put: itemsShape, remove: namesShape }),
+  get: object({ kind: literal("get"), version: optional(number()) }),
   history: object({ kind: literal("history") }),
   claim: object({ kind: literal("claim"), scope: string(), bodyHash: string(), job: string() }),
   settle: object({ kind: literal("settle"), scope: string(), job: string(), verdict: union([literal("ran"), literal("mayHaveRun")]), return: optional(returnShape) }),
@@ -22,6 +41,9 @@
 /** A command for the leader, as daemons ferry it. */
 export type Order = Infer<(typeof orderShapes)[keyof typeof orderShapes]>;
 
+/** A command that changes the config. */
+export type ChangeOrder = Extract<Order, { kind: "put" | "patch" | "amend" }>;
+
 const isOrderKind = (kind: string): kind is keyof typeof orderShapes => Object.hasOwn(orderShapes, kind);
 
 export const Order = {
@@ -56,22 +78,26 @@
   wished: array(object({ service: string(), count: number() })),
   /** Contracts whose address refused a connection: nobody listens there. */
   refused: array(object({ address: string(), number: number() })),
+  /** Contracts whose back ends announced themselves here since the last poll, with the newest order of each. */
+  heard: optional(array(object({ number: number(), order: number() }))),
 });
 
 /** What an edge or collector sends to get a fresh view. */
 export type Poll = Infer<typeof pollShape>;
 
-const contractShape = object({ address: string(), service: string(), zone: string(), warmth: number(), number: number(), leaving: boolean(), leftAt: number(), drained: boolean() });
+const numbersShape = define<Record<string, number>>("numbers", (value) => typeof value === "object" && value !== null && Object.values(value).every((one) => typeof one === "number"));
 
 const viewShape = object({
   granted: literal(true),
   grantMs: number(),
+  /** How often back ends should announce themselves. */
+  announceMs: optional(number()),
   configSequence: number(),
   config: optional(string()),
   /** The numbers of the services and routes that the config names. */
-  numbers: optional(record(string(), number())),
+  numbers: optional(numbersShape),
   directorySequence: number(),
-  directory: optional(array(contractShape)),
+  directory: optional(define<Contract[]>("directory", Contract.areAll)),
   grantNumber: string(),
   capacities: array(object({ service: string(), capacity: number() })),
   collectors: array(object({ zone: string(), peer: string() })),
--- a/src/contract/registry.ts
+++ b/src/contract/registry.ts
@@ -1,15 +1,15 @@
-import { create, number, object, optional, type, union } from "superstruct";
+import { create, literal, number, object, optional, type, union } from "superstruct";
 import { Clock } from "../machine/clock.js";
 import { Holding } from "../machine/holding.js";
 import type { PartLog } from "../machine/logbook.js";
 import { Task } from "../machine/task.js";
 import { World } from "../machine/world.js";
-import type { Book, Contract } from "../record/book.js";
-import { Deed, heldKeys } from "../record/book.js";
+import type { AcceptedConfig, Book, Contract } from "../record/book.js";
+import { Deed, heldKeys, versionOf } from "../record/book.js";
 import type { Recorder } from "../record/recorder.js";
 import { Allowance } from "../zone/allowance.js";
-import { Config, mergePatch } from "./config.js";
-import { breakdownReturn, isBreakdown, Order, Poll, type GrantedView, type Machine } from "./order.js";
+import { amend, Config, mergePatch } from "./config.js";
+import { breakdownReturn, isBreakdown, Order, Poll, type ChangeOrder, type GrantedView, type Machine } from "./order.js";
 
 /** The waits by which the leader keeps contracts, keys and grants. */
 export interface Terms {
@@ -23,10 +23,14 @@
   silentMs: number;
   /** How long a number rests before another name may have it: three windows. */
   restMs: number;
+  /** How long a poll is held at most while there is no news for it; well under the grant. */
+  holdMs: number;
+  /** How long an instance that is gone for good is kept in mind at least. */
+  goneMs: number;
 }
 
 export const Terms = {
-  usual: { grantMs: 1600, announceMs: 1000, lapseMs: 3500, leaveHoldMs: 2500, purgeMs: 30_000, keyMs: 120_000, silentMs: 2500, restMs: 60_000 },
+  usual: { grantMs: 1600, announceMs: 1000, lapseMs: 3900, leaveHoldMs: 2500, purgeMs: 30_000, keyMs: 120_000, silentMs: 2500, restMs: 60_000, holdMs: 0, goneMs: 600_000 },
 };
 
 interface Heard {
@@ -35,8 +39,13 @@
   silent: boolean;
 }
 
+const newsKinds: ReadonlySet<string> = new Set(["config", "contract", "leave", "end", "purge"]);
+
 const configOutcome = union([object({ accepted: number() }), object({ lost: number() })]);
-const numbered = type({ number: optional(number()) });
+const numbered = type({ number: optional(number()), gone: optional(literal(true)) });
+const gatherNewsMs = 5;
+/** By how much more than their time instances are kept, so that many are forgotten in one entry. */
+const goneSlack = 1.1;
 
 /** What only the leader does: takes commands, keeps contracts and keys alive, and gives edges their views. */
 export class Registry {
@@ -45,10 +54,22 @@
   private readonly book: Book;
   private readonly terms: Terms;
   private readonly log: PartLog;
-  private readonly configs = new Holding<{ order: Extract<Order, { kind: "put" | "patch" }>; done: (text: string) => void }>();
+  private readonly configs = new Holding<{ order: ChangeOrder; done: (text: string) => void }>();
+  /** The config that was read last, beside its text. */
+  private parsed: { text: string; value: unknown } = { text: "", value: Config.empty };
   private readonly heardBackEnds = new Map<string, { heardMs: number; leftMs: number }>();
   private readonly machines = new Map<string, Heard>();
   private readonly ending = new Set<number>();
+  /** The newest order that is known of each instance. */
+  private readonly orders = new Map<string, number>();
+  /** Since when this recorder knows, or last heard, of each instance that is gone for good. */
+  private readonly goneSince = new Map<string, number>();
+  /** Polls that are held until there is news. */
+  private readonly waitingForNews = new Set<() => void>();
+  private isTelling = false;
+  /** What many polls return alike, made once for each change. */
+  private configText = { sequence: -1, text: "", services: new Array<string>() };
+  private directoryText = { sequence: -1, text: "", byNumber: new Map<number, Contract>() };
   /** Since when this leader has seen a number rest. */
   private readonly restingSince = new Map<number, number>();
   private keyAges: Array<{ scope: string; index: number; atMs: number }> = [];
@@ -57,22 +78,27 @@
   private readonly parting = new Set<string>();
   /** Leads, but has given no edge its view yet. */
   private isNew = true;
-  private readonly allowance = new Allowance();
+  private readonly allowance: Allowance;
 
-  constructor(world: World, recorder: Recorder, book: Book, terms: Terms) {
+  constructor(world: World, recorder: Recorder, book: Book, terms: Terms, allowance = new Allowance()) {
     this.world = world;
     this.recorder = recorder;
     this.book = book;
     this.terms = terms;
+    this.allowance = allowance;
     this.log = world.logbook.part("contract");
     book.onApplied((deed, index) => {
       if (deed.kind === "claim") this.keyAges.push({ scope: deed.scope, index, atMs: world.clock.nowMs() });
+      if (deed.kind === "leave" || deed.kind === "contract") this.noteGone();
+      if (deed.kind === "forgetGone") for (const instance of deed.instances) this.goneSince.delete(instance);
+      if (newsKinds.has(deed.kind)) this.tellNews();
       if (deed.kind === "holder") this.entering.delete(deed.edge);
       if (deed.kind === "holdersPast") for (const edge of deed.edges) this.parting.delete(edge);
       if (deed.kind === "forget") this.keyAges = this.keyAges.filter((age) => age.index > deed.upTo);
     });
     recorder.onLeading((leads) => {
       if (leads) this.lead();
+      this.tellNews();
     });
   }
 
@@ -83,18 +109,19 @@
       case "announce":
         return yield* this.announce(order);
       case "leave":
-        return yield* this.leave(order.address, order.service, false);
+        return yield* this.leave(order, false);
       case "drainBackEnd": {
         const contract = this.book.contracts.get(order.address);
-        return contract ? yield* this.leave(contract.address, contract.service, true) : JSON.stringify({ known: false });
+        return contract ? yield* this.leave({ address: contract.address, service: contract.service }, true) : JSON.stringify({ known: false });
       }
       case "put":
       case "patch":
+      case "amend":
         return yield* Task.wait<string>((done) => this.configs.put({ order, done }));
       case "get":
-        return yield* this.read(order.sequence);
+        return yield* this.read(order.version);
       case "history":
-        return this.granted(() => ({ configs: this.book.recent, journal: this.book.journal }));
+        return this.granted(() => ({ configs: this.book.recent.map((one) => ({ ...one, sequence: versionOf(one), version: versionOf(one) })), journal: this.book.journal }));
       case "claim": {
         const known = this.book.keys.get(order.scope);
         if (known && known.job !== order.job && this.recorder.hasGrant) return JSON.stringify({ held: known });
@@ -124,8 +151,8 @@
     const known = this.machines.get(machine.name);
     if (!known || known.silent || known.machine.incarnation !== machine.incarnation) this.log.say("A machine shows itself.", { machine: machine.name, zone: machine.zone });
     this.machines.set(machine.name, { machine, heardMs: nowMs, silent: false });
-    const inForce = this.book.inForce;
-    const services = [...this.book.numbering.inForce.keys()].filter((name) => name.startsWith("service ")).map((name) => name.slice(8));
+    this.hearAll(poll, nowMs);
+    const { services } = this.currentConfig();
     const isEdge = machine.roles.includes("edge") && !machine.draining;
     const edge = `${machine.name} ${machine.incarnation}`;
     const holds = this.book.holders.has(edge);
@@ -143,29 +170,25 @@
             nowMs,
           )
         : { number: "", capacities: new Map<string, number>() };
+    if (this.terms.holdMs > 0 && granted.number === poll.grantNumber && !this.hasNewsFor(poll)) {
+      yield* this.news(this.terms.holdMs);
+      if (!this.recorder.hasGrant) return breakdownReturn("noGrant");
+    }
     const view: GrantedView = {
       granted: true,
       grantMs: this.terms.grantMs,
-      configSequence: inForce?.sequence ?? 0,
+      announceMs: this.terms.announceMs,
+      configSequence: this.book.inForce?.sequence ?? 0,
       directorySequence: this.book.directorySequence,
       grantNumber: granted.number,
       capacities: [...granted.capacities].map(([service, capacity]) => ({ service, capacity })),
       collectors: [...this.machines.values()].filter((one) => one.machine.roles.includes("collector") && !one.silent).map((one) => ({ zone: one.machine.zone, peer: one.machine.peer })),
       recorders: [...this.recorder.currentMembers.voters, ...this.recorder.currentMembers.learners],
     };
-    if (inForce && poll.configSequence !== inForce.sequence) {
-      view.config = inForce.text;
-      view.numbers = Object.fromEntries(this.book.numbering.inForce);
-    }
-    for (const { address, number } of poll.refused) {
-      const known = this.book.contracts.get(address);
-      if (known?.number === number && !known.leaving && !this.ending.has(number)) {
-        this.ending.add(number);
-        this.tell({ kind: "end", address, number, why: `it refused a connection from ${machine.name}, or another service is there` });
-      }
-    }
-    if (poll.directorySequence !== this.book.directorySequence) view.directory = [...this.book.contracts.values()];
-    return JSON.stringify(view);
+    const parts = [JSON.stringify(view).slice(0, -1)];
+    if (this.book.inForce && poll.configSequence !== this.book.inForce.sequence) parts.push(this.currentConfig().text);
+    if (poll.directorySequence !== this.book.directorySequence) parts.push(this.currentDirectory().text);
+    return `${parts.join(",")}}`;
   }
 
   /** The owner of configs: one change after another. */
@@ -194,6 +217,7 @@
           heard.heardMs = nowMs;
         }
       }
+      this.forgetInstances(nowMs);
       for (const heard of this.machines.values()) {
         if (heard.silent || nowMs - heard.heardMs < this.terms.silentMs) continue;
         heard.silent = true;
@@ -221,6 +245,11 @@
     this.machines.clear();
     this.ending.clear();
     this.heardBackEnds.clear();
+    this.orders.clear();
+    this.goneSince.clear();
+    for (const instance of this.book.gone.keys()) this.goneSince.set(instance, nowMs);
+    this.configText = { sequence: -1, text: "", services: [] };
+    this.directoryText = { sequence: -1, text: "", byNumber: new Map() };
     this.keyAges = [...this.book.keys].map(([scope, { atIndex }]) => ({ scope, index: atIndex, atMs: nowMs }));
   }
 
@@ -237,68 +266,195 @@
     return typeof proposed === "string" ? breakdownReturn(proposed) : proposed.outcome;
   }
 
-  private tell(deed: Deed): void {
-    World.start(this.world, "contract", this.enter(deed));
+  private tell(deed: Deed, ended: (outcome: string) => void = () => undefined): void {
+    World.start(this.world, "contract", this.enter(deed), ended);
   }
 
-  private *announce({ address, service, zone, warmth, seen }: Extract<Order, { kind: "announce" }>): Task<string> {
-    if (!this.recorder.hasGrant) return breakdownReturn("noGrant");
+  /** The text of the config in force and its numbers, as part of a view. */
+  private currentConfig() {
+    const inForce = this.book.inForce;
+    const sequence = inForce?.sequence ?? 0;
+    if (this.configText.sequence !== sequence) {
+      const numbers = this.book.numbering.inForce;
+      const text = inForce ? `"config":${JSON.stringify(inForce.text)},"numbers":${JSON.stringify(Object.fromEntries(numbers))}` : "";
+      this.configText = { sequence, text, services: [...numbers.keys()].filter((name) => name.startsWith("service ")).map((name) => name.slice(8)) };
+    }
+    return this.configText;
+  }
+
+  /** The text of the directory, as part of a view, and its contracts by number. */
+  private currentDirectory() {
+    const sequence = this.book.directorySequence;
+    if (this.directoryText.sequence !== sequence) {
+      const contracts = [...this.book.contracts.values()];
+      this.directoryText = { sequence, text: `"directory":${JSON.stringify(contracts)}`, byNumber: new Map(contracts.map((contract) => [contract.number, contract])) };
+    }
+    return this.directoryText;
+  }
+
+  private hasNewsFor(poll: Poll): boolean {
+    return poll.configSequence !== (this.book.inForce?.sequence ?? 0) || poll.directorySequence !== this.book.directorySequence;
+  }
+
+  /** Waits until the directory or the config changes, at most for a while. */
+  private *news(waitMs: number): Task {
+    let hear = (): void => undefined;
+    yield* Clock.within<boolean>(this.world.clock, waitMs, (done) => {
+      hear = () => done(true);
+      this.waitingForNews.add(hear);
+    });
+    this.waitingForNews.delete(hear);
+  }
+
+  /** Lets held polls go a little later, so that changes that come together are told together. */
+  private tellNews(): void {
+    if (this.waitingForNews.size === 0 || this.isTelling) return;
+    this.isTelling = true;
+    this.world.clock.after(gatherNewsMs, () => {
+      this.isTelling = false;
+      for (const hear of [...this.waitingForNews]) hear();
+    });
+  }
+
+  /** Takes from a poll which back ends announced themselves at its daemon, and which refused it. */
+  private hearAll({ machine, heard = [], refused }: Poll, nowMs: number): void {
+    const { byNumber } = this.currentDirectory();
+    for (const { number, order } of heard) {
+      const contract = byNumber.get(number);
+      if (!contract || contract.leaving) continue;
+      this.hear(contract.address, nowMs);
+      this.noteOrder(contract.instance, order);
+    }
+    for (const { address, number } of refused) {
+      const known = byNumber.get(number);
+      if (known?.address !== address || known.leaving || this.ending.has(number)) continue;
+      this.ending.add(number);
+      this.tell({ kind: "end", address, number, why: `it refused a connection from ${machine.name}, or another service is there` }, (outcome) => {
+        if (isBreakdown(outcome)) this.ending.delete(number);
+      });
+    }
+  }
+
+  private hear(address: string, nowMs: number): void {
+    this.heardBackEnds.set(address, { heardMs: nowMs, leftMs: this.heardBackEnds.get(address)?.leftMs ?? -Infinity });
+  }
+
+  private noteOrder(instance: string, order: number): void {
+    if (instance !== "") this.orders.set(instance, Math.max(order, this.orders.get(instance) ?? 0));
+  }
+
+  private noteGone(): void {
+    if (this.goneSince.size === this.book.gone.size) return;
     const nowMs = this.world.clock.nowMs();
+    for (const instance of this.book.gone.keys()) if (!this.goneSince.has(instance)) this.goneSince.set(instance, nowMs);
+  }
+
+  /** Forgets instances that have been gone for long, and orders that nobody needs any more. */
+  private forgetInstances(nowMs: number): void {
+    for (const instance of this.goneSince.keys()) if (!this.book.gone.has(instance)) this.goneSince.delete(instance);
+    let oldestMs = nowMs;
+    for (const sinceMs of this.goneSince.values()) oldestMs = Math.min(oldestMs, sinceMs);
+    if (nowMs - oldestMs > this.terms.goneMs * goneSlack)
+      this.tell({ kind: "forgetGone", instances: [...this.goneSince].filter(([, sinceMs]) => nowMs - sinceMs > this.terms.goneMs).map(([instance]) => instance) });
+    if (this.orders.size <= this.book.contracts.size) return;
+    const standing = new Set([...this.book.contracts.values()].map(({ instance }) => instance));
+    for (const instance of this.orders.keys()) if (!standing.has(instance)) this.orders.delete(instance);
+  }
+
+  private *announce(order: Extract<Order, { kind: "announce" }>): Task<string> {
+    const { address, service, zone, warmth, seen, instance = "", capacity = 0, warmMs = 0 } = order;
+    if (!this.recorder.hasGrant) return breakdownReturn("noGrant");
     const known = this.book.contracts.get(address);
+    if (order.draining) {
+      const left = yield* this.leave({ address, service, instance }, false);
+      return isBreakdown(left) ? left : this.announced(known?.instance === instance ? known.number : 0, instance === "" ? "leaving" : "gone");
+    }
+    const nowMs = this.world.clock.nowMs();
+    const same = known?.service === service && known.instance === instance;
+    if (this.book.gone.has(instance)) {
+      this.goneSince.set(instance, nowMs);
+      return this.announced(0, "gone");
+    }
+    if (order.order !== undefined && order.order < this.newestOrder(instance)) return this.announced(same ? known.number : 0, "overtaken");
     const heard = this.heardBackEnds.get(address);
-    const same = known?.service === service;
-    const justLeft = heard !== undefined && nowMs - heard.leftMs < this.terms.leaveHoldMs;
+    const justLeft = instance === "" && heard !== undefined && nowMs - heard.leftMs < this.terms.leaveHoldMs;
     if (same && known.leaving && !known.drained && justLeft) return this.announced(known.number, "leaving");
-    this.heardBackEnds.set(address, { heardMs: nowMs, leftMs: heard?.leftMs ?? -Infinity });
-    if (same && known.drained) return this.announced(known.number, "drained");
-    if (same && !known.leaving && known.zone === zone) return this.announced(known.number, "known");
+    if (same) {
+      this.hear(address, nowMs);
+      this.noteOrder(instance, order.order ?? 0);
+      if (known.drained) return this.announced(known.number, "drained");
+      if (!known.leaving && known.zone === zone && known.capacity === capacity) return this.announced(known.number, "known");
+    }
     if (known && seen < Math.max(known.number, known.leftAt)) return this.announced(known.number, "overtaken");
-    const outcome = yield* this.enter({ kind: "contract", address, service, zone, warmth });
+    this.hear(address, nowMs);
+    this.noteOrder(instance, order.order ?? 0);
+    const outcome = yield* this.enter({ kind: "contract", address, service, zone, warmth, instance, capacity, warmMs, order: order.order ?? 0 });
     const entered = create(JSON.parse(outcome), numbered);
+    if (entered.gone) return this.announced(0, "gone");
     return entered.number === undefined ? outcome : this.announced(entered.number, "taken");
   }
 
+  private newestOrder(instance: string): number {
+    if (instance === "") return 0;
+    return Math.max(this.orders.get(instance) ?? 0, ...this.book.contractsOf(instance).map(({ order }) => order));
+  }
+
   private announced(contract: Contract["number"], state: string): string {
     return JSON.stringify({ contract, state, announceMs: this.terms.announceMs });
   }
 
-  private *leave(address: string, service: string, drained: boolean): Task<string> {
+  private *leave({ address = "", service = "", instance = "" }: { address?: string | undefined; service?: string | undefined; instance?: string | undefined }, drained: boolean): Task<string> {
+    if (!this.recorder.hasGrant) return breakdownReturn("noGrant");
     const known = this.book.contracts.get(address);
-    if (known?.service === service && known.leaving && known.drained >= drained && this.recorder.hasGrant) return JSON.stringify({ known: true });
-    const outcome = yield* this.enter({ kind: "leave", address, service, drained });
+    const isGone = instance === "" ? known?.service === service && known.leaving && known.drained >= drained : this.book.gone.has(instance);
+    if (isGone) return JSON.stringify({ known: true });
+    const outcome = yield* this.enter({ kind: "leave", address, service, drained, ...(instance === "" ? {} : { instance }) });
     const nowMs = this.world.clock.nowMs();
-    this.heardBackEnds.set(address, { heardMs: nowMs, leftMs: nowMs });
+    const left = instance === "" ? [address] : this.book.contractsOf(instance).map((contract) => contract.address);
+    for (const one of left) this.heardBackEnds.set(one, { heardMs: nowMs, leftMs: nowMs });
     return outcome;
   }
 
-  private *changeConfig(order: Extract<Order, { kind: "put" | "patch" }>): Task<string> {
+  private *changeConfig(order: ChangeOrder): Task<string> {
     for (let round = 0; round < 5; round += 1) {
       if (!this.recorder.hasGrant) return breakdownReturn("noGrant");
-      const first = this.book.changeSequence(order.changeId);
+      const first = this.book.changeVersion(order.changeId);
       if (first !== undefined) return JSON.stringify({ accepted: first });
-      const current = this.book.inForce;
-      const sequence = current?.sequence ?? 0;
-      if (order.base !== undefined && order.base !== sequence) return JSON.stringify({ lost: sequence });
-      const whole: unknown = order.kind === "put" ? order.value : mergePatch(JSON.parse(current?.text ?? JSON.stringify(Config.empty)), order.value);
-      const checked = Config.check(whole);
+      const { version } = this.book;
+      if (order.base !== undefined && order.base !== version) return JSON.stringify({ lost: version });
+      if (order.version !== undefined && !(Number.isSafeInteger(order.version) && order.version > version))
+        return JSON.stringify({ faults: [{ path: "version", expected: `a version above ${version}` }] });
+      const checked = Config.check(this.changed(order));
       if ("faults" in checked) return JSON.stringify({ faults: checked.faults });
       const { config } = checked;
+      const text = JSON.stringify(config);
       const outcome = yield* this.enter({
         kind: "config",
-        expected: sequence,
+        expected: this.book.inForce?.sequence ?? 0,
+        ...(order.version === undefined ? {} : { version: order.version }),
         changeId: order.changeId,
         acceptedAt: this.world.wallTime().toISOString(),
-        text: JSON.stringify(config),
+        text,
         services: Object.keys(config.services),
         routes: Object.keys(config.routes),
         rested: this.rested(),
       });
       const [failed, read] = configOutcome.validate(JSON.parse(outcome));
+      if (!failed && "accepted" in read) this.parsed = { text, value: config };
       if (failed || "accepted" in read || order.base !== undefined) return outcome;
     }
     return breakdownReturn("notLeader");
   }
 
+  /** The whole config that an order makes of the one in force. */
+  private changed(order: ChangeOrder): unknown {
+    if (order.kind === "put") return order.value;
+    const text = this.book.inForce?.text;
+    if (text !== undefined && this.parsed.text !== text) this.parsed = { text, value: JSON.parse(text) };
+    const current = text === undefined ? Config.empty : this.parsed.value;
+    return order.kind === "patch" ? mergePatch(current, order.value) : amend(current, order.put, order.remove);
+  }
+
   /** Numbers that have been out of force for so long that no window holds them. */
   private rested(): number[] {
     const nowMs = this.world.clock.nowMs();
@@ -308,13 +464,36 @@
     return [...this.restingSince].filter(([, sinceMs]) => nowMs - sinceMs > this.terms.restMs).map(([number]) => number);
   }
 
-  private *read(sequence: number | undefined): Task<string> {
+  private *read(version: number | undefined): Task<string> {
     if (!this.recorder.hasGrant) return breakdownReturn("noGrant");
-    const newest = this.book.inForce?.sequence ?? 0;
-    if ((sequence ?? 1) > newest || sequence === 0) return JSON.stringify({ found: null });
-    const found = yield* this.recorder.config(sequence ?? newest);
-    if (!found) return breakdownReturn("unknown");
-    return this.granted(() => ({ found: { sequence: found.sequence, changeId: found.changeId, acceptedAt: found.acceptedAt, text: found.text } }));
+    const newest = this.book.inForce;
+    const wanted = version ?? this.book.version;
+    if (!newest || wanted > this.book.version || wanted < 1) return JSON.stringify({ found: null });
+    const found = wanted === this.book.version ? newest : yield* this.ofVersion(wanted, newest.sequence);
+    if (found === "unknown") return breakdownReturn("unknown");
+    if (!found) return this.granted(() => ({ found: null }));
+    return this.granted(() => ({ found: { sequence: found.sequence, version: versionOf(found), changeId: found.changeId, acceptedAt: found.acceptedAt, text: found.text } }));
+  }
+
+  /** The accepted config of a version: versions rise with the sequences, so that few are looked at. */
+  private *ofVersion(version: number, newest: number): Task<AcceptedConfig | "unknown" | undefined> {
+    const { recent } = this.book;
+    const at = recent.findIndex((one) => versionOf(one) >= version);
+    const known = at > 0 || (at === 0 && recent[0] && versionOf(recent[0]) === version) ? recent[at] : undefined;
+    if (known && versionOf(known) !== version) return undefined;
+    if (known) return (yield* this.recorder.config(known.sequence)) ?? "unknown";
+    let low = 1;
+    let high = Math.min(version, recent[0]?.sequence ?? newest);
+    while (low <= high) {
+      const middle = version === high ? high : Math.floor((low + high) / 2);
+      const config = yield* this.recorder.config(middle);
+      if (!config) return "unknown";
+      const found = versionOf(config);
+      if (found === version) return config;
+      if (found < version) low = middle + 1;
+      else high = middle - 1;
+    }
+    return undefined;
   }
 
   private *rejoin(machine: string, nonce: string): Task<string> {
@@ -334,47 +513,7 @@
       backEnds: [...this.book.contracts.values()].map(({ address, service, zone, leaving }) => ({ address, service, zone, leaving, heardMsAgo: Math.round(nowMs - (this.heardBackEnds.get(address)?.heardMs ?? nowMs)) })),
       directorySequence: this.book.directorySequence,
       keys: this.book.keys.size,
-      configs: this.book.inForce?.sequence ?? 0,
+      configs: this.book.version,
     };
   }
 }
-
-if (import.meta.vitest) {
-  const { expect, test } = import.meta.vitest;
-  const { Simulation } = await import("../rehearsal/simulation.js");
-  const { Profile } = await import("../rehearsal/profile.js");
-  const { Kind } = await import("../link/kind.js");
-  const { Link } = await import("../link/link.js");
-  const { Gate } = await import("../rehearsal/gate.js");
-  const { virtualWorld } = await import("../rehearsal/virtualWorld.js");
-
-  test("an announcement that was overtaken by the back end's leave, or by another service at its address, changes nothing", () => {
-    const simulation = new Simulation(Profile.all.rastro, 1, 0.01);
-    simulation.begin();
-    simulation.time.runUntil(5000);
-    const fail = (error: unknown): void => {
-      throw error;
-    };
-    const world = virtualWorld({ clock: simulation.clock, wire: simulation.network.wire("late", new Gate()), random: simulation.random });
-    const link = new Link(world, "late");
-    const leader = simulation.machines.find(({ daemon }) => daemon?.recorder?.hasGrant)?.settings.peers ?? "";
-    const order = (sent: Order): string => {
-      const returns: string[] = [];
-      Task.start(link.ask(leader, Kind.command, { ferried: true, text: Order.text(sent) }, 2000), fail, (ret) => returns.push(ret?.text ?? ""));
-      simulation.time.runUntil(simulation.time.nowMs() + 200);
-      return returns[0] ?? "";
-    };
-    const [one] = simulation.standIns;
-    if (!one) throw new Error("There is no back end.");
-    one.isAnnouncing = false;
-    const { address, service, zone } = one;
-    const late: Order = { kind: "announce", address, service, zone, warmth: 1, seen: Number(/"directorySequence":(\d+)/.exec(order({ kind: "fleet" }))?.[1] ?? "0") };
-    expect(order({ kind: "leave", address, service })).toBe('{"known":true}');
-    simulation.time.runUntil(simulation.time.nowMs() + 4000);
-    expect(order(late)).toContain('"overtaken"');
-    const fresh = { ...late, seen: 1_000_000 };
-    expect(order({ ...fresh, service: "triage" })).toContain('"taken"');
-    expect(order(late)).toContain('"overtaken"');
-    expect(order(fresh)).toContain('"taken"');
-  });
-}
--- a/src/contract/view.ts
+++ b/src/contract/view.ts
@@ -8,14 +8,27 @@
 import { Config, ConfigReader } from "./config.js";
 import type { Ferry } from "./ferry.js";
 import { Mappings } from "./mapping.js";
-import { Poll, type GrantedView, type Machine } from "./order.js";
+import { Poll, type GrantedView, type Machine, type Order } from "./order.js";
 import type { Budget } from "../zone/budget.js";
-import { retryWindowMs } from "../zone/counts.js";
 
 const pollWaitMs = 450;
+/** How old an announcement may be and still be told as heard. */
+const heardForMs = 2000;
+/** How many orders are remembered beyond those of instances in the directory. */
+const spareOrders = 1000;
 /** How long a hurried poll waits after the last one. */
 const hurriedPollMs = 40;
 
+/** What a back end says of itself in an announcement. */
+export type Announcement = Omit<Extract<Order, { kind: "announce" }>, "kind" | "seen">;
+
+/** What a daemon answers to an announcement that needs no leader. */
+export interface Heard {
+  contract: number;
+  state: "known" | "overtaken";
+  announceMs: number;
+}
+
 /** What a daemon knows of the fleet, and until when it may serve by it. */
 export class View {
   private readonly world: World;
@@ -25,7 +38,19 @@
   private readonly log: PartLog;
   private untilMs = -Infinity;
   private heard = false;
-  private directoryByService = new Map<string, Contract[]>();
+  private directory: readonly Contract[] = [];
+  private byService = new Map<string, Contract[]>();
+  private byAddress = new Map<string, Contract>();
+  private byInstance = new Map<string, Contract>();
+  /** The numbers of the contracts that stand, as far as is known here. */
+  private standing = new Set<number>();
+  /** What announced itself here and is yet to be told to the leader, by contract. */
+  private readonly announced = new Map<number, { order: number; atMs: number }>();
+  /** The newest order heard here of each instance. */
+  private readonly orders = new Map<string, number>();
+  private announceMs = 1000;
+  /** Hears of all contracts whenever the directory has changed. */
+  onDirectory: (contracts: readonly Contract[]) => void = () => undefined;
   /** The newest change of the directory that is known here. */
   directorySequence = -1;
   private readonly reader = new ConfigReader();
@@ -57,19 +82,42 @@
     return this.world.clock.nowMs() < this.untilMs;
   }
 
+  /** For how long the lease to serve has been over; 0 while it holds. */
+  get lapsedMs(): number {
+    return Math.max(0, this.world.clock.nowMs() - this.untilMs);
+  }
+
   /** The back ends under contract for a service that aren't leaving. */
   backEnds(service: string): readonly Contract[] {
-    const contracts = this.directoryByService.get(service) ?? [];
-    return this.refused.length === 0 ? contracts : contracts.filter((contract) => !this.refused.some(({ number }) => number === contract.number));
+    return this.byService.get(service) ?? [];
   }
 
   /** Whether a contract still stands, as far as is known here. */
   holds(contract: Contract): boolean {
-    return this.backEnds(contract.service).some(({ number }) => number === contract.number);
+    return this.standing.has(contract.number);
+  }
+
+  /** The contract of an instance, which may be leaving. */
+  contractOf(instance: string): Contract | undefined {
+    return this.byInstance.get(instance);
   }
 
   get services(): string[] {
-    return [...this.directoryByService.keys()];
+    return [...this.byService.keys()];
+  }
+
+  /** Answers an announcement that changes nothing; the leader hears of it with the next poll. `undefined` where the leader must be asked. */
+  hear({ address, service, zone, instance = "", capacity = 0, order, draining = false }: Announcement): Heard | undefined {
+    const known = this.byAddress.get(address);
+    const isSame = known?.instance === instance && known.service === service;
+    if (draining) return undefined;
+    if (instance !== "" && order !== undefined) {
+      if (order < (this.orders.get(instance) ?? 0)) return { contract: isSame ? known.number : 0, state: "overtaken", announceMs: this.announceMs };
+      this.noteOrder(instance, order);
+    }
+    if (!this.isGranted || !isSame || known.zone !== zone || known.capacity !== capacity || !this.standing.has(known.number)) return undefined;
+    this.announced.set(known.number, { order: Math.max(order ?? 0, this.announced.get(known.number)?.order ?? 0), atMs: this.world.clock.nowMs() });
+    return { contract: known.number, state: "known", announceMs: this.announceMs };
   }
 
   /** The number that the record gave to a service or a route. */
@@ -84,17 +132,24 @@
 
   /** Hears that nobody listens at a contract's address; the leader is told with the next poll. */
   noteRefused(contract: Contract): void {
-    if (!this.refused.some(({ number }) => number === contract.number)) this.refused.push(contract);
+    if (this.refused.some(({ number }) => number === contract.number)) return;
+    this.refused.push(contract);
+    this.arrange();
   }
 
   /** Polls for as long as the daemon runs. */
   *own(pollMs: number): Task {
     for (;;) {
       const sentMs = this.world.clock.nowMs();
-      const ret = yield* this.ferry.once(Kind.poll, this.poll(sentMs), pollWaitMs);
+      const text = this.poll(sentMs);
+      const told = new Map(this.announced);
+      const ret = yield* this.ferry.once(Kind.poll, text, pollWaitMs);
       if (ret !== undefined) {
         const view = Poll.readReturn(ret);
-        if (view.granted) this.take(view, sentMs);
+        if (view.granted) {
+          this.take(view, sentMs);
+          for (const [number, one] of told) if (this.announced.get(number) === one) this.announced.delete(number);
+        }
       }
       if (this.heard && !this.isGranted) {
         this.heard = false;
@@ -107,10 +162,11 @@
 
   private poll(nowMs: number): string {
     this.polls += 1;
-    if (nowMs > this.untilMs + retryWindowMs / 2) {
+    if (nowMs > this.untilMs + this.budget.rules.windowMs / 2) {
       this.budget.setCapacities(new Map(), nowMs);
       this.grantNumber = "";
     }
+    for (const [number, { atMs }] of this.announced) if (nowMs - atMs > heardForMs) this.announced.delete(number);
     const poll: Poll = {
       machine: this.machine(),
       configSequence: this.configSequence,
@@ -119,6 +175,7 @@
       capacities: [...this.budget.capacities].map(([service, capacity]) => ({ service, capacity })),
       wished: this.services.map((service) => ({ service, count: this.budget.wished(service, nowMs) })),
       refused: this.refused.map(({ address, number }) => ({ address, number })),
+      heard: [...this.announced].map(([number, { order }]) => ({ number, order })),
     };
     return JSON.stringify(poll);
   }
@@ -138,16 +195,14 @@
     }
     if (view.directory) {
       this.directorySequence = view.directorySequence;
-      this.refused = this.refused.filter(({ number }) => view.directory?.some((contract) => contract.number === number));
-      this.directoryByService = new Map();
-      for (const contract of view.directory) {
-        if (contract.leaving) continue;
-        const known = this.directoryByService.get(contract.service);
-        if (known) known.push(contract);
-        else this.directoryByService.set(contract.service, [contract]);
-      }
+      this.directory = view.directory;
+      const numbers = new Set(view.directory.map(({ number }) => number));
+      this.refused = this.refused.filter(({ number }) => numbers.has(number));
+      this.arrange();
       this.world.backEnds.keepOnly(new Set(view.directory.map(poolOf)));
+      this.onDirectory(view.directory);
     }
+    this.announceMs = view.announceMs ?? this.announceMs;
     this.collectors = view.collectors;
     this.ferry.know(view.recorders);
     this.budget.setCapacities(new Map(view.capacities.map(({ service, capacity }) => [service, capacity])), this.world.clock.nowMs());
@@ -157,6 +212,31 @@
     if (!this.heard) this.log.say("Granted.", { sequence: view.configSequence });
     this.heard = true;
   }
+
+  /** Arranges the directory in the ways in which it is looked up. */
+  private arrange(): void {
+    const refused = new Set(this.refused.map(({ number }) => number));
+    this.byService = new Map();
+    this.byAddress = new Map();
+    this.byInstance = new Map();
+    this.standing = new Set();
+    for (const contract of this.directory) {
+      const { address, service, instance, number, leaving } = contract;
+      this.byAddress.set(address, contract);
+      if (instance !== "" && (!leaving || !this.byInstance.has(instance))) this.byInstance.set(instance, contract);
+      if (leaving || refused.has(number)) continue;
+      this.standing.add(number);
+      const known = this.byService.get(service);
+      if (known) known.push(contract);
+      else this.byService.set(service, [contract]);
+    }
+    if (this.orders.size <= this.directory.length + spareOrders) return;
+    for (const instance of this.orders.keys()) if (!this.byInstance.has(instance)) this.orders.delete(instance);
+  }
+
+  private noteOrder(instance: string, order: number): void {
+    this.orders.set(instance, Math.max(order, this.orders.get(instance) ?? 0));
+  }
 }
 
 /** The name of the connections under one contract. */
--- a/src/door/backEnds.ts
+++ b/src/door/backEnds.ts
@@ -1,13 +1,18 @@
-import { Client, buildConnector, errors } from "undici";
+import { connect as connectSocket, type Socket } from "node:net";
+import { Readable } from "node:stream";
+import { Client, errors, type Dispatcher } from "undici";
+import { Address } from "../link/wire.js";
 import type { Clock } from "../machine/clock.js";
 import { Task } from "../machine/task.js";
+import type { Dialect } from "./dialect.js";
 
-/** One request as it goes to a back end, its body held whole. */
+/** One request as it goes to a back end: the part of its body that is held, and what is still to come. */
 export interface BackJob {
   readonly method: string;
   readonly path: string;
   readonly headers: Record<string, string>;
   readonly body: Uint8Array;
+  readonly rest?: AsyncIterable<Uint8Array> | undefined;
 }
 
 /** The head of a back end's return, and its body piece by piece. */
@@ -38,7 +43,7 @@
   mayStill(): boolean;
 }
 
-/** The back ends as a daemon reaches them. Each connection has proven the service behind it before it carries a request. */
+/** The back ends as a daemon reaches them. */
 export interface BackEnds {
   send(one: BackTry): Task<Opened>;
   /** Closes the connections of pools that are no longer wanted. */
@@ -51,6 +56,12 @@
 export const serviceHeader = "x-daledoor-service";
 /** How long a connection and its proof may take. */
 export const connectMs = 1000;
+/** How long a connection may rest where the back end says nothing of it. */
+const idleMs = 4000;
+/** How long a response that is late may still end, so that its connection can be used again. */
+const drainMs = 250;
+/** How much of a response is held before the back end is made to wait. */
+const heldLimitBytes = 256 * 1024;
 
 /** Raised where a connection that has ended is asked to open again. */
 class ConnectionOverError extends Error {}
@@ -58,134 +69,240 @@
 /** One connection; it never opens a second time, so that its proof holds for as long as it does. */
 interface Line {
   readonly client: Client;
-  reset(): void;
+  readonly socket: Socket;
+  readonly pool: string;
 }
 
-const codeOf = (error: unknown): string => (error instanceof Error && "code" in error && typeof error.code === "string" ? error.code : "");
+type Connected = Socket | "refused" | "unreached";
+
+/** One response as it arrives. */
+class Receiving implements Dispatcher.DispatchHandler {
+  private readonly pieces: Uint8Array[] = [];
+  private heldBytes = 0;
+  private last: "end" | "cut" | undefined;
+  private waiting: (() => void) | undefined;
+  private controller: Dispatcher.DispatchController | undefined;
+  private readonly head: (outcome: { code: number; headers: Record<string, string> } | { error: Error }) => void;
+  private readonly over: (isWhole: boolean) => void;
+
+  constructor(head: (outcome: { code: number; headers: Record<string, string> } | { error: Error }) => void, over: (isWhole: boolean) => void) {
+    this.head = head;
+    this.over = over;
+  }
+
+  onRequestStart(controller: Dispatcher.DispatchController): void {
+    this.controller = controller;
+  }
+
+  onResponseStart(_controller: Dispatcher.DispatchController, code: number, headers: Record<string, string | string[] | undefined>): void {
+    if (code < 200) return;
+    const flat: Record<string, string> = {};
+    for (const name in headers) {
+      const value = headers[name];
+      if (value !== undefined) flat[name] = typeof value === "string" ? value : value.join(", ");
+    }
+    this.head({ code, headers: flat });
+  }
 
-const lineTo = (address: string, over: (line: Line) => void): Line => {
-  let opened = false;
-  let reset = (): unknown => undefined;
-  const connect = buildConnector({ timeout: connectMs });
-  const client = new Client(`http://${address}`, {
-    pipelining: 1,
-    keepAliveTimeout: 3000,
-    headersTimeout: 0,
-    bodyTimeout: 0,
-    connect(options, done) {
-      if (opened) return done(new ConnectionOverError("The connection has ended."), null);
-      opened = true;
-      connect(options, (...outcome) => {
-        const [, socket] = outcome;
-        if (socket) reset = () => socket.resetAndDestroy();
-        done(...outcome);
+  onResponseData(controller: Dispatcher.DispatchController, piece: Uint8Array): void {
+    this.pieces.push(piece);
+    this.heldBytes += piece.length;
+    if (this.heldBytes > heldLimitBytes) controller.pause();
+    this.wake();
+  }
+
+  onResponseEnd(): void {
+    this.last = "end";
+    this.over(true);
+    this.wake();
+  }
+
+  onResponseError(_controller: Dispatcher.DispatchController, error: Error): void {
+    this.last = "cut";
+    this.over(false);
+    this.head({ error });
+    this.wake();
+  }
+
+  /** The next piece, the end, or word that it was cut. */
+  *next(): Task<Uint8Array | "end" | "cut"> {
+    for (;;) {
+      const piece = this.pieces.shift();
+      if (piece) {
+        this.heldBytes -= piece.length;
+        if (this.controller?.paused === true && this.heldBytes <= heldLimitBytes / 2) this.controller.resume();
+        return piece;
+      }
+      if (this.last !== undefined) return this.last;
+      yield* Task.wait<true>((done) => {
+        this.waiting = () => done(true);
       });
-    },
+    }
+  }
+
+  /** Lets the rest arrive unread. */
+  drain(): void {
+    this.pieces.length = 0;
+    this.heldBytes = -Infinity;
+    if (this.controller?.paused === true) this.controller.resume();
+  }
+
+  private wake(): void {
+    const { waiting } = this;
+    this.waiting = undefined;
+    waiting?.();
+  }
+}
+
+const connected = function* (clock: Clock, address: string, waitMs: number): Task<Connected> {
+  return yield* Task.wait<Connected>((done) => {
+    const socket = connectSocket({ ...Address.parts(address), noDelay: true });
+    const cancel = clock.after(waitMs, () => {
+      socket.destroy();
+      done("unreached");
+    });
+    socket.on("error", (error) => {
+      cancel();
+      done("code" in error && error.code === "ECONNREFUSED" ? "refused" : "unreached");
+    });
+    socket.once("connect", () => {
+      cancel();
+      done(socket);
+    });
   });
-  const line: Line = {
-    client,
-    reset() {
-      reset();
-      void client.destroy().catch(() => undefined);
-    },
-  };
-  client.on("disconnect", () => over(line));
-  return line;
 };
 
+const whole = ({ body, rest }: BackJob): Uint8Array | Readable | null => {
+  if (!rest) return body.length > 0 ? body : null;
+  return Readable.from(
+    (async function* () {
+      if (body.length > 0) yield body;
+      yield* rest;
+    })(),
+    { objectMode: false },
+  );
+};
+
+const methods = new Set<string>(["GET", "HEAD", "POST", "PUT", "DELETE", "CONNECT", "OPTIONS", "TRACE", "PATCH"]);
+const isMethod = (method: string): method is Dispatcher.HttpMethod => methods.has(method);
+
 export const BackEnds = {
   /** Over HTTP/1.1, by undici, whose own pools, repeating and pipelining stay unused. */
-  http(clock: Clock): BackEnds {
-    const idle = new Map<string, Set<Line>>();
-    const lines = new Map<Line, string>();
+  http(clock: Clock, proof: Dialect["proof"] = "connection", connectWaitMs = connectMs): BackEnds {
+    const idle = new Map<string, Line[]>();
+    const lines = new Set<Line>();
     let wanted: ReadonlySet<string> | undefined;
 
     const over = (line: Line): void => {
-      idle.get(lines.get(line) ?? "")?.delete(line);
-      lines.delete(line);
+      if (!lines.delete(line)) return;
+      const resting = idle.get(line.pool);
+      const at = resting?.indexOf(line) ?? -1;
+      if (at >= 0) resting?.splice(at, 1);
       void line.client.destroy().catch(() => undefined);
     };
+    const reset = (line: Line): void => {
+      line.socket.resetAndDestroy();
+      over(line);
+    };
     const rest = (line: Line): void => {
-      const pool = lines.get(line);
-      if (pool === undefined) return;
-      if (wanted && !wanted.has(pool)) return over(line);
-      const known = idle.get(pool);
-      if (known) known.add(line);
-      else idle.set(pool, new Set([line]));
+      if (!lines.has(line)) return;
+      if (wanted && !wanted.has(line.pool)) return over(line);
+      const known = idle.get(line.pool);
+      if (known) known.push(line);
+      else idle.set(line.pool, [line]);
+    };
+    const lineOn = (socket: Socket, address: string, pool: string): Line => {
+      let isTaken = false;
+      const client = new Client(`http://${address}`, {
+        pipelining: 1,
+        keepAliveTimeout: idleMs,
+        headersTimeout: 0,
+        bodyTimeout: 0,
+        connect(_options, done) {
+          if (isTaken || socket.destroyed) return done(new ConnectionOverError("The connection has ended."), null);
+          isTaken = true;
+          queueMicrotask(() => done(null, socket));
+        },
+      });
+      const line: Line = { client, socket, pool };
+      lines.add(line);
+      client.on("disconnect", () => over(line));
+      socket.once("close", () => over(line));
+      return line;
     };
 
-    /** Opens a connection and has the back end say which service it is. */
-    const proven = function* ({ address, service, pool }: BackTry): Task<Line | "refused" | "foreign" | "unreached"> {
-      const line = lineTo(address, over);
-      lines.set(line, pool);
-      const cancelTimer = clock.after(connectMs, () => line.reset());
-      const proof = yield* Task.settle(line.client.request({ method: "GET", path: proofPath }).then(async ({ headers, body }) => body.dump().then(() => headers[serviceHeader])));
+    /** Opens a connection and has the back end say which service it is, where that is asked of it. */
+    const opened = function* ({ address, service, pool, untilMs }: BackTry): Task<Line | "refused" | "foreign" | "unreached"> {
+      const socket = yield* connected(clock, address, Math.min(connectWaitMs, untilMs - clock.nowMs()));
+      if (typeof socket === "string") return socket;
+      const line = lineOn(socket, address, pool);
+      if (proof === "request") return line;
+      const cancelTimer = clock.after(connectWaitMs, () => reset(line));
+      const proven = yield* Task.settle(line.client.request({ method: "GET", path: proofPath }).then(async ({ headers, body }) => body.dump().then(() => headers[serviceHeader])));
       cancelTimer();
-      if ("value" in proof && proof.value === service && lines.has(line)) return line;
-      line.reset();
-      over(line);
-      if ("value" in proof) return proof.value === service ? "unreached" : "foreign";
-      return codeOf(proof.error) === "ECONNREFUSED" ? "refused" : "unreached";
+      if ("value" in proven && proven.value === service && lines.has(line)) return line;
+      reset(line);
+      return "value" in proven && proven.value !== service ? "foreign" : "unreached";
+    };
+
+    const dispatched = function* (line: Line, { job, untilMs }: BackTry): Task<Opened | "over"> {
+      return yield* Task.wait<Opened | "over">((done) => {
+        let isLate = false;
+        let isOver = false;
+        let cancelDrain = (): void => undefined;
+        const receiving = new Receiving(
+          (outcome) => {
+            if ("error" in outcome) {
+              const { error } = outcome;
+              done(isLate ? "late" : error instanceof ConnectionOverError || error instanceof errors.ClientDestroyedError ? "over" : "lost");
+              return;
+            }
+            done({ ...outcome, next: () => receiving.next(), cancel: drop });
+          },
+          (isWhole) => {
+            isOver = true;
+            cancelTimer();
+            cancelDrain();
+            if (isWhole) rest(line);
+            else over(line);
+          },
+        );
+        const drop = (): void => {
+          cancelTimer();
+          receiving.drain();
+          if (!isOver) reset(line);
+        };
+        const cancelTimer = clock.after(untilMs - clock.nowMs(), () => {
+          isLate = true;
+          if (proof === "connection") return drop();
+          receiving.drain();
+          cancelDrain = clock.after(drainMs, drop);
+          done("late");
+        });
+        if (!isMethod(job.method)) {
+          cancelTimer();
+          rest(line);
+          return done("unreached");
+        }
+        line.client.dispatch({ method: job.method, path: job.path, headers: job.headers, body: whole(job) }, receiving);
+      });
     };
 
     return {
       *send(one) {
-        const { job, untilMs, pool } = one;
         for (;;) {
-          const [known] = idle.get(pool) ?? [];
-          if (known) idle.get(pool)?.delete(known);
-          const line = known ?? (yield* proven(one));
+          const known = idle.get(one.pool)?.pop();
+          if (known && !lines.has(known)) continue;
+          const line = known ?? (yield* opened(one));
           if (typeof line === "string") return line;
           if (!one.mayStill()) {
             rest(line);
             return "withdrawn";
           }
-          let isLate = false;
-          const cancelTimer = clock.after(untilMs - clock.nowMs(), () => {
-            isLate = true;
-            line.reset();
-          });
-          const outcome = yield* Task.settle(line.client.request({ method: job.method, path: job.path, headers: job.headers, body: job.body.length > 0 ? job.body : null }));
-          if ("error" in outcome) {
-            cancelTimer();
-            over(line);
-            if (isLate) return "late";
-            if (outcome.error instanceof ConnectionOverError || outcome.error instanceof errors.ClientDestroyedError) {
-              if (known) continue;
-              return "unreached";
-            }
-            return "lost";
-          }
-          const { statusCode, headers, body } = outcome.value;
-          const pieces = body[Symbol.asyncIterator]();
-          const flat: Record<string, string> = {};
-          for (const [key, value] of Object.entries(headers)) if (value !== undefined) flat[key] = Array.isArray(value) ? value.join(", ") : value;
-          const drop = (): void => {
-            cancelTimer();
-            body.on("error", () => undefined).destroy();
-            line.reset();
-            over(line);
-          };
-          return {
-            code: statusCode,
-            headers: flat,
-            *next() {
-              const piece = yield* Task.settle(pieces.next());
-              if ("error" in piece) {
-                drop();
-                return "cut";
-              }
-              if (piece.value.done === true) {
-                cancelTimer();
-                if (isLate) return "cut";
-                rest(line);
-                return "end";
-              }
-              const bytes: unknown = piece.value.value;
-              return bytes instanceof Uint8Array ? bytes : "cut";
-            },
-            cancel: drop,
-          };
+          const outcome = yield* dispatched(line, one);
+          if (outcome !== "over") return outcome;
+          over(line);
+          if (!known) return "unreached";
         }
       },
       keepOnly(pools) {
@@ -197,84 +314,9 @@
         }
       },
       close() {
-        for (const line of [...lines.keys()]) over(line);
+        for (const line of [...lines]) over(line);
         idle.clear();
       },
     };
   },
 };
-
-if (import.meta.vitest) {
-  const { expect, test } = import.meta.vitest;
-  const { createServer } = await import("node:http");
-  const { Clock: Clocks } = await import("../machine/clock.js");
-
-  test("real connections: a request goes only where its service was proven, and not once it may no longer be sent", async () => {
-    const seen: string[] = [];
-    let service = "issues";
-    let proofWaits: Array<() => void> | undefined;
-    const open = async (port: number) => {
-      const server = createServer((incoming, outgoing) => {
-        if (incoming.url === proofPath) {
-          const prove = (): unknown => outgoing.writeHead(204, { [serviceHeader]: service }).end();
-          if (proofWaits) proofWaits.push(prove);
-          else prove();
-          return;
-        }
-        seen.push(`${service} ${incoming.url ?? ""}`);
-        outgoing.end("whole");
-      });
-      await new Promise<void>((done) => server.listen(port, "127.0.0.1", done));
-      const bound = server.address();
-      return { server, port: bound !== null && typeof bound === "object" ? bound.port : 0 };
-    };
-    const ended = (server: { close: (done: () => void) => unknown; closeAllConnections: () => void }) =>
-      new Promise<void>((done) => {
-        server.close(() => done());
-        server.closeAllConnections();
-      });
-    const clock = Clocks.real();
-    const backEnds = BackEnds.http(clock);
-    const first = await open(0);
-    const address = `127.0.0.1:${first.port}`;
-    const sending = (path: string, mayStill = (): boolean => true): Promise<string> =>
-      new Promise((done, fail) =>
-        Task.start(
-          (function* () {
-            const opened = yield* backEnds.send({ address, service: "issues", pool: "one", job: { method: "GET", path, headers: {}, body: new Uint8Array() }, untilMs: clock.nowMs() + 5000, mayStill });
-            if (typeof opened === "string") return opened;
-            let text = "";
-            for (;;) {
-              const piece = yield* opened.next();
-              if (typeof piece === "string") return `${text} ${piece}`;
-              text += Buffer.from(piece).toString();
-            }
-          })(),
-          fail,
-          done,
-        ),
-      );
-    expect(await sending("/1")).toBe("whole end");
-    expect(await sending("/2")).toBe("whole end");
-    await ended(first.server);
-    service = "triage";
-    const second = await open(first.port);
-    await expect.poll(() => sending("/3"), { timeout: 20_000 }).toBe("foreign");
-    await ended(second.server);
-    await expect.poll(() => sending("/4"), { timeout: 20_000 }).toBe("refused");
-    service = "issues";
-    const third = await open(first.port);
-    proofWaits = [];
-    let isGranted = true;
-    const slow = sending("/5", () => isGranted);
-    await expect.poll(() => proofWaits?.length).toBe(1);
-    isGranted = false;
-    proofWaits[0]?.();
-    expect(await slow).toBe("withdrawn");
-    proofWaits = undefined;
-    expect(await sending("/6")).toBe("whole end");
-    backEnds.close();
-    await ended(third.server);
-    expect(seen).toEqual(["issues /1", "issues /2", "issues /6"]);
-  });
-}
--- a/src/door/door.ts
+++ b/src/door/door.ts
@@ -10,6 +10,7 @@
 import type { EdgeCounts } from "../zone/edgeCounts.js";
 import { safeMethods } from "../contract/config.js";
 import { serviceHeader, type BackReturn, type Opened } from "./backEnds.js";
+import type { Dialect } from "./dialect.js";
 import { Job, type Caller } from "./job.js";
 import { Keys, type Claim } from "./keys.js";
 import { Ending, Return, type Verdict } from "./verdict.js";
@@ -19,8 +20,17 @@
   readonly job: Job;
   readonly caller: Caller;
   readonly arrivedMs: number;
+  /** Its name toward back ends, where its caller gave it one. */
+  readonly id: string | undefined;
+  /** Decides among the services of a route that is split. */
+  readonly draw: number;
   mapping: Mapping | undefined;
+  service: string;
+  /** When its caller or its route gives it up. */
+  untilMs: number;
   claim: Claim | undefined;
+  /** The rest of its body went to a back end and can't be sent again. */
+  isSpent: boolean;
   /** A body is being passed on as it comes. */
   isStreaming: boolean;
   /** It was given its final answer before its tries came to an end. */
@@ -29,16 +39,38 @@
 
 type Filter = (passage: Passage, rest: () => Task<Ending>) => Task<Ending>;
 
+/** How one try ended, and whether its back end may have heard of it. */
+interface Attempt {
+  readonly ending: Ending;
+  readonly isSent: boolean;
+}
+
 const wholeBytes = 256 * 1024;
 const inHandLimit = 2000;
 /** How many back ends are tried for one request at most, most of which took no connection. */
 const attemptLimit = 8;
+/** How much time must be left for another back end to be tried. */
+const leastLeftMs = 15;
+/** When callers had better come back: at once to another daemon, soon, or once the fleet has settled. */
+const after = { elsewhere: 20, soon: 100, settled: 250 };
 
 /** Headers that belong to one connection and are never passed on. */
-const hopHeaders = new Set(["connection", "keep-alive", "proxy-authenticate", "proxy-authorization", "te", "trailer", "transfer-encoding", "upgrade", "host", "content-length", "expect"]);
+const hopHeaders = new Set(["connection", "keep-alive", "proxy-authenticate", "proxy-authorization", "te", "trailer", "transfer-encoding", "upgrade", "content-length", "expect", "proxy-connection"]);
+
+const passedOn = (headers: Record<string, string>): Record<string, string> => {
+  const passed: Record<string, string> = {};
+  const named = headers["connection"];
+  const alsoHop = named === undefined ? undefined : new Set(named.toLowerCase().split(",").map((name) => name.trim()));
+  for (const name in headers) {
+    const value = headers[name];
+    if (value === undefined || hopHeaders.has(name) || name.startsWith("x-daledoor-") || alsoHop?.has(name)) continue;
+    passed[name] = value;
+  }
+  return passed;
+};
 
-const passedOn = (headers: Record<string, string>): Record<string, string> =>
-  Object.fromEntries(Object.entries(headers).filter(([name]) => !hopHeaders.has(name) && !name.startsWith("x-daledoor-")));
+/** Codes that promise that a request has not run; a back end's own stands only with its word that it hasn't. */
+const promises: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
 /** What the door has done, by ending. */
 export interface Tally {
@@ -51,6 +83,19 @@
   cut: number;
 }
 
+/** What a door depends on beside its world. */
+export interface DoorParts {
+  readonly view: View;
+  readonly ferry: Ferry;
+  readonly budget: Budget;
+  readonly counts: EdgeCounts;
+  readonly shares: Shares;
+  readonly incarnation: string;
+  readonly dialect: Dialect;
+  /** How long requests that may be repeated are still served by a view whose lease is over. */
+  readonly staleMs: number;
+}
+
 /** Takes callers' requests through a chain of filters, each of which may answer. */
 export class Door {
   private readonly world: World;
@@ -60,6 +105,8 @@
   private readonly shares: Shares;
   private readonly keys: Keys;
   private readonly incarnation: string;
+  private readonly dialect: Dialect;
+  private readonly staleMs: number;
   private readonly log: PartLog;
   private tries = 0;
   private closed = false;
@@ -68,14 +115,16 @@
   inHand = 0;
   readonly tally: Tally = { taken: 0, byCode: {}, byVerdict: { neverRan: 0, mayHaveRun: 0, ran: 0 }, firstTries: 0, furtherTries: 0, furtherRefused: { sketch: 0, guard: 0 }, cut: 0 };
 
-  constructor(world: World, view: View, ferry: Ferry, budget: Budget, counts: EdgeCounts, shares: Shares, incarnation: string) {
+  constructor(world: World, { view, ferry, budget, counts, shares, incarnation, dialect, staleMs }: DoorParts) {
     this.world = world;
     this.view = view;
     this.budget = budget;
     this.counts = counts;
     this.shares = shares;
     this.incarnation = incarnation;
-    this.keys = new Keys(world, ferry, incarnation);
+    this.dialect = dialect;
+    this.staleMs = staleMs;
+    this.keys = new Keys(world, ferry, incarnation, dialect.tellsParts ? after.settled : undefined);
     this.log = world.logbook.part("door");
   }
 
@@ -91,18 +140,32 @@
 
   /** Takes one request to its end. */
   *handle(job: Job, caller: Caller): Task {
-    const passage: Passage = { job, caller, arrivedMs: this.world.clock.nowMs(), mapping: undefined, claim: undefined, isStreaming: false, isAbandoned: false };
+    const { callerId } = this.dialect;
+    const passage: Passage = {
+      job,
+      caller,
+      arrivedMs: this.world.clock.nowMs(),
+      id: callerId === undefined ? undefined : job.headers[callerId],
+      draw: this.world.random(),
+      mapping: undefined,
+      service: "",
+      untilMs: Infinity,
+      claim: undefined,
+      isSpent: false,
+      isStreaming: false,
+      isAbandoned: false,
+    };
     this.tally.taken += 1;
     this.inHand += 1;
     this.passages.add(passage);
     try {
-      const ending = yield* this.pass(passage, [this.limits, this.grant, this.mapped, this.keyed]);
+      const ending = yield* this.pass(passage, [this.limits, this.mapped, this.keyed]);
       if (passage.isAbandoned) return;
       this.tally.byVerdict[ending.verdict] += 1;
       if (ending.ret === "cut") this.tally.cut += 1;
       if (typeof ending.ret === "string") return;
       this.tally.byCode[ending.ret.code] = (this.tally.byCode[ending.ret.code] ?? 0) + 1;
-      caller.whole(ending.ret);
+      caller.whole(this.spoken(ending, ending.ret));
     } catch (error) {
       this.log.fault("A request met what nobody foresaw.", error);
       caller.whole(Return.json(500, { error: "The daemon broke down over this request.", verdict: "mayHaveRun" }));
@@ -121,40 +184,49 @@
     }
   }
 
-  private pass(passage: Passage, chain: readonly Filter[]): Task<Ending> {
-    const [filter, ...rest] = chain;
-    return filter ? filter.call(this, passage, () => this.pass(passage, rest)) : this.ferry(passage);
+  /** A return as callers of this dialect read it. */
+  private spoken({ afterMs }: Ending, ret: Return): Return {
+    if (afterMs === undefined || !this.dialect.tellsParts) return ret;
+    const spreadMs = afterMs * (0.75 + 0.5 * this.world.random());
+    return { ...ret, headers: { ...ret.headers, "retry-after": (spreadMs / 1000).toFixed(3) } };
   }
 
-  private *limits(_passage: Passage, rest: () => Task<Ending>): Task<Ending> {
-    if (this.closed) return Ending.drop("This daemon is stopping.");
-    if (this.inHand > inHandLimit) return Ending.drop("This daemon has too much in hand.");
-    return yield* rest();
+  private pass(passage: Passage, chain: readonly Filter[]): Task<Ending> {
+    const [filter, ...rest] = chain;
+    return filter ? filter.call(this, passage, () => this.pass(passage, rest)) : this.forward(passage);
   }
 
-  private *grant(_passage: Passage, rest: () => Task<Ending>): Task<Ending> {
-    if (!this.view.isGranted) return Ending.drop("This daemon's view is not proven fresh.");
-    if (this.view.configSequence === 0) return Ending.drop("No config is in force yet.");
+  private *limits(passage: Passage, rest: () => Task<Ending>): Task<Ending> {
+    if (this.closed) return Ending.drop("This daemon is stopping.", after.elsewhere);
+    if (this.inHand > inHandLimit) return Ending.drop("This daemon has too much in hand.", after.soon);
+    if (this.view.configSequence === 0) return Ending.drop("No config is in force yet.", after.settled);
+    if (!this.view.isGranted && this.view.lapsedMs >= this.staleMs) return Ending.drop("This daemon's view is not proven fresh.", after.settled);
+    if (this.dialect.callerId !== undefined && passage.id === undefined) return Ending.refusal(400, "The request names no try.");
     return yield* rest();
   }
 
   private *mapped(passage: Passage, rest: () => Task<Ending>): Task<Ending> {
-    const mapping = this.view.mappings.find(passage.job.method, Job.path(passage.job));
-    if (!mapping) return Ending.refusal(404, "No route takes this request.");
+    const mapping = this.find(passage);
+    if (!mapping) return this.view.isGranted ? Ending.refusal(404, "No route takes this request.") : Ending.drop("This daemon's view is not proven fresh.", after.settled);
     passage.mapping = mapping;
-    this.budget.countFirst(mapping.service, passage.arrivedMs);
+    passage.service = mapping.choose(passage.draw);
+    passage.untilMs = passage.arrivedMs + this.givenMs(passage, mapping);
+    this.budget.countFirst(passage.service, passage.arrivedMs);
     const number = this.view.numberOf("route", mapping.name);
     if (number !== undefined) this.counts.countRoute(number);
     return yield* rest();
   }
 
   private *keyed(passage: Passage, rest: () => Task<Ending>): Task<Ending> {
-    const { job } = passage;
-    const key = job.headers["idempotency-key"];
-    if (safeMethods.has(job.method)) return yield* rest();
-    if (key === undefined) return passage.mapping?.keyed ? Ending.refusal(400, "This route wants an Idempotency-Key.") : yield* rest();
-    if (key.length === 0 || key.length > 200) return Ending.refusal(400, "An Idempotency-Key has 1 to 200 characters.");
-    const claim = yield* this.keys.claim(job, key);
+    const { job, mapping } = passage;
+    const { key: header } = this.dialect;
+    const key = job.headers[header];
+    const isKeyed = mapping?.keyed === true;
+    if (!isKeyed && (mapping?.repeatable === true || safeMethods.has(job.method))) return yield* rest();
+    if (key === undefined) return isKeyed ? Ending.refusal(400, `This route wants the header ${header}.`) : yield* rest();
+    if (key.length === 0 || key.length > 200) return Ending.refusal(400, "A key has 1 to 200 characters.");
+    if (!this.view.isGranted) return Ending.drop("This daemon's view is not proven fresh.", after.settled);
+    const claim = yield* this.keys.claim(job, key, passage.untilMs);
     if ("verdict" in claim) return claim;
     passage.claim = claim;
     const ending = yield* rest();
@@ -162,124 +234,183 @@
     return ending;
   }
 
-  private *ferry(passage: Passage): Task<Ending> {
+  private find({ job }: Passage): Mapping | undefined {
+    return this.view.mappings.find(job.method, Job.path(job), job.headers["host"] ?? "");
+  }
+
+  /** How long a request may be in hand: what its caller says is left, and what its route allows. */
+  private givenMs({ job }: Passage, mapping: Mapping): number {
+    const { deadline } = this.dialect;
+    if (deadline === undefined) return mapping.giveUpMs * 2;
+    const told = Number(job.headers[deadline]);
+    return Number.isFinite(told) && told > 0 ? Math.min(told, mapping.giveUpMs) : mapping.giveUpMs;
+  }
+
+  /** Whether this daemon's view lets a request be sent on. */
+  private mayServe(mapping: Mapping): boolean {
+    return this.view.isGranted || (mapping.repeatable && this.view.lapsedMs < this.staleMs);
+  }
+
+  private *forward(passage: Passage): Task<Ending> {
     const tried = new Set<string>();
     let worst: Ending | undefined;
-    const giveUp = (why: string): Ending => worst ?? Ending.drop(why);
     let further = 0;
+    let sends = 0;
+    const giveUp = (why: string, afterMs = after.soon): Ending => worst ?? Ending.drop(why, afterMs);
     for (let attempts = 0; attempts < attemptLimit; attempts += 1) {
       const nowMs = this.world.clock.nowMs();
-      if (!this.view.isGranted) return giveUp("This daemon's view is not proven fresh.");
-      const mapping = this.view.mappings.find(passage.job.method, Job.path(passage.job));
+      const mapping = this.find(passage);
       if (!mapping) return worst ?? Ending.refusal(404, "No route takes this request.");
+      if (!this.mayServe(mapping)) return giveUp("This daemon's view is not proven fresh.", after.settled);
+      if (!mapping.takes(passage.service)) passage.service = mapping.choose(passage.draw);
+      const { service } = passage;
       if (passage.claim && nowMs >= passage.claim.sendUntilMs) return giveUp("The key's claim is too old to send under.");
-      if (nowMs >= passage.arrivedMs + mapping.giveUpMs * 2) return giveUp(`No back end of ${mapping.service} took this in time.`);
-      const contract = this.shares.pick(this.view.backEnds(mapping.service), tried, mapping.inHandLimit, nowMs);
-      if (!contract) return giveUp(`No back end of ${mapping.service} can take this now.`);
-      const isFurther = worst !== undefined;
+      if (nowMs + (attempts > 0 ? leastLeftMs : 0) >= passage.untilMs) return giveUp(`No back end of ${service} took this in time.`);
+      const contract = this.shares.pick(this.view.backEnds(service), tried, mapping.inHandLimit, nowMs);
+      if (!contract) return giveUp(`No back end of ${service} can take this now.`);
+      const isFurther = sends > 0;
       if (isFurther) {
         further += 1;
-        const mayRepeat = mapping.repeatable && safeMethods.has(passage.job.method);
-        if (!mayRepeat || further > mapping.furtherTries || passage.caller.isGone) return giveUp("No further try is allowed.");
+        const mayRepeat = worst === undefined || mapping.repeatable;
+        if (!mayRepeat || passage.isSpent || further > mapping.furtherTries || passage.caller.isGone) return giveUp("No further try is allowed.");
         this.counts.hurry();
-        const leave = this.budget.take(mapping.service, this.counts.leave(mapping.service), nowMs);
+        const leave = this.budget.take(service, this.counts.leave(service), nowMs);
         if (leave !== "granted") {
           this.tally.furtherRefused[leave] += 1;
           return giveUp("The budget of further tries is spent.");
         }
       }
       tried.add(contract.address);
-      const ending = yield* this.attempt(passage, mapping, contract, isFurther);
-      if (ending.why === "") return ending;
+      const { ending, isSent } = yield* this.attempt(passage, mapping, contract, isFurther);
+      const isFailure = typeof ending.ret !== "string" && ending.ret.code >= 500;
+      if (ending.why === "" && !(isFailure && mapping.repeatable)) return ending;
+      if (isSent) sends += 1;
       if (ending.verdict !== "neverRan") worst = ending;
-      else if (isFurther) {
+      if (!isSent && isFurther) {
         further -= 1;
-        this.budget.giveBack(mapping.service, nowMs);
+        this.budget.giveBack(service, nowMs);
       }
     }
     return giveUp("Too many back ends took no connection.");
   }
 
   /** Asked once the connection stands: whether all that allowed the try still does. What is sent is counted. */
-  private mayStill(passage: Passage, mapping: Mapping, contract: Contract, isFurther: boolean): boolean {
+  private mayStill(passage: Passage, service: string, contract: Contract, isFurther: boolean): boolean {
     const claimEnds = passage.claim?.sendUntilMs ?? Infinity;
-    const isMapped = this.view.mappings.find(passage.job.method, Job.path(passage.job))?.service === mapping.service;
-    const may = this.view.isGranted && this.view.holds(contract) && isMapped && this.world.clock.nowMs() < claimEnds;
+    const mapping = this.find(passage);
+    const may = mapping !== undefined && mapping.takes(service) && this.mayServe(mapping) && this.view.holds(contract) && this.world.clock.nowMs() < claimEnds;
     if (!may) return false;
     if (isFurther) this.tally.furtherTries += 1;
     else this.tally.firstTries += 1;
-    this.counts.countTry(mapping.service, isFurther);
+    if (passage.job.rest) passage.isSpent = true;
+    this.counts.countTry(service, isFurther);
     return true;
   }
 
-  private *attempt(passage: Passage, mapping: Mapping, contract: Contract, isFurther: boolean): Task<Ending> {
+  /** What a back end is sent beside what the caller sent. */
+  private headersFor({ job }: Passage, service: string, contract: Contract, id: string, untilMs: number): Record<string, string> {
+    const { requestId, deadline, expected, proof } = this.dialect;
+    const headers = passedOn(job.headers);
+    const stated = job.headers["content-length"];
+    if (job.rest && stated !== undefined) headers["content-length"] = stated;
+    if (proof === "connection") {
+      delete headers["host"];
+      headers[serviceHeader] = service;
+    }
+    headers[requestId] = id;
+    if (deadline !== undefined) headers[deadline] = String(Math.max(1, Math.floor(untilMs - this.world.clock.nowMs())));
+    if (expected !== undefined && contract.instance !== "") headers[expected] = contract.instance;
+    return headers;
+  }
+
+  private *attempt(passage: Passage, mapping: Mapping, contract: Contract, isFurther: boolean): Task<Attempt> {
     const { clock } = this.world;
+    const { service } = passage;
     const startedMs = clock.nowMs();
     this.tries += 1;
-    const stamp = `${mapping.service}/${this.incarnation}-${this.tries}`;
-    const untilMs = startedMs + mapping.giveUpMs;
-    const { method, target, headers, body } = passage.job;
+    const id = passage.id ?? `${service}/${this.incarnation}-${this.tries}`;
+    const untilMs = this.dialect.deadline === undefined ? startedMs + mapping.giveUpMs : passage.untilMs;
+    const { method, target, body, rest } = passage.job;
     this.shares.began(contract, startedMs);
     const opened = yield* this.world.backEnds.send({
       address: contract.address,
-      service: mapping.service,
+      service,
       pool: poolOf(contract),
-      job: { method, path: target, headers: { ...passedOn(headers), "x-daledoor-job": stamp, [serviceHeader]: mapping.service }, body },
+      job: { method, path: target, headers: this.headersFor(passage, service, contract, id, untilMs), body, rest },
       untilMs,
-      mayStill: () => this.mayStill(passage, mapping, contract, isFurther),
+      mayStill: () => this.mayStill(passage, service, contract, isFurther),
     });
     if (opened === "refused" || opened === "foreign") this.view.noteRefused(contract);
     if (opened === "withdrawn") {
       this.shares.withdrew(contract, clock.nowMs());
-      return Ending.drop("This daemon's view changed before the request could be sent.");
+      return { ending: Ending.drop("This daemon's view changed before the request could be sent.", after.soon), isSent: false };
     }
-    const ending = yield* this.receive(passage, mapping, opened, stamp);
+    const isSent = opened !== "refused" && opened !== "foreign" && opened !== "unreached";
+    const ending = yield* this.receive(passage, mapping, contract, opened, id);
     const nowMs = clock.nowMs();
     const whole = typeof ending.ret === "string" ? ending.ret === "streamed" : ending.why === "" && ending.ret.code < 500;
     this.shares.ended(contract, nowMs - startedMs, whole, mapping.goalMs, nowMs);
-    return ending;
+    return { ending, isSent };
   }
 
-  private *receive(passage: Passage, mapping: Mapping, opened: Opened, stamp: string): Task<Ending> {
-    if (opened === "refused" || opened === "foreign" || opened === "unreached" || opened === "withdrawn") return Ending.drop("The back end took no connection.");
+  private *receive(passage: Passage, mapping: Mapping, contract: Contract, opened: Opened, id: string): Task<Ending> {
+    if (opened === "refused" || opened === "foreign" || opened === "unreached" || opened === "withdrawn") return Ending.drop("The back end took no connection.", after.soon);
     if (opened === "late") return this.mayHaveRun(504, "The back end did not return in time.");
     if (opened === "lost") return this.mayHaveRun(502, "The connection to the back end broke.");
     const { code, headers } = opened;
+    const { echo, seal, notRun, expected, proof } = this.dialect;
+    const echoed = headers[proof === "connection" ? mapping.stampHeader : echo];
+    const isOther = expected !== undefined && code === 421;
+    if (isOther || (notRun !== undefined && headers[notRun] !== undefined && (echoed === undefined || echoed === id))) return yield* this.declined(contract, opened, isOther);
+    if (echoed !== id) return this.discard(opened, "The return carries no stamp of this request.");
+    if (promises.has(code)) return this.discard(opened, "The back end itself says try later.");
+    if (seal !== undefined && code < 300 && headers[seal] === undefined) return this.discard(opened, "The return carries no seal.");
+    const encoding = headers["content-encoding"];
+    if (proof === "request" && encoding !== undefined && encoding !== "identity") return this.discard(opened, "The return's body is encoded.");
     const bodiless = passage.job.method === "HEAD" || code === 204 || code === 304;
     const stated = headers["content-length"];
-    if (headers[mapping.stampHeader] !== stamp) return this.discard(opened, "The return carries no stamp of this request.");
-    if (code === 503) return this.discard(opened, "The back end itself says try later.");
-    if (!bodiless && (stated === undefined || !/^\d{1,15}$/.test(stated))) return this.discard(opened, "The return states no length.");
-    const ret = { ...passedOn(headers) };
-    delete ret[mapping.stampHeader];
-    const lengthBytes = bodiless ? 0 : Number(stated);
-    if (lengthBytes > wholeBytes) return yield* this.stream(passage, opened, ret, lengthBytes);
+    const isChunked = headers["transfer-encoding"]?.toLowerCase() === "chunked";
+    if (!bodiless && !isChunked && (stated === undefined || !/^\d{1,15}$/.test(stated))) return this.discard(opened, "The return states no length.");
+    const ret = passedOn(headers);
+    if (proof === "connection") delete ret[mapping.stampHeader];
+    const lengthBytes = bodiless ? 0 : isChunked ? undefined : Number(stated);
+    if (lengthBytes !== undefined && lengthBytes > wholeBytes) return yield* this.stream(passage, opened, ret, [], lengthBytes);
     const pieces: Uint8Array[] = [];
     let heldBytes = 0;
     for (;;) {
       const piece = yield* opened.next();
-      if (piece === "cut" || (piece === "end" && heldBytes !== lengthBytes)) return this.mayHaveRun(502, "The back end's body was cut short.");
+      if (piece === "cut" || (piece === "end" && lengthBytes !== undefined && heldBytes !== lengthBytes)) return this.mayHaveRun(502, "The back end's body was cut short.");
       if (piece === "end") break;
       heldBytes += piece.length;
-      if (heldBytes > lengthBytes) return this.discard(opened, "The back end's body is longer than stated.");
+      if (lengthBytes !== undefined && heldBytes > lengthBytes) return this.discard(opened, "The back end's body is longer than stated.");
       pieces.push(piece);
+      if (heldBytes > wholeBytes) return yield* this.stream(passage, opened, ret, pieces, lengthBytes);
     }
     if (bodiless && stated !== undefined && code !== 204) ret["content-length"] = stated;
-    return Ending.returned({ code, headers: ret, body: Buffer.concat(pieces) });
+    return Ending.returned({ code, headers: ret, body: pieces.length === 1 && pieces[0] ? pieces[0] : Buffer.concat(pieces) });
+  }
+
+  /** The back end says that it did not run the request; its connection can be used again once the rest has come. */
+  private *declined(contract: Contract, opened: BackReturn, isOther: boolean): Task<Ending> {
+    if (isOther) this.view.noteRefused(contract);
+    for (let piece = yield* opened.next(); typeof piece !== "string"; ) piece = yield* opened.next();
+    return Ending.drop(isOther ? "Another instance has the address." : "The back end did not take the request.", after.soon);
   }
 
-  private *stream(passage: Passage, opened: BackReturn, headers: Record<string, string>, lengthBytes: number): Task<Ending> {
+  private *stream(passage: Passage, opened: BackReturn, headers: Record<string, string>, held: readonly Uint8Array[], lengthBytes: number | undefined): Task<Ending> {
     const { caller } = passage;
     if (passage.isAbandoned) return this.discard(opened, "The caller has its answer already.");
     passage.isStreaming = true;
-    caller.begin(opened.code, { ...headers, "content-length": String(lengthBytes) });
-    for (let sentBytes = 0; ; ) {
-      const piece = yield* opened.next();
-      if (piece === "end" && sentBytes === lengthBytes) {
+    caller.begin(opened.code, lengthBytes === undefined ? headers : { ...headers, "content-length": String(lengthBytes) });
+    let sentBytes = 0;
+    const early = [...held];
+    for (;;) {
+      const piece = early.shift() ?? (yield* opened.next());
+      if (piece === "end" && (lengthBytes === undefined || sentBytes === lengthBytes)) {
         caller.end();
         return { verdict: "ran", ret: "streamed", why: "" };
       }
-      if (piece !== "cut" && piece !== "end" && sentBytes + piece.length <= lengthBytes && (yield* caller.piece(piece))) {
+      if (piece !== "cut" && piece !== "end" && (lengthBytes === undefined || sentBytes + piece.length <= lengthBytes) && (yield* caller.piece(piece))) {
         sentBytes += piece.length;
         continue;
       }
@@ -296,6 +427,6 @@
   }
 
   private mayHaveRun(code: 502 | 504, why: string): Ending {
-    return Ending.breakdown(code, why, "mayHaveRun");
+    return Ending.breakdown(code, why, "mayHaveRun", after.soon);
   }
 }
--- a/src/door/job.ts
+++ b/src/door/job.ts
@@ -1,13 +1,15 @@
 import type { Task } from "../machine/task.js";
 import type { Return } from "./verdict.js";
 
-/** A caller's request, its body held whole. */
+/** A caller's request; a small body is held whole, of a large one the rest is still to come. */
 export interface Job {
   readonly method: string;
   /** The path with its query, as the caller sent it. */
   readonly target: string;
   readonly headers: Record<string, string>;
   readonly body: Uint8Array;
+  /** What follows `body`, as it comes; it can be read once. It raises an error where the caller breaks it off. */
+  readonly rest?: AsyncIterable<Uint8Array>;
 }
 
 /** The way back to a caller. */
--- a/src/door/verdict.ts
+++ b/src/door/verdict.ts
@@ -14,6 +14,8 @@
   readonly ret: Return | "streamed" | "cut";
   /** Why, in the daemon's own words; empty when a back end's return was passed on. */
   readonly why: string;
+  /** When to come back, where that is told. */
+  readonly afterMs?: number;
 }
 
 const json = (code: number, body: Record<string, unknown>, headers: Record<string, string> = {}): Return => ({
@@ -24,11 +26,19 @@
 
 export const Return = { json };
 
+/** How long a caller had better wait where nothing more is known. */
+const usualAfterMs = 1000;
+
+const told = (code: number, why: string, verdict: Verdict, afterMs: number): Ending => ({
+  verdict,
+  why,
+  afterMs,
+  ret: json(code, { error: why, verdict, retryAfterS: afterMs / 1000 }, { "retry-after": String(Math.ceil(afterMs / 1000)) }),
+});
+
 export const Ending = {
   /** Try later: the request has not run and won't. */
-  drop(why: string, retryAfterS = 1): Ending {
-    return { verdict: "neverRan", why, ret: json(503, { error: why, verdict: "neverRan", retryAfterS }, { "retry-after": String(retryAfterS) }) };
-  },
+  drop: (why: string, afterMs = usualAfterMs): Ending => told(503, why, "neverRan", afterMs),
 
   /** Refused for what it is; coming back won't help. */
   refusal(code: number, why: string): Ending {
@@ -36,9 +46,7 @@
   },
 
   /** Given up on: it may have run. */
-  breakdown(code: 409 | 502 | 504, why: string, verdict: Verdict, retryAfterS = 1): Ending {
-    return { verdict, why, ret: json(code, { error: why, verdict, retryAfterS }, { "retry-after": String(retryAfterS) }) };
-  },
+  breakdown: (code: 409 | 502 | 504, why: string, verdict: Verdict, afterMs = usualAfterMs): Ending => told(code, why, verdict, afterMs),
 
   /** A return that a back end gave. */
   returned(ret: Return): Ending {
--- a/src/link/frame.ts
+++ b/src/link/frame.ts
@@ -1,7 +1,7 @@
 import * as r from "restructure";
 
 /** The newest layout of frames that this build speaks; it also reads the one before. */
-export const frameSequence = 2;
+export const frameSequence = 3;
 
 /** What one process says to another: an ask of some kind, or the return of one. */
 export interface Frame {
@@ -78,46 +78,3 @@
     return frames;
   }
 }
-
-if (import.meta.vitest) {
-  const { expect, test } = import.meta.vitest;
-  const reader = (coder: { fromBuffer(bytes: Uint8Array): unknown; size(value: never): number }) => (bytes: Uint8Array) => exactly({ fromBuffer: (read) => coder.fromBuffer(read), size: () => bytes.length, toBuffer: () => bytes }, bytes);
-  const sample: Frame = { sequence: 1, kind: 3, isReturn: true, job: 70000, body: new Uint8Array([1, 2, 3]) };
-  test("frames come whole out of pieces of any size", () => {
-    const bytes = Buffer.concat([Frame.encode(sample), Frame.encode({ ...sample, job: 2 })]);
-    for (let size = 1; size <= bytes.length; size += 1) {
-      const reader = new FrameReader();
-      const frames: Frame[] = [];
-      for (let at = 0; at < bytes.length; at += size) frames.push(...reader.read(bytes.subarray(at, at + size)));
-      expect(frames.map((one) => one.job)).toEqual([70000, 2]);
-      expect([...(frames[0]?.body ?? [])]).toEqual([1, 2, 3]);
-    }
-  });
-  test("random and truncated bytes are refused as such, by frames and by every kind", async () => {
-    const { Draw } = await import("../rehearsal/draw.js");
-    const { Kind } = await import("./kind.js");
-    const random = Draw.of(9);
-    const coders = Object.values(Kind).flatMap((kind) => [reader(kind.ask), reader(kind.return)]);
-    let refused = 0;
-    for (let round = 0; round < 3000; round += 1) {
-      const bytes = Buffer.from(Array.from({ length: Math.floor(random() * 60) }, () => Math.floor(random() < 0.5 ? random() * 4 : random() * 256)));
-      const readers = [() => new FrameReader().read(bytes), ...coders.map((read) => () => read(bytes))];
-      for (const read of readers) {
-        try {
-          read();
-        } catch (error) {
-          expect(error).toBeInstanceOf(FrameError);
-          refused += 1;
-        }
-      }
-    }
-    expect(refused).toBeGreaterThan(3000);
-  });
-  test("oversized and foreign frames are refused", () => {
-    const large = Buffer.from(Frame.encode(sample));
-    large.writeUInt32BE(2 ** 31, 7);
-    expect(() => new FrameReader().read(large)).toThrow(FrameError);
-    const foreign = Buffer.from(Frame.encode({ ...sample, sequence: 9 }));
-    expect(() => new FrameReader().read(foreign)).toThrow(FrameError);
-  });
-}
--- a/src/link/kind.ts
+++ b/src/link/kind.ts
@@ -9,6 +9,7 @@
 
 const text = new r.String(r.uint32, "utf8");
 const flag = new r.Boolean(r.uint8);
+const texts = new r.Array(text, r.uint32);
 const entry = new r.Struct({ index: r.uint32, term: r.uint32, text });
 
 /** One entry of the record as it travels and as it lies on disk. */
@@ -40,11 +41,25 @@
     ask: new r.Struct({ term: r.uint32, leader: text, lastIndex: r.uint32, lastTerm: r.uint32, text }),
     return: new r.Struct({ term: r.uint32, counts: flag, matched: r.uint32 }),
   },
-  /** Recorders meet: who are you, and is your disk empty? */
+  /**
+   * Daemons meet. A recorder tells its peer address, others an empty text. With a fleet, the record is to be formed with
+   * these members, at the process that `incarnation` names; with `open`, all its voters have formed it.
+   */
   meet: {
     number: 4,
-    ask: new r.Struct({ machine: text, form: text }),
-    return: new r.Struct({ machine: text, state: text, fleet: text, leader: text }),
+    ask: new r.Struct({ peer: text, fleet: text, incarnation: text, voters: texts, learners: texts, open: flag }),
+    return: new r.Struct({
+      machine: text,
+      zone: text,
+      state: text,
+      fleet: text,
+      leader: text,
+      founds: flag,
+      incarnation: text,
+      voters: texts,
+      learners: texts,
+      recorders: texts,
+    }),
   },
   /** The leader asks a follower to stand at once. */
   handOver: {
--- /dev/null
+++ b/src/machine/adapter.ts
@@ -0,0 +1,17 @@
+import type { Dialect } from "../door/dialect.js";
+import type { Job } from "../door/job.js";
+import type { Return } from "../door/verdict.js";
+
+/** A request in the product's own words, and the way back to those of whoever sent it. */
+export interface Translated {
+  readonly job: Job;
+  back(ret: Return): Return;
+}
+
+/** Where the product meets a platform that has words of its own; it translates and decides nothing. */
+export interface Adapter {
+  /** The headers of callers and back ends. */
+  readonly dialect: Dialect;
+  /** What operators, back ends and whoever asks for readiness say; a return where it can't be understood. */
+  readonly control: { into(job: Job): Translated | Return };
+}
--- /dev/null
+++ b/src/machine/bounds.ts
@@ -0,0 +1,126 @@
+import type { Fault } from "../contract/config.js";
+import { Terms } from "../contract/registry.js";
+import { Waits } from "../record/recorder.js";
+import { BudgetRules } from "../zone/budgetRules.js";
+import { CountsForm } from "../zone/counts.js";
+import type { Settings } from "./settings.js";
+
+type Figures = Required<{ [name in keyof NonNullable<Settings["bounds"]>]: number }>;
+
+/** The bounds where settings name none. */
+const usual: Figures = {
+  applyMs: 2000,
+  drainMs: 2000,
+  contactMs: 3000,
+  graceMs: 6000,
+  ackMs: 5000,
+  keyWindowMs: 110_000,
+  retryRatio: 0.2,
+  retryWindowMs: 10_000,
+  retryExtra: 70,
+  recoveryMs: 15_000,
+  addressReuseMs: 2000,
+  skewMs: 8000,
+  catchUpMs: 4000,
+  lossSlackMs: 200,
+  staleMs: 0,
+};
+const usualHeartbeatMs = 1000;
+
+/** Which part of a bound a lease may last; the rest is for what is under way. */
+const leasePart = 0.8;
+const leastBoundMs = 600;
+const leastContactMs = 1000;
+const leastGraceMs = 1000;
+const leastWindowMs = 1000;
+/** How much of its grace a stopping daemon leaves to the process's end. */
+const endMs = 400;
+
+/** All waits of a daemon, worked out from the bounds it is held to. */
+export interface Bounds {
+  readonly figures: Figures;
+  /** How long an edge may serve by what it was last told. */
+  readonly leaseMs: number;
+  /** How often an edge asks for a new lease. */
+  readonly pollMs: number;
+  readonly terms: Terms;
+  readonly waits: Waits;
+  readonly budget: BudgetRules;
+  readonly counts: CountsForm;
+  /** How long an operator's order may take until its fate is called unknown. */
+  readonly orderMs: number;
+  /** How long a stopping daemon takes requests still: whoever sends it callers must first see that it isn't ready. */
+  readonly serveOnMs: number;
+  /** When a stopping daemon gives up on what is still in hand. */
+  readonly abandonMs: number;
+}
+
+const figuresOf = ({ bounds }: Pick<Settings, "bounds">): Figures => {
+  const figures = { ...usual };
+  for (const name of Object.keys(usual)) {
+    if (!isFigure(name)) continue;
+    figures[name] = bounds?.[name] ?? usual[name];
+  }
+  return figures;
+};
+
+const isFigure = (name: string): name is keyof Figures => name in usual;
+
+export const Bounds = {
+  /** The bounds that can't be kept, by their paths in the settings. */
+  faults(settings: Pick<Settings, "bounds" | "heartbeatMs">): Fault[] {
+    const figures = figuresOf(settings);
+    const least: Array<[name: keyof Figures, least: number, why: string]> = [
+      ["applyMs", leastBoundMs, "a lease has to outlast a poll and an election"],
+      ["drainMs", leastBoundMs, "a lease has to outlast a poll and an election"],
+      ["contactMs", leastContactMs, "an election has to fit in"],
+      ["graceMs", leastGraceMs, "work in hand has to end in it"],
+      ["retryWindowMs", leastWindowMs, "counts have to travel in it"],
+      ["retryRatio", 0, "it is a part of the requests"],
+      ["retryExtra", 0, "it is a number of tries"],
+    ];
+    const faults = least.filter(([name, limit]) => figures[name] < limit).map(([name, limit, why]) => ({ path: `bounds.${name}`, expected: `${limit} or more, since ${why}` }));
+    if (settings.heartbeatMs !== undefined && settings.heartbeatMs < 50) faults.push({ path: "heartbeatMs", expected: "50 or more" });
+    return faults;
+  },
+
+  /** The waits that keep the bounds in the settings. */
+  of(settings: Pick<Settings, "bounds" | "heartbeatMs">): Bounds {
+    const figures = figuresOf(settings);
+    const { applyMs, drainMs, contactMs, graceMs, ackMs, keyWindowMs, retryRatio, retryExtra, retryWindowMs } = figures;
+    const leaseMs = leasePart * Math.min(applyMs, drainMs);
+    const pollMs = leaseMs / 8;
+    const heartbeatMs = settings.heartbeatMs ?? usualHeartbeatMs;
+    const pace = Math.min(1, Math.max(0.3, Math.min(leaseMs / 1600, contactMs / 3000)));
+    const paced = (ms: number): number => Math.round(ms * pace);
+    return {
+      figures,
+      leaseMs,
+      pollMs,
+      terms: {
+        ...Terms.usual,
+        grantMs: leaseMs,
+        announceMs: heartbeatMs,
+        // What one daemon hears reaches the leader with its polls.
+        lapseMs: 3.5 * heartbeatMs + 2 * pollMs,
+        leaveHoldMs: drainMs + 500,
+        keyMs: keyWindowMs + 10_000,
+        silentMs: Math.max(leaseMs + 400, (contactMs * 5) / 6),
+        restMs: Math.max(60_000, 6 * retryWindowMs),
+      },
+      waits: {
+        ...Waits.usual,
+        heartbeatMs: paced(Waits.usual.heartbeatMs),
+        electionMinMs: paced(Waits.usual.electionMinMs),
+        electionMaxMs: paced(Waits.usual.electionMaxMs),
+        leaderGrantMs: paced(Waits.usual.leaderGrantMs),
+        stallMs: paced(Waits.usual.stallMs),
+      },
+      budget: BudgetRules.of(retryRatio, retryExtra, retryWindowMs),
+      counts: CountsForm.forWindow(retryWindowMs),
+      orderMs: 0.8 * ackMs,
+      serveOnMs: Math.min(2600, (graceMs * 13) / 30),
+      abandonMs: graceMs - endMs,
+    };
+  },
+};
--- a/src/machine/daemon.ts
+++ b/src/machine/daemon.ts
@@ -1,7 +1,8 @@
 import { Ferry } from "../contract/ferry.js";
 import type { Machine } from "../contract/order.js";
-import { Registry, Terms } from "../contract/registry.js";
+import { Registry } from "../contract/registry.js";
 import { View } from "../contract/view.js";
+import { Dialect } from "../door/dialect.js";
 import { Door } from "../door/door.js";
 import type { Caller, Job } from "../door/job.js";
 import type { Return } from "../door/verdict.js";
@@ -9,13 +10,16 @@
 import { Link } from "../link/link.js";
 import { Operators } from "../operator/operators.js";
 import { Book } from "../record/book.js";
-import { Recorder, Waits } from "../record/recorder.js";
+import { Meeting } from "../record/meeting.js";
+import type { Place } from "../record/place.js";
+import { Recorder, type Waits } from "../record/recorder.js";
 import { Store } from "../record/store.js";
+import { Allowance } from "../zone/allowance.js";
 import { Budget } from "../zone/budget.js";
 import { Collector } from "../zone/collector.js";
-import { CountsForm } from "../zone/counts.js";
 import { EdgeCounts } from "../zone/edgeCounts.js";
 import { Shares } from "../zone/shares.js";
+import { Bounds } from "./bounds.js";
 import { Clock } from "./clock.js";
 import type { PartLog } from "./logbook.js";
 import { Settings, type Role } from "./settings.js";
@@ -35,11 +39,15 @@
   readonly give: (ret: Return) => void;
 }
 
-const pollMs = 200;
+/** What a daemon may be told besides its settings. */
+export interface DaemonOptions {
+  /** The headers by which it speaks with callers and back ends. */
+  readonly dialect?: Dialect;
+  /** Waits of the record that differ from what the bounds make of them. */
+  readonly waits?: Partial<Waits>;
+}
+
 const pushMs = 2000;
-const drainMs = 6000;
-/** How long a stopping daemon still serves what comes: callers sent it before they could know. */
-const onTheWayMs = 300;
 
 /** One machine's daemon: its roles, the links to its peers, and what it serves. */
 export class Daemon {
@@ -47,12 +55,15 @@
   readonly operators = new Source<DeskArrival>();
   private readonly world: World;
   private readonly settings: Settings;
+  private readonly bounds: Bounds;
   private readonly roles: Role[];
   private readonly log: PartLog;
   private readonly incarnation: string;
   private readonly link: Link;
   private readonly ferry: Ferry;
-  private readonly budget = new Budget();
+  private readonly meeting: Meeting;
+  private seeds: readonly string[];
+  private readonly budget: Budget;
   private readonly view: View;
   private readonly shares: Shares;
   private readonly edgeCounts: EdgeCounts;
@@ -63,33 +74,56 @@
   private readonly collector: Collector | undefined;
   private draining = false;
 
-  constructor(world: World, settings: Settings, waits: Waits = Waits.usual, terms: Terms = Terms.usual) {
+  constructor(world: World, settings: Settings, options: DaemonOptions = {}) {
+    const bounds = Bounds.of(settings);
     this.world = world;
     this.settings = settings;
+    this.bounds = bounds;
+    this.budget = new Budget(bounds.budget);
     this.roles = Settings.roles(settings);
     this.log = world.logbook.part("machine");
     this.incarnation = World.nonce(world);
     this.link = new Link(world, settings.peers);
-    this.ferry = new Ferry(world, this.link, settings.seeds);
+    this.seeds = settings.seeds;
+    this.ferry = new Ferry(world, this.link, () => [...this.seeds, ...this.meeting.recorders]);
+    const place: Place = {
+      self: settings.peers,
+      machine: settings.machine,
+      zone: settings.zone,
+      founds: settings.bootstrap ?? true,
+      tolerate: settings.tolerate ?? { machines: 1, zones: 0 },
+      seeds: () => this.seeds,
+    };
+    this.meeting = new Meeting(world, this.link, place, { leader: () => this.recorder?.leader || this.ferry.leader, recorders: () => this.ferry.recorders });
     this.view = new View(world, this.ferry, () => this.machine(), this.budget);
     this.shares = new Shares(settings.zone, () => world.random());
+    this.view.onDirectory = (contracts) => this.shares.know(contracts, world.clock.nowMs());
     const self = { machine: settings.machine, incarnation: this.incarnation, zone: settings.zone };
-    this.edgeCounts = new EdgeCounts(world, this.link, CountsForm.usual, this.view, self);
-    this.door = new Door(world, this.view, this.ferry, this.budget, this.edgeCounts, this.shares, this.incarnation);
+    this.edgeCounts = new EdgeCounts(world, this.link, bounds.counts, this.view, self, bounds.budget);
+    this.door = new Door(world, {
+      view: this.view,
+      ferry: this.ferry,
+      budget: this.budget,
+      counts: this.edgeCounts,
+      shares: this.shares,
+      incarnation: this.incarnation,
+      dialect: options.dialect ?? Dialect.own,
+      staleMs: bounds.figures.staleMs,
+    });
     if (this.roles.includes("recorder") && world.disk) {
       const book = new Book();
-      this.recorder = new Recorder(world, this.link, settings.peers, settings.seeds, waits, book, new Store(world.disk));
-      this.registry = new Registry(world, this.recorder, book, terms);
+      this.recorder = new Recorder(world, this.link, place, { ...bounds.waits, ...options.waits }, book, new Store(world.disk), this.meeting);
+      this.registry = new Registry(world, this.recorder, book, bounds.terms, new Allowance(bounds.budget, bounds.leaseMs));
       book.onApplied((deed) => {
         if (deed.kind === "config" && book.inForce) world.archive?.keep(book.inForce);
       });
     }
-    if (this.roles.includes("collector")) this.collector = new Collector(world, this.link, CountsForm.usual, settings.peers, this.incarnation, () => this.recorder?.leader || this.ferry.leader);
+    if (this.roles.includes("collector")) this.collector = new Collector(world, this.link, bounds.counts, settings.peers, this.incarnation, () => this.recorder?.leader || this.ferry.leader);
     this.desk = new Operators(world, this.ferry, this.view, this.shares, {
       status: () => this.status(),
       notReady: () => this.notReady(),
       counts: () => this.collector?.latest ?? this.edgeCounts.latest,
-    });
+    }, bounds);
   }
 
   /** Starts all tasks; ends once the daemon listens for its peers. */
@@ -108,6 +142,9 @@
       };
       this.ferry.serve(Kind.command, leadership, (text) => registry.command(text));
       this.ferry.serve(Kind.poll, leadership, (text) => registry.poll(text));
+    } else {
+      this.ferry.serveWay();
+      this.meeting.serve();
     }
     yield* this.link.listen();
     if (recorder && registry) {
@@ -116,7 +153,8 @@
       World.start(world, "contract", registry.ownConfigs());
       World.start(world, "contract", registry.ownTime());
     }
-    World.start(world, "contract", this.view.own(pollMs));
+    if (!recorder) World.start(world, "record", this.meeting.own());
+    World.start(world, "contract", this.view.own(this.bounds.pollMs));
     if (collector) World.start(world, "zone", collector.own(pushMs));
     if (this.roles.includes("edge")) World.start(world, "zone", this.edgeCounts.pushing(pushMs));
     this.log.say("Runs.", { roles: this.roles, zone: this.settings.zone });
@@ -128,16 +166,22 @@
     this.draining = true;
     this.log.say("Draining.", { inHand: this.door.unfinished });
     if (this.recorder) yield* this.recorder.yieldLeadership();
-    yield* Clock.rest(this.world.clock, onTheWayMs);
+    const { serveOnMs, abandonMs } = this.bounds;
+    yield* Clock.rest(this.world.clock, startedMs + serveOnMs - this.world.clock.nowMs());
     this.door.close();
     closeToCallers();
-    while (this.door.unfinished > 0 && this.world.clock.nowMs() - startedMs < drainMs) yield* Clock.rest(this.world.clock, 20);
+    while (this.door.unfinished > 0 && this.world.clock.nowMs() - startedMs < abandonMs) yield* Clock.rest(this.world.clock, 20);
     if (this.door.unfinished > 0) this.log.warn("Stops with work unfinished; it is given up on.", { inHand: this.door.unfinished });
     this.door.abandon();
     if (this.door.unfinished > 0) return;
     this.log.say("Drained.");
   }
 
+  /** Peer addresses of other daemons, from now on. */
+  setSeeds(seeds: readonly string[]): void {
+    this.seeds = seeds;
+  }
+
   /** The config this daemon serves by, and whether it may serve now. */
   get standing(): { configSequence: number; isGranted: boolean } {
     return { configSequence: this.view.configSequence, isGranted: this.view.isGranted };
@@ -179,37 +223,3 @@
     };
   }
 }
-
-if (import.meta.vitest) {
-  const { expect, test } = import.meta.vitest;
-  const { Simulation } = await import("../rehearsal/simulation.js");
-  const { Profile } = await import("../rehearsal/profile.js");
-  const { Task: Tasks } = await import("./task.js");
-
-  test("a stop finishes what can be finished, and gives the rest a final answer before the process ends", () => {
-    const simulation = new Simulation(Profile.all.rastro, 5, 0.0001);
-    const fail = (error: unknown): void => {
-      throw error;
-    };
-    const wait = (forMs: number): void => simulation.time.runUntil(simulation.time.nowMs() + forMs);
-    simulation.begin();
-    simulation.start(simulation.day.putConfig());
-    wait(6000);
-    const patch = Buffer.from(JSON.stringify({ routes: { issues: { giveUpMs: 30_000 }, crashes: { giveUpMs: 30_000 } } }));
-    simulation.machines[0]?.daemon?.operators.put({ job: { method: "PATCH", target: "/config", headers: {}, body: patch }, give: () => undefined });
-    wait(2000);
-    const edge = simulation.machines.find(({ settings }) => settings.callers !== undefined);
-    if (!edge) throw new Error("There is no edge.");
-    for (const standIn of simulation.standIns) standIn.behave({ slowFactor: standIn.service === "issues" ? 4000 : 150 });
-    const codes: string[] = [];
-    const call = (path: string): void =>
-      Tasks.start(simulation.call(edge.settings.machine, { method: "GET", target: path, headers: { "x-caller": path }, body: Buffer.alloc(0) }, 20_000), fail, ({ code, broke }) => codes.push(`${path} ${code} ${broke}`));
-    call("/issues/1");
-    call("/crashes/1");
-    wait(100);
-    simulation.start(simulation.stop(edge));
-    wait(9000);
-    expect(codes).toEqual(["/crashes/1 200 ", "/issues/1 504 "]);
-    expect(simulation.ledger.of("stopped").map(({ atMs, endedMs }) => endedMs - atMs < 7000)).toEqual([true]);
-  });
-}
--- a/src/machine/holding.ts
+++ b/src/machine/holding.ts
@@ -73,24 +73,3 @@
     });
   }
 }
-
-if (import.meta.vitest) {
-  const { expect, test } = import.meta.vitest;
-  test("a command goes to the first taker still waiting", async () => {
-    const { VirtualClock } = await import("../rehearsal/virtualClock.js");
-    const virtual = new VirtualClock();
-    const clock = virtual.clock();
-    const holding = new Holding<string>();
-    const seen: Array<string | undefined> = [];
-    const fail = (error: unknown): void => {
-      throw error;
-    };
-    Task.start(holding.takeUntil(clock, 10), fail, (item) => seen.push(item));
-    virtual.runUntil(20);
-    Task.start(holding.takeUntil(clock, 50), fail, (item) => seen.push(item));
-    holding.put("a");
-    holding.put("b");
-    Task.start(holding.take(), fail, (item) => seen.push(item));
-    expect(seen).toEqual([undefined, "a", "b"]);
-  });
-}
--- a/src/machine/httpServer.ts
+++ b/src/machine/httpServer.ts
@@ -1,28 +1,52 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import type { Socket } from "node:net";
 import type { Caller, Job } from "../door/job.js";
 import { Return } from "../door/verdict.js";
 import { Address, ListenError } from "../link/wire.js";
 import { Task } from "./task.js";
 
-const bodyLimitBytes = 1024 * 1024;
+/** What callers may send, and how long they may take or rest. */
+export interface ServerLimits {
+  readonly headerBytes: number;
+  readonly bodyBytes: number;
+  readonly headerMs: number;
+  readonly idleMs: number;
+}
+
+const usual: ServerLimits = { headerBytes: 16 * 1024, bodyBytes: 64 * 1024 * 1024, headerMs: 10_000, idleMs: 15_000 };
+/** The parser's own bound on headers, over all that the limits may say. */
+const parserHeaderBytes = 256 * 1024;
+/** How often connections are looked through for headers that take too long. */
+const lookMs = 1000;
+/** A body up to this size is held whole before its request is handed on; of a larger one the rest follows as it comes. */
+export const heldBodyBytes = 256 * 1024;
+
+/** Raised where a body breaks off or grows over its limit while it is passed on. */
+export class BodyBrokenError extends Error {}
 
 const flat = (request: IncomingMessage): Record<string, string> => {
   const headers: Record<string, string> = {};
-  for (const [name, value] of Object.entries(request.headers)) if (value !== undefined) headers[name] = Array.isArray(value) ? value.join(", ") : value;
+  for (const name in request.headers) {
+    const value = request.headers[name];
+    if (value !== undefined) headers[name] = typeof value === "string" ? value : value.join(", ");
+  }
   return headers;
 };
 
-const callerOf = (request: IncomingMessage, response: ServerResponse, closing: () => boolean): Caller => {
-  let gone = false;
-  response.on("close", () => {
-    gone = !response.writableFinished;
-  });
+/** What is heard of one caller's connection. */
+interface Connection {
+  isOver: boolean;
+  readonly over: Set<() => void>;
+}
+
+const callerOf = (request: IncomingMessage, response: ServerResponse, connection: Connection, closing: () => boolean): Caller => {
   const finish = (code: number, headers: Record<string, string>): void => {
+    response.sendDate = false;
     response.writeHead(code, closing() ? { ...headers, connection: "close" } : headers);
   };
   return {
     get isGone() {
-      return gone;
+      return connection.isOver;
     },
     whole({ code, headers, body }) {
       const bodiless = request.method === "HEAD" || code === 204 || code === 304;
@@ -31,52 +55,69 @@
     },
     begin: finish,
     *piece(bytes) {
-      if (gone) return false;
+      if (connection.isOver) return false;
       if (response.write(bytes)) return true;
       yield* Task.wait<boolean>((done) => {
         response.once("drain", () => done(true));
-        response.once("close", () => done(false));
+        connection.over.add(() => done(false));
       });
-      return !gone;
+      return !connection.isOver;
     },
     end: () => response.end(),
     cut: () => response.destroy(),
   };
 };
 
-/** An HTTP/1.1 server that hands on whole requests. */
+const restOf = async function* (request: IncomingMessage, heldBytes: number, limitBytes: number): AsyncGenerator<Uint8Array> {
+  let sumBytes = heldBytes;
+  for await (const piece of request) {
+    if (!(piece instanceof Uint8Array)) throw new BodyBrokenError("The body is not bytes.");
+    sumBytes += piece.length;
+    if (sumBytes > limitBytes) throw new BodyBrokenError("The body is over its limit.");
+    yield piece;
+  }
+  if (!request.complete) throw new BodyBrokenError("The body was cut short.");
+};
+
+const headerBytesOf = (request: IncomingMessage): number => {
+  let sum = (request.url?.length ?? 0) + (request.method?.length ?? 0) + 12;
+  for (const word of request.rawHeaders) sum += word.length + 2;
+  return sum;
+};
+
+const refused = (caller: Caller, code: number, error: string): void => caller.whole(Return.json(code, { error, verdict: "neverRan" }, { connection: "close" }));
+
+/** An HTTP/1.1 server that hands on requests, small bodies held whole. */
 export class HttpServer {
   private readonly server: Server;
+  private readonly take: (job: Job, caller: Caller) => void;
+  private readonly wholeOnly: boolean;
+  private readonly connections = new WeakMap<Socket, Connection>();
+  private limits: ServerLimits = usual;
   private closing = false;
 
-  constructor(take: (job: Job, caller: Caller) => void) {
-    this.server = createServer((request, response) => {
-      const caller = callerOf(request, response, () => this.closing);
-      const pieces: Buffer[] = [];
-      let heldBytes = 0;
-      request.on("error", () => undefined);
-      response.on("error", () => undefined);
-      request.on("data", (piece: Buffer) => {
-        heldBytes += piece.length;
-        if (heldBytes <= bodyLimitBytes) pieces.push(piece);
-        else if (heldBytes - piece.length <= bodyLimitBytes) {
-          caller.whole(Return.json(413, { error: `A body has at most ${bodyLimitBytes} bytes.`, verdict: "neverRan" }, { connection: "close" }));
-          request.unpipe().resume();
-        }
-      });
-      request.on("end", () => {
-        if (heldBytes > bodyLimitBytes || !request.complete) return;
-        take({ method: request.method ?? "", target: request.url ?? "/", headers: flat(request), body: Buffer.concat(pieces) }, caller);
-      });
-    });
-    this.server.keepAliveTimeout = 15_000;
+  /** `wholeOnly`: bodies are always held whole. */
+  constructor(take: (job: Job, caller: Caller) => void, wholeOnly = true) {
+    this.take = take;
+    this.wholeOnly = wholeOnly;
+    this.server = createServer({ maxHeaderSize: parserHeaderBytes, connectionsCheckingInterval: lookMs, noDelay: true }, (request, response) => this.arrived(request, response));
+    this.server.on("connection", (socket) => this.connected(socket));
+    this.server.requestTimeout = 0;
+    this.bound(usual);
+  }
+
+  /** Holds callers to limits from now on. */
+  bound(limits: Partial<ServerLimits>): void {
+    this.limits = { ...usual, ...limits };
+    this.server.headersTimeout = this.limits.headerMs;
+    this.server.keepAliveTimeout = this.limits.idleMs;
   }
 
   *listen(address: string): Task {
     const { server } = this;
     const fault = yield* Task.wait<Error | "listening">((done) => {
       server.once("error", done);
-      server.listen(Address.parts(address), () => done("listening"));
+      server.listen({ ...Address.parts(address), backlog: 1024 }, () => done("listening"));
     });
     if (fault !== "listening") throw new ListenError(`Can't listen for HTTP on ${address}.`, { cause: fault });
   }
@@ -97,32 +138,56 @@
   end(): void {
     this.server.closeAllConnections();
   }
-}
 
-if (import.meta.vitest) {
-  const { expect, test } = import.meta.vitest;
-  const { connect } = await import("node:net");
-  test("a request that was sent over a kept connection right before the server began to part with its callers is answered", async () => {
-    const server = new HttpServer((job, caller) => caller.whole({ code: 200, headers: {}, body: Buffer.from(job.target) }));
-    const port = await new Promise<number>((done, fail) => {
-      const probe = createServer().listen(0, "127.0.0.1", () => {
-        const bound = probe.address();
-        probe.close(() => done(bound !== null && typeof bound === "object" ? bound.port : 0));
-      });
-      probe.once("error", fail);
+  private connected(socket: Socket): void {
+    const connection: Connection = { isOver: false, over: new Set() };
+    this.connections.set(socket, connection);
+    socket.once("close", () => {
+      connection.isOver = true;
+      for (const hear of connection.over) hear();
     });
-    await new Promise<void>((done, fail) => Task.start(server.listen(`127.0.0.1:${port}`), fail, done));
-    const heard: string[] = [];
-    const socket = connect(port, "127.0.0.1");
-    socket.on("data", (bytes: Buffer) => heard.push(bytes.toString()));
-    const ended = new Promise<void>((done) => socket.once("close", () => done()));
-    socket.write("GET /one HTTP/1.1\r\nhost: a\r\n\r\n");
-    await expect.poll(() => heard.join("").includes("/one")).toBe(true);
-    socket.write("GET /two HTTP/1.1\r\nhost: a\r\n\r\n");
-    server.partWithCallers();
-    await ended;
-    expect(heard.join("")).toMatch(/connection: close[^]*\/two$/i);
-    server.close();
-    server.end();
-  });
+  }
+
+  private arrived(request: IncomingMessage, response: ServerResponse): void {
+    const connection = this.connections.get(request.socket) ?? { isOver: false, over: new Set() };
+    const caller = callerOf(request, response, connection, () => this.closing);
+    const { headerBytes, bodyBytes } = this.limits;
+    request.on("error", () => undefined);
+    response.on("error", () => undefined);
+    const statedBytes = Number(request.headers["content-length"] ?? 0);
+    if (headerBytesOf(request) > headerBytes) return refused(caller, 431, `The headers have at most ${headerBytes} bytes.`);
+    if (statedBytes > bodyBytes) return refused(caller, 413, `A body has at most ${bodyBytes} bytes.`);
+    const hand = (body: Uint8Array, rest?: AsyncIterable<Uint8Array>): void => {
+      const job = { method: request.method ?? "", target: request.url ?? "/", headers: flat(request), body };
+      this.take(rest ? { ...job, rest } : job, caller);
+    };
+    if (statedBytes === 0 && request.headers["transfer-encoding"] === undefined) {
+      request.resume();
+      return hand(new Uint8Array());
+    }
+    const pieces: Buffer[] = [];
+    let heldBytes = 0;
+    let isOver = false;
+    const hear = (piece: Buffer): void => {
+      heldBytes += piece.length;
+      if (isOver) return;
+      if (heldBytes > bodyBytes) {
+        isOver = true;
+        pieces.length = 0;
+        return refused(caller, 413, `A body has at most ${bodyBytes} bytes.`);
+      }
+      pieces.push(piece);
+      if (this.wholeOnly || heldBytes <= heldBodyBytes || heldBytes === statedBytes) return;
+      isOver = true;
+      request.off("data", hear);
+      request.pause();
+      hand(Buffer.concat(pieces), restOf(request, heldBytes, bodyBytes));
+    };
+    request.on("data", hear);
+    request.on("end", () => {
+      if (isOver || !request.complete) return;
+      isOver = true;
+      hand(Buffer.concat(pieces));
+    });
+  }
 }
--- a/src/machine/main.ts
+++ b/src/machine/main.ts
@@ -4,7 +4,9 @@
 import { request } from "undici";
 import { Settings } from "./settings.js";
 import { Disk } from "./disk.js";
-import { readSettings, run, SettingsError } from "./run.js";
+import { run } from "./run.js";
+import { SettingsError } from "./settingsError.js";
+import { SettingsFile } from "./settingsFile.js";
 import { Task } from "./task.js";
 import { restore, type Restored } from "../record/restore.js";
 import { Config, type Fault } from "../contract/config.js";
@@ -66,13 +68,17 @@
   roles?: string;
 }
 
-const runDaemon = async (options: RunOptions): Promise<number> => {
+const runDaemon = async (file: string | undefined, options: RunOptions): Promise<number> => {
+  if (file !== undefined && options.settings !== undefined) {
+    complain("Name one settings file, as an argument or by --settings.");
+    return exit.usage;
+  }
   const flags: Record<string, unknown> = {};
   for (const name of settingFlags) if (options[name] !== undefined) flags[name] = String(options[name]);
   if (options.seeds !== undefined) flags.seeds = options.seeds.split(",");
   if (options.roles !== undefined) flags.roles = options.roles.split(",");
   try {
-    return await run(options.settings, flags);
+    return await run(file ?? options.settings, flags);
   } catch (error) {
     if (!(error instanceof SettingsError)) throw error;
     tellFaults(error.faults);
@@ -82,7 +88,7 @@
 
 const restoreRecord = async (options: RunOptions & { acceptLoss?: boolean }): Promise<number> => {
   try {
-    const settings = await readSettings(options.settings, {});
+    const settings = SettingsFile.own(options.settings, {}).read();
     const { dataFolder, peers } = settings;
     if (dataFolder === undefined) {
       complain("dataFolder: this daemon keeps no record.");
@@ -131,19 +137,19 @@
 };
 
 program
-  .command("run", "Run this machine's daemon")
-  .option("--settings <file>", "Settings file (JSON); flags go before it")
+  .command("run [file]", "Run this machine's daemon, with the settings of a file")
+  .option("--settings <file>", "Settings file (JSON), in place of the argument; flags go before it")
   .option("--machine <name>", "Name of this machine")
   .option("--zone <name>", "Zone of this machine")
   .option("--callers <ip:port>", "Where callers' requests are taken")
   .option("--operators <ip:port>", "Where operators and back ends are heard")
   .option("--peers <ip:port>", "Where other daemons are heard")
-  .option("--seeds <list>", "Three recorders' peer addresses, the same list everywhere")
+  .option("--seeds <list>", "Peer addresses of up to nine daemons, through which the others are found")
   .option("--roles <list>", "edge, recorder, collector; by default what the machine can bear")
   .option("--data-folder <folder>", "Where a recorder keeps its files")
   .option("--log-level <level>", "debug, info, warn or error")
-  .action((options: RunOptions) => {
-    ending = runDaemon(options);
+  .action((file: string | undefined, options: RunOptions) => {
+    ending = runDaemon(file, options);
   });
 
 const atOption = "Operators' address of any daemon";
--- a/src/machine/run.ts
+++ b/src/machine/run.ts
@@ -1,51 +1,41 @@
-import { readFile } from "node:fs/promises";
 import { BackEnds } from "../door/backEnds.js";
+import { Job } from "../door/job.js";
+import { Return } from "../door/verdict.js";
 import { Wire } from "../link/wire.js";
 import { Archive } from "../operator/archive.js";
+import type { Adapter } from "./adapter.js";
 import { Clock } from "./clock.js";
 import { Daemon } from "./daemon.js";
 import { Disk } from "./disk.js";
 import { HttpServer } from "./httpServer.js";
 import { Logbook } from "./logbook.js";
 import { Settings } from "./settings.js";
+import { SettingsError } from "./settingsError.js";
+import { SettingsFile } from "./settingsFile.js";
 import { Source } from "./source.js";
 import { Task } from "./task.js";
 import { World } from "./world.js";
-import type { Fault } from "../contract/config.js";
 
-/** Raised when settings can't be used; carries every fault. */
-export class SettingsError extends Error {
-  readonly faults: Fault[];
-  constructor(faults: Fault[]) {
-    super("The settings have faults.");
-    this.faults = faults;
-  }
+/** How a daemon is run besides its settings. */
+export interface ServeOptions {
+  /** Where the daemon serves a platform that has words of its own. */
+  readonly adapter?: Adapter;
+  /** Whether accepted configs are also kept in a Git repository. */
+  readonly archive?: boolean;
 }
 
-/** Reads settings from a file, if one is named, and lays flags over them. */
-export const readSettings = async (file: string | undefined, flags: Record<string, unknown>): Promise<Settings> => {
-  let value: unknown = {};
-  if (file !== undefined) {
-    try {
-      value = JSON.parse(await readFile(file, "utf8"));
-    } catch (error) {
-      throw new SettingsError([{ path: file, expected: `a file with JSON that can be read (${error instanceof Error ? error.message : String(error)})` }]);
-    }
-  }
-  const laid: unknown = typeof value === "object" && value !== null && !Array.isArray(value) ? { ...value, ...flags } : value;
-  const checked = Settings.check(laid);
-  if ("faults" in checked) throw new SettingsError(checked.faults);
-  return checked.settings;
-};
+/** How often the settings file is looked at. */
+const lookMs = 1000;
+const configBodyBytes = 64 * 1024 * 1024;
 
 /** Runs the daemon of this machine until it is told to stop; ends with the exit code. */
-export const run = async (file: string | undefined, flags: Record<string, unknown>): Promise<number> => {
-  let settings = await readSettings(file, flags);
+export const serve = async (file: SettingsFile, { adapter, archive: isArchived = false }: ServeOptions = {}): Promise<number> => {
+  let settings = file.read();
   const logbook = Logbook.open(settings.machine, settings.logLevel ?? "info");
   const log = logbook.part("machine");
   const clock = Clock.real();
   const wire = Wire.tcp();
-  const backEnds = BackEnds.http(clock);
+  const backEnds = BackEnds.http(clock, adapter?.dialect.proof);
   return new Promise<number>((end) => {
     const fail = (error: unknown): void => {
       log.fault("The daemon can't run.", error);
@@ -57,29 +47,51 @@
         logbook.part(part).fault("A task broke off; the daemon ends.", error);
         end(1);
       };
-      const archive = settings.dataFolder === undefined ? undefined : new Archive(settings.dataFolder, logbook.part("operator"));
+      const archive = settings.dataFolder !== undefined && isArchived ? new Archive(settings.dataFolder, logbook.part("operator")) : undefined;
       const world: World = { clock, wire, disk, archive, backEnds, logbook, broken, random: Math.random, wallTime: () => new Date() };
-      const daemon = new Daemon(world, settings);
-      const callers = new HttpServer((job, caller) => daemon.callers.put({ job, caller }));
-      const operators = new HttpServer((job, caller) => daemon.operators.put({ job, give: (ret) => caller.whole(ret) }));
+      const daemon = new Daemon(world, settings, adapter ? { dialect: adapter.dialect } : {});
+      const control = (takes: (job: Job) => boolean): HttpServer => {
+        const server = new HttpServer((job, caller) => {
+          const read = adapter ? adapter.control.into(job) : { job, back: (ret: Return) => ret };
+          if ("code" in read) caller.whole(read);
+          else if (takes(read.job)) daemon.operators.put({ job: read.job, give: (ret) => caller.whole(read.back(ret)) });
+          else caller.whole(Return.json(404, { error: "Only readiness is served here." }));
+        });
+        server.bound({ bodyBytes: configBodyBytes });
+        return server;
+      };
+      const callers = new HttpServer((job, caller) => daemon.callers.put({ job, caller }), false);
+      const operators = control(() => true);
+      const readiness = control((job) => job.method === "GET" && Job.path(job) === "/ready");
       yield* daemon.start();
       yield* operators.listen(settings.operators);
+      if (settings.ready !== undefined) yield* readiness.listen(settings.ready);
       const callersAt = Settings.roles(settings).includes("edge") ? settings.callers : undefined;
       if (callersAt !== undefined) yield* callers.listen(callersAt);
 
+      const readAgain = (): void => {
+        try {
+          const after = file.read();
+          const { applied, needRestart } = Settings.difference(settings, after);
+          if (applied.includes("logLevel")) logbook.setLevel(after.logLevel ?? "info");
+          if (applied.includes("seeds")) daemon.setSeeds(after.seeds);
+          log.say("Settings were read again.", { applied, needRestart });
+          settings = { ...settings, logLevel: after.logLevel ?? "info", seeds: after.seeds };
+        } catch (error) {
+          log.warn("The settings on file have faults; the old ones stay.", { faults: error instanceof SettingsError ? error.faults : String(error) });
+        }
+      };
+      const looking = function* (): Task {
+        for (;;) {
+          yield* Clock.rest(clock, lookMs);
+          if (file.hasChanged) readAgain();
+        }
+      };
+      Task.start(looking(), fail);
       const signals = new Source<"SIGTERM" | "SIGINT" | "SIGHUP">();
       for (const name of ["SIGTERM", "SIGINT", "SIGHUP"] as const) process.on(name, () => signals.put(name));
       signals.each(clock.scheduler, (name) => {
-        if (name !== "SIGHUP") return;
-        readSettings(file, flags).then(
-          (after) => {
-            const { applied, needRestart } = Settings.difference(settings, after);
-            if (applied.length > 0) logbook.setLevel(after.logLevel ?? "info");
-            log.say("Settings were read again.", { applied, needRestart });
-            settings = { ...settings, logLevel: after.logLevel ?? "info" };
-          },
-          (error: unknown) => log.warn("The settings on file have faults; the old ones stay.", { faults: error instanceof SettingsError ? error.faults : String(error) }),
-        );
+        if (name === "SIGHUP") readAgain();
       });
       yield* Task.wait<string>((done) =>
         signals.each(clock.scheduler, (name) => {
@@ -92,8 +104,10 @@
       });
       yield* Clock.rest(clock, 50);
       callers.end();
-      operators.close();
-      operators.end();
+      for (const server of [operators, readiness]) {
+        server.close();
+        server.end();
+      }
       wire.close();
       backEnds.close();
       return 0;
@@ -101,3 +115,6 @@
     Task.start(life(), fail, end);
   });
 };
+
+/** Runs the daemon that a file in the product's own words describes, with flags laid over it. */
+export const run = (file: string | undefined, flags: Record<string, unknown>): Promise<number> => serve(SettingsFile.own(file, flags), { archive: true });
--- a/src/machine/settings.ts
+++ b/src/machine/settings.ts
@@ -1,7 +1,8 @@
 import { isIP } from "node:net";
-import { array, define, enums, nonempty, object, optional, size, string, validate, type Infer } from "superstruct";
+import { array, define, enums, integer, max, min, nonempty, number, object, optional, boolean, record, size, string, validate, type Infer } from "superstruct";
 import { Address } from "../link/wire.js";
 import { faultsOf, type Fault } from "../contract/config.js";
+import { Bounds } from "./bounds.js";
 
 const word = define<string>("word", (value) => (typeof value === "string" && /^[a-zA-Z0-9][a-zA-Z0-9._-]{0,62}$/.test(value)) || "Expected a name of letters, digits, dots and dashes");
 const address = define<string>("address", (value) => {
@@ -9,27 +10,72 @@
   const { host, port } = Address.parts(value);
   return (isIP(host) !== 0 && Number.isInteger(port) && port > 0 && port < 65_536) || "Expected an address of the form IP:port";
 });
+const ms = max(min(number(), 0), 86_400_000);
+const amount = min(number(), 0);
+
+const boundsShape = object({
+  /** From an accepted config until no daemon serves by an older one. */
+  applyMs: optional(ms),
+  /** From a back end's leave until no request is sent to it. */
+  drainMs: optional(ms),
+  /** How long a daemon that was out of touch may take to be held to the other bounds again. */
+  contactMs: optional(ms),
+  /** How long a daemon that is told to stop may still run. */
+  graceMs: optional(ms),
+  /** Within which an operator's change is acknowledged. */
+  ackMs: optional(ms),
+  /** How long a key stands for one operation. */
+  keyWindowMs: optional(ms),
+  /** Further tries per request of a service, in any window. */
+  retryRatio: optional(number()),
+  retryWindowMs: optional(ms),
+  /** Further tries of a service in any window besides. */
+  retryExtra: optional(number()),
+  /** Within which a fleet that was down serves again. */
+  recoveryMs: optional(ms),
+  /** After which an ended back end's address may serve another service. */
+  addressReuseMs: optional(ms),
+  /** How far machines' wall clocks may be apart. */
+  skewMs: optional(ms),
+  /** How long a machine that returns may take to catch up. */
+  catchUpMs: optional(ms),
+  /** How late a request may arrive at a daemon that ends. */
+  lossSlackMs: optional(ms),
+  staleMs: optional(ms),
+});
 
 const shape = object({
   machine: word,
   zone: word,
+  region: optional(word),
+  zones: optional(record(word, word)),
   callers: optional(address),
   operators: address,
   peers: address,
-  seeds: size(array(address), 3),
+  ready: optional(address),
+  seeds: size(array(address), 1, 9),
   roles: optional(nonempty(array(enums(["edge", "recorder", "collector"])))),
   dataFolder: optional(nonempty(string())),
   logLevel: optional(enums(["debug", "info", "warn", "error"])),
+  /** Whether the whole fleet starts for the first time, so that a record may be formed. */
+  bootstrap: optional(boolean()),
+  /** What may be lost at the same moment while all bounds hold. */
+  tolerate: optional(object({ machines: min(integer(), 0), zones: min(integer(), 0) })),
+  /** How often back ends announce themselves. */
+  heartbeatMs: optional(ms),
+  /** What this machine can bear. */
+  limits: optional(object({ memoryMb: optional(amount), descriptors: optional(amount), diskMb: optional(amount), cpu: optional(amount), linkMbps: optional(amount) })),
+  bounds: optional(boundsShape),
 });
 
-/** One daemon's place: its name, zone, addresses, seeds and roles. */
+/** One daemon's place: its name, zone, addresses, seeds and roles, and the bounds it is held to. */
 export type Settings = Infer<typeof shape>;
 
 /** What a daemon may be. */
 export type Role = NonNullable<Settings["roles"]>[number];
 
 /** Settings that can change while a daemon runs. */
-const changeable: ReadonlyArray<keyof Settings> = ["logLevel"];
+const changeable: ReadonlyArray<keyof Settings> = ["logLevel", "seeds"];
 
 export const Settings = {
   /** Reads and checks settings whole. */
@@ -40,9 +86,10 @@
     const roles = Settings.roles(settings);
     if (roles.includes("recorder") && settings.dataFolder === undefined) faults.push({ path: "dataFolder", expected: "a folder, since this daemon is a recorder" });
     if (roles.includes("edge") && settings.callers === undefined) faults.push({ path: "callers", expected: "an address of the form IP:port, since this daemon is an edge" });
-    if (new Set(settings.seeds).size !== settings.seeds.length) faults.push({ path: "seeds", expected: "three addresses that differ" });
-    const own = [settings.callers, settings.operators, settings.peers].filter((one) => one !== undefined);
-    if (new Set(own).size !== own.length) faults.push({ path: "peers", expected: "an address of its own for callers, operators and peers" });
+    if (new Set(settings.seeds).size !== settings.seeds.length) faults.push({ path: "seeds", expected: "addresses that differ" });
+    const own = [settings.callers, settings.operators, settings.peers, settings.ready].filter((one) => one !== undefined);
+    if (new Set(own).size !== own.length) faults.push({ path: "peers", expected: "an address of its own for callers, operators, peers and readiness" });
+    faults.push(...Bounds.faults(settings));
     return faults.length > 0 ? { faults } : { settings };
   },
 
@@ -60,18 +107,3 @@
     return { applied: differing.filter(isChangeable), needRestart: differing.filter((name) => !isChangeable(name)) };
   },
 };
-
-if (import.meta.vitest) {
-  const { expect, test } = import.meta.vitest;
-  const good = { machine: "m1", zone: "a", callers: "127.0.0.1:1", operators: "127.0.0.1:2", peers: "127.0.0.1:3", seeds: ["127.0.0.1:3", "127.0.0.1:4", "127.0.0.1:5"] };
-  test("every fault of the settings is told at once, with its path", () => {
-    expect(Settings.check(good)).toEqual({ settings: good });
-    const bad = Settings.check({ ...good, machine: "", operators: "localhost:9", seeds: ["127.0.0.1:3"], colour: "red" });
-    expect("faults" in bad && bad.faults.map(({ path }) => path)).toEqual(["machine", "operators", "seeds", "colour"]);
-    const roles = Settings.check({ ...good, callers: undefined, roles: ["edge", "recorder"] });
-    expect("faults" in roles && roles.faults.map(({ path }) => path)).toEqual(["dataFolder", "callers"]);
-  });
-  test("what can change while running is told from what needs a restart", () => {
-    expect(Settings.difference(good, { ...good, zone: "b", logLevel: "warn" })).toEqual({ applied: ["logLevel"], needRestart: ["zone"] });
-  });
-}
--- a/src/operator/archive.ts
+++ b/src/operator/archive.ts
@@ -1,12 +1,14 @@
 import { existsSync, promises as files } from "node:fs";
 import { mkdir, writeFile } from "node:fs/promises";
 import { join } from "node:path";
-import git from "isomorphic-git";
 import type { AcceptedConfig } from "../record/book.js";
 import type { PartLog } from "../machine/logbook.js";
 import { Holding } from "../machine/holding.js";
 import { Task } from "../machine/task.js";
 
+/** Loaded only where configs are kept. */
+const loadGit = async () => (await import("isomorphic-git")).default;
+
 const author = { name: "daledoor", email: "record@daledoor.invalid" };
 const fileName = "config.json";
 const messageOf = (config: AcceptedConfig): string => `Config ${config.sequence}\n\nChange: ${config.changeId}\nAccepted: ${config.acceptedAt}\n`;
@@ -43,43 +45,17 @@
 
   private async begin(): Promise<void> {
     await mkdir(this.folder, { recursive: true });
+    const git = await loadGit();
     if (!existsSync(join(this.folder, ".git"))) await git.init({ fs: { promises: files }, dir: this.folder, defaultBranch: "main" });
     const [last] = await git.log({ fs: { promises: files }, dir: this.folder, depth: 1 }).catch(() => []);
     this.newest = Number(/^Config (\d+)/.exec(last?.commit.message ?? "")?.[1] ?? 0);
   }
 
   private async commit(config: AcceptedConfig): Promise<void> {
+    const git = await loadGit();
     const parsed: unknown = JSON.parse(config.text);
     await writeFile(join(this.folder, fileName), `${JSON.stringify(parsed, null, 2)}\n`);
     await git.add({ fs: { promises: files }, dir: this.folder, filepath: fileName });
     await git.commit({ fs: { promises: files }, dir: this.folder, message: messageOf(config), author });
   }
 }
-
-if (import.meta.vitest) {
-  const { expect, test } = import.meta.vitest;
-  const { mkdtemp, rm } = await import("node:fs/promises");
-  const { tmpdir } = await import("node:os");
-  const { Logbook } = await import("../machine/logbook.js");
-  test("configs are kept one commit each, and once only after a restart", async () => {
-    const folder = await mkdtemp(join(tmpdir(), "daledoor-archive-"));
-    const log = Logbook.into(() => undefined).part("operator");
-    const config = (sequence: number): AcceptedConfig => ({ sequence, index: sequence, changeId: `c${sequence}`, acceptedAt: "", text: `{"n":${sequence}}` });
-    const messages = async (): Promise<string[]> => (await git.log({ fs: { promises: files }, dir: join(folder, "configs") }).catch(() => [])).map(({ commit }) => commit.message.split("\n")[0] ?? "");
-    const run = async (sequences: number[], expected: number): Promise<void> => {
-      const archive = new Archive(folder, log);
-      for (const sequence of sequences) archive.keep(config(sequence));
-      Task.start(archive.own(), (error) => {
-        throw error;
-      });
-      await expect.poll(async () => (await messages()).length, { timeout: 20_000 }).toBe(expected);
-    };
-    try {
-      await run([1, 2], 2);
-      await run([1, 2, 3], 3);
-      expect(await messages()).toEqual(["Config 3", "Config 2", "Config 1"]);
-    } finally {
-      await rm(folder, { recursive: true, force: true });
-    }
-  });
-}
--- a/src/operator/operators.ts
+++ b/src/operator/operators.ts
@@ -1,32 +1,47 @@
-import { create, define, literal, max, min, nullable, number, object, optional, string, type, union, unknown, validate } from "superstruct";
-import { faultsOf, type Fault } from "../contract/config.js";
+import { boolean, create, define, integer, literal, max, min, nullable, number, object, optional, partial, string, type, union, unknown, validate } from "superstruct";
+import { faultsOf, itemsShape, namesShape, nameShape, type Fault } from "../contract/config.js";
 import type { Ferry } from "../contract/ferry.js";
-import type { Order } from "../contract/order.js";
+import type { ChangeOrder, Order } from "../contract/order.js";
 import type { View } from "../contract/view.js";
 import type { Job } from "../door/job.js";
 import { Job as Jobs } from "../door/job.js";
 import { Return } from "../door/verdict.js";
 import type { Task } from "../machine/task.js";
 import { World } from "../machine/world.js";
-import { retryWindowMs, type Counts } from "../zone/counts.js";
+import type { Bounds } from "../machine/bounds.js";
+import type { Counts } from "../zone/counts.js";
 import type { Shares } from "../zone/shares.js";
-import { sketchRule } from "../zone/budget.js";
+import { usualRules } from "../zone/budget.js";
 import { Query } from "./language.js";
 
-const orderWaitMs = 4000;
+/** Back ends that announce themselves turn to another daemon after a second. */
+const noticeWaitMs = 900;
 const heavyPhi = 0.1;
 
 const address = define<string>("address", (value) => (typeof value === "string" && /^[0-9a-fA-F.:[\]]+:\d{1,5}$/.test(value)) || "Expected an address of the form IP:port");
-const serviceName = define<string>("name", (value) => (typeof value === "string" && /^[a-z][a-z0-9-]{0,39}$/.test(value)) || "Expected the name of a service");
-const announcement = object({ service: serviceName, address, zone: serviceName, warmth: optional(max(min(number(), 0), 1)) });
+const serviceName = nameShape;
+const instanceName = define<string>("instance", (value) => (typeof value === "string" && /^[\x21-\x7e]{1,100}$/.test(value)) || "Expected an instance of 1 to 100 visible characters");
+const announcement = object({
+  service: serviceName,
+  address,
+  zone: serviceName,
+  warmth: optional(max(min(number(), 0), 1)),
+  instance: optional(instanceName),
+  capacity: optional(max(min(integer(), 0), 1_000_000)),
+  order: optional(max(min(integer(), 0), Number.MAX_SAFE_INTEGER)),
+  draining: optional(boolean()),
+  warmMs: optional(max(min(number(), 0), 3_600_000)),
+});
+const amendment = object({ put: optional(itemsShape), remove: optional(partial(namesShape)) });
 const leaving = object({ service: serviceName, address });
+const leavingInstance = object({ instance: instanceName });
 
 const outcomeShape = union([
   object({ accepted: number() }),
   object({ lost: number() }),
   object({ faults: define<Fault[]>("faults", Array.isArray) }),
 ]);
-const foundShape = type({ found: nullable(object({ sequence: number(), changeId: string(), acceptedAt: string(), text: string() })) });
+const foundShape = type({ found: nullable(type({ sequence: number(), version: number(), changeId: string(), acceptedAt: string(), text: string() })) });
 const historyShape = type({ journal: define<Array<{ index: number; text: string }>>("journal", Array.isArray) });
 const readyShape = object({ ready: literal(true) });
 
@@ -59,20 +74,24 @@
   private readonly view: View;
   private readonly shares: Shares;
   private readonly desk: Desk;
+  private readonly orderMs: number;
+  private readonly rules: Bounds["budget"];
 
-  constructor(world: World, ferry: Ferry, view: View, shares: Shares, desk: Desk) {
+  constructor(world: World, ferry: Ferry, view: View, shares: Shares, desk: Desk, bounds: Pick<Bounds, "orderMs" | "budget"> = { orderMs: 4000, budget: usualRules }) {
     this.world = world;
     this.ferry = ferry;
     this.view = view;
     this.shares = shares;
     this.desk = desk;
+    this.orderMs = bounds.orderMs;
+    this.rules = bounds.budget;
   }
 
   *handle(job: Job): Task<Return> {
     const path = Jobs.path(job);
     const at = `${job.method} ${path}`;
-    const sequence = /^\/config\/(\d{1,9})$/.exec(path)?.[1];
-    if (job.method === "GET" && sequence !== undefined) return yield* this.readConfig(Number(sequence));
+    const version = /^\/config\/(\d{1,15})$/.exec(path)?.[1];
+    if (job.method === "GET" && version !== undefined) return yield* this.readConfig(Number(version));
     switch (at) {
       case "GET /ready": {
         const why = this.desk.notReady();
@@ -86,6 +105,7 @@
         return yield* this.read({ kind: "history" });
       case "PUT /config":
       case "PATCH /config":
+      case "POST /config/items":
         return yield* this.change(job);
       case "POST /backends/announce":
         return yield* this.announced(job);
@@ -95,56 +115,67 @@
         return yield* this.ask(Buffer.from(job.body).toString("utf8"));
       default:
         return fault(404, "Nothing is served at this path.", {
-          served: ["GET /ready", "GET /status", "GET|PUT|PATCH /config", "GET /config/SEQUENCE", "GET /config/history", "POST /backends/announce", "POST /backends/leave", "POST /ask"],
+          served: ["GET /ready", "GET /status", "GET|PUT|PATCH /config", "GET /config/VERSION", "POST /config/items", "GET /config/history", "POST /backends/announce", "POST /backends/leave", "POST /ask"],
         });
     }
   }
 
-  private *read(order: Order): Task<Return> {
-    const text = yield* this.ferry.command(order, orderWaitMs);
+  private *read(order: Order, waitMs = this.orderMs): Task<Return> {
+    const text = yield* this.ferry.command(order, waitMs);
     if (text === undefined) return fault(503, "No leader could be asked.");
     return { code: 200, headers: { "content-type": "application/json" }, body: Buffer.from(`${text}\n`) };
   }
 
-  private *readConfig(sequence: number | undefined): Task<Return> {
-    const text = yield* this.ferry.command({ kind: "get", ...(sequence === undefined ? {} : { sequence }) }, orderWaitMs);
+  private *readConfig(version: number | undefined): Task<Return> {
+    const text = yield* this.ferry.command({ kind: "get", ...(version === undefined ? {} : { version }) }, this.orderMs);
     if (text === undefined) return fault(503, "No leader could be asked.");
     const { found } = create(JSON.parse(text), foundShape);
-    if (!found) return fault(404, sequence === undefined ? "No config was accepted yet." : `No config ${sequence} is kept.`);
+    if (!found) return fault(404, version === undefined ? "No config was accepted yet." : `No config ${version} is kept.`);
     const config: unknown = JSON.parse(found.text);
-    return Return.json(200, { sequence: found.sequence, changeId: found.changeId, acceptedAt: found.acceptedAt, config }, { etag: `"${found.sequence}"` });
+    return Return.json(200, { sequence: found.version, version: found.version, changeId: found.changeId, acceptedAt: found.acceptedAt, config }, { etag: `"${found.version}"` });
   }
 
   private *change(job: Job): Task<Return> {
     const parsed = parse(job.body);
     if (!parsed) return fault(400, "The body is not JSON.", { faults: [{ path: "(whole)", expected: "JSON" }] });
     const match = job.headers["if-match"];
-    const base = match === undefined ? undefined : /^(?:W\/)?"?(\d{1,9})"?$/.exec(match)?.[1];
-    if (match !== undefined && base === undefined) return fault(400, "If-Match names no sequence.", { faults: [{ path: "If-Match", expected: 'the sequence of a config, such as "12"' }] });
+    const base = match === undefined ? undefined : /^(?:W\/)?"?(\d{1,15})"?$/.exec(match)?.[1];
+    if (match !== undefined && base === undefined) return fault(400, "If-Match names no version.", { faults: [{ path: "If-Match", expected: 'the version of a config, such as "12"' }] });
+    const chosen = job.headers["config-version"];
+    const version = chosen === undefined ? undefined : /^\d{1,15}$/.exec(chosen)?.[0];
+    if (chosen !== undefined && version === undefined) return fault(400, "Config-Version names no version.", { faults: [{ path: "Config-Version", expected: "a number, such as 12" }] });
     const changeId = job.headers["change-id"] ?? World.nonce(this.world);
     if (changeId.length === 0 || changeId.length > 100) return fault(400, "A Change-Id has 1 to 100 characters.");
-    return yield* this.enter({ kind: job.method === "PUT" ? "put" : "patch", changeId, ...(base === undefined ? {} : { base: Number(base) }), value: parsed.value });
+    const change = { changeId, ...(base === undefined ? {} : { base: Number(base) }), ...(version === undefined ? {} : { version: Number(version) }) };
+    if (job.method !== "POST") return yield* this.enter({ kind: job.method === "PUT" ? "put" : "patch", ...change, value: parsed.value });
+    const [failure, items] = validate(parsed.value, amendment);
+    if (failure) return fault(400, "The change is refused whole.", { faults: faultsOf(failure.failures()) });
+    return yield* this.enter({ kind: "amend", ...change, put: items.put ?? {}, remove: { services: items.remove?.services ?? [], routes: items.remove?.routes ?? [], goals: items.remove?.goals ?? [] } });
   }
 
-  private *enter(order: Extract<Order, { kind: "put" | "patch" }>): Task<Return> {
-    const text = yield* this.ferry.command(order, orderWaitMs);
+  private *enter(order: ChangeOrder): Task<Return> {
+    const text = yield* this.ferry.command(order, this.orderMs);
     if (text === undefined) return unknownFate(order.changeId);
     const outcome = create(JSON.parse(text), outcomeShape);
-    if ("accepted" in outcome) return Return.json(200, { sequence: outcome.accepted }, { etag: `"${outcome.accepted}"` });
-    if ("lost" in outcome) return fault(412, `Another change came first; config ${outcome.lost} is in force.`, { sequence: outcome.lost });
+    if ("accepted" in outcome) return Return.json(200, { sequence: outcome.accepted, version: outcome.accepted }, { etag: `"${outcome.accepted}"` });
+    if ("lost" in outcome) return fault(412, `Another change came first; config ${outcome.lost} is in force.`, { sequence: outcome.lost, version: outcome.lost });
     return fault(400, "The config is refused whole.", { faults: outcome.faults });
   }
 
   private *announced(job: Job): Task<Return> {
     const [failure, told] = validate(parse(job.body)?.value, announcement);
     if (failure) return fault(400, "The announcement is refused.", { faults: faultsOf(failure.failures()) });
-    return yield* this.read({ kind: "announce", address: told.address, service: told.service, zone: told.zone, warmth: told.warmth ?? 1, seen: Math.max(0, this.view.directorySequence) });
+    const announced = { ...told, warmth: told.warmth ?? 1 };
+    const heard = this.view.hear(announced);
+    if (heard) return Return.json(200, { ...heard });
+    return yield* this.read({ kind: "announce", ...announced, seen: Math.max(0, this.view.directorySequence) }, noticeWaitMs);
   }
 
   private *left(job: Job): Task<Return> {
-    const [failure, told] = validate(parse(job.body)?.value, leaving);
+    const value = parse(job.body)?.value;
+    const [failure, told] = typeof value === "object" && value !== null && "instance" in value ? validate(value, leavingInstance) : validate(value, leaving);
     if (failure) return fault(400, "The notice is refused.", { faults: faultsOf(failure.failures()) });
-    return yield* this.read({ kind: "leave", ...told });
+    return yield* this.read({ kind: "leave", ...told }, noticeWaitMs);
   }
 
   private *ask(line: string): Task<Return> {
@@ -175,10 +206,11 @@
         return Return.json(200, { route: mapping.name, service: mapping.service, why: `config ${this.view.configSequence} says so`, backEnds: this.shares.explain(this.view.backEnds(mapping.service), this.world.clock.nowMs()) });
       }
       case "moveRoute":
-        return yield* this.patch({ routes: { [query.route]: { service: query.service } } }, query.route);
+        return yield* this.patch({ routes: { [query.route]: { service: query.service, split: null, origin: null } } }, query.route);
       case "setGoal": {
         const goal = { latencyMs: query.latencyMs, ...(query.furtherTries === undefined ? {} : { furtherTries: query.furtherTries }) };
-        return yield* this.patch({ goals: { [query.route]: goal } }, query.route);
+        const route = { origin: null, ...(query.furtherTries === undefined ? {} : { attempts: null }) };
+        return yield* this.patch({ routes: { [query.route]: route }, goals: { [query.route]: goal } }, query.route);
       }
       case "drainBackEnd":
         return yield* this.read({ kind: "drainBackEnd", address: query.address });
@@ -191,7 +223,7 @@
   }
 
   private *showFleet(kind: "showMachines" | "showBackEnds"): Task<Return> {
-    const text = yield* this.ferry.command({ kind: "fleet" }, orderWaitMs);
+    const text = yield* this.ferry.command({ kind: "fleet" }, this.orderMs);
     if (text === undefined) return fault(503, "No leader could be asked.");
     const fleet = create(JSON.parse(text), type({ leader: string(), voters: unknown(), learners: unknown(), machines: unknown(), backEnds: unknown() }));
     const { leader, voters, learners, machines, backEnds } = fleet;
@@ -199,7 +231,7 @@
   }
 
   private *explain(): Task<Return> {
-    const text = yield* this.ferry.command({ kind: "history" }, orderWaitMs);
+    const text = yield* this.ferry.command({ kind: "history" }, this.orderMs);
     if (text === undefined) return fault(503, "No leader could be asked.");
     return Return.json(200, { journal: create(JSON.parse(text), historyShape).journal.slice(-100) });
   }
@@ -207,14 +239,15 @@
   private showService(service: string): Return {
     const number = this.view.numberOf("service", service);
     if (number === undefined) return fault(404, `No service "${service}" is in force.`);
+    const { sketch, windowMs } = this.rules;
     const latest = this.desk.counts();
-    const tries = latest?.counts.ofService(number, this.world.clock.nowMs(), retryWindowMs);
+    const tries = latest?.counts.ofService(number, this.world.clock.nowMs(), windowMs);
     return Return.json(200, {
       service,
-      windowMs: retryWindowMs,
+      windowMs,
       firstTries: tries ? Math.round(tries.first) : null,
       furtherTries: tries ? Math.round(tries.further) : null,
-      furtherTriesAllowed: tries ? Math.floor(sketchRule.earned * tries.first + sketchRule.pool) : null,
+      furtherTriesAllowed: tries ? Math.floor(sketch.earned * tries.first + sketch.pool) : null,
       coverage: latest ? { ...latest.coverage, ageMs: Math.round(latest.ageMs) } : null,
       backEnds: this.shares.explain(this.view.backEnds(service), this.world.clock.nowMs()),
     });
@@ -223,9 +256,10 @@
   private showHeavy(): Return {
     const latest = this.desk.counts();
     if (!latest) return fault(503, "The fleet's counts have not come yet.");
-    const heavy = latest.counts.heavyRoutes(heavyPhi, this.world.clock.nowMs(), retryWindowMs);
+    const { windowMs } = this.rules;
+    const heavy = latest.counts.heavyRoutes(heavyPhi, this.world.clock.nowMs(), windowMs);
     const routes = heavy.map(({ item, estimate }) => ({ route: this.view.nameOf(item)?.replace(/^route /, "") ?? `number ${item}`, requests: Math.round(estimate) }));
-    return Return.json(200, { atLeastPartOfAll: heavyPhi, windowMs: retryWindowMs, routes, coverage: { ...latest.coverage, ageMs: Math.round(latest.ageMs) } });
+    return Return.json(200, { atLeastPartOfAll: heavyPhi, windowMs, routes, coverage: { ...latest.coverage, ageMs: Math.round(latest.ageMs) } });
   }
 
   private allShares() {
