--- /dev/null
+++ b/src/record/meeting.ts
@@ -0,0 +1,233 @@
+import { Kind } from "../link/kind.js";
+import type { Held, Link } from "../link/link.js";
+import { Clock } from "../machine/clock.js";
+import type { PartLog } from "../machine/logbook.js";
+import { Task } from "../machine/task.js";
+import { World } from "../machine/world.js";
+import { Place } from "./place.js";
+import type { Members } from "./recorder.js";
+
+/** How a recorder stands when it is met: unborn is what was formed, but not yet by all of its voters. */
+export interface Attendance extends Members {
+  readonly state: "loading" | "empty" | "damaged" | "unborn" | "formed";
+  readonly fleet: string;
+}
+
+/** A recorder as its daemon's meeting sees it. */
+export interface Attendee {
+  readonly attendance: Attendance;
+  /** Writes on an empty disk which fleet's record this is and who its members are. */
+  form(fleet: string, members: Members): Task;
+  /** All voters of this fleet have formed. */
+  open(fleet: string): void;
+  /** Begins to learn the record of a fleet that was formed by others. */
+  rejoin(fleet: string, members: Members): Task;
+}
+
+/** What a daemon knows besides: who leads, and which recorders there are. */
+export interface Outlook {
+  leader(): string;
+  recorders(): readonly string[];
+}
+
+type Ask = Held<typeof Kind.meet.ask>;
+type Met = Held<typeof Kind.meet.return>;
+
+const askMs = 300;
+const formMs = 2000;
+const roundMs = 100;
+const helloMs = 1000;
+const freshMs = 3000;
+const contactsHeld = 64;
+/** How long the founder waits for more to choose from, where all seeds return and where some don't. */
+const settleMs = { all: 500, some: 3000 };
+/** How long a founder keeps to what it has begun to form. */
+const keepMs = 10_000;
+const tellMs = 5000;
+
+const isIn = (one: Met | undefined, fleet: string): boolean => one !== undefined && one.fleet === fleet && (one.state === "unborn" || one.state === "formed");
+
+/** Where the daemons of a fleet meet: tells who this one is, brings recorders together and forms their record. */
+export class Meeting {
+  private readonly world: World;
+  private readonly link: Link;
+  private readonly place: Place;
+  private readonly outlook: Outlook;
+  private readonly log: PartLog;
+  private readonly incarnation: string;
+  /** Recorders that showed themselves, and when. */
+  private readonly shown = new Map<string, number>();
+  private named: string[] = [];
+  private attendee: Attendee | undefined;
+  /** Set once a record is known to exist: then none is formed any more. */
+  private recordKnown = false;
+  private enoughSinceMs: number | undefined;
+  private begun: { fleet: string; members: Members; atMs: number } | undefined;
+  private toldMs = -Infinity;
+
+  constructor(world: World, link: Link, place: Place, outlook: Outlook = { leader: () => "", recorders: () => [] }) {
+    this.world = world;
+    this.link = link;
+    this.place = place;
+    this.outlook = outlook;
+    this.log = world.logbook.part("record");
+    this.incarnation = World.nonce(world);
+  }
+
+  /** Has a recorder take part; before the meeting begins. */
+  attend(attendee: Attendee): void {
+    this.attendee = attendee;
+  }
+
+  /** The recorders known here: members of the record, and those that showed themselves lately. */
+  get recorders(): string[] {
+    const nowMs = this.world.clock.nowMs();
+    for (const [peer, atMs] of this.shown) if (nowMs - atMs > freshMs) this.shown.delete(peer);
+    const { voters, learners } = this.attendee?.attendance ?? { voters: [], learners: [] };
+    return [...new Set([...voters, ...learners, ...this.shown.keys()])];
+  }
+
+  /** Serves those who meet this daemon. */
+  serve(): void {
+    const answer = (ask: Ask): Task<Met> => this.answering(ask);
+    this.link.serve(Kind.meet, (ask) => answer(ask));
+  }
+
+  /** Meets others for as long as the daemon runs. */
+  *own(): Task {
+    for (;;) {
+      const state = this.state;
+      if (state === "loading") yield* Clock.rest(this.world.clock, roundMs / 5);
+      else if (state === "formed") {
+        this.recordKnown = true;
+        yield* this.meetAll(this.place.seeds());
+        yield* Clock.rest(this.world.clock, helloMs);
+      } else {
+        if (state !== "none" || this.mayFound) yield* this.round();
+        yield* Clock.rest(this.world.clock, roundMs * (1 + this.world.random()));
+      }
+    }
+  }
+
+  private get state(): Attendance["state"] | "none" {
+    return this.attendee?.attendance.state ?? "none";
+  }
+
+  private get mayFound(): boolean {
+    const { founds, self } = this.place;
+    return founds && this.place.seeds()[0] === self && !this.recordKnown && this.outlook.leader() === "" && (this.state === "none" || this.state === "empty");
+  }
+
+  private *answering(ask: Ask): Task<Met> {
+    if (ask.peer) this.shown.set(ask.peer, this.world.clock.nowMs());
+    if (ask.fleet && ask.open) this.attendee?.open(ask.fleet);
+    else if (this.attendee && ask.fleet && ask.incarnation === this.incarnation && this.place.founds && this.state === "empty") yield* this.attendee.form(ask.fleet, ask);
+    return this.answer;
+  }
+
+  private get answer(): Met {
+    const { machine, zone, founds } = this.place;
+    const { state, fleet, voters, learners } = this.attendee?.attendance ?? { state: "none", fleet: "", voters: [], learners: [] };
+    const recorders = [...new Set([...this.recorders, ...this.outlook.recorders()])];
+    return { machine, zone, state, fleet, leader: this.outlook.leader(), founds, incarnation: this.incarnation, voters: [...voters], learners: [...learners], recorders };
+  }
+
+  /** Meets all that are known; then rejoins, forms or opens, or waits. */
+  private *round(): Task {
+    const seeds = this.place.seeds();
+    const met = yield* this.meetAll([...new Set([...seeds, ...this.recorders, ...this.outlook.recorders(), ...this.named])]);
+    this.named = [...new Set([...met.values()].flatMap((one) => [one.leader, ...one.recorders, ...one.voters]))].filter((peer) => peer !== "").slice(0, contactsHeld);
+    const own = this.attendee?.attendance;
+    if (own?.state === "formed") return;
+    const formed = [...met.values()].find((one) => one.state === "formed");
+    if (formed || [...met.values()].some((one) => one.leader !== "")) this.recordKnown = true;
+    if (this.attendee) met.set(this.place.self, this.answer);
+    if (own?.state === "unborn") return yield* this.unborn(own, met);
+    if (this.attendee && formed) return yield* this.attendee.rejoin(formed.fleet, formed);
+    if (this.mayFound) return yield* this.found(seeds, met);
+    this.tell("Waiting for a record to be formed or found.", { met: met.size });
+  }
+
+  private *unborn(own: Attendance, met: Map<string, Met>): Task {
+    const other = [...met.values()].find((one) => one.state === "formed" && one.fleet !== own.fleet && one.voters.some((voter) => own.voters.includes(voter)));
+    if (other && this.attendee) {
+      this.log.warn("What was formed here can't be any more, since one of its voters formed another record.", { fleet: own.fleet, other: other.fleet });
+      return yield* this.attendee.rejoin(other.fleet, other);
+    }
+    yield* this.complete(own.fleet, own, met);
+  }
+
+  private *found(seeds: readonly string[], met: Map<string, Met>): Task {
+    const nowMs = this.world.clock.nowMs();
+    const [unborn] = [...met.values()].filter((one) => one.state === "unborn").sort((a, b) => (a.fleet < b.fleet ? -1 : 1));
+    if (unborn) return yield* this.complete(unborn.fleet, unborn, met);
+    if (this.begun && nowMs - this.begun.atMs < keepMs) return yield* this.complete(this.begun.fleet, this.begun.members, met);
+    this.begun = undefined;
+    const damaged = [...met.values()].some((one) => one.state === "damaged");
+    const candidates = [...met].filter(([, one]) => one.state === "empty" && one.founds).map(([peer, { machine, zone }]) => ({ peer, machine, zone }));
+    const members = damaged ? undefined : Place.choose(this.place, candidates);
+    if (!members) {
+      this.enoughSinceMs = undefined;
+      return this.tell("Waiting for enough recorders to form the record.", { candidates: candidates.map(({ machine }) => machine), voters: Place.voters(this.place), damaged });
+    }
+    this.enoughSinceMs ??= nowMs;
+    const haveAll = seeds.every((seed) => seed === this.place.self || met.has(seed));
+    if (nowMs - this.enoughSinceMs < (haveAll ? settleMs.all : settleMs.some)) return;
+    this.begun = { fleet: World.nonce(this.world), members, atMs: nowMs };
+    this.log.say("Forms the fleet's record.", { fleet: this.begun.fleet, voters: members.voters, learners: members.learners });
+    yield* this.complete(this.begun.fleet, members, met);
+  }
+
+  /**
+   * Has the members of a fleet form its record, and opens it once all voters have. None is asked to form unless every voter
+   * was met, and none of them had opened: an emptied voter must not come back as if it had never acknowledged anything.
+   */
+  private *complete(fleet: string, { voters, learners }: Members, met: Map<string, Met>): Task {
+    const { attendee } = this;
+    const { self } = this.place;
+    const opened = [...met.values()].some((one) => one.fleet === fleet && one.state === "formed");
+    if (opened) return attendee?.open(fleet);
+    if (voters.some((voter) => !isIn(met.get(voter), fleet) && met.get(voter)?.state !== "empty")) return this.tell("Waiting for the voters of the record that is being formed.", { fleet, voters });
+    if (this.place.founds) {
+      const asks: Task[] = [];
+      for (const peer of [...voters, ...learners]) {
+        const one = met.get(peer);
+        if (one?.state !== "empty") continue;
+        if (peer !== self) asks.push(this.meet(peer, { ...this.hello, fleet, incarnation: one.incarnation, voters, learners }, formMs, met));
+        else if (attendee) asks.push(attendee.form(fleet, { voters, learners }));
+      }
+      yield* Task.all((task) => World.start(this.world, "record", task), asks);
+      if (attendee) met.set(self, this.answer);
+    }
+    if (!voters.every((voter) => isIn(met.get(voter), fleet))) return;
+    this.recordKnown = true;
+    attendee?.open(fleet);
+    const open = { ...this.hello, fleet, open: true };
+    for (const peer of [...voters, ...learners]) if (peer !== self) World.start(this.world, "record", this.meet(peer, open, askMs, met));
+  }
+
+  private get hello(): Ask {
+    return { peer: this.attendee ? this.place.self : "", fleet: "", incarnation: "", voters: [], learners: [], open: false };
+  }
+
+  private *meet(peer: string, ask: Ask, waitMs: number, met: Map<string, Met>): Task {
+    const ret = yield* this.link.ask(peer, Kind.meet, ask, waitMs);
+    if (ret) met.set(peer, ret);
+  }
+
+  /** Meets many at once, and gives what they returned by their addresses. */
+  private *meetAll(peers: readonly string[]): Task<Map<string, Met>> {
+    const met = new Map<string, Met>();
+    const { hello } = this;
+    const others = peers.filter((peer) => peer !== this.place.self);
+    yield* Task.all((task) => World.start(this.world, "record", task), others.map((peer) => this.meet(peer, hello, askMs, met)));
+    return met;
+  }
+
+  private tell(what: string, details: Record<string, unknown>): void {
+    const nowMs = this.world.clock.nowMs();
+    if (nowMs - this.toldMs < tellMs) return;
+    this.toldMs = nowMs;
+    this.log.warn(what, details);
+  }
+}
--- a/src/zone/edgeCounts.ts
+++ b/src/zone/edgeCounts.ts
@@ -6,14 +6,15 @@
 import type { PartLog } from "../machine/logbook.js";
 import type { Task } from "../machine/task.js";
 import type { World } from "../machine/world.js";
-import { sketchRule, type SketchLeave } from "./budget.js";
+import { usualRules, type SketchLeave } from "./budget.js";
+import type { BudgetRules } from "./budgetRules.js";
 import { Down, hurriedMs, type Push } from "./collector.js";
-import { Counts, retryWindowMs, type CountsForm } from "./counts.js";
+import { Counts, type CountsForm } from "./counts.js";
 
 /** Which part of what is left may be taken before the next counts come: others take theirs meanwhile, some of it not yet counted. */
 const roundPart = 0.5;
-/** The stretches of the window in which the sketch holds further tries against first ones. */
-const stretchesMs = [500, 1000, 1500, 2000, 2500, 3000, 4000, 5000, 6500, 8000, retryWindowMs];
+/** The parts of the window in which the sketch holds further tries against first ones. */
+const stretches = [0.05, 0.1, 0.15, 0.2, 0.25, 0.3, 0.4, 0.5, 0.65, 0.8, 1];
 /** How many further tries of each daemon are taken for granted when what is left is parted. */
 const evenTries = 1;
 /** An edge's own counts, and the fleet's as they last came down the tree. */
@@ -23,6 +24,7 @@
   private readonly form: CountsForm;
   private readonly view: View;
   private readonly self: { machine: string; incarnation: string; zone: string };
+  private readonly rules: BudgetRules;
   private readonly log: PartLog;
   private readonly own: Counts;
   private fleet: { counts: Counts; atMs: number; coverage: Down["coverage"] } | undefined;
@@ -34,12 +36,13 @@
   private includedMs = -Infinity;
   private halfTripMs = 0;
 
-  constructor(world: World, link: Link, form: CountsForm, view: View, self: { machine: string; incarnation: string; zone: string }) {
+  constructor(world: World, link: Link, form: CountsForm, view: View, self: { machine: string; incarnation: string; zone: string }, rules: BudgetRules = usualRules) {
     this.world = world;
     this.link = link;
     this.form = form;
     this.view = view;
     this.self = self;
+    this.rules = rules;
     this.log = world.logbook.part("zone");
     this.own = new Counts(form);
   }
@@ -67,17 +70,18 @@
     const number = this.view.numberOf("service", service);
     if (number === undefined || !this.fleet) return undefined;
     const { counts, coverage } = this.fleet;
+    const { sketch, windowMs } = this.rules;
     const nowMs = this.world.clock.nowMs();
-    let left: number = sketchRule.pool;
-    for (const rangeMs of stretchesMs) {
-      const { first, further } = counts.ofService(number, nowMs, rangeMs);
-      left = Math.min(left, sketchRule.pool + sketchRule.earned * first - further);
+    let left = sketch.pool;
+    for (const part of stretches) {
+      const { first, further } = counts.ofService(number, nowMs, part * windowMs);
+      left = Math.min(left, sketch.pool + sketch.earned * first - further);
     }
-    const since = this.own.ofService(number, nowMs, Math.min(retryWindowMs, nowMs - this.includedMs));
-    const own = this.own.ofService(number, nowMs, retryWindowMs).further - since.further;
-    const all = counts.ofService(number, nowMs, retryWindowMs).further;
+    const since = this.own.ofService(number, nowMs, Math.min(windowMs, nowMs - this.includedMs));
+    const own = this.own.ofService(number, nowMs, windowMs).further - since.further;
+    const all = counts.ofService(number, nowMs, windowMs).further;
     const part = Math.min(1, (own + evenTries) / (Math.max(own, all) + evenTries * Math.max(1, coverage.edges)));
-    return { part: left * part * roundPart + sketchRule.earned * since.first, taken: since.further };
+    return { part: left * part * roundPart + sketch.earned * since.first, taken: since.further };
   }
 
   /** First and further tries of a service across the fleet in the retry window, with this daemon's own since. */
@@ -85,8 +89,9 @@
     const number = this.view.numberOf("service", service);
     if (number === undefined || !this.fleet) return undefined;
     const nowMs = this.world.clock.nowMs();
-    const fleet = this.fleet.counts.ofService(number, nowMs, retryWindowMs);
-    const since = this.own.ofService(number, nowMs, Math.min(retryWindowMs, nowMs - this.includedMs));
+    const { windowMs } = this.rules;
+    const fleet = this.fleet.counts.ofService(number, nowMs, windowMs);
+    const since = this.own.ofService(number, nowMs, Math.min(windowMs, nowMs - this.includedMs));
     return { first: fleet.first + since.first, further: fleet.further + since.further, ageMs: nowMs - this.includedMs, edges: this.fleet.coverage.edges };
   }
 
--- /dev/null
+++ b/test/contract/directoryStage.ts
@@ -0,0 +1,77 @@
+import { Kind } from "../../src/link/kind.js";
+import { Link } from "../../src/link/link.js";
+import { Task } from "../../src/machine/task.js";
+import { Order } from "../../src/contract/order.js";
+import { Terms } from "../../src/contract/registry.js";
+import type { Contract } from "../../src/record/book.js";
+import { Gate } from "../../src/rehearsal/gate.js";
+import { Profile } from "../../src/rehearsal/profile.js";
+import { Simulation, type SimMachine } from "../../src/rehearsal/simulation.js";
+import { virtualWorld } from "../../src/rehearsal/virtualWorld.js";
+import { Poll } from "../../src/contract/order.js";
+
+export const address = "10.9.0.1:80";
+export const service = "issues";
+
+/** What a daemon's operators' port returned. */
+export interface Told {
+  code: number;
+  text: string;
+}
+
+const usual = { ...Terms.usual };
+
+export const fail = (error: unknown): void => {
+  throw error;
+};
+
+/** A simulated fleet whose own back ends are still, and a stranger's link to it. */
+export const stage = (terms: Partial<Terms> = {}, seed = 1) => {
+  Object.assign(Terms.usual, usual, terms);
+  const simulation = new Simulation(Profile.all.rastro, seed, 0.0001);
+  for (const standIn of simulation.standIns) standIn.isAnnouncing = false;
+  simulation.begin();
+  simulation.time.runUntil(5000);
+  const world = virtualWorld({ clock: simulation.clock, wire: simulation.network.wire("stranger", new Gate()), random: simulation.random });
+  const link = new Link(world, "stranger");
+  const wait = (forMs: number): void => simulation.time.runUntil(simulation.time.nowMs() + forMs);
+  const leader = (): SimMachine => {
+    const found = simulation.machines.find(({ daemon }) => daemon?.recorder?.hasGrant);
+    if (!found) throw new Error("Nobody leads.");
+    return found;
+  };
+  const exchange = (kind: typeof Kind.command | typeof Kind.poll, text: string, within = 300) => {
+    const returns: Array<{ text: string; atMs: number }> = [];
+    Task.start(link.ask(leader().settings.peers, kind, { ferried: true, text }, 2000), fail, (ret) => returns.push({ text: ret?.text ?? "", atMs: simulation.time.nowMs() }));
+    wait(within);
+    return returns;
+  };
+  const order = (sent: Order): string => exchange(Kind.command, Order.text(sent))[0]?.text ?? "";
+  const announce = (instance: string, more: Partial<Extract<Order, { kind: "announce" }>> = {}): string =>
+    order({ kind: "announce", address, service, zone: "zone-x", warmth: 1, seen: 1_000_000, instance, ...more });
+  const pollText = (more: Partial<Poll> = {}): string =>
+    JSON.stringify({
+      machine: { name: "stranger", zone: "zone-x", roles: [], peer: "stranger", incarnation: "one", draining: false },
+      configSequence: 0,
+      directorySequence: -1,
+      grantNumber: "",
+      capacities: [],
+      wished: [],
+      refused: [],
+      ...more,
+    });
+  const poll = (more: Partial<Poll> = {}) => {
+    const view = Poll.readReturn(exchange(Kind.poll, pollText(more))[0]?.text ?? "");
+    if (!view.granted) throw new Error(view.why);
+    return view;
+  };
+  const contract = (at = address): Contract | undefined => poll().directory?.find((one) => one.address === at);
+  const daemons = (count: number): SimMachine[] => simulation.machines.filter(({ settings }) => settings.callers !== undefined).slice(0, count);
+  const post = (machine: SimMachine | undefined, path: string, body: unknown, within = 300): Told => {
+    const told: Told[] = [];
+    machine?.daemon?.operators.put({ job: { method: "POST", target: path, headers: {}, body: Buffer.from(JSON.stringify(body)) }, give: ({ code, body: bytes }) => told.push({ code, text: Buffer.from(bytes).toString() }) });
+    wait(within);
+    return told[0] ?? { code: 0, text: "" };
+  };
+  return { simulation, world, link, wait, leader, order, announce, exchange, poll, pollText, contract, daemons, post };
+};
--- /dev/null
+++ b/test/link/link.test.ts
@@ -0,0 +1,65 @@
+import { expect, test } from "vitest";
+import { Kind } from "../../src/link/kind.js";
+import { Link } from "../../src/link/link.js";
+import { Holding } from "../../src/machine/holding.js";
+import { Task } from "../../src/machine/task.js";
+import { Draw } from "../../src/rehearsal/draw.js";
+import { Gate } from "../../src/rehearsal/gate.js";
+import { VirtualClock } from "../../src/rehearsal/virtualClock.js";
+import { VirtualNetwork } from "../../src/rehearsal/virtualNetwork.js";
+import { virtualWorld } from "../../src/rehearsal/virtualWorld.js";
+
+const stage = () => {
+  const time = new VirtualClock();
+  const network = new VirtualNetwork(time.clock(), Draw.of(1));
+  const fail = (error: unknown): void => {
+    throw error;
+  };
+  const linkAt = (address: string, newest: number): Link => {
+    const link = new Link(virtualWorld({ clock: time.clock(), wire: network.wire(address, new Gate()), random: Draw.of(2) }), address, newest);
+    link.serve(Kind.handOver, function* ({ term }) {
+      return { taken: term === 7 };
+    });
+    Task.start(link.listen(), fail);
+    return link;
+  };
+  const ask = (from: Link, to: Link): boolean | undefined => {
+    const returns: Array<boolean | undefined> = [];
+    Task.start(from.ask(to.self, Kind.handOver, { term: 7 }, 500), fail, (ret) => returns.push(ret?.taken));
+    time.runUntil(time.nowMs() + 600);
+    return returns[0];
+  };
+  return { time, network, linkAt, ask };
+};
+
+test("neighbouring frame sequences understand one another, after one turned-down try at most", () => {
+  const { linkAt, ask } = stage();
+  const [older, newer, far] = [linkAt("10.0.0.1:1", 3), linkAt("10.0.0.2:1", 4), linkAt("10.0.0.3:1", 6)];
+  expect(ask(older, newer)).toBe(true);
+  ask(newer, older);
+  expect(ask(newer, older)).toBe(true);
+  ask(far, older);
+  expect(ask(far, older)).toBeUndefined();
+  expect(older.droppedFrames).toBeGreaterThan(0);
+});
+
+test("a peer that sends what is no frame loses its link, and others are served on", () => {
+  const { time, network, linkAt, ask } = stage();
+  const [one, two] = [linkAt("10.0.0.1:1", 1), linkAt("10.0.0.2:1", 1)];
+  const heard: string[] = [];
+  Task.start(
+    (function* () {
+      const channel = yield* network.wire("stranger", new Gate()).connect(one.self);
+      channel?.send(Buffer.from("GET / HTTP/1.1\r\n\r\n"));
+      const word = yield* (channel?.incoming ?? new Holding<Uint8Array | "closed">()).take();
+      heard.push(word === "closed" ? "closed" : "bytes");
+    })(),
+    (error) => {
+      throw error;
+    },
+  );
+  time.runUntil(time.nowMs() + 300);
+  expect(heard).toEqual(["closed"]);
+  expect(one.droppedFrames).toBe(1);
+  expect(ask(two, one)).toBe(true);
+});
--- /dev/null
+++ b/test/machine/bounds.test.ts
@@ -0,0 +1,76 @@
+import { expect, test } from "vitest";
+import { Terms } from "../../src/contract/registry.js";
+import { Bounds } from "../../src/machine/bounds.js";
+import { Settings } from "../../src/machine/settings.js";
+import { Waits } from "../../src/record/recorder.js";
+import { guardRule, repeatRule, sketchRule } from "../../src/zone/budget.js";
+import { CountsForm } from "../../src/zone/counts.js";
+
+test("without bounds in the settings all waits are the usual ones", () => {
+  const bounds = Bounds.of({});
+  expect(bounds.terms).toEqual(Terms.usual);
+  expect(bounds.waits).toEqual(Waits.usual);
+  expect(bounds.counts).toEqual(CountsForm.usual);
+  expect([bounds.leaseMs, bounds.pollMs, bounds.orderMs]).toEqual([1600, 200, 4000]);
+  expect([bounds.budget.rule, bounds.budget.sketch, bounds.budget.guard]).toEqual([repeatRule, sketchRule, guardRule]);
+});
+
+test("a lease ends before the shorter of the bounds for configs and for leaves, with room for polls in between", () => {
+  for (const [applyMs, drainMs] of [[2000, 2500], [2500, 2000], [600, 9000], [9000, 9000]] as const) {
+    const { leaseMs, pollMs, terms } = Bounds.of({ bounds: { applyMs, drainMs } });
+    expect(leaseMs).toBeLessThan(Math.min(applyMs, drainMs));
+    expect(terms.grantMs).toBe(leaseMs);
+    expect(pollMs * 4).toBeLessThanOrEqual(leaseMs);
+    expect(terms.silentMs).toBeGreaterThan(leaseMs);
+  }
+});
+
+test("a leader's grant is over before any voter may stand, whatever the bounds", () => {
+  for (const contactMs of [1000, 2000, 3000, 30_000]) {
+    const { waits } = Bounds.of({ bounds: { contactMs } });
+    expect(waits.leaderGrantMs).toBeLessThan(waits.electionMinMs);
+    expect(waits.heartbeatMs * 3).toBeLessThan(waits.leaderGrantMs);
+    expect(waits.electionMaxMs * 3).toBeLessThanOrEqual(contactMs);
+  }
+});
+
+test("sketch and guard stay below the rule", () => {
+  const { budget } = Bounds.of({ bounds: { retryRatio: 0.1, retryExtra: 20, retryWindowMs: 5000 } });
+  expect(budget.rule).toEqual({ earned: 0.1, pool: 20 });
+  expect(budget.sketch.earned).toBeLessThan(budget.guard.earned);
+  expect(budget.sketch.pool).toBeLessThan(budget.guard.pool);
+  expect(budget.guard.earned).toBeLessThan(0.1);
+  expect(budget.guard.pool).toBeLessThan(20);
+  expect(Bounds.of({ bounds: { retryWindowMs: 5000 } }).counts.tries.windowMs).toBe(10_000);
+});
+
+test("a key is kept for longer than its window, and a stop ends within its grace", () => {
+  const { terms, serveOnMs, abandonMs } = Bounds.of({ bounds: { keyWindowMs: 60_000, graceMs: 6000 } });
+  expect(terms.keyMs).toBe(70_000);
+  expect([serveOnMs, abandonMs]).toEqual([2600, 5600]);
+  const short = Bounds.of({ bounds: { graceMs: 1000 } });
+  expect(short.serveOnMs).toBeLessThan(short.abandonMs);
+  expect(short.abandonMs).toBeLessThan(1000);
+});
+
+test("a back end may miss two heartbeats, however often they come", () => {
+  for (const heartbeatMs of [200, 1300, 5000]) {
+    const { terms } = Bounds.of({ heartbeatMs });
+    expect(terms.announceMs).toBe(heartbeatMs);
+    expect(terms.lapseMs).toBeGreaterThan(3 * heartbeatMs);
+  }
+});
+
+test("a bound that can't be kept is refused at start, with its path", () => {
+  const settings = { machine: "m", zone: "a", callers: "127.0.0.1:1", operators: "127.0.0.1:2", peers: "127.0.0.1:3", seeds: ["127.0.0.1:3"] };
+  const paths = (bounds: Record<string, number>): string[] => {
+    const checked = Settings.check({ ...settings, bounds });
+    return "faults" in checked ? checked.faults.map(({ path }) => path) : [];
+  };
+  expect(paths({ applyMs: 2000, retryRatio: 0 })).toEqual([]);
+  expect(paths({ applyMs: 500 })).toEqual(["bounds.applyMs"]);
+  expect(paths({ drainMs: 100, graceMs: 900, retryRatio: -0.1, retryExtra: -1 })).toEqual(["bounds.drainMs", "bounds.graceMs", "bounds.retryRatio", "bounds.retryExtra"]);
+  expect(paths({ colour: 1 })).toEqual(["bounds.colour"]);
+  const bad = Settings.check({ ...settings, heartbeatMs: 1 });
+  expect("faults" in bad && bad.faults[0]?.path).toBe("heartbeatMs");
+});
--- /dev/null
+++ b/test/machine/settingsFile.test.ts
@@ -0,0 +1,36 @@
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { expect, test } from "vitest";
+import { SettingsError } from "../../src/machine/settingsError.js";
+import { SettingsFile } from "../../src/machine/settingsFile.js";
+
+const good = { machine: "m1", zone: "a", callers: "127.0.0.1:1", operators: "127.0.0.1:2", peers: "127.0.0.1:3", seeds: ["127.0.0.1:3"] };
+
+test("a settings file is read with flags laid over it, and tells when it holds something else", () => {
+  const folder = mkdtempSync(join(tmpdir(), "daledoor-settings-"));
+  try {
+    const path = join(folder, "settings.json");
+    writeFileSync(path, JSON.stringify(good));
+    const file = SettingsFile.own(path, { zone: "b" });
+    expect(file.read()).toEqual({ ...good, zone: "b" });
+    expect(file.hasChanged).toBe(false);
+    writeFileSync(path, JSON.stringify({ ...good, seeds: ["127.0.0.1:4", "127.0.0.1:5"] }));
+    expect(file.hasChanged).toBe(true);
+    expect(file.read().seeds).toEqual(["127.0.0.1:4", "127.0.0.1:5"]);
+    writeFileSync(path, "{");
+    expect(file.hasChanged).toBe(true);
+    expect(() => file.read()).toThrow(SettingsError);
+    expect(file.hasChanged).toBe(false);
+    rmSync(path);
+    expect(file.hasChanged).toBe(false);
+    expect(() => file.read()).toThrow(SettingsError);
+  } finally {
+    rmSync(folder, { recursive: true, force: true });
+  }
+});
+
+test("without a file the flags alone are the settings", () => {
+  expect(SettingsFile.own(undefined, good).read()).toEqual(good);
+  expect(() => SettingsFile.own(undefined, {}).read()).toThrow(SettingsError);
+});
--- /dev/null
+++ b/test/operator/archive.test.ts
@@ -0,0 +1,32 @@
+import { promises as files } from "node:fs";
+import { mkdtemp, rm } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import git from "isomorphic-git";
+import { expect, test } from "vitest";
+import { Logbook } from "../../src/machine/logbook.js";
+import { Task } from "../../src/machine/task.js";
+import { Archive } from "../../src/operator/archive.js";
+import type { AcceptedConfig } from "../../src/record/book.js";
+
+test("configs are kept one commit each, and once only after a restart", async () => {
+  const folder = await mkdtemp(join(tmpdir(), "daledoor-archive-"));
+  const log = Logbook.into(() => undefined).part("operator");
+  const config = (sequence: number): AcceptedConfig => ({ sequence, index: sequence, changeId: `c${sequence}`, acceptedAt: "", text: `{"n":${sequence}}` });
+  const messages = async (): Promise<string[]> => (await git.log({ fs: { promises: files }, dir: join(folder, "configs") }).catch(() => [])).map(({ commit }) => commit.message.split("\n")[0] ?? "");
+  const run = async (sequences: number[], expected: number): Promise<void> => {
+    const archive = new Archive(folder, log);
+    for (const sequence of sequences) archive.keep(config(sequence));
+    Task.start(archive.own(), (error) => {
+      throw error;
+    });
+    await expect.poll(async () => (await messages()).length, { timeout: 20_000 }).toBe(expected);
+  };
+  try {
+    await run([1, 2], 2);
+    await run([1, 2, 3], 3);
+    expect(await messages()).toEqual(["Config 3", "Config 2", "Config 1"]);
+  } finally {
+    await rm(folder, { recursive: true, force: true });
+  }
+});
--- /dev/null
+++ b/test/record/fleetStage.ts
@@ -0,0 +1,174 @@
+import { Daemon } from "../../src/machine/daemon.js";
+import type { Settings } from "../../src/machine/settings.js";
+import { Task } from "../../src/machine/task.js";
+import { Deed } from "../../src/record/book.js";
+import { Draw } from "../../src/rehearsal/draw.js";
+import { Gate } from "../../src/rehearsal/gate.js";
+import { VirtualClock } from "../../src/rehearsal/virtualClock.js";
+import { VirtualDisk } from "../../src/rehearsal/virtualDisk.js";
+import { VirtualNetwork } from "../../src/rehearsal/virtualNetwork.js";
+import { virtualWorld } from "../../src/rehearsal/virtualWorld.js";
+
+const fail = (error: unknown): void => {
+  throw error;
+};
+
+/** The text of the config that has a sequence in a staged fleet. */
+export const configText = (sequence: number): string => `{"services":{"service-${sequence}":{}},"routes":{}}`;
+
+/** One machine of a staged fleet. */
+export class StageMachine {
+  settings: Settings;
+  readonly disk: VirtualDisk | undefined;
+  gate = new Gate();
+  daemon: Daemon | undefined;
+
+  constructor(settings: Settings, disk: VirtualDisk | undefined) {
+    this.settings = settings;
+    this.disk = disk;
+  }
+
+  get peer(): string {
+    return this.settings.peers;
+  }
+
+  get record() {
+    return this.daemon?.recorder?.status;
+  }
+}
+
+/** Daemons on a virtual network: `d` is a machine with a disk, `e` one without; each letter pair names kind and zone. */
+export class FleetStage {
+  readonly time = new VirtualClock();
+  readonly random = Draw.of(7);
+  readonly network = new VirtualNetwork(this.time.clock(), this.random);
+  readonly lines: string[] = [];
+  readonly machines: StageMachine[];
+
+  /** Machines such as "d:a" (a disk in zone a) and "e:b" (an edge in zone b); the seeds are given by their places in the list. */
+  constructor(machines: readonly string[], seeds: readonly number[], more: Partial<Settings> = {}) {
+    const peer = (at: number): string => `10.0.0.${at + 1}:7000`;
+    this.machines = machines.map((word, at) => {
+      const [kind, zone = ""] = word.split(":");
+      const settings: Settings = {
+        machine: `${kind === "d" ? "disk" : "edge"}-${at + 1}`,
+        zone,
+        operators: `10.0.0.${at + 1}:7070`,
+        peers: peer(at),
+        seeds: seeds.map(peer),
+        ...(kind === "d" ? { dataFolder: "data" } : { callers: `10.0.0.${at + 1}:8080` }),
+        ...more,
+      };
+      return new StageMachine(settings, kind === "d" ? new VirtualDisk(this.time.clock(), this.random) : undefined);
+    });
+  }
+
+  at(place: number): StageMachine {
+    const machine = this.machines[place];
+    if (!machine) throw new Error(`There is no machine ${place}.`);
+    return machine;
+  }
+
+  get disks(): StageMachine[] {
+    return this.machines.filter(({ disk }) => disk !== undefined);
+  }
+
+  /** The machine that leads and may answer. */
+  get leader(): StageMachine {
+    const leader = this.disks.find(({ daemon }) => daemon?.recorder?.hasGrant === true);
+    if (!leader) throw new Error("Nobody leads.");
+    return leader;
+  }
+
+  /** The fleets whose record is held, by machine. */
+  fleetOf(machine: StageMachine): string {
+    return machine.daemon?.recorder?.attendance.fleet ?? "";
+  }
+
+  boot(machine: StageMachine, more: Partial<Settings> = {}): void {
+    if (machine.daemon) return;
+    machine.settings = { ...machine.settings, ...more };
+    machine.gate = new Gate();
+    const clock = machine.gate.clock(this.time.clock());
+    machine.disk?.restart(clock);
+    const name = machine.settings.machine;
+    const world = virtualWorld({
+      clock,
+      wire: this.network.wire(name, machine.gate),
+      disk: machine.disk,
+      random: this.random,
+      lines: (line) => this.lines.push(`${this.time.nowMs().toFixed(0)} ${name} ${line}`),
+    });
+    machine.daemon = new Daemon(world, machine.settings);
+    this.start(machine.daemon.start());
+  }
+
+  bootAll(): void {
+    for (const machine of this.machines) this.boot(machine);
+  }
+
+  /** The process dies at once; with `wipes`, its disk is lost too. */
+  kill(machine: StageMachine, wipes = false): void {
+    machine.gate.kill();
+    machine.daemon = undefined;
+    machine.disk?.finishWrites();
+    if (wipes) machine.disk?.wipe();
+    this.network.drop(machine.settings.machine);
+  }
+
+  /** Cuts two machines from each other, or joins them again. */
+  cut(one: StageMachine, other: StageMachine, mends = false): void {
+    for (const [from, to] of [[one, other], [other, one]] as const) {
+      if (mends) this.network.mend(from.settings.machine, to.settings.machine);
+      else this.network.cut(from.settings.machine, to.settings.machine);
+    }
+  }
+
+  wait(forMs: number): void {
+    this.time.runUntil(this.time.nowMs() + forMs);
+  }
+
+  /** Moves time on until something holds; tells how long that took. */
+  until(holds: () => boolean, atMostMs: number): number {
+    const sinceMs = this.time.nowMs();
+    while (!holds()) {
+      if (this.time.nowMs() - sinceMs >= atMostMs) throw new Error(`It doesn't hold after ${atMostMs} ms.\n${this.lines.slice(-30).join("\n")}`);
+      this.wait(5);
+    }
+    return this.time.nowMs() - sinceMs;
+  }
+
+  /** Has the leader accept a config; tells whether it was acknowledged within five seconds. */
+  commit(sequence: number): boolean {
+    const outcomes: boolean[] = [];
+    const recorder = this.leader.daemon?.recorder;
+    if (!recorder) return false;
+    const text = Deed.text({ kind: "config", expected: sequence - 1, changeId: `c${sequence}`, acceptedAt: "", text: configText(sequence), services: [], routes: [] });
+    this.start(
+      (function* () {
+        const outcome = yield* recorder.propose(text);
+        outcomes.push(typeof outcome === "object" && outcome.outcome.includes("accepted"));
+      })(),
+    );
+    this.until(() => outcomes.length > 0, 5000);
+    return outcomes[0] === true;
+  }
+
+  /** The text of an accepted config, as a machine's recorder finds it. */
+  config(machine: StageMachine, sequence: number): string | undefined {
+    const texts: Array<string | undefined> = [];
+    const recorder = machine.daemon?.recorder;
+    if (!recorder) return undefined;
+    this.start(
+      (function* () {
+        texts.push((yield* recorder.config(sequence))?.text);
+      })(),
+    );
+    this.until(() => texts.length > 0, 5000);
+    return texts[0];
+  }
+
+  start(task: Task<unknown>): void {
+    Task.start(task, fail);
+  }
+}
--- /dev/null
+++ b/test/record/rejoin.test.ts
@@ -0,0 +1,100 @@
+import { expect, test } from "vitest";
+import { configText, FleetStage } from "./fleetStage.js";
+
+const isLed = (stage: FleetStage) => (): boolean => stage.disks.some(({ daemon }) => daemon?.recorder?.hasGrant === true);
+const later = { bootstrap: false };
+
+test("an emptied recorder whose seeds are all edges rejoins, and counts again", () => {
+  const stage = new FleetStage(["e:a", "e:b", "e:c", "d:a", "d:b", "d:c"], [0, 1, 2]);
+  stage.bootAll();
+  stage.until(isLed(stage), 5000);
+  expect(stage.commit(1)).toBe(true);
+  const { leader } = stage;
+  const [emptied, other] = stage.disks.filter((machine) => machine !== leader);
+  if (!emptied || !other) throw new Error("There are too few recorders.");
+  const fleet = stage.fleetOf(emptied);
+  stage.kill(emptied, true);
+  stage.boot(emptied, later);
+  stage.until(() => emptied.record?.state === "formed", 4000);
+  expect(stage.fleetOf(emptied)).toBe(fleet);
+  stage.kill(other);
+  expect(stage.commit(2)).toBe(true);
+  expect(stage.config(emptied, 1)).toBe(configText(1));
+});
+
+test("an emptied recorder finds the record through edges that were started again at the same moment", () => {
+  const stage = new FleetStage(["e:a", "e:b", "e:c", "d:a", "d:b", "d:c"], [0, 1, 2]);
+  stage.bootAll();
+  stage.until(isLed(stage), 5000);
+  const [emptied] = stage.disks.filter((machine) => machine !== stage.leader);
+  if (!emptied) throw new Error("There are too few recorders.");
+  const edges = [0, 1, 2].map((at) => stage.at(at));
+  for (const machine of edges) stage.kill(machine);
+  stage.kill(emptied, true);
+  for (const machine of [...edges, emptied]) stage.boot(machine, later);
+  stage.until(() => emptied.record?.state === "formed", 5000);
+  stage.until(() => edges.every(({ daemon }) => daemon?.standing.isGranted === true), 3000);
+});
+
+test("five voters of whom two are emptied right after an acknowledgment keep the entry, whichever two", () => {
+  for (let one = 0; one < 5; one += 1)
+    for (let two = one + 1; two < 5; two += 1) {
+      const stage = new FleetStage(["d:a", "d:b", "d:c", "d:a", "d:b", "e:c"], [0, 1, 5], { tolerate: { machines: 2, zones: 0 } });
+      stage.bootAll();
+      stage.until(isLed(stage), 5000);
+      expect(stage.leader.record?.voters).toHaveLength(5);
+      expect(stage.commit(1)).toBe(true);
+      const emptied = [stage.at(one), stage.at(two)];
+      for (const machine of stage.disks) stage.kill(machine, emptied.includes(machine));
+      for (const machine of stage.disks) stage.boot(machine, later);
+      stage.until(isLed(stage), 6000);
+      stage.until(() => emptied.every((machine) => machine.record?.state === "formed"), 6000);
+      for (const machine of stage.disks.filter((machine) => !emptied.includes(machine)).slice(0, 2)) stage.kill(machine);
+      stage.until(isLed(stage), 6000);
+      expect(stage.config(stage.leader, 1)).toBe(configText(1));
+      expect(stage.commit(2)).toBe(true);
+    }
+});
+
+test("emptied voters don't count until they have learned: three of five with two of them empty commit nothing", () => {
+  const stage = new FleetStage(["d:a", "d:b", "d:c", "d:a", "d:b", "e:c"], [0, 1, 5], { tolerate: { machines: 2, zones: 0 } });
+  stage.bootAll();
+  stage.until(isLed(stage), 5000);
+  expect(stage.commit(1)).toBe(true);
+  const [one, two, three, four, five] = stage.disks;
+  if (!one || !two || !three || !four || !five) throw new Error("There are too few recorders.");
+  for (const machine of stage.disks) stage.kill(machine, machine === one || machine === two);
+  for (const machine of [one, two, three]) stage.boot(machine, later);
+  stage.wait(8000);
+  expect(isLed(stage)()).toBe(false);
+  for (const machine of [four, five]) stage.boot(machine, later);
+  stage.until(isLed(stage), 6000);
+  expect(stage.config(stage.leader, 1)).toBe(configText(1));
+});
+
+test("of five voters two are lost for good; learners take their places, one after the other", () => {
+  const stage = new FleetStage(["d:a", "d:b", "d:c", "d:a", "d:b", "d:c", "d:a"], [0, 1, 2], { tolerate: { machines: 2, zones: 0 } });
+  stage.bootAll();
+  stage.until(isLed(stage), 5000);
+  stage.wait(1000);
+  const { voters = [], learners = [] } = stage.leader.record ?? {};
+  expect([voters.length, learners.length]).toEqual([5, 2]);
+  const { leader } = stage;
+  const lost = stage.disks.filter((machine) => machine !== leader && voters.includes(machine.peer)).slice(0, 2);
+  for (const machine of lost) stage.kill(machine, true);
+  stage.wait(20_000);
+  expect([...(stage.leader.record?.voters ?? [])].sort()).toEqual([...voters, ...learners].filter((peer) => !lost.some((machine) => machine.peer === peer)).sort());
+  expect(stage.commit(1)).toBe(true);
+});
+
+test("a recorder uses new seeds while it runs", () => {
+  const stage = new FleetStage(["e:a", "d:a", "d:b", "d:c", "d:d"], [0]);
+  const late = stage.at(4);
+  for (const machine of stage.machines) if (machine !== late) stage.boot(machine);
+  stage.until(isLed(stage), 5000);
+  stage.boot(late, { ...later, seeds: ["10.9.9.9:1"] });
+  stage.wait(3000);
+  expect(late.record?.state).toBe("empty");
+  late.daemon?.setSeeds([stage.at(0).peer]);
+  stage.until(() => late.record?.state === "formed", 4000);
+});
--- /dev/null
+++ b/test/record/restore.test.ts
@@ -0,0 +1,39 @@
+import { expect, test } from "vitest";
+import { Task } from "../../src/machine/task.js";
+import { restore, type Restored } from "../../src/record/restore.js";
+import { Profile } from "../../src/rehearsal/profile.js";
+import { Simulation } from "../../src/rehearsal/simulation.js";
+
+test("a core that lost two disks is restored from the third; emptied recorders join it and vote again", () => {
+  const simulation = new Simulation(Profile.all.rastro, 1, 0.01);
+  const fail = (error: unknown): void => {
+    throw error;
+  };
+  const wait = (forMs: number): void => simulation.time.runUntil(simulation.time.nowMs() + forMs);
+  simulation.begin();
+  simulation.start(simulation.day.putConfig());
+  wait(4000);
+  const core = simulation.machines.filter(({ disk }) => disk);
+  for (const machine of core) simulation.kill(machine);
+  const [kept, ...lost] = core;
+  if (!kept?.disk) throw new Error("No disk is left.");
+  kept.disk.restart(simulation.clock);
+  const outcomes: Restored[] = [];
+  Task.start(restore(kept.disk, kept.settings.peers), fail, (outcome) => outcomes.push(outcome));
+  wait(100);
+  expect(outcomes[0]?.kind).toBe("restored");
+  for (const machine of lost) machine.disk?.wipe();
+  simulation.boot(kept);
+  wait(3000);
+  expect(kept.daemon?.recorder?.status).toMatchObject({ role: "leader", voters: [kept.settings.peers] });
+  for (const machine of lost) simulation.boot(machine);
+  wait(12_000);
+  expect(kept.daemon?.recorder?.status.voters).toHaveLength(3);
+  expect(lost.map(({ daemon }) => daemon?.recorder?.status.state)).toEqual(["formed", "formed"]);
+  simulation.kill(kept);
+  wait(3000);
+  expect(lost.some(({ daemon }) => daemon?.recorder?.hasGrant)).toBe(true);
+  simulation.start(simulation.day.readBack());
+  wait(3000);
+  expect(simulation.ledger.of("readBack").map(({ text }) => text)).toEqual(simulation.ledger.of("accepted").map(({ text }) => text));
+});
--- /dev/null
+++ b/test/rehearsal/virtualBackEnds.test.ts
@@ -0,0 +1,81 @@
+import { expect, test } from "vitest";
+import { Task } from "../../src/machine/task.js";
+import { Draw } from "../../src/rehearsal/draw.js";
+import { Gate } from "../../src/rehearsal/gate.js";
+import { judge } from "../../src/rehearsal/judge.js";
+import { Ledger } from "../../src/rehearsal/ledger.js";
+import { Profile } from "../../src/rehearsal/profile.js";
+import { Simulation } from "../../src/rehearsal/simulation.js";
+import { StandIn } from "../../src/rehearsal/standIn.js";
+import { virtualBackEnds } from "../../src/rehearsal/virtualBackEnds.js";
+import { VirtualClock } from "../../src/rehearsal/virtualClock.js";
+import { VirtualNetwork } from "../../src/rehearsal/virtualNetwork.js";
+
+test("connections that take their time don't carry work to a back end past its leave, though the edge is cut off", () => {
+  let withdrawn = 0;
+  for (let seed = 1; seed <= 3; seed += 1) {
+    const simulation = new Simulation(Profile.all.rastro, seed, 0.001);
+    const wait = (forMs: number): void => simulation.time.runUntil(simulation.time.nowMs() + forMs);
+    simulation.begin();
+    simulation.start(simulation.day.putConfig());
+    wait(6000);
+    const edge = simulation.machines.find(({ settings }) => settings.callers !== undefined)?.settings.machine ?? "";
+    const leavers = simulation.standIns.filter(({ service }) => service === "issues");
+    for (const leaver of leavers) simulation.start(simulation.day.leave(leaver));
+    for (const { settings } of simulation.machines) {
+      simulation.network.cut(settings.machine, edge);
+      simulation.network.cut(edge, settings.machine);
+    }
+    simulation.network.weather = { ...simulation.network.weather, slowConnectMs: 1000 };
+    for (let count = 0; count < 200; count += 1) {
+      simulation.start(simulation.call(edge, { method: "GET", target: `/issues/${count}`, headers: { "x-caller": `late-${count}` }, body: Buffer.alloc(0) }, 9000));
+      wait(10);
+    }
+    wait(4000);
+    expect(simulation.ledger.of("left")).toHaveLength(leavers.length);
+    expect(simulation.ledger.runs.filter(({ caller }) => caller.startsWith("late-")).length).toBeGreaterThan(50);
+    expect(judge(simulation.ledger)).toEqual([]);
+    withdrawn += simulation.machines.find(({ settings }) => settings.machine === edge)?.daemon?.door.tally.byCode[503] ?? 0;
+  }
+  expect(withdrawn).toBeGreaterThan(10);
+});
+
+test("a request sent before a cut may arrive late, and is marked as kept back; its return may be lost though it ran", () => {
+  const time = new VirtualClock();
+  const clock = time.clock();
+  const network = new VirtualNetwork(clock, Draw.of(1));
+  const ledger = new Ledger();
+  const standIn = new StandIn("b:1", "a", "s", ledger, Draw.of(2), new Map());
+  const backEnds = virtualBackEnds({ place: "edge", gate: new Gate(), own: clock, clock, network, random: Draw.of(3), standInAt: () => standIn });
+  const ends: string[] = [];
+  const send = (untilMs: number): void =>
+    Task.start(
+      (function* () {
+        const opened = yield* backEnds.send({ address: "b:1", service: "s", pool: "p", job: { method: "GET", path: "/x", headers: {}, body: new Uint8Array() }, untilMs, mayStill: () => true });
+        if (typeof opened === "string") return opened;
+        while (typeof (yield* opened.next()) !== "string");
+        return "returned";
+      })(),
+      (error) => {
+        throw error;
+      },
+      (end) => ends.push(end),
+    );
+  send(1000);
+  time.runUntil(500);
+  network.cut("b:1", "edge");
+  send(1500);
+  time.runUntil(2000);
+  expect([ends, ledger.runs.length]).toEqual([["returned", "late"], 2]);
+  network.heal();
+  send(2600);
+  time.runUntil(2500);
+  network.cut("edge", "b:1");
+  send(3000);
+  time.runUntil(4000);
+  expect([ends.at(-1), ledger.runs.length]).toEqual(["late", 3]);
+  network.heal();
+  time.runUntil(6000);
+  expect(ledger.runs.at(-1)?.heldMs).toBeGreaterThan(1000);
+  expect(ledger.runs.length).toBe(4);
+});
--- /dev/null
+++ b/test/zone/collector.test.ts
@@ -0,0 +1,70 @@
+import { expect, test } from "vitest";
+import { Kind } from "../../src/link/kind.js";
+import { Link } from "../../src/link/link.js";
+import { Task } from "../../src/machine/task.js";
+import type { World } from "../../src/machine/world.js";
+import { Draw } from "../../src/rehearsal/draw.js";
+import { Gate } from "../../src/rehearsal/gate.js";
+import { VirtualClock } from "../../src/rehearsal/virtualClock.js";
+import { VirtualNetwork } from "../../src/rehearsal/virtualNetwork.js";
+import { virtualWorld } from "../../src/rehearsal/virtualWorld.js";
+import { Collector } from "../../src/zone/collector.js";
+import { Counts, CountsForm } from "../../src/zone/counts.js";
+
+test("an edge that moves to another collector, or whose collector dies, is never counted twice", () => {
+  const time = new VirtualClock();
+  const network = new VirtualNetwork(time.clock(), Draw.of(3));
+  const fail = (error: unknown): void => {
+    throw error;
+  };
+  const gates = new Map<string, InstanceType<typeof Gate>>();
+  const linkAt = (address: string): { world: World; link: Link } => {
+    const gate = new Gate();
+    gates.set(address, gate);
+    const world = virtualWorld({ clock: gate.clock(time.clock()), wire: network.wire(address, gate), random: Draw.of(4) });
+    const link = new Link(world, address);
+    Task.start(link.listen(), fail);
+    return { world, link };
+  };
+  const [root, ...others] = ["10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"].map((address) => {
+    const { world, link } = linkAt(address);
+    const collector = new Collector(world, link, CountsForm.usual, address, `i-${address}`, () => "10.0.0.1:1");
+    Task.start(collector.own(2000), fail);
+    return { address, collector };
+  });
+  const { world, link } = linkAt("10.0.0.9:1");
+  const counts = new Counts(CountsForm.usual);
+  const [left, right] = others;
+  if (!root || !left || !right) throw new Error("A collector is missing.");
+  let parent = left.address;
+  let parentSequence = 1;
+  let push = 0;
+  let counted = 0;
+  let most = 0;
+  for (let atMs = 0; atMs < 60_000; atMs += 20) {
+    time.runUntil(atMs);
+    counts.countTry(1, false, time.nowMs());
+    counted += 1;
+    if (atMs === 20_000 || atMs === 34_000) {
+      if (atMs === 34_000) {
+        gates.get(right.address)?.kill();
+        network.drop(right.address);
+      }
+      parent = parent === left.address ? right.address : left.address;
+      parentSequence += 1;
+    }
+    if (atMs % 2000 === 0) {
+      push += 1;
+      const text = JSON.stringify({ from: "edge", incarnation: "one", tier: "edge", push, parentSequence, halfTripMs: 1, includes: [], wants: [], isHurried: false });
+      Task.start(link.ask(parent, Kind.push, { text, sketches: counts.encode(world.clock.nowMs()) }, 1500), fail);
+    }
+    const latest = root.collector.latest;
+    if (!latest || atMs < 12_000) continue;
+    const seen = latest.counts.ofService(1, time.nowMs(), 10_000).first;
+    most = Math.max(most, seen);
+  }
+  expect(counted).toBe(3000);
+  expect(most).toBeGreaterThan(250);
+  expect(most).toBeLessThan(450);
+  expect(root.collector.latest?.counts.ofService(1, time.nowMs(), 10_000).first).toBeGreaterThan(250);
+});
