--- a/src/contract/ferry.ts
+++ b/src/contract/ferry.ts
@@ -1,9 +1,9 @@
 import { Kind } from "../link/kind.js";
 import type { Held, Link } from "../link/link.js";
-import { Clock } from "../machine/clock.js";
-import { Holding } from "../machine/holding.js";
-import { Task } from "../machine/task.js";
-import { World } from "../machine/world.js";
+import { Clock } from "../runtime/clock.js";
+import { Holding } from "../runtime/holding.js";
+import { Task } from "../runtime/task.js";
+import { World } from "../runtime/world.js";
 import { breakdownReturn, isBreakdown, Order } from "./order.js";
 
 type Asked = Held<typeof Kind.command.ask>;
--- a/src/contract/order.ts
+++ b/src/contract/order.ts
@@ -1,6 +1,6 @@
 import { itemsShape, namesShape } from "./config.js";
 import { FrameError } from "../link/frame.js";
-import { kindOf } from "../machine/kindOf.js";
+import { kindOf } from "../runtime/kindOf.js";
 import { Contract } from "../record/book.js";
 import { array, boolean, create, define, literal, number, object, optional, record, string, type, union, unknown, type Infer } from "superstruct";
 
--- a/src/contract/registry.ts
+++ b/src/contract/registry.ts
@@ -1,9 +1,9 @@
 import { create, literal, number, object, optional, type, union } from "superstruct";
-import { Clock } from "../machine/clock.js";
-import { Holding } from "../machine/holding.js";
-import type { PartLog } from "../machine/logbook.js";
-import { Task } from "../machine/task.js";
-import { World } from "../machine/world.js";
+import { Clock } from "../runtime/clock.js";
+import { Holding } from "../runtime/holding.js";
+import type { PartLog } from "../runtime/logbook.js";
+import { Task } from "../runtime/task.js";
+import { World } from "../runtime/world.js";
 import type { AcceptedConfig, Book, Contract } from "../record/book.js";
 import { Deed, heldKeys, versionOf } from "../record/book.js";
 import type { Recorder } from "../record/recorder.js";
--- a/src/contract/view.ts
+++ b/src/contract/view.ts
@@ -1,9 +1,9 @@
 import { Kind } from "../link/kind.js";
-import { Clock } from "../machine/clock.js";
-import { Holding } from "../machine/holding.js";
-import type { PartLog } from "../machine/logbook.js";
-import type { Task } from "../machine/task.js";
-import type { World } from "../machine/world.js";
+import { Clock } from "../runtime/clock.js";
+import { Holding } from "../runtime/holding.js";
+import type { PartLog } from "../runtime/logbook.js";
+import type { Task } from "../runtime/task.js";
+import type { World } from "../runtime/world.js";
 import type { Contract } from "../record/book.js";
 import { Config, ConfigReader } from "./config.js";
 import type { Ferry } from "./ferry.js";
--- a/src/door/backEnds.ts
+++ b/src/door/backEnds.ts
@@ -1,9 +1,9 @@
 import { connect as connectSocket, type Socket } from "node:net";
 import { Readable } from "node:stream";
 import { Client, errors, type Dispatcher } from "undici";
-import { Address } from "../link/wire.js";
-import type { Clock } from "../machine/clock.js";
-import { Task } from "../machine/task.js";
+import { Address } from "../runtime/wire.js";
+import type { Clock } from "../runtime/clock.js";
+import { Task } from "../runtime/task.js";
 import type { Dialect } from "./dialect.js";
 
 /** One request as it goes to a back end: the part of its body that is held, and what is still to come. */
--- a/src/door/door.ts
+++ b/src/door/door.ts
@@ -1,9 +1,9 @@
 import type { Ferry } from "../contract/ferry.js";
 import type { Mapping } from "../contract/mapping.js";
 import { poolOf, type View } from "../contract/view.js";
-import type { PartLog } from "../machine/logbook.js";
-import type { Task } from "../machine/task.js";
-import { World } from "../machine/world.js";
+import type { PartLog } from "../runtime/logbook.js";
+import type { Task } from "../runtime/task.js";
+import { World } from "../runtime/world.js";
 import type { Contract } from "../record/book.js";
 import type { Budget } from "../zone/budget.js";
 import type { Shares } from "../zone/shares.js";
--- a/src/door/job.ts
+++ b/src/door/job.ts
@@ -1,4 +1,4 @@
-import type { Task } from "../machine/task.js";
+import type { Task } from "../runtime/task.js";
 import type { Return } from "./verdict.js";
 
 /** A caller's request; a small body is held whole, of a large one the rest is still to come. */
--- a/src/door/keys.ts
+++ b/src/door/keys.ts
@@ -2,9 +2,9 @@
 import { hostName } from "../contract/mapping.js";
 import { ClaimReturn, type Order } from "../contract/order.js";
 import type { Ferry } from "../contract/ferry.js";
-import { Clock } from "../machine/clock.js";
-import type { Task } from "../machine/task.js";
-import { World } from "../machine/world.js";
+import { Clock } from "../runtime/clock.js";
+import type { Task } from "../runtime/task.js";
+import { World } from "../runtime/world.js";
 import { Job } from "./job.js";
 import { Ending, type Return } from "./verdict.js";
 
--- a/src/link/link.ts
+++ b/src/link/link.ts
@@ -1,13 +1,13 @@
 import type * as r from "restructure";
 import { StructError } from "superstruct";
-import { Clock } from "../machine/clock.js";
-import { Holding } from "../machine/holding.js";
-import type { PartLog } from "../machine/logbook.js";
-import { Task } from "../machine/task.js";
-import { World } from "../machine/world.js";
+import { Clock } from "../runtime/clock.js";
+import { Holding } from "../runtime/holding.js";
+import type { PartLog } from "../runtime/logbook.js";
+import { Task } from "../runtime/task.js";
+import { World } from "../runtime/world.js";
 import { exactly, Frame, FrameError, FrameReader, frameSequence } from "./frame.js";
 import type { Kind } from "./kind.js";
-import type { Channel } from "./wire.js";
+import type { Channel } from "../runtime/wire.js";
 
 interface Peer {
   readonly address: string;
--- a/src/machine/daemon.ts
+++ b/src/machine/daemon.ts
@@ -20,12 +20,12 @@
 import { EdgeCounts } from "../zone/edgeCounts.js";
 import { Shares } from "../zone/shares.js";
 import { Bounds } from "./bounds.js";
-import { Clock } from "./clock.js";
-import type { PartLog } from "./logbook.js";
+import { Clock } from "../runtime/clock.js";
+import type { PartLog } from "../runtime/logbook.js";
 import { Settings, type Role } from "./settings.js";
-import { Source } from "./source.js";
-import type { Task } from "./task.js";
-import { World } from "./world.js";
+import { Source } from "../runtime/source.js";
+import type { Task } from "../runtime/task.js";
+import { World } from "../runtime/world.js";
 
 /** A caller's request as it arrives. */
 export interface Arrival {
--- a/src/machine/httpServer.ts
+++ b/src/machine/httpServer.ts
@@ -2,8 +2,8 @@
 import type { Socket } from "node:net";
 import type { Caller, Job } from "../door/job.js";
 import { Return } from "../door/verdict.js";
-import { Address, ListenError } from "../link/wire.js";
-import { Task } from "./task.js";
+import { Address, ListenError } from "../runtime/wire.js";
+import { Task } from "../runtime/task.js";
 
 /** What callers may send, and how long they may take or rest. */
 export interface ServerLimits {
--- a/src/machine/run.ts
+++ b/src/machine/run.ts
@@ -1,20 +1,20 @@
 import { BackEnds } from "../door/backEnds.js";
 import { Job } from "../door/job.js";
 import { Return } from "../door/verdict.js";
-import { Wire } from "../link/wire.js";
+import { Wire } from "../runtime/wire.js";
 import { Archive } from "../operator/archive.js";
 import type { Adapter } from "./adapter.js";
-import { Clock } from "./clock.js";
+import { Clock } from "../runtime/clock.js";
 import { Daemon } from "./daemon.js";
-import { Disk } from "./disk.js";
+import { Disk } from "../runtime/disk.js";
 import { HttpServer } from "./httpServer.js";
-import { Logbook } from "./logbook.js";
+import { Logbook } from "../runtime/logbook.js";
 import { Settings } from "./settings.js";
 import { SettingsError } from "./settingsError.js";
 import { SettingsFile } from "./settingsFile.js";
-import { Source } from "./source.js";
-import { Task } from "./task.js";
-import { World } from "./world.js";
+import { Source } from "../runtime/source.js";
+import { Task } from "../runtime/task.js";
+import { World } from "../runtime/world.js";
 
 /** How a daemon is run besides its settings. */
 export interface ServeOptions {
--- a/src/machine/settings.ts
+++ b/src/machine/settings.ts
@@ -1,6 +1,6 @@
 import { isIP } from "node:net";
 import { array, define, enums, integer, max, min, nonempty, number, object, optional, boolean, record, size, string, validate, type Infer } from "superstruct";
-import { Address } from "../link/wire.js";
+import { Address } from "../runtime/wire.js";
 import { faultsOf, type Fault } from "../contract/config.js";
 import { Bounds } from "./bounds.js";
 
--- a/src/operator/archive.ts
+++ b/src/operator/archive.ts
@@ -2,9 +2,9 @@
 import { mkdir, writeFile } from "node:fs/promises";
 import { join } from "node:path";
 import type { AcceptedConfig } from "../record/book.js";
-import type { PartLog } from "../machine/logbook.js";
-import { Holding } from "../machine/holding.js";
-import { Task } from "../machine/task.js";
+import type { PartLog } from "../runtime/logbook.js";
+import { Holding } from "../runtime/holding.js";
+import { Task } from "../runtime/task.js";
 
 /** Loaded only where configs are kept. */
 const loadGit = async () => (await import("isomorphic-git")).default;
--- a/src/record/history.ts
+++ b/src/record/history.ts
@@ -1,7 +1,7 @@
 import { deflateRawSync, inflateRawSync } from "node:zlib";
 import { create } from "superstruct";
-import type { Disk } from "../machine/disk.js";
-import type { Task } from "../machine/task.js";
+import type { Disk } from "../runtime/disk.js";
+import type { Task } from "../runtime/task.js";
 import { acceptedConfigShape, type AcceptedConfig } from "./book.js";
 import { seal, unseal, sealBytes } from "./seal.js";
 
--- a/src/record/meeting.ts
+++ b/src/record/meeting.ts
@@ -1,9 +1,9 @@
 import { Kind } from "../link/kind.js";
 import type { Held, Link } from "../link/link.js";
-import { Clock } from "../machine/clock.js";
-import type { PartLog } from "../machine/logbook.js";
-import { Task } from "../machine/task.js";
-import { World } from "../machine/world.js";
+import { Clock } from "../runtime/clock.js";
+import type { PartLog } from "../runtime/logbook.js";
+import { Task } from "../runtime/task.js";
+import { World } from "../runtime/world.js";
 import { Place } from "./place.js";
 import type { Members } from "./recorder.js";
 
--- a/src/record/recorder.ts
+++ b/src/record/recorder.ts
@@ -1,9 +1,9 @@
 import { array, create, enums, object, string, type Infer } from "superstruct";
-import { Clock } from "../machine/clock.js";
-import { Holding } from "../machine/holding.js";
-import type { PartLog } from "../machine/logbook.js";
-import { Task } from "../machine/task.js";
-import { World } from "../machine/world.js";
+import { Clock } from "../runtime/clock.js";
+import { Holding } from "../runtime/holding.js";
+import type { PartLog } from "../runtime/logbook.js";
+import { Task } from "../runtime/task.js";
+import { World } from "../runtime/world.js";
 import { Kind, type Entry } from "../link/kind.js";
 import type { Held, Link } from "../link/link.js";
 import type { AcceptedConfig, Book } from "./book.js";
--- a/src/record/restore.ts
+++ b/src/record/restore.ts
@@ -1,5 +1,5 @@
-import type { Disk } from "../machine/disk.js";
-import type { Task } from "../machine/task.js";
+import type { Disk } from "../runtime/disk.js";
+import type { Task } from "../runtime/task.js";
 import { Deed } from "./book.js";
 import { Store } from "./store.js";
 
--- a/src/record/store.ts
+++ b/src/record/store.ts
@@ -1,7 +1,7 @@
 import * as r from "restructure";
 import { array, create, number, object, omit, string, type Infer } from "superstruct";
-import type { Disk } from "../machine/disk.js";
-import { Task } from "../machine/task.js";
+import type { Disk } from "../runtime/disk.js";
+import { Task } from "../runtime/task.js";
 import { exactly } from "../link/frame.js";
 import { History } from "./history.js";
 import { seal, sealBytes, unseal } from "./seal.js";
--- a/src/record/writer.ts
+++ b/src/record/writer.ts
@@ -1,8 +1,8 @@
-import { Clock } from "../machine/clock.js";
-import { DiskBreakdown } from "../machine/disk.js";
-import { Holding } from "../machine/holding.js";
-import type { PartLog } from "../machine/logbook.js";
-import { Task } from "../machine/task.js";
+import { Clock } from "../runtime/clock.js";
+import { DiskBreakdown } from "../runtime/disk.js";
+import { Holding } from "../runtime/holding.js";
+import type { PartLog } from "../runtime/logbook.js";
+import { Task } from "../runtime/task.js";
 import type { AcceptedConfig } from "./book.js";
 import type { LogRecord, Standing, Store } from "./store.js";
 
--- a/src/rehearsal/day.ts
+++ b/src/rehearsal/day.ts
@@ -1,8 +1,8 @@
 import { create, number, optional, string, type, unknown, type Struct } from "superstruct";
 import type { Job } from "../door/job.js";
 import type { Return } from "../door/verdict.js";
-import { Clock } from "../machine/clock.js";
-import { Task } from "../machine/task.js";
+import { Clock } from "../runtime/clock.js";
+import { Task } from "../runtime/task.js";
 import type { Settings } from "../machine/settings.js";
 import type { CallerRecord, Ledger } from "./ledger.js";
 import { Profile, type Traffic } from "./profile.js";
--- a/src/rehearsal/drillMain.ts
+++ b/src/rehearsal/drillMain.ts
@@ -1,6 +1,6 @@
 import { cac } from "cac";
-import { Clock } from "../machine/clock.js";
-import type { Task } from "../machine/task.js";
+import { Clock } from "../runtime/clock.js";
+import type { Task } from "../runtime/task.js";
 import { Fleet } from "./fleet.js";
 import { servedPart } from "./judge.js";
 import { bringUp, configuring, profileNamed, say, windUp } from "./report.js";
--- a/src/rehearsal/faults.ts
+++ b/src/rehearsal/faults.ts
@@ -1,5 +1,5 @@
-import { Clock } from "../machine/clock.js";
-import type { Task } from "../machine/task.js";
+import { Clock } from "../runtime/clock.js";
+import type { Task } from "../runtime/task.js";
 import { callersPlace, type SimMachine, type Simulation } from "./simulation.js";
 import type { StandIn } from "./standIn.js";
 
--- a/src/rehearsal/fleetMain.ts
+++ b/src/rehearsal/fleetMain.ts
@@ -1,7 +1,7 @@
 import { cac } from "cac";
 import { is, number, string, type } from "superstruct";
-import { Clock } from "../machine/clock.js";
-import type { Task } from "../machine/task.js";
+import { Clock } from "../runtime/clock.js";
+import type { Task } from "../runtime/task.js";
 import { Fleet, type FleetMachine } from "./fleet.js";
 import { bringUp, configuring, profileNamed, say, windUp } from "./report.js";
 
--- a/src/rehearsal/gate.ts
+++ b/src/rehearsal/gate.ts
@@ -1,4 +1,4 @@
-import type { Clock } from "../machine/clock.js";
+import type { Clock } from "../runtime/clock.js";
 
 /** What every event of one machine passes: nothing while it is dead, all later while it is frozen. */
 export class Gate {
--- a/src/rehearsal/rehearsal.ts
+++ b/src/rehearsal/rehearsal.ts
@@ -1,5 +1,5 @@
-import { Clock } from "../machine/clock.js";
-import type { Task } from "../machine/task.js";
+import { Clock } from "../runtime/clock.js";
+import type { Task } from "../runtime/task.js";
 import { Draw } from "./draw.js";
 import { faults } from "./faults.js";
 import { judge, servedPart, worstRepeats, type Breach } from "./judge.js";
--- a/src/rehearsal/report.ts
+++ b/src/rehearsal/report.ts
@@ -1,5 +1,5 @@
-import { Clock } from "../machine/clock.js";
-import type { Task } from "../machine/task.js";
+import { Clock } from "../runtime/clock.js";
+import type { Task } from "../runtime/task.js";
 import type { Fleet } from "./fleet.js";
 import type { CallerRecord } from "./ledger.js";
 import { judge, rules, servedPart, worstRepeats } from "./judge.js";
--- a/src/rehearsal/simulation.ts
+++ b/src/rehearsal/simulation.ts
@@ -1,10 +1,10 @@
 import type { BackEnds } from "../door/backEnds.js";
 import type { Caller, Job } from "../door/job.js";
 import type { Return } from "../door/verdict.js";
-import { Clock } from "../machine/clock.js";
+import { Clock } from "../runtime/clock.js";
 import { Daemon } from "../machine/daemon.js";
 import type { Settings } from "../machine/settings.js";
-import { Task } from "../machine/task.js";
+import { Task } from "../runtime/task.js";
 import { callerWaitMs, Day, type CallerEnd, type Outside } from "./day.js";
 import { Draw } from "./draw.js";
 import { Gate } from "./gate.js";
--- a/src/rehearsal/virtualBackEnds.ts
+++ b/src/rehearsal/virtualBackEnds.ts
@@ -1,6 +1,6 @@
 import { connectMs, type BackEnds, type BackTry, type Opened } from "../door/backEnds.js";
-import type { Clock } from "../machine/clock.js";
-import { Task } from "../machine/task.js";
+import type { Clock } from "../runtime/clock.js";
+import { Task } from "../runtime/task.js";
 import { Gate } from "./gate.js";
 import type { Reply, StandIn } from "./standIn.js";
 import type { VirtualNetwork } from "./virtualNetwork.js";
--- a/src/rehearsal/virtualClock.ts
+++ b/src/rehearsal/virtualClock.ts
@@ -1,6 +1,6 @@
 import { newScheduler, newTimeline } from "@most/scheduler";
 import type { Scheduler } from "@most/types";
-import { Clock } from "../machine/clock.js";
+import { Clock } from "../runtime/clock.js";
 
 /** Time that moves only when told to; the streams' scheduler runs on it. */
 export class VirtualClock {
--- a/src/rehearsal/virtualDisk.ts
+++ b/src/rehearsal/virtualDisk.ts
@@ -1,7 +1,7 @@
-import type { Clock } from "../machine/clock.js";
-import { Clock as Clocks } from "../machine/clock.js";
-import { DiskBreakdown, type Disk } from "../machine/disk.js";
-import { Task } from "../machine/task.js";
+import type { Clock } from "../runtime/clock.js";
+import { Clock as Clocks } from "../runtime/clock.js";
+import { DiskBreakdown, type Disk } from "../runtime/disk.js";
+import { Task } from "../runtime/task.js";
 
 /** A disk in memory: what was not synced when the power went is gone, or half there. */
 export class VirtualDisk implements Disk {
--- a/src/rehearsal/virtualNetwork.ts
+++ b/src/rehearsal/virtualNetwork.ts
@@ -1,7 +1,7 @@
-import type { Clock } from "../machine/clock.js";
-import { Holding } from "../machine/holding.js";
-import { Task } from "../machine/task.js";
-import type { Channel, Wire } from "../link/wire.js";
+import type { Clock } from "../runtime/clock.js";
+import { Holding } from "../runtime/holding.js";
+import { Task } from "../runtime/task.js";
+import type { Channel, Wire } from "../runtime/wire.js";
 import type { Gate } from "./gate.js";
 
 interface End {
--- a/src/rehearsal/virtualWorld.ts
+++ b/src/rehearsal/virtualWorld.ts
@@ -1,9 +1,9 @@
 import type { BackEnds } from "../door/backEnds.js";
-import type { Wire } from "../link/wire.js";
-import type { Clock } from "../machine/clock.js";
-import type { Disk } from "../machine/disk.js";
-import { Logbook } from "../machine/logbook.js";
-import type { World } from "../machine/world.js";
+import type { Wire } from "../runtime/wire.js";
+import type { Clock } from "../runtime/clock.js";
+import type { Disk } from "../runtime/disk.js";
+import { Logbook } from "../runtime/logbook.js";
+import type { World } from "../runtime/world.js";
 
 /** What a virtual world is made of; what isn't named is absent or silent. */
 export interface VirtualParts {
--- a/src/link/wire.ts
+++ b/src/runtime/wire.ts
@@ -1,6 +1,6 @@
 import { createServer, connect as connectSocket, type Server, type Socket } from "node:net";
-import { Holding } from "../machine/holding.js";
-import { Task } from "../machine/task.js";
+import { Holding } from "./holding.js";
+import { Task } from "./task.js";
 
 /** A two-way flow of bytes between two processes. */
 export interface Channel {
--- a/src/machine/world.ts
+++ b/src/runtime/world.ts
@@ -1,5 +1,5 @@
 import type { BackEnds } from "../door/backEnds.js";
-import type { Wire } from "../link/wire.js";
+import type { Wire } from "./wire.js";
 import type { Archive } from "../operator/archive.js";
 import type { Clock } from "./clock.js";
 import type { Disk } from "./disk.js";
--- a/src/zone/collector.ts
+++ b/src/zone/collector.ts
@@ -1,11 +1,11 @@
 import { array, boolean, create, literal, number, object, optional, string, union, type Infer } from "superstruct";
 import type { Held, Link } from "../link/link.js";
 import { Kind } from "../link/kind.js";
-import { Clock } from "../machine/clock.js";
-import { Holding } from "../machine/holding.js";
-import type { PartLog } from "../machine/logbook.js";
-import type { Task } from "../machine/task.js";
-import type { World } from "../machine/world.js";
+import { Clock } from "../runtime/clock.js";
+import { Holding } from "../runtime/holding.js";
+import type { PartLog } from "../runtime/logbook.js";
+import type { Task } from "../runtime/task.js";
+import type { World } from "../runtime/world.js";
 import { Counts, type CountsForm } from "./counts.js";
 import { SketchMismatchError } from "./ecmSketch.js";
 
--- a/src/zone/edgeCounts.ts
+++ b/src/zone/edgeCounts.ts
@@ -1,11 +1,11 @@
 import type { View } from "../contract/view.js";
 import type { Link } from "../link/link.js";
 import { Kind } from "../link/kind.js";
-import { Holding } from "../machine/holding.js";
-import { Clock } from "../machine/clock.js";
-import type { PartLog } from "../machine/logbook.js";
-import type { Task } from "../machine/task.js";
-import type { World } from "../machine/world.js";
+import { Holding } from "../runtime/holding.js";
+import { Clock } from "../runtime/clock.js";
+import type { PartLog } from "../runtime/logbook.js";
+import type { Task } from "../runtime/task.js";
+import type { World } from "../runtime/world.js";
 import { usualRules, type SketchLeave } from "./budget.js";
 import type { BudgetRules } from "./budgetRules.js";
 import { Down, hurriedMs, type Push } from "./collector.js";
--- a/test/contract/directory.test.ts
+++ b/test/contract/directory.test.ts
@@ -3,7 +3,7 @@
 import { Registry } from "../../src/contract/registry.js";
 import { View } from "../../src/contract/view.js";
 import { Kind } from "../../src/link/kind.js";
-import { Task } from "../../src/machine/task.js";
+import { Task } from "../../src/runtime/task.js";
 import { Budget } from "../../src/zone/budget.js";
 import { address, fail, service, stage } from "./directoryStage.js";
 
--- a/test/contract/directoryStage.ts
+++ b/test/contract/directoryStage.ts
@@ -1,6 +1,6 @@
 import { Kind } from "../../src/link/kind.js";
 import { Link } from "../../src/link/link.js";
-import { Task } from "../../src/machine/task.js";
+import { Task } from "../../src/runtime/task.js";
 import { Order } from "../../src/contract/order.js";
 import { Terms } from "../../src/contract/registry.js";
 import type { Contract } from "../../src/record/book.js";
--- a/test/contract/registry.test.ts
+++ b/test/contract/registry.test.ts
@@ -2,7 +2,7 @@
 import { Order } from "../../src/contract/order.js";
 import { Kind } from "../../src/link/kind.js";
 import { Link } from "../../src/link/link.js";
-import { Task } from "../../src/machine/task.js";
+import { Task } from "../../src/runtime/task.js";
 import { Gate } from "../../src/rehearsal/gate.js";
 import { Profile } from "../../src/rehearsal/profile.js";
 import { Simulation } from "../../src/rehearsal/simulation.js";
--- a/test/door/keys.test.ts
+++ b/test/door/keys.test.ts
@@ -1,6 +1,6 @@
 import { beforeEach, expect, test } from "vitest";
 import type { Job } from "../../src/door/job.js";
-import { Task } from "../../src/machine/task.js";
+import { Task } from "../../src/runtime/task.js";
 import { Profile } from "../../src/rehearsal/profile.js";
 import { Simulation } from "../../src/rehearsal/simulation.js";
 
--- a/test/link/link.test.ts
+++ b/test/link/link.test.ts
@@ -1,8 +1,8 @@
 import { expect, test } from "vitest";
 import { Kind } from "../../src/link/kind.js";
 import { Link } from "../../src/link/link.js";
-import { Holding } from "../../src/machine/holding.js";
-import { Task } from "../../src/machine/task.js";
+import { Holding } from "../../src/runtime/holding.js";
+import { Task } from "../../src/runtime/task.js";
 import { Draw } from "../../src/rehearsal/draw.js";
 import { Gate } from "../../src/rehearsal/gate.js";
 import { VirtualClock } from "../../src/rehearsal/virtualClock.js";
--- a/test/machine/daemon.test.ts
+++ b/test/machine/daemon.test.ts
@@ -1,5 +1,5 @@
 import { expect, test } from "vitest";
-import { Task } from "../../src/machine/task.js";
+import { Task } from "../../src/runtime/task.js";
 import { Profile } from "../../src/rehearsal/profile.js";
 import { Simulation } from "../../src/rehearsal/simulation.js";
 
--- a/test/machine/httpServer.test.ts
+++ b/test/machine/httpServer.test.ts
@@ -2,7 +2,7 @@
 import { connect } from "node:net";
 import { expect, test } from "vitest";
 import { HttpServer } from "../../src/machine/httpServer.js";
-import { Task } from "../../src/machine/task.js";
+import { Task } from "../../src/runtime/task.js";
 
 test("a request that was sent over a kept connection right before the server began to part with its callers is answered", async () => {
   const server = new HttpServer((job, caller) => caller.whole({ code: 200, headers: {}, body: Buffer.from(job.target) }));
--- a/test/operator/archive.test.ts
+++ b/test/operator/archive.test.ts
@@ -4,8 +4,8 @@
 import { join } from "node:path";
 import git from "isomorphic-git";
 import { expect, test } from "vitest";
-import { Logbook } from "../../src/machine/logbook.js";
-import { Task } from "../../src/machine/task.js";
+import { Logbook } from "../../src/runtime/logbook.js";
+import { Task } from "../../src/runtime/task.js";
 import { Archive } from "../../src/operator/archive.js";
 import type { AcceptedConfig } from "../../src/record/book.js";
 
--- a/test/record/fleetStage.ts
+++ b/test/record/fleetStage.ts
@@ -1,6 +1,6 @@
 import { Daemon } from "../../src/machine/daemon.js";
 import type { Settings } from "../../src/machine/settings.js";
-import { Task } from "../../src/machine/task.js";
+import { Task } from "../../src/runtime/task.js";
 import { Deed } from "../../src/record/book.js";
 import { Draw } from "../../src/rehearsal/draw.js";
 import { Gate } from "../../src/rehearsal/gate.js";
--- a/test/record/history.test.ts
+++ b/test/record/history.test.ts
@@ -1,5 +1,5 @@
 import { expect, test } from "vitest";
-import { Task } from "../../src/machine/task.js";
+import { Task } from "../../src/runtime/task.js";
 import type { AcceptedConfig } from "../../src/record/book.js";
 import { History } from "../../src/record/history.js";
 import { Draw } from "../../src/rehearsal/draw.js";
--- a/test/record/recorder.test.ts
+++ b/test/record/recorder.test.ts
@@ -1,8 +1,8 @@
 import { expect, test } from "vitest";
 import { type Entry, Kind } from "../../src/link/kind.js";
 import { type Held, Link } from "../../src/link/link.js";
-import { Task } from "../../src/machine/task.js";
-import type { World } from "../../src/machine/world.js";
+import { Task } from "../../src/runtime/task.js";
+import type { World } from "../../src/runtime/world.js";
 import { Book } from "../../src/record/book.js";
 import { batch, Recorder, Waits, within } from "../../src/record/recorder.js";
 import { type Standing, Store } from "../../src/record/store.js";
--- a/test/record/store.test.ts
+++ b/test/record/store.test.ts
@@ -1,5 +1,5 @@
 import { expect, test } from "vitest";
-import { Task } from "../../src/machine/task.js";
+import { Task } from "../../src/runtime/task.js";
 import { type Standing, Store } from "../../src/record/store.js";
 import { Draw } from "../../src/rehearsal/draw.js";
 import { VirtualClock } from "../../src/rehearsal/virtualClock.js";
--- a/test/rehearsal/virtualBackEnds.test.ts
+++ b/test/rehearsal/virtualBackEnds.test.ts
@@ -1,5 +1,5 @@
 import { expect, test } from "vitest";
-import { Task } from "../../src/machine/task.js";
+import { Task } from "../../src/runtime/task.js";
 import { Draw } from "../../src/rehearsal/draw.js";
 import { Gate } from "../../src/rehearsal/gate.js";
 import { judge } from "../../src/rehearsal/judge.js";
--- a/test/machine/holding.test.ts
+++ b/test/runtime/holding.test.ts
@@ -1,6 +1,6 @@
 import { expect, test } from "vitest";
-import { Holding } from "../../src/machine/holding.js";
-import { Task } from "../../src/machine/task.js";
+import { Holding } from "../../src/runtime/holding.js";
+import { Task } from "../../src/runtime/task.js";
 import { VirtualClock } from "../../src/rehearsal/virtualClock.js";
 
 test("a command goes to the first taker still waiting", async () => {
--- a/test/machine/task.test.ts
+++ b/test/runtime/task.test.ts
@@ -1,5 +1,5 @@
 import { expect, test } from "vitest";
-import { Task } from "../../src/machine/task.js";
+import { Task } from "../../src/runtime/task.js";
 
 test("a task resumes with what happened, also when that was at once", () => {
   const seen: number[] = [];
