--- a/src/contract/registry.ts
+++ b/src/contract/registry.ts
@@ -7,7 +7,7 @@
 import type { AcceptedConfig, Book, Contract } from "../record/book.js";
 import { Deed, heldKeys, versionOf } from "../record/book.js";
 import type { Recorder } from "../record/recorder.js";
-import { Allowance } from "../zone/allowance.js";
+import type { CapacityGrants } from "./capacityGrants.js";
 import { amend, Config, mergePatch } from "./config.js";
 import { breakdownReturn, isBreakdown, Order, Poll, type ChangeOrder, type GrantedView, type Machine } from "./order.js";
 
@@ -78,9 +78,9 @@
   private readonly parting = new Set<string>();
   /** Leads, but has given no edge its view yet. */
   private isNew = true;
-  private readonly allowance: Allowance;
+  private readonly allowance: CapacityGrants;
 
-  constructor(world: World, recorder: Recorder, book: Book, terms: Terms, allowance = new Allowance()) {
+  constructor(world: World, recorder: Recorder, book: Book, terms: Terms, allowance: CapacityGrants) {
     this.world = world;
     this.recorder = recorder;
     this.book = book;
--- a/src/contract/view.ts
+++ b/src/contract/view.ts
@@ -7,9 +7,9 @@
 import type { Contract } from "../record/book.js";
 import { Config, ConfigReader } from "./config.js";
 import type { Ferry } from "./ferry.js";
-import { Mappings } from "./mapping.js";
+import { Mappings } from "./mappings.js";
 import { Poll, type GrantedView, type Machine, type Order } from "./order.js";
-import type { Budget } from "../zone/budget.js";
+import type { TryCapacities } from "./tryCapacities.js";
 
 const pollWaitMs = 450;
 /** How old an announcement may be and still be told as heard. */
@@ -34,7 +34,7 @@
   private readonly world: World;
   private readonly ferry: Ferry;
   private readonly machine: () => Machine;
-  private readonly budget: Budget;
+  private readonly budget: TryCapacities;
   private readonly log: PartLog;
   private untilMs = -Infinity;
   private heard = false;
@@ -66,7 +66,7 @@
   polls = 0;
   grants = 0;
 
-  constructor(world: World, ferry: Ferry, machine: () => Machine, budget: Budget) {
+  constructor(world: World, ferry: Ferry, machine: () => Machine, budget: TryCapacities) {
     this.world = world;
     this.ferry = ferry;
     this.machine = machine;
@@ -199,7 +199,6 @@
       const numbers = new Set(view.directory.map(({ number }) => number));
       this.refused = this.refused.filter(({ number }) => numbers.has(number));
       this.arrange();
-      this.world.backEnds.keepOnly(new Set(view.directory.map(poolOf)));
       this.onDirectory(view.directory);
     }
     this.announceMs = view.announceMs ?? this.announceMs;
--- a/src/door/door.ts
+++ b/src/door/door.ts
@@ -9,7 +9,7 @@
 import type { Shares } from "../zone/shares.js";
 import type { EdgeCounts } from "../zone/edgeCounts.js";
 import { safeMethods } from "../contract/config.js";
-import { serviceHeader, type BackReturn, type Opened } from "./backEnds.js";
+import { serviceHeader, type BackEnds, type BackReturn, type Opened } from "./backEnds.js";
 import type { Dialect } from "./dialect.js";
 import { Job, type Caller } from "./job.js";
 import { Keys, type Claim } from "./keys.js";
@@ -86,6 +86,7 @@
 /** What a door depends on beside its world. */
 export interface DoorParts {
   readonly view: View;
+  readonly backEnds: BackEnds;
   readonly ferry: Ferry;
   readonly budget: Budget;
   readonly counts: EdgeCounts;
@@ -100,6 +101,7 @@
 export class Door {
   private readonly world: World;
   private readonly view: View;
+  private readonly backEnds: BackEnds;
   private readonly budget: Budget;
   private readonly counts: EdgeCounts;
   private readonly shares: Shares;
@@ -115,9 +117,10 @@
   inHand = 0;
   readonly tally: Tally = { taken: 0, byCode: {}, byVerdict: { neverRan: 0, mayHaveRun: 0, ran: 0 }, firstTries: 0, furtherTries: 0, furtherRefused: { sketch: 0, guard: 0 }, cut: 0 };
 
-  constructor(world: World, { view, ferry, budget, counts, shares, incarnation, dialect, staleMs }: DoorParts) {
+  constructor(world: World, { view, backEnds, ferry, budget, counts, shares, incarnation, dialect, staleMs }: DoorParts) {
     this.world = world;
     this.view = view;
+    this.backEnds = backEnds;
     this.budget = budget;
     this.counts = counts;
     this.shares = shares;
@@ -332,7 +335,7 @@
     const untilMs = this.dialect.deadline === undefined ? startedMs + mapping.giveUpMs : passage.untilMs;
     const { method, target, body, rest } = passage.job;
     this.shares.began(contract, startedMs);
-    const opened = yield* this.world.backEnds.send({
+    const opened = yield* this.backEnds.send({
       address: contract.address,
       service,
       pool: poolOf(contract),
--- a/src/door/keys.ts
+++ b/src/door/keys.ts
@@ -1,5 +1,5 @@
 import { createHash } from "node:crypto";
-import { hostName } from "../contract/mapping.js";
+import { hostName } from "../contract/mappings.js";
 import { ClaimReturn, type Order } from "../contract/order.js";
 import type { Ferry } from "../contract/ferry.js";
 import { Clock } from "../runtime/clock.js";
--- a/src/machine/bounds.ts
+++ b/src/machine/bounds.ts
@@ -3,9 +3,9 @@
 import { Waits } from "../record/recorder.js";
 import { BudgetRules } from "../zone/budgetRules.js";
 import { CountsForm } from "../zone/counts.js";
-import type { Settings } from "./settings.js";
+import type { BoundSettings } from "./boundSettings.js";
 
-type Figures = Required<{ [name in keyof NonNullable<Settings["bounds"]>]: number }>;
+type Figures = Required<{ [name in keyof NonNullable<BoundSettings["bounds"]>]: number }>;
 
 /** The bounds where settings name none. */
 const usual: Figures = {
@@ -55,7 +55,7 @@
   readonly abandonMs: number;
 }
 
-const figuresOf = ({ bounds }: Pick<Settings, "bounds">): Figures => {
+const figuresOf = ({ bounds }: BoundSettings): Figures => {
   const figures = { ...usual };
   for (const name of Object.keys(usual)) {
     if (!isFigure(name)) continue;
@@ -68,7 +68,7 @@
 
 export const Bounds = {
   /** The bounds that can't be kept, by their paths in the settings. */
-  faults(settings: Pick<Settings, "bounds" | "heartbeatMs">): Fault[] {
+  faults(settings: BoundSettings): Fault[] {
     const figures = figuresOf(settings);
     const least: Array<[name: keyof Figures, least: number, why: string]> = [
       ["applyMs", leastBoundMs, "a lease has to outlast a poll and an election"],
@@ -85,7 +85,7 @@
   },
 
   /** The waits that keep the bounds in the settings. */
-  of(settings: Pick<Settings, "bounds" | "heartbeatMs">): Bounds {
+  of(settings: BoundSettings): Bounds {
     const figures = figuresOf(settings);
     const { applyMs, drainMs, contactMs, graceMs, ackMs, keyWindowMs, retryRatio, retryExtra, retryWindowMs } = figures;
     const leaseMs = leasePart * Math.min(applyMs, drainMs);
--- a/src/machine/daemon.ts
+++ b/src/machine/daemon.ts
@@ -1,13 +1,15 @@
 import { Ferry } from "../contract/ferry.js";
 import type { Machine } from "../contract/order.js";
 import { Registry } from "../contract/registry.js";
-import { View } from "../contract/view.js";
+import { poolOf, View } from "../contract/view.js";
+import type { BackEnds } from "../door/backEnds.js";
 import { Dialect } from "../door/dialect.js";
 import { Door } from "../door/door.js";
 import type { Caller, Job } from "../door/job.js";
 import type { Return } from "../door/verdict.js";
 import { Kind } from "../link/kind.js";
 import { Link } from "../link/link.js";
+import type { Archive } from "../operator/archive.js";
 import { Operators } from "../operator/operators.js";
 import { Book } from "../record/book.js";
 import { Meeting } from "../record/meeting.js";
@@ -41,6 +43,10 @@
 
 /** What a daemon may be told besides its settings. */
 export interface DaemonOptions {
+  /** The back ends as this machine reaches them. */
+  readonly backEnds: BackEnds;
+  /** Where accepted configs are also kept, on a machine with a disk. */
+  readonly archive?: Archive | undefined;
   /** The headers by which it speaks with callers and back ends. */
   readonly dialect?: Dialect;
   /** Waits of the record that differ from what the bounds make of them. */
@@ -58,6 +64,7 @@
   private readonly bounds: Bounds;
   private readonly roles: Role[];
   private readonly log: PartLog;
+  private readonly archive: Archive | undefined;
   private readonly incarnation: string;
   private readonly link: Link;
   private readonly ferry: Ferry;
@@ -74,10 +81,11 @@
   private readonly collector: Collector | undefined;
   private draining = false;
 
-  constructor(world: World, settings: Settings, options: DaemonOptions = {}) {
+  constructor(world: World, settings: Settings, options: DaemonOptions) {
     const bounds = Bounds.of(settings);
     this.world = world;
     this.settings = settings;
+    this.archive = options.archive;
     this.bounds = bounds;
     this.budget = new Budget(bounds.budget);
     this.roles = Settings.roles(settings);
@@ -97,11 +105,15 @@
     this.meeting = new Meeting(world, this.link, place, { leader: () => this.recorder?.leader || this.ferry.leader, recorders: () => this.ferry.recorders });
     this.view = new View(world, this.ferry, () => this.machine(), this.budget);
     this.shares = new Shares(settings.zone, () => world.random());
-    this.view.onDirectory = (contracts) => this.shares.know(contracts, world.clock.nowMs());
+    this.view.onDirectory = (contracts) => {
+      options.backEnds.keepOnly(new Set(contracts.map(poolOf)));
+      this.shares.know(contracts, world.clock.nowMs());
+    };
     const self = { machine: settings.machine, incarnation: this.incarnation, zone: settings.zone };
     this.edgeCounts = new EdgeCounts(world, this.link, bounds.counts, this.view, self, bounds.budget);
     this.door = new Door(world, {
       view: this.view,
+      backEnds: options.backEnds,
       ferry: this.ferry,
       budget: this.budget,
       counts: this.edgeCounts,
@@ -115,7 +127,7 @@
       this.recorder = new Recorder(world, this.link, place, { ...bounds.waits, ...options.waits }, book, new Store(world.disk), this.meeting);
       this.registry = new Registry(world, this.recorder, book, bounds.terms, new Allowance(bounds.budget, bounds.leaseMs));
       book.onApplied((deed) => {
-        if (deed.kind === "config" && book.inForce) world.archive?.keep(book.inForce);
+        if (deed.kind === "config" && book.inForce) this.archive?.keep(book.inForce);
       });
     }
     if (this.roles.includes("collector")) this.collector = new Collector(world, this.link, bounds.counts, settings.peers, this.incarnation, () => this.recorder?.leader || this.ferry.leader);
@@ -149,7 +161,7 @@
     yield* this.link.listen();
     if (recorder && registry) {
       World.start(world, "record", recorder.own());
-      if (world.archive) World.start(world, "operator", world.archive.own());
+      if (this.archive) World.start(world, "operator", this.archive.own());
       World.start(world, "contract", registry.ownConfigs());
       World.start(world, "contract", registry.ownTime());
     }
--- a/src/machine/run.ts
+++ b/src/machine/run.ts
@@ -48,8 +48,8 @@
         end(1);
       };
       const archive = settings.dataFolder !== undefined && isArchived ? new Archive(settings.dataFolder, logbook.part("operator")) : undefined;
-      const world: World = { clock, wire, disk, archive, backEnds, logbook, broken, random: Math.random, wallTime: () => new Date() };
-      const daemon = new Daemon(world, settings, adapter ? { dialect: adapter.dialect } : {});
+      const world: World = { clock, wire, disk, logbook, broken, random: Math.random, wallTime: () => new Date() };
+      const daemon = new Daemon(world, settings, { backEnds, archive, ...(adapter ? { dialect: adapter.dialect } : {}) });
       const control = (takes: (job: Job) => boolean): HttpServer => {
         const server = new HttpServer((job, caller) => {
           const read = adapter ? adapter.control.into(job) : { job, back: (ret: Return) => ret };
--- a/src/machine/settings.ts
+++ b/src/machine/settings.ts
@@ -3,6 +3,7 @@
 import { Address } from "../runtime/wire.js";
 import { faultsOf, type Fault } from "../contract/config.js";
 import { Bounds } from "./bounds.js";
+import { boundsShape } from "./boundSettings.js";
 
 const word = define<string>("word", (value) => (typeof value === "string" && /^[a-zA-Z0-9][a-zA-Z0-9._-]{0,62}$/.test(value)) || "Expected a name of letters, digits, dots and dashes");
 const address = define<string>("address", (value) => {
@@ -13,37 +14,6 @@
 const ms = max(min(number(), 0), 86_400_000);
 const amount = min(number(), 0);
 
-const boundsShape = object({
-  /** From an accepted config until no daemon serves by an older one. */
-  applyMs: optional(ms),
-  /** From a back end's leave until no request is sent to it. */
-  drainMs: optional(ms),
-  /** How long a daemon that was out of touch may take to be held to the other bounds again. */
-  contactMs: optional(ms),
-  /** How long a daemon that is told to stop may still run. */
-  graceMs: optional(ms),
-  /** Within which an operator's change is acknowledged. */
-  ackMs: optional(ms),
-  /** How long a key stands for one operation. */
-  keyWindowMs: optional(ms),
-  /** Further tries per request of a service, in any window. */
-  retryRatio: optional(number()),
-  retryWindowMs: optional(ms),
-  /** Further tries of a service in any window besides. */
-  retryExtra: optional(number()),
-  /** Within which a fleet that was down serves again. */
-  recoveryMs: optional(ms),
-  /** After which an ended back end's address may serve another service. */
-  addressReuseMs: optional(ms),
-  /** How far machines' wall clocks may be apart. */
-  skewMs: optional(ms),
-  /** How long a machine that returns may take to catch up. */
-  catchUpMs: optional(ms),
-  /** How late a request may arrive at a daemon that ends. */
-  lossSlackMs: optional(ms),
-  staleMs: optional(ms),
-});
-
 const shape = object({
   machine: word,
   zone: word,
--- a/src/operator/operators.ts
+++ b/src/operator/operators.ts
@@ -8,7 +8,7 @@
 import { Return } from "../door/verdict.js";
 import type { Task } from "../runtime/task.js";
 import { World } from "../runtime/world.js";
-import type { Bounds } from "../machine/bounds.js";
+import type { BudgetRules } from "../zone/budgetRules.js";
 import type { Counts } from "../zone/counts.js";
 import type { Shares } from "../zone/shares.js";
 import { usualRules } from "../zone/budget.js";
@@ -75,9 +75,9 @@
   private readonly shares: Shares;
   private readonly desk: Desk;
   private readonly orderMs: number;
-  private readonly rules: Bounds["budget"];
+  private readonly rules: BudgetRules;
 
-  constructor(world: World, ferry: Ferry, view: View, shares: Shares, desk: Desk, bounds: Pick<Bounds, "orderMs" | "budget"> = { orderMs: 4000, budget: usualRules }) {
+  constructor(world: World, ferry: Ferry, view: View, shares: Shares, desk: Desk, bounds: { readonly orderMs: number; readonly budget: BudgetRules } = { orderMs: 4000, budget: usualRules }) {
     this.world = world;
     this.ferry = ferry;
     this.view = view;
--- a/src/record/book.ts
+++ b/src/record/book.ts
@@ -2,7 +2,7 @@
 import { array, boolean, create, defaulted, define, literal, number, object, optional, record, string, tuple, type, union, type Infer } from "superstruct";
 import { kindOf } from "../runtime/kindOf.js";
 import { Numbering } from "./numbering.js";
-import type { Members } from "./recorder.js";
+import type { Members } from "./members.js";
 
 const contractShape = object({
   address: string(),
--- a/src/record/meeting.ts
+++ b/src/record/meeting.ts
@@ -4,8 +4,8 @@
 import type { PartLog } from "../runtime/logbook.js";
 import { Task } from "../runtime/task.js";
 import { World } from "../runtime/world.js";
+import type { Members } from "./members.js";
 import { Place } from "./place.js";
-import type { Members } from "./recorder.js";
 
 /** How a recorder stands when it is met: unborn is what was formed, but not yet by all of its voters. */
 export interface Attendance extends Members {
--- a/src/record/recorder.ts
+++ b/src/record/recorder.ts
@@ -1,4 +1,4 @@
-import { array, create, enums, object, string, type Infer } from "superstruct";
+import { create, enums, object, string } from "superstruct";
 import { Clock } from "../runtime/clock.js";
 import { Holding } from "../runtime/holding.js";
 import type { PartLog } from "../runtime/logbook.js";
@@ -9,6 +9,7 @@
 import type { AcceptedConfig, Book } from "./book.js";
 import { History } from "./history.js";
 import { Meeting, type Attendance } from "./meeting.js";
+import { Members } from "./members.js";
 import { Place } from "./place.js";
 import { Store, type LogRecord, type Standing } from "./store.js";
 import { Writer } from "./writer.js";
@@ -56,15 +57,8 @@
   | { kind: "rejoined" }
   | { kind: "kept" };
 
-const membersShape = object({ kind: enums(["members"]), voters: array(string()), learners: array(string()) });
-
-/** Who votes on the record and who only learns it. */
-export type Members = Omit<Infer<typeof membersShape>, "kind">;
-
 const markShape = object({ kind: enums(["rejoined"]), machine: string(), nonce: string() });
 
-const membersIn = (text: string): Members | undefined => (text.startsWith('{"kind":"members"') ? create(JSON.parse(text), membersShape) : undefined);
-
 /** Raised when the record in memory contradicts itself; the daemon must not go on. */
 export class RecordError extends Error {}
 
@@ -432,7 +426,7 @@
   }
 
   private noteMembers(entry: Entry): void {
-    const members = membersIn(entry.text);
+    const members = Members.in(entry.text);
     if (!members) return;
     this.members = members;
     this.membersIndex = entry.index;
@@ -634,7 +628,7 @@
 
   private membersAt(index: number): Members {
     let members = this.baseMembers;
-    for (const entry of this.entries) if (entry.index <= index) members = membersIn(entry.text) ?? members;
+    for (const entry of this.entries) if (entry.index <= index) members = Members.in(entry.text) ?? members;
     return members;
   }
 
--- a/src/rehearsal/judge.ts
+++ b/src/rehearsal/judge.ts
@@ -1,5 +1,5 @@
 import { Config, safeMethods } from "../contract/config.js";
-import { Mappings } from "../contract/mapping.js";
+import { Mappings } from "../contract/mappings.js";
 import { Ledger, type CallerRecord, type RunRecord } from "./ledger.js";
 
 /** A rule that was broken, and by what. */
--- a/src/rehearsal/simulation.ts
+++ b/src/rehearsal/simulation.ts
@@ -109,12 +109,11 @@
       clock,
       wire: this.network.wire(machine.settings.machine, gate),
       disk: machine.disk,
-      backEnds: this.backEnds(machine, gate, clock),
       lines: (line) => this.lines.push(`${(this.time.nowMs() / 1000).toFixed(3)} ${machine.settings.machine} ${line}`),
       random: this.random,
       wallTime: () => new Date(1.8e12 + this.time.nowMs() + machine.offsetMs + machine.wallJumpMs),
     });
-    const daemon = new Daemon(world, machine.settings, { waits: { checkpointBytes: simCheckpointBytes } });
+    const daemon = new Daemon(world, machine.settings, { backEnds: this.backEnds(machine, gate, clock), waits: { checkpointBytes: simCheckpointBytes } });
     machine.daemon = daemon;
     this.start(daemon.start());
   }
--- a/src/rehearsal/virtualWorld.ts
+++ b/src/rehearsal/virtualWorld.ts
@@ -1,4 +1,3 @@
-import type { BackEnds } from "../door/backEnds.js";
 import type { Wire } from "../runtime/wire.js";
 import type { Clock } from "../runtime/clock.js";
 import type { Disk } from "../runtime/disk.js";
@@ -11,25 +10,15 @@
   readonly wire: Wire;
   readonly random: () => number;
   readonly disk?: Disk | undefined;
-  readonly backEnds?: BackEnds;
   readonly lines?: (line: string) => void;
   readonly wallTime?: () => Date;
 }
 
-const noBackEnds: BackEnds = {
-  *send() {
-    return "refused";
-  },
-  keepOnly: () => undefined,
-  close: () => undefined,
-};
-
 /** A world on virtual parts, in which a task that breaks off ends the run. */
-export const virtualWorld = ({ clock, wire, random, disk, backEnds = noBackEnds, lines = () => undefined, wallTime = () => new Date(0) }: VirtualParts): World => ({
+export const virtualWorld = ({ clock, wire, random, disk, lines = () => undefined, wallTime = () => new Date(0) }: VirtualParts): World => ({
   clock,
   wire,
   disk,
-  backEnds,
   logbook: Logbook.into(lines),
   broken: (_part, error) => {
     throw error;
--- a/src/runtime/world.ts
+++ b/src/runtime/world.ts
@@ -1,19 +1,14 @@
-import type { BackEnds } from "../door/backEnds.js";
 import type { Wire } from "./wire.js";
-import type { Archive } from "../operator/archive.js";
 import type { Clock } from "./clock.js";
 import type { Disk } from "./disk.js";
 import type { Logbook } from "./logbook.js";
 import { Task } from "./task.js";
 
-/** All that a daemon touches outside itself: real in a process, virtual and seeded in the simulator. */
+/** The machine that a daemon runs on: real in a process, virtual and seeded in the simulator. */
 export interface World {
   readonly clock: Clock;
   readonly wire: Wire;
   readonly disk: Disk | undefined;
-  readonly backEnds: BackEnds;
-  /** Where accepted configs are also kept, on a machine with a disk. */
-  readonly archive?: Archive | undefined;
   readonly logbook: Logbook;
   /** Hears that a task broke off on what nobody foresaw: the daemon must not go on half alive. */
   broken(part: string, error: unknown): void;
--- a/test/contract/mapping.test.ts
+++ b/test/contract/mapping.test.ts
@@ -1,6 +1,7 @@
 import { expect, test } from "vitest";
 import type { Config } from "../../src/contract/config.js";
-import { type Mapping, Mappings } from "../../src/contract/mapping.js";
+import type { Mapping } from "../../src/contract/mapping.js";
+import { Mappings } from "../../src/contract/mappings.js";
 import { Draw } from "../../src/rehearsal/draw.js";
 
 const find = (all: readonly Mapping[], method: string, path: string, host: string): Mapping | undefined => {
--- a/test/record/fleetStage.ts
+++ b/test/record/fleetStage.ts
@@ -4,6 +4,7 @@
 import { Deed } from "../../src/record/book.js";
 import { Draw } from "../../src/rehearsal/draw.js";
 import { Gate } from "../../src/rehearsal/gate.js";
+import { noBackEnds } from "../../src/rehearsal/noBackEnds.js";
 import { VirtualClock } from "../../src/rehearsal/virtualClock.js";
 import { VirtualDisk } from "../../src/rehearsal/virtualDisk.js";
 import { VirtualNetwork } from "../../src/rehearsal/virtualNetwork.js";
@@ -99,7 +100,7 @@
       random: this.random,
       lines: (line) => this.lines.push(`${this.time.nowMs().toFixed(0)} ${name} ${line}`),
     });
-    machine.daemon = new Daemon(world, machine.settings);
+    machine.daemon = new Daemon(world, machine.settings, { backEnds: noBackEnds });
     this.start(machine.daemon.start());
   }
 
