A scale run: hollow daemons beside real recorders, slopes by one command

Ruled out: wall time (the machine is shared), real edges alone (540 take 40 GB), a fit by a library (twelve lines, and the lock file is others' work now).

--- a/src/rehearsal/fleet.ts
+++ b/src/rehearsal/fleet.ts
@@ -35,7 +35,7 @@
 const readyEveryMs = 200;
 
 /** Ports that nobody listens on now. */
-const freePorts = async (count: number): Promise<number[]> => {
+export const freePorts = async (count: number): Promise<number[]> => {
   const servers = await Promise.all(
     Array.from(
       { length: count },
--- /dev/null
+++ b/src/rehearsal/scaleWire.ts
@@ -0,0 +1,74 @@
+import { Clock } from "../runtime/clock.js";
+import { Holding } from "../runtime/holding.js";
+import { Task } from "../runtime/task.js";
+import type { Channel, Wire } from "../runtime/wire.js";
+
+/** What went over a wire. */
+export interface WireTally {
+  bytesIn: number;
+  bytesOut: number;
+  messagesIn: number;
+  messagesOut: number;
+}
+
+/** A wire that counts what goes over it and takes longer by what the places are apart. */
+export class ScaleWire implements Wire {
+  readonly tally: WireTally = { bytesIn: 0, bytesOut: 0, messagesIn: 0, messagesOut: 0 };
+  private readonly inner: Wire;
+  private readonly clock: Clock;
+  private readonly oneWayMs: (address: string) => number;
+
+  constructor(inner: Wire, clock: Clock, oneWayMs: (address: string) => number) {
+    this.inner = inner;
+    this.clock = clock;
+    this.oneWayMs = oneWayMs;
+  }
+
+  *connect(address: string): Task<Channel | undefined> {
+    const waitMs = this.oneWayMs(address);
+    if (waitMs > 0) yield* Clock.rest(this.clock, 2 * waitMs);
+    const channel = yield* this.inner.connect(address);
+    return channel && this.counted(channel, waitMs);
+  }
+
+  *listen(address: string, accept: (channel: Channel) => void): Task {
+    yield* this.inner.listen(address, (channel) => accept(this.counted(channel, 0)));
+  }
+
+  private counted(channel: Channel, waitMs: number): Channel {
+    const { tally } = this;
+    const incoming = new Holding<Uint8Array | "closed">();
+    const [away, back] = [this.inOrder(waitMs), this.inOrder(waitMs)];
+    const pump = function* (): Task {
+      for (;;) {
+        const piece = yield* channel.incoming.take();
+        back(() => incoming.put(piece));
+        if (piece === "closed") return;
+        tally.bytesIn += piece.length;
+        tally.messagesIn += 1;
+      }
+    };
+    Task.start(pump(), (error) => {
+      throw error;
+    });
+    return {
+      incoming,
+      send(bytes) {
+        tally.bytesOut += bytes.length;
+        tally.messagesOut += 1;
+        away(() => channel.send(bytes));
+      },
+      close: () => away(() => channel.close()),
+    };
+  }
+
+  /** Runs what it is handed a while later, in the order in which it came. */
+  private inOrder(waitMs: number): (run: () => void) => void {
+    if (waitMs <= 0) return (run) => run();
+    const waiting: Array<() => void> = [];
+    return (run) => {
+      waiting.push(run);
+      this.clock.after(waitMs, () => waiting.shift()?.());
+    };
+  }
+}
--- /dev/null
+++ b/test/rehearsal/scale.test.ts
@@ -0,0 +1,162 @@
+import { expect, test } from "vitest";
+import { Bounds } from "../../src/machine/bounds.js";
+import { Gate } from "../../src/rehearsal/gate.js";
+import { HollowDaemon } from "../../src/rehearsal/scaleHollow.js";
+import { ScaleLine } from "../../src/rehearsal/scaleLine.js";
+import { ScaleSpec } from "../../src/rehearsal/scaleSpec.js";
+import { ScaleWire } from "../../src/rehearsal/scaleWire.js";
+import { virtualWorld } from "../../src/rehearsal/virtualWorld.js";
+import { Task } from "../../src/runtime/task.js";
+import { FleetStage } from "../record/fleetStage.js";
+
+const spread = { zones: 8, regions: 2 };
+const many = 24;
+const services = 3;
+
+interface Hollow {
+  readonly daemon: HollowDaemon;
+  readonly gate: Gate;
+  readonly wire: ScaleWire;
+  readonly name: string;
+}
+
+const hollows = (stage: FleetStage, count: number): Hollow[] =>
+  Array.from({ length: count }, (_, at) => {
+    const zone = ScaleSpec.zone(at, spread);
+    const gate = new Gate();
+    const clock = gate.clock(stage.time.clock());
+    const name = `hollow-${at}`;
+    const wire = new ScaleWire(stage.network.wire(name, gate), clock, () => ScaleSpec.oneWayMs(zone, "zone-1", spread));
+    const world = virtualWorld({ clock, wire, random: stage.random });
+    const daemon = new HollowDaemon(world, { machine: name, zone, peer: `10.9.0.${at + 1}:7000` }, [stage.at(0).peer], Bounds.of({}));
+    daemon.start();
+    return { daemon, gate, wire, name };
+  });
+
+const run = (task: Task<unknown>): void =>
+  Task.start(task, (error) => {
+    throw error;
+  });
+
+const sumOf = (all: readonly Hollow[], of: (one: Hollow) => number): number => all.reduce((sum, one) => sum + of(one), 0);
+
+test("hollow daemons beside real recorders poll, push and take views as counted", () => {
+  const stage = new FleetStage(["d:zone-1", "d:zone-2", "d:zone-3"], [0, 1, 2]);
+  stage.bootAll();
+  stage.wait(4000);
+  const all = hollows(stage, many);
+  stage.until(() => all.every(({ daemon }) => daemon.view.isGranted), 5000);
+  expect(all.filter(({ daemon }) => daemon.view.isGranted)).toHaveLength(many);
+  stage.wait(6000);
+
+  const before = { polls: sumOf(all, ({ daemon }) => daemon.view.polls), grants: sumOf(all, ({ daemon }) => daemon.view.grants), out: sumOf(all, ({ wire }) => wire.tally.messagesOut), back: sumOf(all, ({ wire }) => wire.tally.messagesIn) };
+  stage.wait(4000);
+  const polls = sumOf(all, ({ daemon }) => daemon.view.polls) - before.polls;
+  const out = sumOf(all, ({ wire }) => wire.tally.messagesOut) - before.out;
+  expect(polls).toBeGreaterThan(many * 17);
+  expect(polls).toBeLessThanOrEqual(many * 21);
+  expect(Math.abs(polls - (sumOf(all, ({ daemon }) => daemon.view.grants) - before.grants))).toBeLessThanOrEqual(many);
+  // Nothing goes out but polls and one push every two seconds.
+  expect(out - polls).toBeGreaterThanOrEqual(many);
+  expect(out - polls).toBeLessThanOrEqual(many * 3);
+  expect(Math.abs(out - (sumOf(all, ({ wire }) => wire.tally.messagesIn) - before.back))).toBeLessThanOrEqual(2 * many);
+  expect(Math.max(...all.map(({ daemon }) => daemon.coverage))).toBe(many);
+});
+
+test("configs reach hollow daemons in order, and the silent are noted: machines by name, back ends by number", () => {
+  const stage = new FleetStage(["d:zone-1", "d:zone-2", "d:zone-3"], [0, 1, 2]);
+  stage.bootAll();
+  stage.wait(4000);
+  const all = hollows(stage, many);
+  stage.until(() => all.every(({ daemon }) => daemon.view.isGranted), 5000);
+
+  const backEnds = Array.from({ length: 30 }, (_, at) => ({ address: `10.8.0.${at + 1}:80`, service: ScaleSpec.service(at, { services }), zone: ScaleSpec.zone(at, spread) }));
+  const announcing = new Set(backEnds);
+  const heard = { known: 0, unknown: 0 };
+  const announce = function* (at: number): Task {
+    const backEnd = backEnds[at];
+    if (!backEnd) return;
+    for (let round = 0; announcing.has(backEnd); round += 1) {
+      const daemon = all[(at + round) % (many - 6)]?.daemon;
+      if (daemon && (yield* daemon.hear(backEnd))) heard.known += 1;
+      else heard.unknown += 1;
+      yield* Task.wait<boolean>((done) => stage.time.clock().after(1000, () => done(true)));
+    }
+  };
+  for (const at of backEnds.keys()) run(announce(at));
+  const known = ({ daemon }: Hollow): number => daemon.view.services.reduce((sum, service) => sum + daemon.view.backEnds(service).length, 0);
+  stage.until(() => all.every((one) => known(one) === backEnds.length), 8000);
+  expect(all.map(known)).toEqual(all.map(() => backEnds.length));
+
+  const seen = new Map(all.map(({ name }) => [name, [0]]));
+  for (let sequence = 1; sequence <= 3; sequence += 1) {
+    const first = all[sequence];
+    if (first) run(first.daemon.order({ kind: "put", changeId: `change-${sequence}`, value: ScaleSpec.config({ services, routes: 9 }, sequence) }));
+    stage.until(() => {
+      for (const { name, daemon } of all) {
+        const one = seen.get(name);
+        if (one && one.at(-1) !== daemon.view.configSequence) one.push(daemon.view.configSequence);
+      }
+      return all.every(({ daemon }) => daemon.view.configSequence === sequence);
+    }, 5000);
+  }
+  expect([...seen.values()]).toEqual(all.map(() => [0, 1, 2, 3]));
+
+  const lost = all.slice(-6);
+  for (const { gate } of lost) gate.kill();
+  for (const gone of backEnds.slice(0, 4)) announcing.delete(gone);
+  stage.wait(9000);
+  const silent = stage.lines.filter((line) => line.includes("A machine fell silent."));
+  expect(lost.filter(({ name }) => silent.some((line) => line.includes(`"${name}"`)))).toHaveLength(lost.length);
+  expect(silent).toHaveLength(lost.length);
+  const left = all.slice(0, -6);
+  expect(left.map(known)).toEqual(left.map(() => backEnds.length - 4));
+  expect(heard.unknown).toBe(0);
+});
+
+test("a delayed wire keeps the order of what it carries and counts it", () => {
+  const stage = new FleetStage([], []);
+  const clock = stage.time.clock();
+  const gate = new Gate();
+  const far = new ScaleWire(stage.network.wire("far", gate), clock, () => 0);
+  const near = new ScaleWire(stage.network.wire("near", gate), clock, () => 30);
+  const got: string[] = [];
+  run(
+    far.listen("10.0.0.9:1", (channel) => {
+      const hear = function* (): Task {
+        for (;;) {
+          const piece = yield* channel.incoming.take();
+          if (piece === "closed") return;
+          got.push(Buffer.from(piece).toString());
+          channel.send(piece);
+        }
+      };
+      run(hear());
+    }),
+  );
+  const back: string[] = [];
+  const speak = function* (): Task {
+    const channel = yield* near.connect("10.0.0.9:1");
+    if (!channel) return;
+    for (const word of ["a", "bb", "ccc"]) channel.send(Buffer.from(word));
+    for (;;) {
+      const piece = yield* channel.incoming.take();
+      if (piece === "closed") return;
+      back.push(Buffer.from(piece).toString());
+    }
+  };
+  run(speak());
+  stage.wait(60);
+  expect(got).toEqual([]);
+  stage.wait(2000);
+  expect(got).toEqual(["a", "bb", "ccc"]);
+  expect(back).toEqual(["a", "bb", "ccc"]);
+  expect(near.tally).toEqual({ bytesIn: 6, bytesOut: 6, messagesIn: 3, messagesOut: 3 });
+});
+
+test("a line through points has their slope, and the error of what lies off it", () => {
+  expect(ScaleLine.fit([[1, 5], [2, 7], [4, 11]])).toEqual({ slope: 2, start: 3, error: 0 });
+  const { slope, error } = ScaleLine.fit([[0, 0], [1, 2], [2, 1]]);
+  expect(slope).toBeCloseTo(0.5);
+  expect(error).toBeCloseTo(0.866, 2);
+});
