--- a/src/door/door.ts
+++ b/src/door/door.ts
@@ -269,15 +269,16 @@
       const { service } = passage;
       if (passage.claim && nowMs >= passage.claim.sendUntilMs) return giveUp("The key's claim is too old to send under.");
       if (nowMs + (attempts > 0 ? leastLeftMs : 0) >= passage.untilMs) return giveUp(`No back end of ${service} took this in time.`);
-      const contract = this.shares.pick(this.view.backEnds(service), tried, mapping.inHandLimit, nowMs);
+      const contract = this.shares.pick(this.view.backEnds(service), tried, mapping.inHandLimit, nowMs, mapping.name);
       if (!contract) return giveUp(`No back end of ${service} can take this now.`);
       const isFurther = sends > 0;
       if (isFurther) {
         further += 1;
         const mayRepeat = worst === undefined || mapping.repeatable;
         if (!mayRepeat || passage.isSpent || further > mapping.furtherTries || passage.caller.isGone) return giveUp("No further try is allowed.");
-        this.counts.hurry();
-        const leave = this.budget.take(service, this.counts.leave(service), nowMs);
+        const left = this.counts.leave(service);
+        if (left === undefined || left.taken + 2 > left.part) this.counts.hurry();
+        const leave = this.budget.take(service, left, nowMs);
         if (leave !== "granted") {
           this.tally.furtherRefused[leave] += 1;
           return giveUp("The budget of further tries is spent.");
@@ -286,7 +287,7 @@
       tried.add(contract.address);
       const { ending, isSent } = yield* this.attempt(passage, mapping, contract, isFurther);
       const isFailure = typeof ending.ret !== "string" && ending.ret.code >= 500;
-      if (ending.why === "" && !(isFailure && mapping.repeatable)) return ending;
+      if (ending.why === "" && !(isFailure && mapping.repeatable && this.shares.isFailing(contract))) return ending;
       if (isSent) sends += 1;
       if (ending.verdict !== "neverRan") worst = ending;
       if (!isSent && isFurther) {
@@ -334,7 +335,7 @@
     const id = passage.id ?? `${service}/${this.incarnation}-${this.tries}`;
     const untilMs = this.dialect.deadline === undefined ? startedMs + mapping.giveUpMs : passage.untilMs;
     const { method, target, body, rest } = passage.job;
-    this.shares.began(contract, startedMs);
+    this.shares.began(contract, startedMs, mapping.name);
     const opened = yield* this.backEnds.send({
       address: contract.address,
       service,
@@ -352,7 +353,8 @@
     const ending = yield* this.receive(passage, mapping, contract, opened, id);
     const nowMs = clock.nowMs();
     const whole = typeof ending.ret === "string" ? ending.ret === "streamed" : ending.why === "" && ending.ret.code < 500;
-    this.shares.ended(contract, nowMs - startedMs, whole, mapping.goalMs, nowMs);
+    const bytes = typeof ending.ret === "string" ? undefined : ending.ret.body.length;
+    this.shares.ended(contract, { tookMs: nowMs - startedMs, isWhole: whole, goalMs: mapping.goalMs, route: mapping.name, bytes: whole ? bytes : undefined }, nowMs);
     return { ending, isSent };
   }
 
--- a/src/zone/shares.ts
+++ b/src/zone/shares.ts
@@ -3,8 +3,13 @@
 /** What one daemon sees of one back end. */
 interface Sight {
   latencyMs: number;
+  /** How long it takes against what its requests' routes usually take; 1 where it is as fast as the others. */
+  pace: number;
   breakdownRate: number;
   inHand: number;
+  /** Since when nothing has ended there though something is in hand, and how long that is nothing unusual. */
+  quietSinceMs: number;
+  patientMs: number;
   avoidUntilMs: number;
   streak: number;
   share: number;
@@ -18,15 +23,44 @@
 const leastWarmth = 0.05;
 const steerMs = 500;
 const leastShare = 0.1;
+/** More than one failure in ten, one after the other. */
+const failingRate = 0.15;
 const farFactor = 0.4;
+/** What a KiB of a response costs on its way from another zone, as if it came later. */
+const farKibMs = 1;
+/** How large a route's responses are taken to be until one was seen. */
+const unseenBytes = 32 * 1024;
+const knownRoutes = 4096;
+/** How much longer than usual a back end may be silent with work in hand. */
+const patience = { times: 3, spareMs: 150, unseenMs: 500 };
+const paceRate = 0.2;
+const routeRate = 0.05;
 /** How often the share alone decides, so that a back end that got better is seen again. */
 const lookAgain = 0.05;
 
+/** What one daemon sees of one route's requests, whichever back end has them. */
+interface Usual {
+  tookMs: number;
+  bytes: number;
+}
+
+/** One try that has ended, as shares learn from it. */
+export interface Ended {
+  readonly tookMs: number;
+  readonly isWhole: boolean;
+  readonly goalMs: number;
+  readonly route?: string;
+  /** How large the response was, where there was a whole one. */
+  readonly bytes?: number | undefined;
+}
+
 /** How much of a service's traffic each back end takes from this daemon, steered toward the goals. */
 export class Shares {
   private readonly zone: string;
   private readonly random: () => number;
   private readonly sights = new Map<string, Sight>();
+  private known = new WeakMap<Contract, Sight>();
+  private readonly usuals = new Map<string, Usual>();
 
   constructor(zone: string, random: () => number) {
     this.zone = zone;
@@ -34,21 +68,23 @@
   }
 
   /** Chooses a back end: of two drawn by share, the one that should be done sooner. */
-  pick(contracts: readonly Contract[], tried: ReadonlySet<string>, inHandLimit: number, nowMs: number): Contract | undefined {
+  pick(contracts: readonly Contract[], tried: ReadonlySet<string>, inHandLimit: number, nowMs: number, route = ""): Contract | undefined {
     const open = contracts.filter((contract) => !tried.has(contract.address) && this.sight(contract, nowMs).inHand < inHandLimit);
-    const well = open.filter((contract) => this.sight(contract, nowMs).avoidUntilMs <= nowMs);
+    const well = open.filter((contract) => this.isWell(this.sight(contract, nowMs), nowMs));
     const from = well.length > 0 ? well : open;
-    const first = this.draw(from, nowMs);
-    const second = this.draw(
-      from.filter((contract) => contract !== first),
-      nowMs,
-    );
+    const weights = from.map((contract) => this.weight(contract, nowMs));
+    const first = this.draw(from, weights, undefined);
+    const second = this.draw(from, weights, first);
     if (!first || !second || this.random() < lookAgain) return first;
-    return this.costMs(first, nowMs) <= this.costMs(second, nowMs) ? first : second;
+    const usual = this.usuals.get(route);
+    return this.costMs(first, usual, nowMs) <= this.costMs(second, usual, nowMs) ? first : second;
   }
 
-  began(contract: Contract, nowMs: number): void {
+  began(contract: Contract, nowMs: number, route = ""): void {
     const sight = this.sight(contract, nowMs);
+    const patientMs = patience.times * (this.usuals.get(route)?.tookMs ?? patience.unseenMs) + patience.spareMs;
+    sight.patientMs = sight.inHand === 0 ? patientMs : Math.max(sight.patientMs, patientMs);
+    if (sight.inHand === 0) sight.quietSinceMs = nowMs;
     sight.inHand += 1;
     sight.tries += 1;
   }
@@ -60,9 +96,16 @@
   }
 
   /** Learns from how a try ended: whole within some time, or not. */
-  ended(contract: Contract, tookMs: number, whole: boolean, goalMs: number, nowMs: number): void {
+  ended(contract: Contract, { tookMs, isWhole: whole, goalMs, route = "", bytes }: Ended, nowMs: number): void {
     const sight = this.sight(contract, nowMs);
     sight.inHand = Math.max(0, sight.inHand - 1);
+    sight.quietSinceMs = nowMs;
+    const usual = this.usualOf(route, tookMs);
+    if (whole) {
+      usual.tookMs += (tookMs - usual.tookMs) * routeRate;
+      if (bytes !== undefined) usual.bytes += (bytes - usual.bytes) * (usual.bytes === unseenBytes ? 1 : routeRate);
+    }
+    sight.pace += (tookMs / Math.max(1, usual.tookMs) - sight.pace) * paceRate;
     sight.latencyMs += (tookMs - sight.latencyMs) * 0.2;
     sight.breakdownRate += ((whole ? 0 : 1) - sight.breakdownRate) * 0.1;
     sight.streak = whole ? 0 : sight.streak + 1;
@@ -75,6 +118,16 @@
     sight.share = share;
   }
 
+  /** Whether nothing speaks against a back end: no failures in a row, and no silence that is longer than its requests usually take. */
+  private isWell({ avoidUntilMs, inHand, quietSinceMs, patientMs }: Sight, nowMs: number): boolean {
+    return avoidUntilMs <= nowMs && (inHand === 0 || nowMs - quietSinceMs <= patientMs);
+  }
+
+  /** Whether a back end fails so often that its failures are its own rather than its requests'. */
+  isFailing(contract: Contract): boolean {
+    return (this.sights.get(this.key(contract))?.breakdownRate ?? 0) > failingRate;
+  }
+
   /** Why each back end has its share, a line each. */
   explain(contracts: readonly Contract[], nowMs: number): Array<{ address: string; zone: string; share: number; latencyMs: number; inHand: number; tries: number; why: string }> {
     return contracts.map((contract) => {
@@ -84,7 +137,7 @@
       if (this.warmth(contract, sight, nowMs) < 1) reasons.push("still warming up");
       if (sight.avoidUntilMs > nowMs) reasons.push(`avoided after ${sight.streak} breakdowns in a row`);
       const why = reasons.filter(Boolean).join("; ") || "meets its goal";
-      return { address: contract.address, zone: contract.zone, share: Number(this.weight(contract, nowMs).toFixed(3)), latencyMs: Math.round(sight.latencyMs), inHand: sight.inHand, tries: sight.tries, why };
+      return { address: contract.address, zone: contract.zone, share: Number((this.weight(contract, nowMs) * (contract.zone === this.zone ? 1 : farFactor)).toFixed(3)), latencyMs: Math.round(sight.latencyMs), inHand: sight.inHand, tries: sight.tries, why };
     });
   }
 
@@ -98,6 +151,7 @@
   keepOnly(contracts: Iterable<Contract>): void {
     const known = new Set([...contracts].map((contract) => this.key(contract)));
     for (const key of this.sights.keys()) if (!known.has(key)) this.sights.delete(key);
+    this.known = new WeakMap();
   }
 
   private key(contract: Contract): string {
@@ -105,14 +159,24 @@
   }
 
   private sight(contract: Contract, nowMs: number): Sight {
+    const seen = this.known.get(contract);
+    if (seen) return seen;
     const key = this.key(contract);
-    const known = this.sights.get(key);
-    if (known) return known;
-    const sight = { latencyMs: 20, breakdownRate: 0, inHand: 0, avoidUntilMs: 0, streak: 0, share: 1, sinceMs: nowMs, tries: 0, steeredMs: nowMs, why: "" };
+    const sight = this.sights.get(key) ?? { latencyMs: 20, pace: 1, breakdownRate: 0, inHand: 0, quietSinceMs: 0, patientMs: 0, avoidUntilMs: 0, streak: 0, share: 1, sinceMs: nowMs, tries: 0, steeredMs: nowMs, why: "" };
     this.sights.set(key, sight);
+    this.known.set(contract, sight);
     return sight;
   }
 
+  private usualOf(route: string, tookMs: number): Usual {
+    const seen = this.usuals.get(route);
+    if (seen) return seen;
+    if (this.usuals.size >= knownRoutes) this.usuals.clear();
+    const usual = { tookMs, bytes: unseenBytes };
+    this.usuals.set(route, usual);
+    return usual;
+  }
+
   private warmth(contract: Contract, sight: Sight, nowMs: number): number {
     const sinceMs = nowMs - sight.sinceMs;
     if (contract.instance === "") return Math.min(1, Math.max(leastWarmth, contract.warmth, sinceMs / warmUpMs));
@@ -121,21 +185,29 @@
 
   private weight(contract: Contract, nowMs: number): number {
     const sight = this.sight(contract, nowMs);
-    return sight.share * this.warmth(contract, sight, nowMs) * (contract.zone === this.zone ? 1 : farFactor);
+    return sight.share * this.warmth(contract, sight, nowMs);
   }
 
-  private costMs(contract: Contract, nowMs: number): number {
+  /** When a request would be done there, as far as is seen here; a far one costs what its response's way costs. */
+  private costMs(contract: Contract, usual: Usual | undefined, nowMs: number): number {
     const sight = this.sight(contract, nowMs);
-    return ((sight.latencyMs + 1) * (sight.inHand + 1)) / this.weight(contract, nowMs);
+    const queued = 1 + sight.inHand / Math.max(1, contract.capacity);
+    const farMs = contract.zone === this.zone ? 0 : ((usual?.bytes ?? unseenBytes) / 1024) * farKibMs;
+    return ((usual?.tookMs ?? sight.latencyMs) * sight.pace * queued) / this.weight(contract, nowMs) + farMs;
   }
 
-  private draw(contracts: readonly Contract[], nowMs: number): Contract | undefined {
-    const weights = contracts.map((contract) => this.weight(contract, nowMs));
-    let left = this.random() * weights.reduce((sum, weight) => sum + weight, 0);
+  /** One by its weight, another than `but`. */
+  private draw(contracts: readonly Contract[], weights: readonly number[], but: Contract | undefined): Contract | undefined {
+    let sum = 0;
+    for (const [at, weight] of weights.entries()) if (contracts[at] !== but) sum += weight;
+    let left = this.random() * sum;
+    let last: Contract | undefined;
     for (const [at, contract] of contracts.entries()) {
+      if (contract === but) continue;
+      last = contract;
       left -= weights[at] ?? 0;
-      if (left <= 0) return contract;
+      if (left <= 0) break;
     }
-    return contracts.at(-1);
+    return last;
   }
 }
--- a/test/zone/shares.test.ts
+++ b/test/zone/shares.test.ts
@@ -13,7 +13,7 @@
     if (!one) throw new Error("nothing was picked");
     taken.set(one.address, (taken.get(one.address) ?? 0) + 1);
     shares.began(one, nowMs);
-    shares.ended(one, one.address === "slow" ? 400 : 20, one.address !== "failing", 100, nowMs);
+    shares.ended(one, { tookMs: one.address === "slow" ? 400 : 20, isWhole: one.address !== "failing", goalMs: 100 }, nowMs);
   }
   const well = taken.get("well") ?? 0;
   for (const other of ["slow", "failing", "far"]) expect(well).toBeGreaterThan(2 * (taken.get(other) ?? 0));
