A first try's claim is refused early; far responses are dearer

Cause: without a leader a write was refused after a quarter of the time it had: too late for half the worth on its caller's next try. Ruled out: holding first tries for the leader (late at best).

--- a/src/door/door.ts
+++ b/src/door/door.ts
@@ -51,8 +51,13 @@
 const attemptLimit = 8;
 /** How much time must be left for another back end to be tried. */
 const leastLeftMs = 15;
-/** When callers had better come back: at once to another daemon, soon, or once the fleet has settled. */
-const after = { elsewhere: 20, soon: 100, settled: 250 };
+/** When callers had better come back: at once to another daemon, soon, once the fleet has settled, or once it has a leader again. */
+const after = { elsewhere: 20, soon: 100, settled: 250, led: 400 };
+/** A caller that has less than this part of its route's time left has tried before. */
+const firstTryPart = 0.8;
+/** Which part of a route's goal a first try's claim may take; a refusal later than a quarter of the goal leaves no time for another. */
+const claimGoalPart = 0.2;
+const leastClaimMs = 40;
 
 /** Headers that belong to one connection and are never passed on. */
 const hopHeaders = new Set(["connection", "keep-alive", "proxy-authenticate", "proxy-authorization", "te", "trailer", "transfer-encoding", "upgrade", "content-length", "expect", "proxy-connection"]);
@@ -127,7 +132,7 @@
     this.incarnation = incarnation;
     this.dialect = dialect;
     this.staleMs = staleMs;
-    this.keys = new Keys(world, ferry, incarnation, dialect.tellsParts ? after.settled : undefined);
+    this.keys = new Keys(world, ferry, incarnation, dialect.tellsParts ? after.led : undefined);
     this.log = world.logbook.part("door");
   }
 
@@ -229,7 +234,7 @@
     if (key === undefined) return isKeyed ? Ending.refusal(400, `This route wants the header ${header}.`) : yield* rest();
     if (key.length === 0 || key.length > 200) return Ending.refusal(400, "A key has 1 to 200 characters.");
     if (!this.view.isGranted) return Ending.drop("This daemon's view is not proven fresh.", after.settled);
-    const claim = yield* this.keys.claim(job, key, passage.untilMs);
+    const claim = yield* this.keys.claim(job, key, passage.untilMs, mapping && this.claimMs(passage, mapping));
     if ("verdict" in claim) return claim;
     passage.claim = claim;
     const ending = yield* rest();
@@ -249,6 +254,13 @@
     return Number.isFinite(told) && told > 0 ? Math.min(told, mapping.giveUpMs) : mapping.giveUpMs;
   }
 
+  /** How long a claim may take. A first try is refused early, so that its caller still has time to come back; one that came back waits. */
+  private claimMs({ arrivedMs, untilMs }: Passage, { giveUpMs, goalMs }: Mapping): number | undefined {
+    if (this.dialect.deadline === undefined) return undefined;
+    const givenMs = untilMs - arrivedMs;
+    return givenMs < giveUpMs * firstTryPart ? givenMs : Math.max(leastClaimMs, goalMs * claimGoalPart);
+  }
+
   /** Whether this daemon's view lets a request be sent on. */
   private mayServe(mapping: Mapping): boolean {
     return this.view.isGranted || (mapping.repeatable && this.view.lapsedMs < this.staleMs);
--- a/src/door/keys.ts
+++ b/src/door/keys.ts
@@ -17,7 +17,7 @@
 
 const claimWaitMs = 2500;
 /** Which part of the time that is left a claim may take. */
-const claimPart = 0.25;
+const claimPart = 0.5;
 const sendMs = 3000;
 const inHandWaitMs = 1500;
 const settleMs = 8000;
@@ -47,7 +47,7 @@
   }
 
   /** Claims a request's key; an ending where another holds it or nobody can tell. */
-  *claim(job: Job, key: string, untilMs = Infinity): Task<Claim | Ending> {
+  *claim(job: Job, key: string, untilMs = Infinity, mostMs = claimWaitMs): Task<Claim | Ending> {
     const { clock } = this.world;
     const startedMs = clock.nowMs();
     this.claims += 1;
@@ -56,7 +56,7 @@
     const name = `${this.incarnation}/${this.claims}`;
     for (;;) {
       const askedMs = clock.nowMs();
-      const waitMs = Math.min(claimWaitMs, (untilMs - askedMs) * claimPart);
+      const waitMs = Math.min(mostMs, (untilMs - askedMs) * claimPart);
       const text = yield* this.ferry.command({ kind: "claim", scope, bodyHash, job: name }, waitMs);
       if (text === undefined) {
         this.release({ scope, job: name });
--- a/src/zone/shares.ts
+++ b/src/zone/shares.ts
@@ -27,7 +27,7 @@
 const failingRate = 0.15;
 const farFactor = 0.4;
 /** What a KiB of a response costs on its way from another zone, as if it came later. */
-const farKibMs = 1;
+const farKibMs = 6;
 /** How large a route's responses are taken to be until one was seen. */
 const unseenBytes = 32 * 1024;
 const knownRoutes = 4096;
