Long configs and orders travel packed; a config's limits reach callers; hold bounded

A config's limits reached the control port alone. With long leases a poll was held for longer than its sender waits. Ruled out: the record (its leader was steady from 4 s on); an invalid config (put answered 504).

--- a/src/contract/ferry.ts
+++ b/src/contract/ferry.ts
@@ -16,6 +16,8 @@
 }
 
 const oneAskMs = 700;
+/** How many bytes of a command a slow link takes in a millisecond at the least. */
+const slowBytesMs = 100;
 /** How long one that isn't known to lead is waited for, before another is asked too. */
 const strangerMs = 200;
 /** How long one that was silent is asked after the others only. */
@@ -86,7 +88,7 @@
   private *ferryOn(kind: typeof Kind.command | typeof Kind.poll, leader: string, text: string, leadership: Leadership): Task<Returned | undefined> {
     const { clock } = this.world;
     const ended = new Holding<Returned>();
-    World.start(this.world, "contract", this.link.ask(leader, kind, { ferried: true, text }, oneAskMs), (ret) => ended.put(ret ?? { leader, text: breakdownReturn("unknown") }));
+    World.start(this.world, "contract", this.link.ask(leader, kind, { ferried: true, text }, oneAskMs + text.length / slowBytesMs), (ret) => ended.put(ret ?? { leader, text: breakdownReturn("unknown") }));
     for (;;) {
       const ret = yield* ended.takeUntil(clock, clock.nowMs() + lookMs);
       if (ret) return ret;
@@ -159,7 +161,7 @@
     for (;;) {
       const leftMs = untilMs - this.world.clock.nowMs();
       if (leftMs <= 0) return undefined;
-      const ret = yield* this.once(Kind.command, text, Math.min(oneAskMs, leftMs));
+      const ret = yield* this.once(Kind.command, text, Math.min(oneAskMs + text.length / slowBytesMs, leftMs));
       if (ret !== undefined) return ret;
       yield* Clock.rest(this.world.clock, Math.min(40, Math.max(0, untilMs - this.world.clock.nowMs())));
     }
--- a/src/contract/order.ts
+++ b/src/contract/order.ts
@@ -2,6 +2,7 @@
 import { FrameError } from "../link/frame.js";
 import { kindOf } from "../runtime/kindOf.js";
 import { Contract } from "../record/book.js";
+import { Packed } from "../runtime/packed.js";
 import { passes, quick } from "../runtime/quick.js";
 import { array, boolean, create, define, literal, number, object, optional, record, string, type, union, unknown, type Infer } from "superstruct";
 
@@ -47,16 +48,35 @@
 
 const isOrderKind = (kind: string): kind is keyof typeof orderShapes => Object.hasOwn(orderShapes, kind);
 
+/** How long a text may be and still travel as it is. */
+export const longText = 4096;
+
+const isPacked = (value: unknown): value is { packed: string } => typeof value === "object" && value !== null && "packed" in value && typeof value.packed === "string";
+
+const unpacked = (packed: string): unknown => {
+  try {
+    const value: unknown = JSON.parse(Packed.text(packed));
+    return value;
+  } catch (error) {
+    throw new FrameError("A packed command can't be read.", { cause: error });
+  }
+};
+
 const isOrder = (kind: keyof typeof orderShapes, value: unknown): value is Order => passes(orderShapes[kind], value);
 
 export const Order = {
   read(text: string): Order {
-    const value: unknown = JSON.parse(text);
+    const outer: unknown = JSON.parse(text);
+    const value = isPacked(outer) ? unpacked(outer.packed) : outer;
     const kind = kindOf(value);
     if (!isOrderKind(kind)) throw new FrameError(`No command is of the kind "${kind}".`);
     return isOrder(kind, value) ? value : orderShapes[kind].create(value);
   },
-  text: (order: Order): string => JSON.stringify(order),
+  /** As it travels; a long one is packed, since links of small machines are slow. */
+  text(order: Order): string {
+    const text = JSON.stringify(order);
+    return text.length > longText ? JSON.stringify({ packed: Packed.of(text) }) : text;
+  },
 };
 
 const machineShape = object({
@@ -97,6 +117,8 @@
   announceMs: optional(number()),
   configSequence: number(),
   config: optional(string()),
+  /** The same, packed where it is long. */
+  packedConfig: optional(string()),
   /** The numbers of the services and routes that the config names. */
   numbers: optional(numbersShape),
   directorySequence: number(),
--- a/src/contract/registry.ts
+++ b/src/contract/registry.ts
@@ -2,6 +2,7 @@
 import { Clock } from "../runtime/clock.js";
 import { Holding } from "../runtime/holding.js";
 import type { PartLog } from "../runtime/logbook.js";
+import { Packed } from "../runtime/packed.js";
 import { Task } from "../runtime/task.js";
 import { World } from "../runtime/world.js";
 import type { AcceptedConfig, Book, Contract } from "../record/book.js";
@@ -9,7 +10,7 @@
 import type { Recorder } from "../record/recorder.js";
 import type { CapacityGrants } from "./capacityGrants.js";
 import { amend, Config, mergePatch } from "./config.js";
-import { breakdownReturn, isBreakdown, Order, Poll, type ChangeOrder, type GrantedView, type Machine } from "./order.js";
+import { longText, breakdownReturn, isBreakdown, Order, Poll, type ChangeOrder, type GrantedView, type Machine } from "./order.js";
 
 /** The waits by which the leader keeps contracts, keys and grants. */
 export interface Terms {
@@ -276,7 +277,8 @@
     const sequence = inForce?.sequence ?? 0;
     if (this.configText.sequence !== sequence) {
       const numbers = this.book.numbering.inForce;
-      const text = inForce ? `"config":${JSON.stringify(inForce.text)},"numbers":${JSON.stringify(Object.fromEntries(numbers))}` : "";
+      const config = inForce && inForce.text.length > longText ? `"packedConfig":"${Packed.of(inForce.text)}"` : `"config":${JSON.stringify(inForce?.text ?? "")}`;
+      const text = inForce ? `${config},"numbers":${JSON.stringify(Object.fromEntries(numbers))}` : "";
       this.configText = { sequence, text, services: [...numbers.keys()].filter((name) => name.startsWith("service ")).map((name) => name.slice(8)) };
     }
     return this.configText;
--- a/src/contract/view.ts
+++ b/src/contract/view.ts
@@ -2,6 +2,7 @@
 import { Clock } from "../runtime/clock.js";
 import { Holding } from "../runtime/holding.js";
 import type { PartLog } from "../runtime/logbook.js";
+import { Packed } from "../runtime/packed.js";
 import type { Task } from "../runtime/task.js";
 import type { World } from "../runtime/world.js";
 import type { Contract } from "../record/book.js";
@@ -51,6 +52,8 @@
   private announceMs = 1000;
   /** Hears of all contracts whenever the directory has changed. */
   onDirectory: (contracts: readonly Contract[]) => void = () => undefined;
+  /** Hears of each config that comes into force here. */
+  onConfig: (mappings: Mappings) => void = () => undefined;
   /** The newest change of the directory that is known here. */
   directorySequence = -1;
   private readonly reader = new ConfigReader();
@@ -185,9 +188,11 @@
       this.log.warn("A view older than the one in hand was refused.", { sequence: view.configSequence });
       return;
     }
-    if (view.config !== undefined && view.configSequence > this.configSequence) {
-      this.mappings = new Mappings(this.reader.read(view.config));
+    const config = view.config ?? (view.packedConfig === undefined ? undefined : Packed.text(view.packedConfig));
+    if (config !== undefined && view.configSequence > this.configSequence) {
+      this.mappings = new Mappings(this.reader.read(config));
       this.configSequence = view.configSequence;
+      this.onConfig(this.mappings);
     }
     if (view.numbers) {
       this.numbers = new Map(Object.entries(view.numbers));
--- a/src/machine/bounds.ts
+++ b/src/machine/bounds.ts
@@ -27,6 +27,8 @@
 };
 const usualHeartbeatMs = 1000;
 
+/** How long a poll is held at most; who asks waits longer. */
+const mostHoldMs = 320;
 /** Which part of a bound a lease may last; the rest is for what is under way. */
 const leasePart = 0.8;
 const leastBoundMs = 600;
@@ -103,7 +105,7 @@
         announceMs: heartbeatMs,
         // What one daemon hears reaches the leader with its polls.
         lapseMs: 3.5 * heartbeatMs + 2 * pollMs,
-        holdMs: leaseMs / 5,
+        holdMs: Math.min(leaseMs / 5, mostHoldMs),
         leaveHoldMs: drainMs + 500,
         keyMs: keyWindowMs + 10_000,
         silentMs: Math.max(leaseMs + 400, (contactMs * 5) / 6),
--- a/src/machine/daemon.ts
+++ b/src/machine/daemon.ts
@@ -1,4 +1,5 @@
 import { Ferry } from "../contract/ferry.js";
+import type { Mappings } from "../contract/mappings.js";
 import type { Machine } from "../contract/order.js";
 import { Registry } from "../contract/registry.js";
 import { poolOf, View } from "../contract/view.js";
@@ -80,6 +81,8 @@
   private readonly registry: Registry | undefined;
   private readonly collector: Collector | undefined;
   private draining = false;
+  /** Hears what callers may send, whenever a config says so. */
+  onLimits: (limits: Mappings["limits"]) => void = () => undefined;
 
   constructor(world: World, settings: Settings, options: DaemonOptions) {
     const bounds = Bounds.of(settings);
@@ -105,6 +108,7 @@
     this.meeting = new Meeting(world, this.link, place, { leader: () => this.recorder?.leader || this.ferry.leader, recorders: () => this.ferry.recorders });
     this.view = new View(world, this.ferry, () => this.machine(), this.budget);
     this.shares = new Shares(settings.zone, () => world.random());
+    this.view.onConfig = ({ limits }) => this.onLimits(limits);
     this.view.onDirectory = (contracts) => {
       options.backEnds.keepOnly(new Set(contracts.map(poolOf)));
       this.shares.know(contracts, world.clock.nowMs());
--- a/src/machine/httpServer.ts
+++ b/src/machine/httpServer.ts
@@ -107,8 +107,13 @@
   }
 
   /** Holds callers to limits from now on. */
-  bound(limits: Partial<ServerLimits>): void {
-    this.limits = { ...usual, ...limits };
+  bound({ headerBytes, bodyBytes, headerMs, idleMs }: { readonly [name in keyof ServerLimits]?: number | undefined }): void {
+    this.limits = {
+      headerBytes: headerBytes ?? usual.headerBytes,
+      bodyBytes: bodyBytes ?? usual.bodyBytes,
+      headerMs: headerMs ?? usual.headerMs,
+      idleMs: idleMs ?? usual.idleMs,
+    };
     this.server.headersTimeout = this.limits.headerMs;
     this.server.keepAliveTimeout = this.limits.idleMs;
   }
--- a/src/machine/run.ts
+++ b/src/machine/run.ts
@@ -63,6 +63,7 @@
       const callers = new HttpServer((job, caller) => daemon.callers.put({ job, caller }), false);
       const operators = control(() => true);
       const readiness = control((job) => job.method === "GET" && Job.path(job) === "/ready");
+      daemon.onLimits = (limits) => callers.bound(limits);
       yield* daemon.start();
       yield* operators.listen(settings.operators);
       if (settings.ready !== undefined) yield* readiness.listen(settings.ready);
--- a/test/machine/bounds.test.ts
+++ b/test/machine/bounds.test.ts
@@ -22,6 +22,7 @@
     expect(terms.grantMs).toBe(leaseMs);
     expect(pollMs * 4).toBeLessThanOrEqual(leaseMs);
     expect(terms.silentMs).toBeGreaterThan(leaseMs);
+    expect(terms.holdMs).toBeLessThan(400);
   }
 });
 
