--- a/src/zone/shares.ts
+++ b/src/zone/shares.ts
@@ -25,9 +25,8 @@
 const leastShare = 0.1;
 /** More than one failure in ten, one after the other. */
 const failingRate = 0.15;
-const farFactor = 0.4;
 /** What a KiB of a response costs on its way from another zone, as if it came later. */
-const farKibMs = 6;
+const farKibMs = 2;
 /** How large a route's responses are taken to be until one was seen. */
 const unseenBytes = 32 * 1024;
 const knownRoutes = 4096;
@@ -137,7 +136,7 @@
       if (this.warmth(contract, sight, nowMs) < 1) reasons.push("still warming up");
       if (sight.avoidUntilMs > nowMs) reasons.push(`avoided after ${sight.streak} breakdowns in a row`);
       const why = reasons.filter(Boolean).join("; ") || "meets its goal";
-      return { address: contract.address, zone: contract.zone, share: Number((this.weight(contract, nowMs) * (contract.zone === this.zone ? 1 : farFactor)).toFixed(3)), latencyMs: Math.round(sight.latencyMs), inHand: sight.inHand, tries: sight.tries, why };
+      return { address: contract.address, zone: contract.zone, share: Number(this.weight(contract, nowMs).toFixed(3)), latencyMs: Math.round(sight.latencyMs), inHand: sight.inHand, tries: sight.tries, why };
     });
   }
 
