--- a/src/door/door.ts
+++ b/src/door/door.ts
@@ -378,7 +378,7 @@
     const { echo, seal, notRun, expected, proof } = this.dialect;
     const echoed = headers[proof === "connection" ? mapping.stampHeader : echo];
     const isOther = expected !== undefined && code === 421;
-    if (isOther || (notRun !== undefined && headers[notRun] !== undefined && (echoed === undefined || echoed === id))) return yield* this.declined(contract, opened, isOther);
+    if ((echoed === undefined || echoed === id) && (isOther || (notRun !== undefined && headers[notRun] !== undefined))) return yield* this.declined(contract, opened, isOther);
     if (echoed !== id) return this.discard(opened, "The return carries no stamp of this request.");
     if (promises.has(code)) return this.discard(opened, "The back end itself says try later.");
     if (seal !== undefined && code < 300 && headers[seal] === undefined) return this.discard(opened, "The return carries no seal.");
