--- a/src/contract/view.ts
+++ b/src/contract/view.ts
@@ -52,6 +52,8 @@
   private announceMs = 1000;
   /** Hears of all contracts whenever the directory has changed. */
   onDirectory: (contracts: readonly Contract[]) => void = () => undefined;
+  /** Hears that there is a lease and a config to serve by, where one was missing. */
+  onLease: () => void = () => undefined;
   /** Hears of each config that comes into force here. */
   onConfig: (mappings: Mappings) => void = () => undefined;
   /** The newest change of the directory that is known here. */
@@ -85,6 +87,10 @@
     return this.world.clock.nowMs() < this.untilMs;
   }
 
+  private get canServe(): boolean {
+    return this.isGranted && this.configSequence > 0;
+  }
+
   /** For how long the lease to serve has been over; 0 while it holds. */
   get lapsedMs(): number {
     return Math.max(0, this.world.clock.nowMs() - this.untilMs);
@@ -188,6 +194,7 @@
       this.log.warn("A view older than the one in hand was refused.", { sequence: view.configSequence });
       return;
     }
+    const couldServe = this.canServe;
     const config = view.config ?? (view.packedConfig === undefined ? undefined : Packed.text(view.packedConfig));
     if (config !== undefined && view.configSequence > this.configSequence) {
       this.mappings = new Mappings(this.reader.read(config));
@@ -212,6 +219,7 @@
     this.budget.setCapacities(new Map(view.capacities.map(({ service, capacity }) => [service, capacity])), this.world.clock.nowMs());
     this.grantNumber = view.grantNumber;
     this.untilMs = sentMs + view.grantMs;
+    if (!couldServe && this.canServe) this.onLease();
     this.grants += 1;
     if (!this.heard) this.log.say("Granted.", { sequence: view.configSequence });
     this.heard = true;
--- a/src/door/door.ts
+++ b/src/door/door.ts
@@ -1,6 +1,7 @@
 import type { Ferry } from "../contract/ferry.js";
 import type { Mapping } from "../contract/mapping.js";
 import { poolOf, type View } from "../contract/view.js";
+import { Clock } from "../runtime/clock.js";
 import type { PartLog } from "../runtime/logbook.js";
 import type { Task } from "../runtime/task.js";
 import { World } from "../runtime/world.js";
@@ -53,6 +54,9 @@
 const leastLeftMs = 15;
 /** When callers had better come back: at once to another daemon, soon, once the fleet has settled, or once it has a leader again. */
 const after = { elsewhere: 20, soon: 100, settled: 250, led: 400 };
+/** How long a request waits for the first lease: a part of what its caller gave, and at most. */
+const awaitPart = 1 / 3;
+const mostAwaitMs = 1000;
 /** A caller that has less than this part of its route's time left has tried before. */
 const firstTryPart = 0.8;
 /** Which part of a route's goal a first try's claim may take; a refusal later than a quarter of the goal leaves no time for another. */
@@ -118,6 +122,8 @@
   private tries = 0;
   private closed = false;
   private readonly passages = new Set<Passage>();
+  /** Hear of the next lease. */
+  private awaiting: Array<() => void> = [];
   /** Requests in hand now. */
   inHand = 0;
   readonly tally: Tally = { taken: 0, byCode: {}, byVerdict: { neverRan: 0, mayHaveRun: 0, ran: 0 }, firstTries: 0, furtherTries: 0, furtherRefused: { sketch: 0, guard: 0 }, cut: 0 };
@@ -146,6 +152,11 @@
     this.closed = true;
   }
 
+  /** A lease has come: what waited for it goes on. */
+  leased(): void {
+    for (const go of this.awaiting.splice(0)) go();
+  }
+
   /** Takes one request to its end. */
   *handle(job: Job, caller: Caller): Task {
     const { callerId } = this.dialect;
@@ -207,12 +218,26 @@
   private *limits(passage: Passage, rest: () => Task<Ending>): Task<Ending> {
     if (this.closed) return Ending.drop("This daemon is stopping.", after.elsewhere);
     if (this.inHand > inHandLimit) return Ending.drop("This daemon has too much in hand.", after.soon);
+    if (!this.hasView) yield* this.awaitView(passage);
     if (this.view.configSequence === 0) return Ending.drop("No config is in force yet.", after.settled);
-    if (!this.view.isGranted && this.view.lapsedMs >= this.staleMs) return Ending.drop("This daemon's view is not proven fresh.", after.settled);
+    if (!this.hasView) return Ending.drop("This daemon's view is not proven fresh.", after.settled);
     if (this.dialect.callerId !== undefined && passage.id === undefined) return Ending.refusal(400, "The request names no try.");
     return yield* rest();
   }
 
+  /** Whether there is a view by which requests may be looked at, if only those that may be repeated. */
+  private get hasView(): boolean {
+    return this.view.configSequence > 0 && (this.view.isGranted || this.view.lapsedMs < this.staleMs);
+  }
+
+  /** A daemon that has just started holds requests for its first lease, for a bounded part of the time that their callers gave. */
+  private *awaitView({ job }: Passage): Task {
+    const { deadline } = this.dialect;
+    const toldMs = deadline === undefined ? Number.NaN : Number(job.headers[deadline]);
+    if (!(toldMs > 0) || this.awaiting.length >= inHandLimit) return;
+    yield* Clock.within<true>(this.world.clock, Math.min(toldMs * awaitPart, mostAwaitMs), (done) => this.awaiting.push(() => done(true)));
+  }
+
   private *mapped(passage: Passage, rest: () => Task<Ending>): Task<Ending> {
     const mapping = this.find(passage);
     if (!mapping) return this.view.isGranted ? Ending.refusal(404, "No route takes this request.") : Ending.drop("This daemon's view is not proven fresh.", after.settled);
--- a/src/machine/daemon.ts
+++ b/src/machine/daemon.ts
@@ -108,6 +108,7 @@
     this.meeting = new Meeting(world, this.link, place, { leader: () => this.recorder?.leader || this.ferry.leader, recorders: () => this.ferry.recorders });
     this.view = new View(world, this.ferry, () => this.machine(), this.budget);
     this.shares = new Shares(settings.zone, () => world.random());
+    this.view.onLease = () => this.door.leased();
     this.view.onConfig = ({ limits }) => this.onLimits(limits);
     this.view.onDirectory = (contracts) => {
       options.backEnds.keepOnly(new Set(contracts.map(poolOf)));
--- a/test/platform/door.test.ts
+++ b/test/platform/door.test.ts
@@ -338,6 +338,32 @@
   expect(stage.sent).toEqual([]);
 });
 
+test("a daemon that has just started holds a request for its first view for a third of its time, then refuses it", () => {
+  const stage = new DoorStage();
+  const seen = stage.send("GET", "/safe/x", { "deadline-ms": "900" });
+  stage.wait(280);
+  expect(seen.ending).toBe("open");
+  stage.wait(60);
+  expect([seen.ending, seen.code]).toEqual(["whole", 503]);
+  expect(seen.headers["retry-after"]).toMatch(fraction);
+  const long = stage.send("GET", "/safe/x", { "deadline-ms": "60000" });
+  stage.wait(1020);
+  expect([long.ending, long.code]).toEqual(["whole", 503]);
+});
+
+test("what a daemon holds for its first view is served as soon as that has come", () => {
+  const stage = new DoorStage();
+  stage.announcing.set("10.9.0.1:80", "i-1");
+  stage.wait(3000);
+  const seen = stage.send("GET", "/safe/x", { "deadline-ms": "3000" });
+  stage.wait(30);
+  expect([seen.ending, stage.sent.length]).toEqual(["open", 0]);
+  stage.order("PUT", "/config", { services: { shop: {} }, routes: { safe: { match: { path: "/safe/*" }, service: "shop", kind: "safe" } } });
+  stage.until(() => seen.ending !== "open", 1000);
+  expect([seen.code, stage.sent.length]).toEqual([200, 1]);
+  expect(seen.tookMs).toBeLessThan(1000);
+});
+
 const big = Array.from({ length: 12 }, (_, place) => Buffer.alloc(64 * 1024, place + 1));
 const bigBytes = big.reduce((sum, { length }) => sum + length, 0);
 const length = { "content-length": String(bigBytes) };
