A leave that the former leader committed is as fresh to the next one

The new leader found it leaving already, acknowledged, and knew no moment of its leaving; an announcement that was under way brought it back within the hold, and it got work 2.1 to 2.6 s after its leave. Ruled out: back ends with an instance (one that left is gone for good); today's held polls.

--- a/src/contract/registry.ts
+++ b/src/contract/registry.ts
@@ -378,7 +378,7 @@
       return this.announced(0, "gone");
     }
     if (order.order !== undefined && order.order < this.newestOrder(instance)) return this.announced(same ? known.number : 0, "overtaken");
-    const heard = this.heardBackEnds.get(address);
+    const heard = this.heardBackEnds.get(address) ?? this.leftBefore(known, nowMs);
     const justLeft = instance === "" && heard !== undefined && nowMs - heard.leftMs < this.terms.leaveHoldMs;
     if (same && known.leaving && !known.drained && justLeft) return this.announced(known.number, "leaving");
     if (same) {
@@ -409,14 +409,28 @@
     if (!this.recorder.hasGrant) return breakdownReturn("noGrant");
     const known = this.book.contracts.get(address);
     const isGone = instance === "" ? known?.service === service && known.leaving && known.drained >= drained : this.book.gone.has(instance);
-    if (isGone) return JSON.stringify({ known: true });
+    if (isGone) {
+      if (instance === "") this.noteLeft(address, this.world.clock.nowMs());
+      return JSON.stringify({ known: true });
+    }
     const outcome = yield* this.enter({ kind: "leave", address, service, drained, ...(instance === "" ? {} : { instance }) });
     const nowMs = this.world.clock.nowMs();
     const left = instance === "" ? [address] : this.book.contractsOf(instance).map((contract) => contract.address);
-    for (const one of left) this.heardBackEnds.set(one, { heardMs: nowMs, leftMs: nowMs });
+    for (const one of left) this.noteLeft(one, nowMs);
     return outcome;
   }
 
+  private noteLeft(address: string, nowMs: number): { heardMs: number; leftMs: number } {
+    const left = { heardMs: nowMs, leftMs: nowMs };
+    this.heardBackEnds.set(address, left);
+    return left;
+  }
+
+  /** A new leader doesn't know when one that is leaving left: it may have been just now. */
+  private leftBefore(known: Contract | undefined, nowMs: number): { heardMs: number; leftMs: number } | undefined {
+    return known?.leaving === true ? this.noteLeft(known.address, nowMs) : undefined;
+  }
+
   private *changeConfig(order: ChangeOrder): Task<string> {
     for (let round = 0; round < 5; round += 1) {
       if (!this.recorder.hasGrant) return breakdownReturn("noGrant");
