--- a/deploy/bundle.mjs
+++ b/deploy/bundle.mjs
@@ -1,7 +1,14 @@
 import { build } from "esbuild";
 
 /** Packages that only other commands need, or that their users do without where they are missing. */
-const left = ["isomorphic-git", "dtrace-provider", "mv", "moment", "safe-json-stringify", "source-map-support"];
+const left = [
+  "isomorphic-git",
+  "dtrace-provider",
+  "mv",
+  "moment",
+  "safe-json-stringify",
+  "source-map-support",
+];
 
 /** Of undici only the client is wanted: all the rest would cost half the time that a start takes. */
 const clientOnly = {
@@ -9,7 +16,8 @@
   setup(bundle) {
     bundle.onResolve({ filter: /^undici$/ }, () => ({ path: "undici", namespace: "client-only" }));
     bundle.onLoad({ filter: /.*/, namespace: "client-only" }, () => ({
-      contents: 'export { default as Client } from "undici/lib/dispatcher/client.js"; export { default as errors } from "undici/lib/core/errors.js";',
+      contents:
+        'export { default as Client } from "undici/lib/dispatcher/client.js"; export { default as errors } from "undici/lib/core/errors.js";',
       resolveDir: process.cwd(),
     }));
   },
@@ -28,11 +36,16 @@
   legalComments: "none",
   external: left,
   plugins: [clientOnly],
-  banner: { js: 'import { createRequire as requireFor } from "node:module"; const require = requireFor(import.meta.url);' },
+  banner: {
+    js: 'import { createRequire as requireFor } from "node:module"; const require = requireFor(import.meta.url);',
+  },
   metafile: true,
   logLevel: "warning",
 });
 if (process.argv.includes("--sizes")) {
   const [output] = Object.values(metafile.outputs);
-  for (const [path, { bytesInOutput }] of Object.entries(output.inputs).sort((a, b) => b[1].bytesInOutput - a[1].bytesInOutput)) console.log(bytesInOutput, path);
+  for (const [path, { bytesInOutput }] of Object.entries(output.inputs).sort(
+    (a, b) => b[1].bytesInOutput - a[1].bytesInOutput,
+  ))
+    console.log(bytesInOutput, path);
 }
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,5 +1,25 @@
+import jsdoc from "eslint-plugin-jsdoc";
 import tseslint from "typescript-eslint";
 
+/** Limits of length and complexity: warnings until every folder meets them, then errors. */
+const sizeLimits = {
+  "max-lines": ["warn", { max: 350, skipBlankLines: true, skipComments: true }],
+  "max-lines-per-function": ["warn", { max: 60, skipBlankLines: true, skipComments: true }],
+  complexity: ["warn", 12],
+};
+
+/** A doc comment on every exported item: a warning until every folder has them. */
+const docComments = {
+  "jsdoc/require-jsdoc": [
+    "warn",
+    {
+      publicOnly: true,
+      require: { ArrowFunctionExpression: true, ClassDeclaration: true, MethodDefinition: false },
+      contexts: ["TSInterfaceDeclaration", "TSTypeAliasDeclaration"],
+    },
+  ],
+};
+
 export default tseslint.config(
   { ignores: ["dist/", "target/", "node_modules/", "data/"] },
   ...tseslint.configs.recommended,
@@ -17,4 +37,9 @@
       "require-yield": "off",
     },
   },
+  {
+    files: ["src/**/*.ts", "platform/**/*.ts"],
+    plugins: { jsdoc },
+    rules: { ...sizeLimits, ...docComments },
+  },
 );
--- a/src/contract/ferry.ts
+++ b/src/contract/ferry.ts
@@ -67,10 +67,15 @@
   }
 
   /** Serves a kind at a recorder: here if it leads, else ferried on once. */
-  serve(kind: typeof Kind.command | typeof Kind.poll, leadership: Leadership, handle: (text: string) => Task<string>): void {
+  serve(
+    kind: typeof Kind.command | typeof Kind.poll,
+    leadership: Leadership,
+    handle: (text: string) => Task<string>,
+  ): void {
     const { link } = this;
     this.isRecorder = true;
-    const ferry = (leader: string, text: string): Task<Returned | undefined> => this.ferryOn(kind, leader, text, leadership);
+    const ferry = (leader: string, text: string): Task<Returned | undefined> =>
+      this.ferryOn(kind, leader, text, leadership);
     link.serve(kind, function* (ask: Asked): Task<Returned> {
       const { leader } = leadership;
       if (leadership.leads) return { leader, text: yield* handle(ask.text) };
@@ -85,19 +90,34 @@
   }
 
   /** Asks the leader on another's behalf; nothing once it turns out that another one leads. */
-  private *ferryOn(kind: typeof Kind.command | typeof Kind.poll, leader: string, text: string, leadership: Leadership): Task<Returned | undefined> {
+  private *ferryOn(
+    kind: typeof Kind.command | typeof Kind.poll,
+    leader: string,
+    text: string,
+    leadership: Leadership,
+  ): Task<Returned | undefined> {
     const { clock } = this.world;
     const ended = new Holding<Returned>();
-    World.start(this.world, "contract", this.link.ask(leader, kind, { ferried: true, text }, oneAskMs + text.length / slowBytesMs), (ret) => ended.put(ret ?? { leader, text: breakdownReturn("unknown") }));
+    World.start(
+      this.world,
+      "contract",
+      this.link.ask(leader, kind, { ferried: true, text }, oneAskMs + text.length / slowBytesMs),
+      (ret) => ended.put(ret ?? { leader, text: breakdownReturn("unknown") }),
+    );
     for (;;) {
       const ret = yield* ended.takeUntil(clock, clock.nowMs() + lookMs);
       if (ret) return ret;
-      if (leadership.leads || (leadership.leader !== "" && leadership.leader !== leader)) return undefined;
+      if (leadership.leads || (leadership.leader !== "" && leadership.leader !== leader))
+        return undefined;
     }
   }
 
   /** Asks the leader, by the way that last worked; then by others, until one returns or `waitMs` are over. */
-  *once(kind: typeof Kind.command | typeof Kind.poll, text: string, waitMs: number): Task<string | undefined> {
+  *once(
+    kind: typeof Kind.command | typeof Kind.poll,
+    text: string,
+    waitMs: number,
+  ): Task<string | undefined> {
     const { clock } = this.world;
     const untilMs = clock.nowMs() + waitMs;
     const asked = new Set<string>();
@@ -107,7 +127,12 @@
       asked.add(target);
       const leads = target === this.leader;
       const sentMs = clock.nowMs();
-      const ret = yield* this.link.ask(target, kind, { ferried: !ferries, text }, Math.min(untilMs - clock.nowMs(), leads || ferries ? waitMs : strangerMs));
+      const ret = yield* this.link.ask(
+        target,
+        kind,
+        { ferried: !ferries, text },
+        Math.min(untilMs - clock.nowMs(), leads || ferries ? waitMs : strangerMs),
+      );
       if (ret === undefined) {
         if (leads && this.link.hasHeard(target, sentMs)) return undefined;
         if (leads || ferries) this.leader = "";
@@ -145,11 +170,17 @@
 
   /** Whom to ask where the leader isn't known: recorders before others, those that were silent last. */
   private next(asked: ReadonlySet<string>): string {
-    const isOpen = (peer: string): boolean => !asked.has(peer) && (this.isRecorder || peer !== this.link.self);
+    const isOpen = (peer: string): boolean =>
+      !asked.has(peer) && (this.isRecorder || peer !== this.link.self);
     const known = this.known.filter(isOpen);
     const all = [...new Set([...known, ...this.contacts().filter(isOpen)])];
-    for (const peer of this.silentUntilMs.keys()) if (!this.isSilent(peer)) this.silentUntilMs.delete(peer);
-    const pools = [known.filter((peer) => !this.isSilent(peer)), all.filter((peer) => !this.isSilent(peer)), all];
+    for (const peer of this.silentUntilMs.keys())
+      if (!this.isSilent(peer)) this.silentUntilMs.delete(peer);
+    const pools = [
+      known.filter((peer) => !this.isSilent(peer)),
+      all.filter((peer) => !this.isSilent(peer)),
+      all,
+    ];
     const pool = pools.find((one) => one.length > 0) ?? [];
     return pool[Math.floor(this.world.random() * pool.length)] ?? "";
   }
@@ -161,9 +192,16 @@
     for (;;) {
       const leftMs = untilMs - this.world.clock.nowMs();
       if (leftMs <= 0) return undefined;
-      const ret = yield* this.once(Kind.command, text, Math.min(oneAskMs + text.length / slowBytesMs, leftMs));
+      const ret = yield* this.once(
+        Kind.command,
+        text,
+        Math.min(oneAskMs + text.length / slowBytesMs, leftMs),
+      );
       if (ret !== undefined) return ret;
-      yield* Clock.rest(this.world.clock, Math.min(40, Math.max(0, untilMs - this.world.clock.nowMs())));
+      yield* Clock.rest(
+        this.world.clock,
+        Math.min(40, Math.max(0, untilMs - this.world.clock.nowMs())),
+      );
     }
   }
 }
--- a/src/contract/guarded.ts
+++ b/src/contract/guarded.ts
@@ -1,7 +1,19 @@
-import { array, define, enums, integer, max, min, nonempty, optional, record, type Struct } from "superstruct";
+import {
+  array,
+  define,
+  enums,
+  integer,
+  max,
+  min,
+  nonempty,
+  optional,
+  record,
+  type Struct,
+} from "superstruct";
 
 /** Whether a value is an object of named fields. */
-export const isObject = (value: unknown): value is Record<string, unknown> => typeof value === "object" && value !== null && !Array.isArray(value);
+export const isObject = (value: unknown): value is Record<string, unknown> =>
+  typeof value === "object" && value !== null && !Array.isArray(value);
 
 type Guard = (value: unknown) => boolean;
 
@@ -12,19 +24,36 @@
   return struct;
 };
 
-const fieldsOf = <T>({ schema }: Struct<T, Record<string, object>>): Map<string, Guard> => new Map(Object.entries(schema).map(([name, struct]) => [name, guardOf(struct)]));
+const fieldsOf = <T>({ schema }: Struct<T, Record<string, object>>): Map<string, Guard> =>
+  new Map(Object.entries(schema).map(([name, struct]) => [name, guardOf(struct)]));
 
 /** Shapes beside each of which stands a plain guard: what passes it is good, what doesn't is checked by the shape itself, which tells why. */
 export const Guarded = {
-  leaf: <T>(type: string, guard: Guard, expected: string): Struct<T, null> => guarded(define<T>(type, (value) => guard(value) || `Expected ${expected}`), guard),
+  leaf: <T>(type: string, guard: Guard, expected: string): Struct<T, null> =>
+    guarded(
+      define<T>(type, (value) => guard(value) || `Expected ${expected}`),
+      guard,
+    ),
 
-  text: (type: string, pattern: RegExp, expected: string): Struct<string, null> => Guarded.leaf<string>(type, (value) => typeof value === "string" && pattern.test(value), expected),
+  text: (type: string, pattern: RegExp, expected: string): Struct<string, null> =>
+    Guarded.leaf<string>(
+      type,
+      (value) => typeof value === "string" && pattern.test(value),
+      expected,
+    ),
 
-  within: (low: number, high: number) => guarded(max(min(integer(), low), high), (value) => typeof value === "number" && Number.isInteger(value) && value >= low && value <= high),
+  within: (low: number, high: number) =>
+    guarded(
+      max(min(integer(), low), high),
+      (value) =>
+        typeof value === "number" && Number.isInteger(value) && value >= low && value <= high,
+    ),
 
-  flag: () => Guarded.leaf<boolean>("boolean", (value) => typeof value === "boolean", "true or false"),
+  flag: () =>
+    Guarded.leaf<boolean>("boolean", (value) => typeof value === "boolean", "true or false"),
 
-  one: <const T extends readonly [string, ...string[]]>(words: T) => guarded(enums(words), (value) => words.some((word) => word === value)),
+  one: <const T extends readonly [string, ...string[]]>(words: T) =>
+    guarded(enums(words), (value) => words.some((word) => word === value)),
 
   maybe: <T, S>(struct: Struct<T, S>): Struct<T | undefined, S> => {
     const guard = guardOf(struct);
@@ -33,7 +62,10 @@
 
   many: <T, S>(struct: Struct<T, S>) => {
     const guard = guardOf(struct);
-    return guarded(nonempty(array(struct)), (value) => Array.isArray(value) && value.length > 0 && value.every(guard));
+    return guarded(
+      nonempty(array(struct)),
+      (value) => Array.isArray(value) && value.length > 0 && value.every(guard),
+    );
   },
 
   /** Gives an object's shape the guard that its fields make. */
@@ -42,15 +74,25 @@
     const needed = [...fields].filter(([, guard]) => !guard(undefined)).map(([name]) => name);
     return guarded(
       struct,
-      (value) => isObject(value) && needed.every((name) => Object.hasOwn(value, name)) && Object.keys(value).every((name) => fields.get(name)?.(value[name]) ?? false),
+      (value) =>
+        isObject(value) &&
+        needed.every((name) => Object.hasOwn(value, name)) &&
+        Object.keys(value).every((name) => fields.get(name)?.(value[name]) ?? false),
     );
   },
 
   /** A section of named items. */
-  section: <T>(name: Struct<string, null>, item: Struct<T, unknown>): Struct<Record<string, T>, null> => {
+  section: <T>(
+    name: Struct<string, null>,
+    item: Struct<T, unknown>,
+  ): Struct<Record<string, T>, null> => {
     const isName = guardOf(name);
     const isItem = guardOf(item);
-    return guarded(record(name, item), (value) => isObject(value) && Object.keys(value).every((key) => isName(key) && isItem(value[key])));
+    return guarded(
+      record(name, item),
+      (value) =>
+        isObject(value) && Object.keys(value).every((key) => isName(key) && isItem(value[key])),
+    );
   },
 
   /** Whether a value passes the guard of a shape. */
--- a/src/contract/mappings.ts
+++ b/src/contract/mappings.ts
@@ -7,13 +7,22 @@
 /** A service as the daemons use it. */
 export type MappedService = Config["services"][string];
 
-const usual = { giveUpMs: 5000, goalMs: 1000, furtherTries: 1, stampHeader: "x-daledoor-stamp", inHand: 200, priority: 5 };
+const usual = {
+  giveUpMs: 5000,
+  goalMs: 1000,
+  furtherTries: 1,
+  stampHeader: "x-daledoor-stamp",
+  inHand: 200,
+  priority: 5,
+};
 
 /** A host's name as hosts are compared: in lower case, without a port. */
 export const hostName = (host: string): string => host.toLowerCase().replace(/:\d*$/, "");
 
 const repeatableBy = (route: Route): boolean =>
-  route.repeat === undefined ? (route.match.methods ?? ["POST"]).every((method) => safeMethods.has(method)) : route.repeat === "safe";
+  route.repeat === undefined
+    ? (route.match.methods ?? ["POST"]).every((method) => safeMethods.has(method))
+    : route.repeat === "safe";
 
 const chooseFrom = (splits: Mapping["splits"], draw: number): string => {
   const served = splits.filter(({ weight }) => weight > 0);
@@ -27,9 +36,13 @@
   const service = splits[0]?.service ?? "";
   const shape = Object.hasOwn(config.services, service) ? config.services[service] : undefined;
   const goal = config.goals && Object.hasOwn(config.goals, name) ? config.goals[name] : undefined;
-  const repeatable = route.kind === undefined ? repeatableBy(route) : route.kind === "safe" || route.kind === "download";
+  const repeatable =
+    route.kind === undefined
+      ? repeatableBy(route)
+      : route.kind === "safe" || route.kind === "download";
   const keyed = route.kind === undefined ? (route.keyed ?? false) : route.kind === "idempotent";
-  const furtherTries = route.attempts === undefined ? (goal?.furtherTries ?? usual.furtherTries) : route.attempts - 1;
+  const furtherTries =
+    route.attempts === undefined ? (goal?.furtherTries ?? usual.furtherTries) : route.attempts - 1;
   return {
     name,
     host: route.match.host === undefined ? undefined : hostName(route.match.host),
@@ -69,12 +82,16 @@
     this.all = Object.entries(config.routes).map(([name, route]) => mappingOf(config, name, route));
     for (const mapping of this.all) this.byName.set(mapping.name, mapping);
     for (const mapping of this.all) if (!mapping.isPrefix) this.index(mapping.host).add(mapping);
-    for (const mapping of this.all.filter(({ isPrefix }) => isPrefix).sort((a, b) => (a.name < b.name ? -1 : 1))) this.index(mapping.host).add(mapping);
+    for (const mapping of this.all
+      .filter(({ isPrefix }) => isPrefix)
+      .sort((a, b) => (a.name < b.name ? -1 : 1)))
+      this.index(mapping.host).add(mapping);
   }
 
   /** The mapping of a request: one for its host before one for any, then the longest match. */
   find(method: string, path: string, host = ""): Mapping | undefined {
-    const ofHost = this.hosts.size === 0 || host === "" ? undefined : this.hosts.get(hostName(host));
+    const ofHost =
+      this.hosts.size === 0 || host === "" ? undefined : this.hosts.get(hostName(host));
     return ofHost?.find(method, path) ?? this.anyHost.find(method, path);
   }
 
--- a/src/contract/order.ts
+++ b/src/contract/order.ts
@@ -4,7 +4,22 @@
 import { Contract } from "../record/book.js";
 import { Packed } from "../runtime/packed.js";
 import { passes, quick } from "../runtime/quick.js";
-import { array, boolean, create, define, literal, number, object, optional, record, string, type, union, unknown, type Infer } from "superstruct";
+import {
+  array,
+  boolean,
+  create,
+  define,
+  literal,
+  number,
+  object,
+  optional,
+  record,
+  string,
+  type,
+  union,
+  unknown,
+  type Infer,
+} from "superstruct";
 
 const returnShape = object({ code: number(), headers: record(string(), string()), body: string() });
 
@@ -26,14 +41,25 @@
     draining: optional(boolean()),
   }),
   /** A back end that leaves is named by its instance, or by its address and service. */
-  leave: object({ kind: literal("leave"), address: optional(string()), service: optional(string()), instance: optional(string()) }),
+  leave: object({
+    kind: literal("leave"),
+    address: optional(string()),
+    service: optional(string()),
+    instance: optional(string()),
+  }),
   put: object({ kind: literal("put"), ...changeFields, value: unknown() }),
   patch: object({ kind: literal("patch"), ...changeFields, value: unknown() }),
   amend: object({ kind: literal("amend"), ...changeFields, put: itemsShape, remove: namesShape }),
   get: object({ kind: literal("get"), version: optional(number()) }),
   history: object({ kind: literal("history") }),
   claim: object({ kind: literal("claim"), scope: string(), bodyHash: string(), job: string() }),
-  settle: object({ kind: literal("settle"), scope: string(), job: string(), verdict: union([literal("ran"), literal("mayHaveRun")]), return: optional(returnShape) }),
+  settle: object({
+    kind: literal("settle"),
+    scope: string(),
+    job: string(),
+    verdict: union([literal("ran"), literal("mayHaveRun")]),
+    return: optional(returnShape),
+  }),
   release: object({ kind: literal("release"), scope: string(), job: string() }),
   rejoin: object({ kind: literal("rejoin"), machine: string(), nonce: string() }),
   fleet: object({ kind: literal("fleet") }),
@@ -46,12 +72,17 @@
 /** A command that changes the config. */
 export type ChangeOrder = Extract<Order, { kind: "put" | "patch" | "amend" }>;
 
-const isOrderKind = (kind: string): kind is keyof typeof orderShapes => Object.hasOwn(orderShapes, kind);
+const isOrderKind = (kind: string): kind is keyof typeof orderShapes =>
+  Object.hasOwn(orderShapes, kind);
 
 /** How long a text may be and still travel as it is. */
 export const longText = 4096;
 
-const isPacked = (value: unknown): value is { packed: string } => typeof value === "object" && value !== null && "packed" in value && typeof value.packed === "string";
+const isPacked = (value: unknown): value is { packed: string } =>
+  typeof value === "object" &&
+  value !== null &&
+  "packed" in value &&
+  typeof value.packed === "string";
 
 const unpacked = (packed: string): unknown => {
   try {
@@ -62,7 +93,8 @@
   }
 };
 
-const isOrder = (kind: keyof typeof orderShapes, value: unknown): value is Order => passes(orderShapes[kind], value);
+const isOrder = (kind: keyof typeof orderShapes, value: unknown): value is Order =>
+  passes(orderShapes[kind], value);
 
 export const Order = {
   read(text: string): Order {
@@ -108,7 +140,13 @@
 /** What an edge or collector sends to get a fresh view. */
 export type Poll = Infer<typeof pollShape>;
 
-const numbersShape = define<Record<string, number>>("numbers", (value) => typeof value === "object" && value !== null && Object.values(value).every((one) => typeof one === "number"));
+const numbersShape = define<Record<string, number>>(
+  "numbers",
+  (value) =>
+    typeof value === "object" &&
+    value !== null &&
+    Object.values(value).every((one) => typeof one === "number"),
+);
 
 const viewShape = object({
   granted: literal(true),
@@ -141,7 +179,12 @@
   read: (text: string): Poll => readPoll(JSON.parse(text)),
   readReturn(text: string): Infer<typeof pollReturnShape> {
     const value: unknown = JSON.parse(text);
-    return typeof value === "object" && value !== null && "granted" in value && value.granted === true ? readView(value) : create(value, pollReturnShape);
+    return typeof value === "object" &&
+      value !== null &&
+      "granted" in value &&
+      value.granted === true
+      ? readView(value)
+      : create(value, pollReturnShape);
   },
 };
 
@@ -166,11 +209,12 @@
 export const ClaimReturn = {
   read(text: string): ClaimReturn {
     const value: unknown = JSON.parse(text);
-    return typeof value === "object" && value !== null && "claimed" in value ? readClaimed(value) : create(value, claimReturnShape);
+    return typeof value === "object" && value !== null && "claimed" in value
+      ? readClaimed(value)
+      : create(value, claimReturnShape);
   },
 };
 
-
 /** A return that says that a command wasn't carried out, or perhaps wasn't, in a word. */
 export const breakdownReturn = (word: string): string => JSON.stringify({ breakdown: word });
 
--- a/src/contract/pathIndex.ts
+++ b/src/contract/pathIndex.ts
@@ -25,22 +25,32 @@
       return;
     }
     add(this.stems, mapping);
-    if (!this.stemLengths.includes(length)) this.stemLengths = [...this.stemLengths, length].sort((a, b) => b - a);
+    if (!this.stemLengths.includes(length))
+      this.stemLengths = [...this.stemLengths, length].sort((a, b) => b - a);
   }
 
   /** The mapping that fits a path most exactly and takes the method. */
   find(method: string, path: string): Mapping | undefined {
-    const takes = (mapping: Mapping): boolean => mapping.methods === undefined || mapping.methods.has(method);
+    const takes = (mapping: Mapping): boolean =>
+      mapping.methods === undefined || mapping.methods.has(method);
     const exact = this.exact.get(path)?.find(takes);
     if (exact) return exact;
     const folder = this.folder(path, takes);
     const stem = this.stem(path, takes);
-    return folder && stem ? (folder.path.length > stem.path.length ? folder : stem) : (folder ?? stem);
+    return folder && stem
+      ? folder.path.length > stem.path.length
+        ? folder
+        : stem
+      : (folder ?? stem);
   }
 
   private folder(path: string, takes: (mapping: Mapping) => boolean): Mapping | undefined {
     if (this.longestFolder === 0) return undefined;
-    for (let at = path.lastIndexOf("/", this.longestFolder - 1); at >= 0; at = at === 0 ? -1 : path.lastIndexOf("/", at - 1)) {
+    for (
+      let at = path.lastIndexOf("/", this.longestFolder - 1);
+      at >= 0;
+      at = at === 0 ? -1 : path.lastIndexOf("/", at - 1)
+    ) {
       const found = this.folders.get(path.slice(0, at + 1))?.find(takes);
       if (found) return found;
     }
@@ -49,7 +59,8 @@
 
   private stem(path: string, takes: (mapping: Mapping) => boolean): Mapping | undefined {
     for (const length of this.stemLengths) {
-      const found = length <= path.length ? this.stems.get(path.slice(0, length))?.find(takes) : undefined;
+      const found =
+        length <= path.length ? this.stems.get(path.slice(0, length))?.find(takes) : undefined;
       if (found) return found;
     }
     return undefined;
--- a/src/contract/registry.ts
+++ b/src/contract/registry.ts
@@ -10,7 +10,16 @@
 import type { Recorder } from "../record/recorder.js";
 import type { CapacityGrants } from "./capacityGrants.js";
 import { amend, Config, mergePatch } from "./config.js";
-import { longText, breakdownReturn, isBreakdown, Order, Poll, type ChangeOrder, type GrantedView, type Machine } from "./order.js";
+import {
+  longText,
+  breakdownReturn,
+  isBreakdown,
+  Order,
+  Poll,
+  type ChangeOrder,
+  type GrantedView,
+  type Machine,
+} from "./order.js";
 
 /** The waits by which the leader keeps contracts, keys and grants. */
 export interface Terms {
@@ -31,7 +40,18 @@
 }
 
 export const Terms = {
-  usual: { grantMs: 1600, announceMs: 1000, lapseMs: 4300, leaveHoldMs: 2500, purgeMs: 30_000, keyMs: 120_000, silentMs: 2500, restMs: 60_000, holdMs: 320, goneMs: 600_000 },
+  usual: {
+    grantMs: 1600,
+    announceMs: 1000,
+    lapseMs: 4300,
+    leaveHoldMs: 2500,
+    purgeMs: 30_000,
+    keyMs: 120_000,
+    silentMs: 2500,
+    restMs: 60_000,
+    holdMs: 320,
+    goneMs: 600_000,
+  },
 };
 
 interface Heard {
@@ -81,7 +101,13 @@
   private isNew = true;
   private readonly allowance: CapacityGrants;
 
-  constructor(world: World, recorder: Recorder, book: Book, terms: Terms, allowance: CapacityGrants) {
+  constructor(
+    world: World,
+    recorder: Recorder,
+    book: Book,
+    terms: Terms,
+    allowance: CapacityGrants,
+  ) {
     this.world = world;
     this.recorder = recorder;
     this.book = book;
@@ -89,13 +115,16 @@
     this.allowance = allowance;
     this.log = world.logbook.part("contract");
     book.onApplied((deed, index) => {
-      if (deed.kind === "claim") this.keyAges.push({ scope: deed.scope, index, atMs: world.clock.nowMs() });
+      if (deed.kind === "claim")
+        this.keyAges.push({ scope: deed.scope, index, atMs: world.clock.nowMs() });
       if (deed.kind === "leave" || deed.kind === "contract") this.noteGone();
-      if (deed.kind === "forgetGone") for (const instance of deed.instances) this.goneSince.delete(instance);
+      if (deed.kind === "forgetGone")
+        for (const instance of deed.instances) this.goneSince.delete(instance);
       if (newsKinds.has(deed.kind)) this.tellNews();
       if (deed.kind === "holder") this.entering.delete(deed.edge);
       if (deed.kind === "holdersPast") for (const edge of deed.edges) this.parting.delete(edge);
-      if (deed.kind === "forget") this.keyAges = this.keyAges.filter((age) => age.index > deed.upTo);
+      if (deed.kind === "forget")
+        this.keyAges = this.keyAges.filter((age) => age.index > deed.upTo);
     });
     recorder.onLeading((leads) => {
       if (leads) this.lead();
@@ -113,7 +142,9 @@
         return yield* this.leave(order, false);
       case "drainBackEnd": {
         const contract = this.book.contracts.get(order.address);
-        return contract ? yield* this.leave({ address: contract.address, service: contract.service }, true) : JSON.stringify({ known: false });
+        return contract
+          ? yield* this.leave({ address: contract.address, service: contract.service }, true)
+          : JSON.stringify({ known: false });
       }
       case "put":
       case "patch":
@@ -122,10 +153,18 @@
       case "get":
         return yield* this.read(order.version);
       case "history":
-        return this.granted(() => ({ configs: this.book.recent.map((one) => ({ ...one, sequence: versionOf(one), version: versionOf(one) })), journal: this.book.journal }));
+        return this.granted(() => ({
+          configs: this.book.recent.map((one) => ({
+            ...one,
+            sequence: versionOf(one),
+            version: versionOf(one),
+          })),
+          journal: this.book.journal,
+        }));
       case "claim": {
         const known = this.book.keys.get(order.scope);
-        if (known && known.job !== order.job && this.recorder.hasGrant) return JSON.stringify({ held: known });
+        if (known && known.job !== order.job && this.recorder.hasGrant)
+          return JSON.stringify({ held: known });
         if (!known && this.book.keys.size >= heldKeys) return this.granted(() => ({ full: true }));
         return yield* this.enter(order);
       }
@@ -150,7 +189,8 @@
     }
     const { machine } = poll;
     const known = this.machines.get(machine.name);
-    if (!known || known.silent || known.machine.incarnation !== machine.incarnation) this.log.say("A machine shows itself.", { machine: machine.name, zone: machine.zone });
+    if (!known || known.silent || known.machine.incarnation !== machine.incarnation)
+      this.log.say("A machine shows itself.", { machine: machine.name, zone: machine.zone });
     this.machines.set(machine.name, { machine, heardMs: nowMs, silent: false });
     this.hearAll(poll, nowMs);
     const { services } = this.currentConfig();
@@ -165,7 +205,12 @@
       isEdge && holds && !this.parting.has(edge)
         ? this.allowance.grant(
             edge,
-            { number: poll.grantNumber, capacities: new Map(poll.capacities.map(({ service, capacity }) => [service, capacity])) },
+            {
+              number: poll.grantNumber,
+              capacities: new Map(
+                poll.capacities.map(({ service, capacity }) => [service, capacity]),
+              ),
+            },
             new Map(poll.wished.map(({ service, count }) => [service, count])),
             services,
             nowMs,
@@ -183,12 +228,16 @@
       directorySequence: this.book.directorySequence,
       grantNumber: granted.number,
       capacities: [...granted.capacities].map(([service, capacity]) => ({ service, capacity })),
-      collectors: [...this.machines.values()].filter((one) => one.machine.roles.includes("collector") && !one.silent).map((one) => ({ zone: one.machine.zone, peer: one.machine.peer })),
+      collectors: [...this.machines.values()]
+        .filter((one) => one.machine.roles.includes("collector") && !one.silent)
+        .map((one) => ({ zone: one.machine.zone, peer: one.machine.peer })),
       recorders: [...this.recorder.currentMembers.voters, ...this.recorder.currentMembers.learners],
     };
     const parts = [JSON.stringify(view).slice(0, -1)];
-    if (this.book.inForce && poll.configSequence !== this.book.inForce.sequence) parts.push(this.currentConfig().text);
-    if (poll.directorySequence !== this.book.directorySequence) parts.push(this.currentDirectory().text);
+    if (this.book.inForce && poll.configSequence !== this.book.inForce.sequence)
+      parts.push(this.currentConfig().text);
+    if (poll.directorySequence !== this.book.directorySequence)
+      parts.push(this.currentDirectory().text);
     return `${parts.join(",")}}`;
   }
 
@@ -209,7 +258,8 @@
       for (const contract of this.book.contracts.values()) {
         const heard = this.heardBackEnds.get(contract.address);
         const { address, number, leaving } = contract;
-        if (!heard) this.heardBackEnds.set(address, { heardMs: nowMs, leftMs: leaving ? nowMs : -Infinity });
+        if (!heard)
+          this.heardBackEnds.set(address, { heardMs: nowMs, leftMs: leaving ? nowMs : -Infinity });
         else if (leaving && nowMs - Math.max(heard.heardMs, heard.leftMs) > this.terms.purgeMs) {
           this.tell({ kind: "purge", address, number });
           this.heardBackEnds.delete(address);
@@ -223,16 +273,25 @@
         if (heard.silent || nowMs - heard.heardMs < this.terms.silentMs) continue;
         heard.silent = true;
         this.log.warn("A machine fell silent.", { machine: heard.machine.name });
-        this.tell({ kind: "note", text: `Machine ${heard.machine.name} of zone ${heard.machine.zone} fell silent.` });
+        this.tell({
+          kind: "note",
+          text: `Machine ${heard.machine.name} of zone ${heard.machine.zone} fell silent.`,
+        });
       }
-      const past = this.isNew ? [] : this.allowance.past(nowMs, this.book.holders).filter((edge) => !this.parting.has(edge));
+      const past = this.isNew
+        ? []
+        : this.allowance.past(nowMs, this.book.holders).filter((edge) => !this.parting.has(edge));
       if (past.length > 0) {
         this.tell({ kind: "holdersPast", edges: past });
         for (const edge of past) this.parting.add(edge);
       }
       const old = this.keyAges.filter(({ atMs }) => nowMs - atMs > this.terms.keyMs);
       if (old.length > 0) {
-        this.tell({ kind: "forget", scopes: old.map(({ scope }) => scope), upTo: Math.max(...old.map(({ index }) => index)) });
+        this.tell({
+          kind: "forget",
+          scopes: old.map(({ scope }) => scope),
+          upTo: Math.max(...old.map(({ index }) => index)),
+        });
       }
     }
   }
@@ -251,7 +310,11 @@
     for (const instance of this.book.gone.keys()) this.goneSince.set(instance, nowMs);
     this.configText = { sequence: -1, text: "", services: [] };
     this.directoryText = { sequence: -1, text: "", byNumber: new Map() };
-    this.keyAges = [...this.book.keys].map(([scope, { atIndex }]) => ({ scope, index: atIndex, atMs: nowMs }));
+    this.keyAges = [...this.book.keys].map(([scope, { atIndex }]) => ({
+      scope,
+      index: atIndex,
+      atMs: nowMs,
+    }));
   }
 
   private granted(read: () => unknown): string {
@@ -277,9 +340,20 @@
     const sequence = inForce?.sequence ?? 0;
     if (this.configText.sequence !== sequence) {
       const numbers = this.book.numbering.inForce;
-      const config = inForce && inForce.text.length > longText ? `"packedConfig":"${Packed.of(inForce.text)}"` : `"config":${JSON.stringify(inForce?.text ?? "")}`;
-      const text = inForce ? `${config},"numbers":${JSON.stringify(Object.fromEntries(numbers))}` : "";
-      this.configText = { sequence, text, services: [...numbers.keys()].filter((name) => name.startsWith("service ")).map((name) => name.slice(8)) };
+      const config =
+        inForce && inForce.text.length > longText
+          ? `"packedConfig":"${Packed.of(inForce.text)}"`
+          : `"config":${JSON.stringify(inForce?.text ?? "")}`;
+      const text = inForce
+        ? `${config},"numbers":${JSON.stringify(Object.fromEntries(numbers))}`
+        : "";
+      this.configText = {
+        sequence,
+        text,
+        services: [...numbers.keys()]
+          .filter((name) => name.startsWith("service "))
+          .map((name) => name.slice(8)),
+      };
     }
     return this.configText;
   }
@@ -289,13 +363,20 @@
     const sequence = this.book.directorySequence;
     if (this.directoryText.sequence !== sequence) {
       const contracts = [...this.book.contracts.values()];
-      this.directoryText = { sequence, text: `"directory":${JSON.stringify(contracts)}`, byNumber: new Map(contracts.map((contract) => [contract.number, contract])) };
+      this.directoryText = {
+        sequence,
+        text: `"directory":${JSON.stringify(contracts)}`,
+        byNumber: new Map(contracts.map((contract) => [contract.number, contract])),
+      };
     }
     return this.directoryText;
   }
 
   private hasNewsFor(poll: Poll): boolean {
-    return poll.configSequence !== (this.book.inForce?.sequence ?? 0) || poll.directorySequence !== this.book.directorySequence;
+    return (
+      poll.configSequence !== (this.book.inForce?.sequence ?? 0) ||
+      poll.directorySequence !== this.book.directorySequence
+    );
   }
 
   /** Waits until the directory or the config changes, at most for a while. */
@@ -331,14 +412,25 @@
       const known = byNumber.get(number);
       if (known?.address !== address || known.leaving || this.ending.has(number)) continue;
       this.ending.add(number);
-      this.tell({ kind: "end", address, number, why: `it refused a connection from ${machine.name}, or another service is there` }, (outcome) => {
-        if (isBreakdown(outcome)) this.ending.delete(number);
-      });
+      this.tell(
+        {
+          kind: "end",
+          address,
+          number,
+          why: `it refused a connection from ${machine.name}, or another service is there`,
+        },
+        (outcome) => {
+          if (isBreakdown(outcome)) this.ending.delete(number);
+        },
+      );
     }
   }
 
   private hear(address: string, nowMs: number): void {
-    this.heardBackEnds.set(address, { heardMs: nowMs, leftMs: this.heardBackEnds.get(address)?.leftMs ?? -Infinity });
+    this.heardBackEnds.set(address, {
+      heardMs: nowMs,
+      leftMs: this.heardBackEnds.get(address)?.leftMs ?? -Infinity,
+    });
   }
 
   private noteOrder(instance: string, order: number): void {
@@ -348,19 +440,27 @@
   private noteGone(): void {
     if (this.goneSince.size === this.book.gone.size) return;
     const nowMs = this.world.clock.nowMs();
-    for (const instance of this.book.gone.keys()) if (!this.goneSince.has(instance)) this.goneSince.set(instance, nowMs);
+    for (const instance of this.book.gone.keys())
+      if (!this.goneSince.has(instance)) this.goneSince.set(instance, nowMs);
   }
 
   /** Forgets instances that have been gone for long, and orders that nobody needs any more. */
   private forgetInstances(nowMs: number): void {
-    for (const instance of this.goneSince.keys()) if (!this.book.gone.has(instance)) this.goneSince.delete(instance);
+    for (const instance of this.goneSince.keys())
+      if (!this.book.gone.has(instance)) this.goneSince.delete(instance);
     let oldestMs = nowMs;
     for (const sinceMs of this.goneSince.values()) oldestMs = Math.min(oldestMs, sinceMs);
     if (nowMs - oldestMs > this.terms.goneMs * goneSlack)
-      this.tell({ kind: "forgetGone", instances: [...this.goneSince].filter(([, sinceMs]) => nowMs - sinceMs > this.terms.goneMs).map(([instance]) => instance) });
+      this.tell({
+        kind: "forgetGone",
+        instances: [...this.goneSince]
+          .filter(([, sinceMs]) => nowMs - sinceMs > this.terms.goneMs)
+          .map(([instance]) => instance),
+      });
     if (this.orders.size <= this.book.contracts.size) return;
     const standing = new Set([...this.book.contracts.values()].map(({ instance }) => instance));
-    for (const instance of this.orders.keys()) if (!standing.has(instance)) this.orders.delete(instance);
+    for (const instance of this.orders.keys())
+      if (!standing.has(instance)) this.orders.delete(instance);
   }
 
   private *announce(order: Extract<Order, { kind: "announce" }>): Task<string> {
@@ -369,7 +469,12 @@
     const known = this.book.contracts.get(address);
     if (order.draining) {
       const left = yield* this.leave({ address, service, instance }, false);
-      return isBreakdown(left) ? left : this.announced(known?.instance === instance ? known.number : 0, instance === "" ? "leaving" : "gone");
+      return isBreakdown(left)
+        ? left
+        : this.announced(
+            known?.instance === instance ? known.number : 0,
+            instance === "" ? "leaving" : "gone",
+          );
     }
     const nowMs = this.world.clock.nowMs();
     const same = known?.service === service && known.instance === instance;
@@ -377,20 +482,35 @@
       this.goneSince.set(instance, nowMs);
       return this.announced(0, "gone");
     }
-    if (order.order !== undefined && order.order < this.newestOrder(instance)) return this.announced(same ? known.number : 0, "overtaken");
+    if (order.order !== undefined && order.order < this.newestOrder(instance))
+      return this.announced(same ? known.number : 0, "overtaken");
     const heard = this.heardBackEnds.get(address) ?? this.leftBefore(known, nowMs);
-    const justLeft = instance === "" && heard !== undefined && nowMs - heard.leftMs < this.terms.leaveHoldMs;
-    if (same && known.leaving && !known.drained && justLeft) return this.announced(known.number, "leaving");
+    const justLeft =
+      instance === "" && heard !== undefined && nowMs - heard.leftMs < this.terms.leaveHoldMs;
+    if (same && known.leaving && !known.drained && justLeft)
+      return this.announced(known.number, "leaving");
     if (same) {
       this.hear(address, nowMs);
       this.noteOrder(instance, order.order ?? 0);
       if (known.drained) return this.announced(known.number, "drained");
-      if (!known.leaving && known.zone === zone && known.capacity === capacity) return this.announced(known.number, "known");
+      if (!known.leaving && known.zone === zone && known.capacity === capacity)
+        return this.announced(known.number, "known");
     }
-    if (known && seen < Math.max(known.number, known.leftAt)) return this.announced(known.number, "overtaken");
+    if (known && seen < Math.max(known.number, known.leftAt))
+      return this.announced(known.number, "overtaken");
     this.hear(address, nowMs);
     this.noteOrder(instance, order.order ?? 0);
-    const outcome = yield* this.enter({ kind: "contract", address, service, zone, warmth, instance, capacity, warmMs, order: order.order ?? 0 });
+    const outcome = yield* this.enter({
+      kind: "contract",
+      address,
+      service,
+      zone,
+      warmth,
+      instance,
+      capacity,
+      warmMs,
+      order: order.order ?? 0,
+    });
     const entered = create(JSON.parse(outcome), numbered);
     if (entered.gone) return this.announced(0, "gone");
     return entered.number === undefined ? outcome : this.announced(entered.number, "taken");
@@ -398,24 +518,50 @@
 
   private newestOrder(instance: string): number {
     if (instance === "") return 0;
-    return Math.max(this.orders.get(instance) ?? 0, ...this.book.contractsOf(instance).map(({ order }) => order));
+    return Math.max(
+      this.orders.get(instance) ?? 0,
+      ...this.book.contractsOf(instance).map(({ order }) => order),
+    );
   }
 
   private announced(contract: Contract["number"], state: string): string {
     return JSON.stringify({ contract, state, announceMs: this.terms.announceMs });
   }
 
-  private *leave({ address = "", service = "", instance = "" }: { address?: string | undefined; service?: string | undefined; instance?: string | undefined }, drained: boolean): Task<string> {
+  private *leave(
+    {
+      address = "",
+      service = "",
+      instance = "",
+    }: {
+      address?: string | undefined;
+      service?: string | undefined;
+      instance?: string | undefined;
+    },
+    drained: boolean,
+  ): Task<string> {
     if (!this.recorder.hasGrant) return breakdownReturn("noGrant");
     const known = this.book.contracts.get(address);
-    const isGone = instance === "" ? known?.service === service && known.leaving && known.drained >= drained : this.book.gone.has(instance);
+    const isGone =
+      instance === ""
+        ? known?.service === service && known.leaving && known.drained >= drained
+        : this.book.gone.has(instance);
     if (isGone) {
       if (instance === "") this.noteLeft(address, this.world.clock.nowMs());
       return JSON.stringify({ known: true });
     }
-    const outcome = yield* this.enter({ kind: "leave", address, service, drained, ...(instance === "" ? {} : { instance }) });
+    const outcome = yield* this.enter({
+      kind: "leave",
+      address,
+      service,
+      drained,
+      ...(instance === "" ? {} : { instance }),
+    });
     const nowMs = this.world.clock.nowMs();
-    const left = instance === "" ? [address] : this.book.contractsOf(instance).map((contract) => contract.address);
+    const left =
+      instance === ""
+        ? [address]
+        : this.book.contractsOf(instance).map((contract) => contract.address);
     for (const one of left) this.noteLeft(one, nowMs);
     return outcome;
   }
@@ -427,7 +573,10 @@
   }
 
   /** A new leader doesn't know when one that is leaving left: it may have been just now. */
-  private leftBefore(known: Contract | undefined, nowMs: number): { heardMs: number; leftMs: number } | undefined {
+  private leftBefore(
+    known: Contract | undefined,
+    nowMs: number,
+  ): { heardMs: number; leftMs: number } | undefined {
     return known?.leaving === true ? this.noteLeft(known.address, nowMs) : undefined;
   }
 
@@ -437,9 +586,15 @@
       const first = this.book.changeVersion(order.changeId);
       if (first !== undefined) return JSON.stringify({ accepted: first });
       const { version } = this.book;
-      if (order.base !== undefined && order.base !== version) return JSON.stringify({ lost: version });
-      if (order.version !== undefined && !(Number.isSafeInteger(order.version) && order.version > version))
-        return JSON.stringify({ faults: [{ path: "version", expected: `a version above ${version}` }] });
+      if (order.base !== undefined && order.base !== version)
+        return JSON.stringify({ lost: version });
+      if (
+        order.version !== undefined &&
+        !(Number.isSafeInteger(order.version) && order.version > version)
+      )
+        return JSON.stringify({
+          faults: [{ path: "version", expected: `a version above ${version}` }],
+        });
       const checked = Config.check(this.changed(order));
       if ("faults" in checked) return JSON.stringify({ faults: checked.faults });
       const { config } = checked;
@@ -466,18 +621,25 @@
   private changed(order: ChangeOrder): unknown {
     if (order.kind === "put") return order.value;
     const text = this.book.inForce?.text;
-    if (text !== undefined && this.parsed.text !== text) this.parsed = { text, value: JSON.parse(text) };
+    if (text !== undefined && this.parsed.text !== text)
+      this.parsed = { text, value: JSON.parse(text) };
     const current = text === undefined ? Config.empty : this.parsed.value;
-    return order.kind === "patch" ? mergePatch(current, order.value) : amend(current, order.put, order.remove);
+    return order.kind === "patch"
+      ? mergePatch(current, order.value)
+      : amend(current, order.put, order.remove);
   }
 
   /** Numbers that have been out of force for so long that no window holds them. */
   private rested(): number[] {
     const nowMs = this.world.clock.nowMs();
     const { resting } = this.book.numbering;
-    for (const number of this.restingSince.keys()) if (!resting.has(number)) this.restingSince.delete(number);
-    for (const number of resting) if (!this.restingSince.has(number)) this.restingSince.set(number, nowMs);
-    return [...this.restingSince].filter(([, sinceMs]) => nowMs - sinceMs > this.terms.restMs).map(([number]) => number);
+    for (const number of this.restingSince.keys())
+      if (!resting.has(number)) this.restingSince.delete(number);
+    for (const number of resting)
+      if (!this.restingSince.has(number)) this.restingSince.set(number, nowMs);
+    return [...this.restingSince]
+      .filter(([, sinceMs]) => nowMs - sinceMs > this.terms.restMs)
+      .map(([number]) => number);
   }
 
   private *read(version: number | undefined): Task<string> {
@@ -485,17 +647,32 @@
     const newest = this.book.inForce;
     const wanted = version ?? this.book.version;
     if (!newest || wanted > this.book.version || wanted < 1) return JSON.stringify({ found: null });
-    const found = wanted === this.book.version ? newest : yield* this.ofVersion(wanted, newest.sequence);
+    const found =
+      wanted === this.book.version ? newest : yield* this.ofVersion(wanted, newest.sequence);
     if (found === "unknown") return breakdownReturn("unknown");
     if (!found) return this.granted(() => ({ found: null }));
-    return this.granted(() => ({ found: { sequence: found.sequence, version: versionOf(found), changeId: found.changeId, acceptedAt: found.acceptedAt, text: found.text } }));
+    return this.granted(() => ({
+      found: {
+        sequence: found.sequence,
+        version: versionOf(found),
+        changeId: found.changeId,
+        acceptedAt: found.acceptedAt,
+        text: found.text,
+      },
+    }));
   }
 
   /** The accepted config of a version: versions rise with the sequences, so that few are looked at. */
-  private *ofVersion(version: number, newest: number): Task<AcceptedConfig | "unknown" | undefined> {
+  private *ofVersion(
+    version: number,
+    newest: number,
+  ): Task<AcceptedConfig | "unknown" | undefined> {
     const { recent } = this.book;
     const at = recent.findIndex((one) => versionOf(one) >= version);
-    const known = at > 0 || (at === 0 && recent[0] && versionOf(recent[0]) === version) ? recent[at] : undefined;
+    const known =
+      at > 0 || (at === 0 && recent[0] && versionOf(recent[0]) === version)
+        ? recent[at]
+        : undefined;
     if (known && versionOf(known) !== version) return undefined;
     if (known) return (yield* this.recorder.config(known.sequence)) ?? "unknown";
     let low = 1;
@@ -525,8 +702,22 @@
       leader: this.recorder.self,
       voters: this.recorder.currentMembers.voters,
       learners: this.recorder.currentMembers.learners,
-      machines: [...this.machines.values()].map(({ machine, heardMs, silent }) => ({ name: machine.name, zone: machine.zone, roles: machine.roles, peer: machine.peer, draining: machine.draining, silent, heardMsAgo: Math.round(nowMs - heardMs) })),
-      backEnds: [...this.book.contracts.values()].map(({ address, service, zone, leaving }) => ({ address, service, zone, leaving, heardMsAgo: Math.round(nowMs - (this.heardBackEnds.get(address)?.heardMs ?? nowMs)) })),
+      machines: [...this.machines.values()].map(({ machine, heardMs, silent }) => ({
+        name: machine.name,
+        zone: machine.zone,
+        roles: machine.roles,
+        peer: machine.peer,
+        draining: machine.draining,
+        silent,
+        heardMsAgo: Math.round(nowMs - heardMs),
+      })),
+      backEnds: [...this.book.contracts.values()].map(({ address, service, zone, leaving }) => ({
+        address,
+        service,
+        zone,
+        leaving,
+        heardMsAgo: Math.round(nowMs - (this.heardBackEnds.get(address)?.heardMs ?? nowMs)),
+      })),
       directorySequence: this.book.directorySequence,
       keys: this.book.keys.size,
       configs: this.book.version,
--- a/src/contract/view.ts
+++ b/src/contract/view.ts
@@ -116,16 +116,39 @@
   }
 
   /** Answers an announcement that changes nothing; the leader hears of it with the next poll. `undefined` where the leader must be asked. */
-  hear({ address, service, zone, instance = "", capacity = 0, order, draining = false }: Announcement): Heard | undefined {
+  hear({
+    address,
+    service,
+    zone,
+    instance = "",
+    capacity = 0,
+    order,
+    draining = false,
+  }: Announcement): Heard | undefined {
     const known = this.byAddress.get(address);
     const isSame = known?.instance === instance && known.service === service;
     if (draining) return undefined;
     if (instance !== "" && order !== undefined) {
-      if (order < (this.orders.get(instance) ?? 0)) return { contract: isSame ? known.number : 0, state: "overtaken", announceMs: this.announceMs };
+      if (order < (this.orders.get(instance) ?? 0))
+        return {
+          contract: isSame ? known.number : 0,
+          state: "overtaken",
+          announceMs: this.announceMs,
+        };
       this.noteOrder(instance, order);
     }
-    if (!this.isGranted || !isSame || known.zone !== zone || known.capacity !== capacity || !this.standing.has(known.number)) return undefined;
-    this.announced.set(known.number, { order: Math.max(order ?? 0, this.announced.get(known.number)?.order ?? 0), atMs: this.world.clock.nowMs() });
+    if (
+      !this.isGranted ||
+      !isSame ||
+      known.zone !== zone ||
+      known.capacity !== capacity ||
+      !this.standing.has(known.number)
+    )
+      return undefined;
+    this.announced.set(known.number, {
+      order: Math.max(order ?? 0, this.announced.get(known.number)?.order ?? 0),
+      atMs: this.world.clock.nowMs(),
+    });
     return { contract: known.number, state: "known", announceMs: this.announceMs };
   }
 
@@ -157,7 +180,8 @@
         const view = Poll.readReturn(ret);
         if (view.granted) {
           this.take(view, sentMs);
-          for (const [number, one] of told) if (this.announced.get(number) === one) this.announced.delete(number);
+          for (const [number, one] of told)
+            if (this.announced.get(number) === one) this.announced.delete(number);
         }
       }
       if (this.heard && !this.isGranted) {
@@ -175,14 +199,18 @@
       this.budget.setCapacities(new Map(), nowMs);
       this.grantNumber = "";
     }
-    for (const [number, { atMs }] of this.announced) if (nowMs - atMs > heardForMs) this.announced.delete(number);
+    for (const [number, { atMs }] of this.announced)
+      if (nowMs - atMs > heardForMs) this.announced.delete(number);
     const poll: Poll = {
       machine: this.machine(),
       configSequence: this.configSequence,
       directorySequence: this.directorySequence,
       grantNumber: this.grantNumber,
       capacities: [...this.budget.capacities].map(([service, capacity]) => ({ service, capacity })),
-      wished: this.services.map((service) => ({ service, count: this.budget.wished(service, nowMs) })),
+      wished: this.services.map((service) => ({
+        service,
+        count: this.budget.wished(service, nowMs),
+      })),
       refused: this.refused.map(({ address, number }) => ({ address, number })),
       heard: [...this.announced].map(([number, { order }]) => ({ number, order })),
     };
@@ -190,12 +218,18 @@
   }
 
   private take(view: GrantedView, sentMs: number): void {
-    if (view.configSequence < this.configSequence || view.directorySequence < this.directorySequence) {
-      this.log.warn("A view older than the one in hand was refused.", { sequence: view.configSequence });
+    if (
+      view.configSequence < this.configSequence ||
+      view.directorySequence < this.directorySequence
+    ) {
+      this.log.warn("A view older than the one in hand was refused.", {
+        sequence: view.configSequence,
+      });
       return;
     }
     const couldServe = this.canServe;
-    const config = view.config ?? (view.packedConfig === undefined ? undefined : Packed.text(view.packedConfig));
+    const config =
+      view.config ?? (view.packedConfig === undefined ? undefined : Packed.text(view.packedConfig));
     if (config !== undefined && view.configSequence > this.configSequence) {
       this.mappings = new Mappings(this.reader.read(config));
       this.configSequence = view.configSequence;
@@ -216,7 +250,10 @@
     this.announceMs = view.announceMs ?? this.announceMs;
     this.collectors = view.collectors;
     this.ferry.know(view.recorders);
-    this.budget.setCapacities(new Map(view.capacities.map(({ service, capacity }) => [service, capacity])), this.world.clock.nowMs());
+    this.budget.setCapacities(
+      new Map(view.capacities.map(({ service, capacity }) => [service, capacity])),
+      this.world.clock.nowMs(),
+    );
     this.grantNumber = view.grantNumber;
     this.untilMs = sentMs + view.grantMs;
     if (!couldServe && this.canServe) this.onLease();
@@ -235,7 +272,8 @@
     for (const contract of this.directory) {
       const { address, service, instance, number, leaving } = contract;
       this.byAddress.set(address, contract);
-      if (instance !== "" && (!leaving || !this.byInstance.has(instance))) this.byInstance.set(instance, contract);
+      if (instance !== "" && (!leaving || !this.byInstance.has(instance)))
+        this.byInstance.set(instance, contract);
       if (leaving || refused.has(number)) continue;
       this.standing.add(number);
       const known = this.byService.get(service);
@@ -243,7 +281,8 @@
       else this.byService.set(service, [contract]);
     }
     if (this.orders.size <= this.directory.length + spareOrders) return;
-    for (const instance of this.orders.keys()) if (!this.byInstance.has(instance)) this.orders.delete(instance);
+    for (const instance of this.orders.keys())
+      if (!this.byInstance.has(instance)) this.orders.delete(instance);
   }
 
   private noteOrder(instance: string, order: number): void {
--- a/src/door/backEnds.ts
+++ b/src/door/backEnds.ts
@@ -29,7 +29,8 @@
  * Unreached: no connection came about in time. Withdrawn: it might no longer be sent once the connection stood.
  * In these four nothing was sent. Lost and late: it was.
  */
-export type Opened = BackReturn | "refused" | "foreign" | "unreached" | "withdrawn" | "lost" | "late";
+export type Opened =
+  BackReturn | "refused" | "foreign" | "unreached" | "withdrawn" | "lost" | "late";
 
 /** One try at a back end. */
 export interface BackTry {
@@ -82,10 +83,15 @@
   private last: "end" | "cut" | undefined;
   private waiting: (() => void) | undefined;
   private controller: Dispatcher.DispatchController | undefined;
-  private readonly head: (outcome: { code: number; headers: Record<string, string> } | { error: Error }) => void;
+  private readonly head: (
+    outcome: { code: number; headers: Record<string, string> } | { error: Error },
+  ) => void;
   private readonly over: (isWhole: boolean) => void;
 
-  constructor(head: (outcome: { code: number; headers: Record<string, string> } | { error: Error }) => void, over: (isWhole: boolean) => void) {
+  constructor(
+    head: (outcome: { code: number; headers: Record<string, string> } | { error: Error }) => void,
+    over: (isWhole: boolean) => void,
+  ) {
     this.head = head;
     this.over = over;
   }
@@ -94,7 +100,11 @@
     this.controller = controller;
   }
 
-  onResponseStart(_controller: Dispatcher.DispatchController, code: number, headers: Record<string, string | string[] | undefined>): void {
+  onResponseStart(
+    _controller: Dispatcher.DispatchController,
+    code: number,
+    headers: Record<string, string | string[] | undefined>,
+  ): void {
     if (code < 200) return;
     const flat: Record<string, string> = {};
     for (const name in headers) {
@@ -130,7 +140,8 @@
       const piece = this.pieces.shift();
       if (piece) {
         this.heldBytes -= piece.length;
-        if (this.controller?.paused === true && this.heldBytes <= heldLimitBytes / 2) this.controller.resume();
+        if (this.controller?.paused === true && this.heldBytes <= heldLimitBytes / 2)
+          this.controller.resume();
         return piece;
       }
       if (this.last !== undefined) return this.last;
@@ -183,7 +194,17 @@
   );
 };
 
-const methods = new Set<string>(["GET", "HEAD", "POST", "PUT", "DELETE", "CONNECT", "OPTIONS", "TRACE", "PATCH"]);
+const methods = new Set<string>([
+  "GET",
+  "HEAD",
+  "POST",
+  "PUT",
+  "DELETE",
+  "CONNECT",
+  "OPTIONS",
+  "TRACE",
+  "PATCH",
+]);
 const isMethod = (method: string): method is Dispatcher.HttpMethod => methods.has(method);
 
 export const BackEnds = {
@@ -219,7 +240,8 @@
         headersTimeout: 0,
         bodyTimeout: 0,
         connect(_options, done) {
-          if (isTaken || socket.destroyed) return done(new ConnectionOverError("The connection has ended."), null);
+          if (isTaken || socket.destroyed)
+            return done(new ConnectionOverError("The connection has ended."), null);
           isTaken = true;
           queueMicrotask(() => done(null, socket));
         },
@@ -232,13 +254,26 @@
     };
 
     /** Opens a connection and has the back end say which service it is, where that is asked of it. */
-    const opened = function* ({ address, service, pool, untilMs }: BackTry): Task<Line | "refused" | "foreign" | "unreached"> {
-      const socket = yield* connected(clock, address, Math.min(connectWaitMs, untilMs - clock.nowMs()));
+    const opened = function* ({
+      address,
+      service,
+      pool,
+      untilMs,
+    }: BackTry): Task<Line | "refused" | "foreign" | "unreached"> {
+      const socket = yield* connected(
+        clock,
+        address,
+        Math.min(connectWaitMs, untilMs - clock.nowMs()),
+      );
       if (typeof socket === "string") return socket;
       const line = lineOn(socket, address, pool);
       if (proof === "request") return line;
       const cancelTimer = clock.after(connectWaitMs, () => reset(line));
-      const proven = yield* Task.settle(line.client.request({ method: "GET", path: proofPath }).then(async ({ headers, body }) => body.dump().then(() => headers[serviceHeader])));
+      const proven = yield* Task.settle(
+        line.client
+          .request({ method: "GET", path: proofPath })
+          .then(async ({ headers, body }) => body.dump().then(() => headers[serviceHeader])),
+      );
       cancelTimer();
       if ("value" in proven && proven.value === service && lines.has(line)) return line;
       reset(line);
@@ -254,7 +289,14 @@
           (outcome) => {
             if ("error" in outcome) {
               const { error } = outcome;
-              done(isLate ? "late" : error instanceof ConnectionOverError || error instanceof errors.ClientDestroyedError ? "over" : "lost");
+              done(
+                isLate
+                  ? "late"
+                  : error instanceof ConnectionOverError ||
+                      error instanceof errors.ClientDestroyedError
+                    ? "over"
+                    : "lost",
+              );
               return;
             }
             done({ ...outcome, next: () => receiving.next(), cancel: drop });
@@ -284,7 +326,10 @@
           rest(line);
           return done("unreached");
         }
-        line.client.dispatch({ method: job.method, path: job.path, headers: job.headers, body: whole(job) }, receiving);
+        line.client.dispatch(
+          { method: job.method, path: job.path, headers: job.headers, body: whole(job) },
+          receiving,
+        );
       });
     };
 
--- a/src/door/door.ts
+++ b/src/door/door.ts
@@ -64,15 +64,41 @@
 const leastClaimMs = 40;
 
 /** Headers that belong to one connection and are never passed on. */
-const hopHeaders = new Set(["connection", "keep-alive", "proxy-authenticate", "proxy-authorization", "te", "trailer", "transfer-encoding", "upgrade", "content-length", "expect", "proxy-connection"]);
+const hopHeaders = new Set([
+  "connection",
+  "keep-alive",
+  "proxy-authenticate",
+  "proxy-authorization",
+  "te",
+  "trailer",
+  "transfer-encoding",
+  "upgrade",
+  "content-length",
+  "expect",
+  "proxy-connection",
+]);
 
 const passedOn = (headers: Record<string, string>): Record<string, string> => {
   const passed: Record<string, string> = {};
   const named = headers["connection"];
-  const alsoHop = named === undefined ? undefined : new Set(named.toLowerCase().split(",").map((name) => name.trim()));
+  const alsoHop =
+    named === undefined
+      ? undefined
+      : new Set(
+          named
+            .toLowerCase()
+            .split(",")
+            .map((name) => name.trim()),
+        );
   for (const name in headers) {
     const value = headers[name];
-    if (value === undefined || hopHeaders.has(name) || name.startsWith("x-daledoor-") || alsoHop?.has(name)) continue;
+    if (
+      value === undefined ||
+      hopHeaders.has(name) ||
+      name.startsWith("x-daledoor-") ||
+      alsoHop?.has(name)
+    )
+      continue;
     passed[name] = value;
   }
   return passed;
@@ -126,9 +152,20 @@
   private awaiting: Array<() => void> = [];
   /** Requests in hand now. */
   inHand = 0;
-  readonly tally: Tally = { taken: 0, byCode: {}, byVerdict: { neverRan: 0, mayHaveRun: 0, ran: 0 }, firstTries: 0, furtherTries: 0, furtherRefused: { sketch: 0, guard: 0 }, cut: 0 };
-
-  constructor(world: World, { view, backEnds, ferry, budget, counts, shares, incarnation, dialect, staleMs }: DoorParts) {
+  readonly tally: Tally = {
+    taken: 0,
+    byCode: {},
+    byVerdict: { neverRan: 0, mayHaveRun: 0, ran: 0 },
+    firstTries: 0,
+    furtherTries: 0,
+    furtherRefused: { sketch: 0, guard: 0 },
+    cut: 0,
+  };
+
+  constructor(
+    world: World,
+    { view, backEnds, ferry, budget, counts, shares, incarnation, dialect, staleMs }: DoorParts,
+  ) {
     this.world = world;
     this.view = view;
     this.backEnds = backEnds;
@@ -187,7 +224,12 @@
       caller.whole(this.spoken(ending, ending.ret));
     } catch (error) {
       this.log.fault("A request met what nobody foresaw.", error);
-      caller.whole(Return.json(500, { error: "The daemon broke down over this request.", verdict: "mayHaveRun" }));
+      caller.whole(
+        Return.json(500, {
+          error: "The daemon broke down over this request.",
+          verdict: "mayHaveRun",
+        }),
+      );
     } finally {
       this.inHand -= 1;
       this.passages.delete(passage);
@@ -199,7 +241,18 @@
     for (const passage of this.passages) {
       passage.isAbandoned = true;
       if (passage.isStreaming) passage.caller.cut();
-      else passage.caller.whole(Return.json(504, { error: "This daemon stops before the back end returned.", verdict: "mayHaveRun", retryAfterS: 1 }, { "retry-after": "1" }));
+      else
+        passage.caller.whole(
+          Return.json(
+            504,
+            {
+              error: "This daemon stops before the back end returned.",
+              verdict: "mayHaveRun",
+              retryAfterS: 1,
+            },
+            { "retry-after": "1" },
+          ),
+        );
     }
   }
 
@@ -212,22 +265,29 @@
 
   private pass(passage: Passage, chain: readonly Filter[]): Task<Ending> {
     const [filter, ...rest] = chain;
-    return filter ? filter.call(this, passage, () => this.pass(passage, rest)) : this.forward(passage);
+    return filter
+      ? filter.call(this, passage, () => this.pass(passage, rest))
+      : this.forward(passage);
   }
 
   private *limits(passage: Passage, rest: () => Task<Ending>): Task<Ending> {
     if (this.closed) return Ending.drop("This daemon is stopping.", after.elsewhere);
-    if (this.inHand > inHandLimit) return Ending.drop("This daemon has too much in hand.", after.soon);
+    if (this.inHand > inHandLimit)
+      return Ending.drop("This daemon has too much in hand.", after.soon);
     if (!this.hasView) yield* this.awaitView(passage);
-    if (this.view.configSequence === 0) return Ending.drop("No config is in force yet.", after.settled);
+    if (this.view.configSequence === 0)
+      return Ending.drop("No config is in force yet.", after.settled);
     if (!this.hasView) return Ending.drop("This daemon's view is not proven fresh.", after.settled);
-    if (this.dialect.callerId !== undefined && passage.id === undefined) return Ending.refusal(400, "The request names no try.");
+    if (this.dialect.callerId !== undefined && passage.id === undefined)
+      return Ending.refusal(400, "The request names no try.");
     return yield* rest();
   }
 
   /** Whether there is a view by which requests may be looked at, if only those that may be repeated. */
   private get hasView(): boolean {
-    return this.view.configSequence > 0 && (this.view.isGranted || this.view.lapsedMs < this.staleMs);
+    return (
+      this.view.configSequence > 0 && (this.view.isGranted || this.view.lapsedMs < this.staleMs)
+    );
   }
 
   /** A daemon that has just started holds requests for its first lease, for a bounded part of the time that their callers gave. */
@@ -235,12 +295,17 @@
     const { deadline } = this.dialect;
     const toldMs = deadline === undefined ? Number.NaN : Number(job.headers[deadline]);
     if (!(toldMs > 0) || this.awaiting.length >= inHandLimit) return;
-    yield* Clock.within<true>(this.world.clock, Math.min(toldMs * awaitPart, mostAwaitMs), (done) => this.awaiting.push(() => done(true)));
+    yield* Clock.within<true>(this.world.clock, Math.min(toldMs * awaitPart, mostAwaitMs), (done) =>
+      this.awaiting.push(() => done(true)),
+    );
   }
 
   private *mapped(passage: Passage, rest: () => Task<Ending>): Task<Ending> {
     const mapping = this.find(passage);
-    if (!mapping) return this.view.isGranted ? Ending.refusal(404, "No route takes this request.") : Ending.drop("This daemon's view is not proven fresh.", after.settled);
+    if (!mapping)
+      return this.view.isGranted
+        ? Ending.refusal(404, "No route takes this request.")
+        : Ending.drop("This daemon's view is not proven fresh.", after.settled);
     passage.mapping = mapping;
     passage.service = mapping.choose(passage.draw);
     passage.untilMs = passage.arrivedMs + this.givenMs(passage, mapping);
@@ -255,11 +320,22 @@
     const { key: header } = this.dialect;
     const key = job.headers[header];
     const isKeyed = mapping?.keyed === true;
-    if (!isKeyed && (mapping?.repeatable === true || safeMethods.has(job.method))) return yield* rest();
-    if (key === undefined) return isKeyed ? Ending.refusal(400, `This route wants the header ${header}.`) : yield* rest();
-    if (key.length === 0 || key.length > 200) return Ending.refusal(400, "A key has 1 to 200 characters.");
-    if (!this.view.isGranted) return Ending.drop("This daemon's view is not proven fresh.", after.settled);
-    const claim = yield* this.keys.claim(job, key, passage.untilMs, mapping && this.claimMs(passage, mapping));
+    if (!isKeyed && (mapping?.repeatable === true || safeMethods.has(job.method)))
+      return yield* rest();
+    if (key === undefined)
+      return isKeyed
+        ? Ending.refusal(400, `This route wants the header ${header}.`)
+        : yield* rest();
+    if (key.length === 0 || key.length > 200)
+      return Ending.refusal(400, "A key has 1 to 200 characters.");
+    if (!this.view.isGranted)
+      return Ending.drop("This daemon's view is not proven fresh.", after.settled);
+    const claim = yield* this.keys.claim(
+      job,
+      key,
+      passage.untilMs,
+      mapping && this.claimMs(passage, mapping),
+    );
     if ("verdict" in claim) return claim;
     passage.claim = claim;
     const ending = yield* rest();
@@ -280,10 +356,15 @@
   }
 
   /** How long a claim may take. A first try is refused early, so that its caller still has time to come back; one that came back waits. */
-  private claimMs({ arrivedMs, untilMs }: Passage, { giveUpMs, goalMs }: Mapping): number | undefined {
+  private claimMs(
+    { arrivedMs, untilMs }: Passage,
+    { giveUpMs, goalMs }: Mapping,
+  ): number | undefined {
     if (this.dialect.deadline === undefined) return undefined;
     const givenMs = untilMs - arrivedMs;
-    return givenMs < giveUpMs * firstTryPart ? givenMs : Math.max(leastClaimMs, goalMs * claimGoalPart);
+    return givenMs < giveUpMs * firstTryPart
+      ? givenMs
+      : Math.max(leastClaimMs, goalMs * claimGoalPart);
   }
 
   /** Whether this daemon's view lets a request be sent on. */
@@ -296,23 +377,39 @@
     let worst: Ending | undefined;
     let further = 0;
     let sends = 0;
-    const giveUp = (why: string, afterMs = after.soon): Ending => worst ?? Ending.drop(why, afterMs);
+    const giveUp = (why: string, afterMs = after.soon): Ending =>
+      worst ?? Ending.drop(why, afterMs);
     for (let attempts = 0; attempts < attemptLimit; attempts += 1) {
       const nowMs = this.world.clock.nowMs();
       const mapping = this.find(passage);
       if (!mapping) return worst ?? Ending.refusal(404, "No route takes this request.");
-      if (!this.mayServe(mapping)) return giveUp("This daemon's view is not proven fresh.", after.settled);
+      if (!this.mayServe(mapping))
+        return giveUp("This daemon's view is not proven fresh.", after.settled);
       if (!mapping.takes(passage.service)) passage.service = mapping.choose(passage.draw);
       const { service } = passage;
-      if (passage.claim && nowMs >= passage.claim.sendUntilMs) return giveUp("The key's claim is too old to send under.");
-      if (nowMs + (attempts > 0 ? leastLeftMs : 0) >= passage.untilMs) return giveUp(`No back end of ${service} took this in time.`);
-      const contract = this.shares.pick(this.view.backEnds(service), tried, mapping.inHandLimit, nowMs, mapping.name);
+      if (passage.claim && nowMs >= passage.claim.sendUntilMs)
+        return giveUp("The key's claim is too old to send under.");
+      if (nowMs + (attempts > 0 ? leastLeftMs : 0) >= passage.untilMs)
+        return giveUp(`No back end of ${service} took this in time.`);
+      const contract = this.shares.pick(
+        this.view.backEnds(service),
+        tried,
+        mapping.inHandLimit,
+        nowMs,
+        mapping.name,
+      );
       if (!contract) return giveUp(`No back end of ${service} can take this now.`);
       const isFurther = sends > 0;
       if (isFurther) {
         further += 1;
         const mayRepeat = worst === undefined || mapping.repeatable;
-        if (!mayRepeat || passage.isSpent || further > mapping.furtherTries || passage.caller.isGone) return giveUp("No further try is allowed.");
+        if (
+          !mayRepeat ||
+          passage.isSpent ||
+          further > mapping.furtherTries ||
+          passage.caller.isGone
+        )
+          return giveUp("No further try is allowed.");
         const left = this.counts.leave(service);
         if (left === undefined || left.taken + 2 > left.part) this.counts.hurry();
         const leave = this.budget.take(service, left, nowMs);
@@ -324,7 +421,11 @@
       tried.add(contract.address);
       const { ending, isSent } = yield* this.attempt(passage, mapping, contract, isFurther);
       const isFailure = typeof ending.ret !== "string" && ending.ret.code >= 500;
-      if (ending.why === "" && !(isFailure && mapping.repeatable && this.shares.isFailing(contract))) return ending;
+      if (
+        ending.why === "" &&
+        !(isFailure && mapping.repeatable && this.shares.isFailing(contract))
+      )
+        return ending;
       if (isSent) sends += 1;
       if (ending.verdict !== "neverRan") worst = ending;
       if (!isSent && isFurther) {
@@ -336,10 +437,20 @@
   }
 
   /** Asked once the connection stands: whether all that allowed the try still does. What is sent is counted. */
-  private mayStill(passage: Passage, service: string, contract: Contract, isFurther: boolean): boolean {
+  private mayStill(
+    passage: Passage,
+    service: string,
+    contract: Contract,
+    isFurther: boolean,
+  ): boolean {
     const claimEnds = passage.claim?.sendUntilMs ?? Infinity;
     const mapping = this.find(passage);
-    const may = mapping !== undefined && mapping.takes(service) && this.mayServe(mapping) && this.view.holds(contract) && this.world.clock.nowMs() < claimEnds;
+    const may =
+      mapping !== undefined &&
+      mapping.takes(service) &&
+      this.mayServe(mapping) &&
+      this.view.holds(contract) &&
+      this.world.clock.nowMs() < claimEnds;
     if (!may) return false;
     if (isFurther) this.tally.furtherTries += 1;
     else this.tally.firstTries += 1;
@@ -349,7 +460,13 @@
   }
 
   /** What a back end is sent beside what the caller sent. */
-  private headersFor({ job }: Passage, service: string, contract: Contract, id: string, untilMs: number): Record<string, string> {
+  private headersFor(
+    { job }: Passage,
+    service: string,
+    contract: Contract,
+    id: string,
+    untilMs: number,
+  ): Record<string, string> {
     const { requestId, deadline, expected, proof } = this.dialect;
     const headers = passedOn(job.headers);
     const stated = job.headers["content-length"];
@@ -359,91 +476,165 @@
       headers[serviceHeader] = service;
     }
     headers[requestId] = id;
-    if (deadline !== undefined) headers[deadline] = String(Math.max(1, Math.floor(untilMs - this.world.clock.nowMs())));
+    if (deadline !== undefined)
+      headers[deadline] = String(Math.max(1, Math.floor(untilMs - this.world.clock.nowMs())));
     if (expected !== undefined && contract.instance !== "") headers[expected] = contract.instance;
     return headers;
   }
 
-  private *attempt(passage: Passage, mapping: Mapping, contract: Contract, isFurther: boolean): Task<Attempt> {
+  private *attempt(
+    passage: Passage,
+    mapping: Mapping,
+    contract: Contract,
+    isFurther: boolean,
+  ): Task<Attempt> {
     const { clock } = this.world;
     const { service } = passage;
     const startedMs = clock.nowMs();
     this.tries += 1;
     const id = passage.id ?? `${service}/${this.incarnation}-${this.tries}`;
-    const untilMs = this.dialect.deadline === undefined ? startedMs + mapping.giveUpMs : passage.untilMs;
+    const untilMs =
+      this.dialect.deadline === undefined ? startedMs + mapping.giveUpMs : passage.untilMs;
     const { method, target, body, rest } = passage.job;
     this.shares.began(contract, startedMs, mapping.name);
     const opened = yield* this.backEnds.send({
       address: contract.address,
       service,
       pool: poolOf(contract),
-      job: { method, path: target, headers: this.headersFor(passage, service, contract, id, untilMs), body, rest },
+      job: {
+        method,
+        path: target,
+        headers: this.headersFor(passage, service, contract, id, untilMs),
+        body,
+        rest,
+      },
       untilMs,
       mayStill: () => this.mayStill(passage, service, contract, isFurther),
     });
     if (opened === "refused" || opened === "foreign") this.view.noteRefused(contract);
     if (opened === "withdrawn") {
       this.shares.withdrew(contract, clock.nowMs());
-      return { ending: Ending.drop("This daemon's view changed before the request could be sent.", after.soon), isSent: false };
+      return {
+        ending: Ending.drop(
+          "This daemon's view changed before the request could be sent.",
+          after.soon,
+        ),
+        isSent: false,
+      };
     }
     const isSent = opened !== "refused" && opened !== "foreign" && opened !== "unreached";
     const ending = yield* this.receive(passage, mapping, contract, opened, id);
     const nowMs = clock.nowMs();
-    const whole = typeof ending.ret === "string" ? ending.ret === "streamed" : ending.why === "" && ending.ret.code < 500;
+    const whole =
+      typeof ending.ret === "string"
+        ? ending.ret === "streamed"
+        : ending.why === "" && ending.ret.code < 500;
     const bytes = typeof ending.ret === "string" ? undefined : ending.ret.body.length;
-    this.shares.ended(contract, { tookMs: nowMs - startedMs, isWhole: whole, goalMs: mapping.goalMs, route: mapping.name, bytes: whole ? bytes : undefined }, nowMs);
+    this.shares.ended(
+      contract,
+      {
+        tookMs: nowMs - startedMs,
+        isWhole: whole,
+        goalMs: mapping.goalMs,
+        route: mapping.name,
+        bytes: whole ? bytes : undefined,
+      },
+      nowMs,
+    );
     return { ending, isSent };
   }
 
-  private *receive(passage: Passage, mapping: Mapping, contract: Contract, opened: Opened, id: string): Task<Ending> {
-    if (opened === "refused" || opened === "foreign" || opened === "unreached" || opened === "withdrawn") return Ending.drop("The back end took no connection.", after.soon);
+  private *receive(
+    passage: Passage,
+    mapping: Mapping,
+    contract: Contract,
+    opened: Opened,
+    id: string,
+  ): Task<Ending> {
+    if (
+      opened === "refused" ||
+      opened === "foreign" ||
+      opened === "unreached" ||
+      opened === "withdrawn"
+    )
+      return Ending.drop("The back end took no connection.", after.soon);
     if (opened === "late") return this.mayHaveRun(504, "The back end did not return in time.");
     if (opened === "lost") return this.mayHaveRun(502, "The connection to the back end broke.");
     const { code, headers } = opened;
     const { echo, seal, notRun, expected, proof } = this.dialect;
     const echoed = headers[proof === "connection" ? mapping.stampHeader : echo];
     const isOther = expected !== undefined && code === 421;
-    if ((echoed === undefined || echoed === id) && (isOther || (notRun !== undefined && headers[notRun] !== undefined))) return yield* this.declined(contract, opened, isOther);
+    if (
+      (echoed === undefined || echoed === id) &&
+      (isOther || (notRun !== undefined && headers[notRun] !== undefined))
+    )
+      return yield* this.declined(contract, opened, isOther);
     if (echoed !== id) return this.discard(opened, "The return carries no stamp of this request.");
     if (promises.has(code)) return this.discard(opened, "The back end itself says try later.");
-    if (seal !== undefined && code < 300 && headers[seal] === undefined) return this.discard(opened, "The return carries no seal.");
+    if (seal !== undefined && code < 300 && headers[seal] === undefined)
+      return this.discard(opened, "The return carries no seal.");
     const encoding = headers["content-encoding"];
-    if (proof === "request" && encoding !== undefined && encoding !== "identity") return this.discard(opened, "The return's body is encoded.");
+    if (proof === "request" && encoding !== undefined && encoding !== "identity")
+      return this.discard(opened, "The return's body is encoded.");
     const bodiless = passage.job.method === "HEAD" || code === 204 || code === 304;
     const stated = headers["content-length"];
     const isChunked = headers["transfer-encoding"]?.toLowerCase() === "chunked";
-    if (!bodiless && !isChunked && (stated === undefined || !/^\d{1,15}$/.test(stated))) return this.discard(opened, "The return states no length.");
+    if (!bodiless && !isChunked && (stated === undefined || !/^\d{1,15}$/.test(stated)))
+      return this.discard(opened, "The return states no length.");
     const ret = passedOn(headers);
     if (proof === "connection") delete ret[mapping.stampHeader];
     const lengthBytes = bodiless ? 0 : isChunked ? undefined : Number(stated);
-    if (lengthBytes !== undefined && lengthBytes > wholeBytes) return yield* this.stream(passage, opened, ret, [], lengthBytes);
+    if (lengthBytes !== undefined && lengthBytes > wholeBytes)
+      return yield* this.stream(passage, opened, ret, [], lengthBytes);
     const pieces: Uint8Array[] = [];
     let heldBytes = 0;
     for (;;) {
       const piece = yield* opened.next();
-      if (piece === "cut" || (piece === "end" && lengthBytes !== undefined && heldBytes !== lengthBytes)) return this.mayHaveRun(502, "The back end's body was cut short.");
+      if (
+        piece === "cut" ||
+        (piece === "end" && lengthBytes !== undefined && heldBytes !== lengthBytes)
+      )
+        return this.mayHaveRun(502, "The back end's body was cut short.");
       if (piece === "end") break;
       heldBytes += piece.length;
-      if (lengthBytes !== undefined && heldBytes > lengthBytes) return this.discard(opened, "The back end's body is longer than stated.");
+      if (lengthBytes !== undefined && heldBytes > lengthBytes)
+        return this.discard(opened, "The back end's body is longer than stated.");
       pieces.push(piece);
-      if (heldBytes > wholeBytes) return yield* this.stream(passage, opened, ret, pieces, lengthBytes);
+      if (heldBytes > wholeBytes)
+        return yield* this.stream(passage, opened, ret, pieces, lengthBytes);
     }
     if (bodiless && stated !== undefined && code !== 204) ret["content-length"] = stated;
-    return Ending.returned({ code, headers: ret, body: pieces.length === 1 && pieces[0] ? pieces[0] : Buffer.concat(pieces) });
+    return Ending.returned({
+      code,
+      headers: ret,
+      body: pieces.length === 1 && pieces[0] ? pieces[0] : Buffer.concat(pieces),
+    });
   }
 
   /** The back end says that it did not run the request; its connection can be used again once the rest has come. */
   private *declined(contract: Contract, opened: BackReturn, isOther: boolean): Task<Ending> {
     if (isOther) this.view.noteRefused(contract);
-    for (let piece = yield* opened.next(); typeof piece !== "string"; ) piece = yield* opened.next();
-    return Ending.drop(isOther ? "Another instance has the address." : "The back end did not take the request.", after.soon);
+    for (let piece = yield* opened.next(); typeof piece !== "string";) piece = yield* opened.next();
+    return Ending.drop(
+      isOther ? "Another instance has the address." : "The back end did not take the request.",
+      after.soon,
+    );
   }
 
-  private *stream(passage: Passage, opened: BackReturn, headers: Record<string, string>, held: readonly Uint8Array[], lengthBytes: number | undefined): Task<Ending> {
+  private *stream(
+    passage: Passage,
+    opened: BackReturn,
+    headers: Record<string, string>,
+    held: readonly Uint8Array[],
+    lengthBytes: number | undefined,
+  ): Task<Ending> {
     const { caller } = passage;
     if (passage.isAbandoned) return this.discard(opened, "The caller has its answer already.");
     passage.isStreaming = true;
-    caller.begin(opened.code, lengthBytes === undefined ? headers : { ...headers, "content-length": String(lengthBytes) });
+    caller.begin(
+      opened.code,
+      lengthBytes === undefined ? headers : { ...headers, "content-length": String(lengthBytes) },
+    );
     let sentBytes = 0;
     const early = [...held];
     for (;;) {
@@ -452,13 +643,20 @@
         caller.end();
         return { verdict: "ran", ret: "streamed", why: "" };
       }
-      if (piece !== "cut" && piece !== "end" && (lengthBytes === undefined || sentBytes + piece.length <= lengthBytes) && (yield* caller.piece(piece))) {
+      if (
+        piece !== "cut" &&
+        piece !== "end" &&
+        (lengthBytes === undefined || sentBytes + piece.length <= lengthBytes) &&
+        (yield* caller.piece(piece))
+      ) {
         sentBytes += piece.length;
         continue;
       }
       opened.cancel();
       caller.cut();
-      this.log.warn("A return was cut short, and the caller's connection with it.", { route: passage.mapping?.name });
+      this.log.warn("A return was cut short, and the caller's connection with it.", {
+        route: passage.mapping?.name,
+      });
       return { verdict: "mayHaveRun", ret: "cut", why: "" };
     }
   }
--- a/src/door/keys.ts
+++ b/src/door/keys.ts
@@ -65,15 +65,38 @@
       const ret = ClaimReturn.read(text);
       if ("claimed" in ret) return { scope, job: name, sendUntilMs: askedMs + sendMs };
       if ("full" in ret) return Ending.drop("Too many keys are held.", 30_000);
-      if (ret.held.bodyHash !== bodyHash) return Ending.refusal(422, "This key came before with another body.");
-      if (ret.held.verdict === "mayHaveRun") return Ending.breakdown(502, "The first request with this key may have run; its return was lost.", "mayHaveRun", 120_000);
+      if (ret.held.bodyHash !== bodyHash)
+        return Ending.refusal(422, "This key came before with another body.");
+      if (ret.held.verdict === "mayHaveRun")
+        return Ending.breakdown(
+          502,
+          "The first request with this key may have run; its return was lost.",
+          "mayHaveRun",
+          120_000,
+        );
       if (ret.held.verdict === "ran") {
         const kept = ret.held.return;
-        if (!kept) return Ending.breakdown(502, "The first request with this key ran; its return was not kept.", "ran", 120_000);
+        if (!kept)
+          return Ending.breakdown(
+            502,
+            "The first request with this key ran; its return was not kept.",
+            "ran",
+            120_000,
+          );
         const headers = { ...kept.headers, "x-daledoor-repeated": "true" };
-        return Ending.returned({ code: kept.code, headers, body: Buffer.from(kept.body, "base64") });
+        return Ending.returned({
+          code: kept.code,
+          headers,
+          body: Buffer.from(kept.body, "base64"),
+        });
       }
-      if (clock.nowMs() - startedMs > Math.min(inHandWaitMs, (untilMs - startedMs) / 2)) return Ending.breakdown(409, "The first request with this key is still in hand.", "mayHaveRun", this.afterMs ?? 2000);
+      if (clock.nowMs() - startedMs > Math.min(inHandWaitMs, (untilMs - startedMs) / 2))
+        return Ending.breakdown(
+          409,
+          "The first request with this key is still in hand.",
+          "mayHaveRun",
+          this.afterMs ?? 2000,
+        );
       yield* Clock.rest(clock, 100);
     }
   }
@@ -82,15 +105,26 @@
   conclude(claim: Claim, ending: Ending): void {
     const { scope, job } = claim;
     if (ending.verdict === "neverRan") return this.release(claim);
-    const kept = ending.verdict === "ran" && typeof ending.ret !== "string" ? this.keep(ending.ret) : undefined;
-    this.tell({ kind: "settle", scope, job, verdict: ending.verdict, ...(kept ? { return: kept } : {}) });
+    const kept =
+      ending.verdict === "ran" && typeof ending.ret !== "string"
+        ? this.keep(ending.ret)
+        : undefined;
+    this.tell({
+      kind: "settle",
+      scope,
+      job,
+      verdict: ending.verdict,
+      ...(kept ? { return: kept } : {}),
+    });
   }
 
   private release({ scope, job }: Pick<Claim, "scope" | "job">): void {
     this.tell({ kind: "release", scope, job });
   }
 
-  private keep(ret: Return): { code: number; headers: Record<string, string>; body: string } | undefined {
+  private keep(
+    ret: Return,
+  ): { code: number; headers: Record<string, string>; body: string } | undefined {
     if (ret.body.length > keptBodyBytes) return undefined;
     return { code: ret.code, headers: ret.headers, body: Buffer.from(ret.body).toString("base64") };
   }
--- a/src/door/verdict.ts
+++ b/src/door/verdict.ts
@@ -18,7 +18,11 @@
   readonly afterMs?: number;
 }
 
-const json = (code: number, body: Record<string, unknown>, headers: Record<string, string> = {}): Return => ({
+const json = (
+  code: number,
+  body: Record<string, unknown>,
+  headers: Record<string, string> = {},
+): Return => ({
   code,
   headers: { "content-type": "application/json", ...headers },
   body: Buffer.from(`${JSON.stringify(body)}\n`),
@@ -33,7 +37,11 @@
   verdict,
   why,
   afterMs,
-  ret: json(code, { error: why, verdict, retryAfterS: afterMs / 1000 }, { "retry-after": String(Math.ceil(afterMs / 1000)) }),
+  ret: json(
+    code,
+    { error: why, verdict, retryAfterS: afterMs / 1000 },
+    { "retry-after": String(Math.ceil(afterMs / 1000)) },
+  ),
 });
 
 export const Ending = {
@@ -46,7 +54,12 @@
   },
 
   /** Given up on: it may have run. */
-  breakdown: (code: 409 | 502 | 504, why: string, verdict: Verdict, afterMs = usualAfterMs): Ending => told(code, why, verdict, afterMs),
+  breakdown: (
+    code: 409 | 502 | 504,
+    why: string,
+    verdict: Verdict,
+    afterMs = usualAfterMs,
+  ): Ending => told(code, why, verdict, afterMs),
 
   /** A return that a back end gave. */
   returned(ret: Return): Ending {
--- a/src/link/frame.ts
+++ b/src/link/frame.ts
@@ -62,7 +62,8 @@
     while (this.heldBytes >= this.wantedBytes) {
       const bytes = Buffer.concat(this.pieces, this.heldBytes);
       const bodyBytes = bytes.readUInt32BE(headBytes - 4);
-      if (bodyBytes > maxFrameBytes) throw new FrameError(`A frame of ${bodyBytes} bytes is too large.`);
+      if (bodyBytes > maxFrameBytes)
+        throw new FrameError(`A frame of ${bodyBytes} bytes is too large.`);
       const wholeBytes = headBytes + bodyBytes;
       if (bytes.length >= wholeBytes) {
         const one = exactly(frame, bytes.subarray(0, wholeBytes));
--- a/src/link/kind.ts
+++ b/src/link/kind.ts
@@ -19,7 +19,14 @@
   /** A voter is asked for its vote, or in a pre-vote whether it would give it. */
   vote: {
     number: 1,
-    ask: new r.Struct({ isPreVote: flag, term: r.uint32, candidate: text, lastIndex: r.uint32, lastTerm: r.uint32, handOver: flag }),
+    ask: new r.Struct({
+      isPreVote: flag,
+      term: r.uint32,
+      candidate: text,
+      lastIndex: r.uint32,
+      lastTerm: r.uint32,
+      handOver: flag,
+    }),
     return: new r.Struct({ term: r.uint32, granted: flag }),
   },
   /** A leader sends entries, or none as a heartbeat. */
@@ -38,7 +45,13 @@
   /** A leader sends its whole checkpoint to one too far behind. */
   checkpoint: {
     number: 3,
-    ask: new r.Struct({ term: r.uint32, leader: text, lastIndex: r.uint32, lastTerm: r.uint32, text }),
+    ask: new r.Struct({
+      term: r.uint32,
+      leader: text,
+      lastIndex: r.uint32,
+      lastTerm: r.uint32,
+      text,
+    }),
     return: new r.Struct({ term: r.uint32, counts: flag, matched: r.uint32 }),
   },
   /**
@@ -47,7 +60,14 @@
    */
   meet: {
     number: 4,
-    ask: new r.Struct({ peer: text, fleet: text, incarnation: text, voters: texts, learners: texts, open: flag }),
+    ask: new r.Struct({
+      peer: text,
+      fleet: text,
+      incarnation: text,
+      voters: texts,
+      learners: texts,
+      open: flag,
+    }),
     return: new r.Struct({
       machine: text,
       zone: text,
--- a/src/link/link.ts
+++ b/src/link/link.ts
@@ -54,7 +54,9 @@
 
   /** Listens for peers. */
   *listen(): Task {
-    yield* this.world.wire.listen(this.self, (channel) => World.start(this.world, "link", this.serving(channel)));
+    yield* this.world.wire.listen(this.self, (channel) =>
+      World.start(this.world, "link", this.serving(channel)),
+    );
   }
 
   /** Asks a peer and waits for its return; `undefined` when none came in time or the link broke. */
@@ -65,13 +67,24 @@
     const sentMs = this.world.clock.nowMs();
     const body = yield* Clock.within<Uint8Array | undefined>(this.world.clock, waitMs, (done) => {
       peer.waiting.set(job, done);
-      const frame = Frame.encode({ sequence: peer.sequence, kind: kind.number, isReturn: false, job, body: kind.ask.toBuffer(ask) });
+      const frame = Frame.encode({
+        sequence: peer.sequence,
+        kind: kind.number,
+        isReturn: false,
+        job,
+        body: kind.ask.toBuffer(ask),
+      });
       if (peer.channel) peer.channel.send(frame);
       else peer.outgoing.put(frame);
     });
     peer.waiting.delete(job);
     if (body === undefined) {
-      if (peer.channel && peer.heardMs < sentMs && this.world.clock.nowMs() - peer.heardMs > silentMs) peer.channel.close();
+      if (
+        peer.channel &&
+        peer.heardMs < sentMs &&
+        this.world.clock.nowMs() - peer.heardMs > silentMs
+      )
+        peer.channel.close();
       return undefined;
     }
     try {
@@ -90,7 +103,14 @@
   private peer(address: string): Peer {
     const known = this.peers.get(address);
     if (known) return known;
-    const peer: Peer = { address, outgoing: new Holding(), waiting: new Map(), heardMs: -Infinity, sequence: this.newest, channel: undefined };
+    const peer: Peer = {
+      address,
+      outgoing: new Holding(),
+      waiting: new Map(),
+      heardMs: -Infinity,
+      sequence: this.newest,
+      channel: undefined,
+    };
     this.peers.set(address, peer);
     World.start(this.world, "link", this.keeping(peer));
     return peer;
@@ -106,7 +126,9 @@
         channel.send(first);
         for (const frame of peer.outgoing.drain()) channel.send(frame);
         const heard = yield* this.hearing(peer, channel);
-        if (!heard) peer.sequence = peer.sequence === this.newest ? Math.max(0, this.newest - 1) : this.newest;
+        if (!heard)
+          peer.sequence =
+            peer.sequence === this.newest ? Math.max(0, this.newest - 1) : this.newest;
         peer.channel = undefined;
         channel.close();
       }
@@ -144,7 +166,8 @@
       try {
         for (const frame of reader.read(piece)) {
           const server = this.servers.get(frame.kind);
-          if (!server || frame.isReturn) throw new FrameError(`Nothing here serves kind ${frame.kind}.`);
+          if (!server || frame.isReturn)
+            throw new FrameError(`Nothing here serves kind ${frame.kind}.`);
           World.start(this.world, "link", this.answering(channel, frame, server));
         }
       } catch (error) {
@@ -164,7 +187,12 @@
   }
 
   private refuse(channel: Channel | undefined, error: unknown): void {
-    if (!(error instanceof FrameError || error instanceof StructError || error instanceof SyntaxError)) throw error;
+    if (!(
+      error instanceof FrameError ||
+      error instanceof StructError ||
+      error instanceof SyntaxError
+    ))
+      throw error;
     this.droppedFrames += 1;
     this.log.warn("A peer's frame was refused and its link closed.", { why: error.message });
     channel?.close();
--- a/src/machine/bounds.ts
+++ b/src/machine/bounds.ts
@@ -81,15 +81,31 @@
       ["retryRatio", 0, "it is a part of the requests"],
       ["retryExtra", 0, "it is a number of tries"],
     ];
-    const faults = least.filter(([name, limit]) => figures[name] < limit).map(([name, limit, why]) => ({ path: `bounds.${name}`, expected: `${limit} or more, since ${why}` }));
-    if (settings.heartbeatMs !== undefined && settings.heartbeatMs < 50) faults.push({ path: "heartbeatMs", expected: "50 or more" });
+    const faults = least
+      .filter(([name, limit]) => figures[name] < limit)
+      .map(([name, limit, why]) => ({
+        path: `bounds.${name}`,
+        expected: `${limit} or more, since ${why}`,
+      }));
+    if (settings.heartbeatMs !== undefined && settings.heartbeatMs < 50)
+      faults.push({ path: "heartbeatMs", expected: "50 or more" });
     return faults;
   },
 
   /** The waits that keep the bounds in the settings. */
   of(settings: BoundSettings): Bounds {
     const figures = figuresOf(settings);
-    const { applyMs, drainMs, contactMs, graceMs, ackMs, keyWindowMs, retryRatio, retryExtra, retryWindowMs } = figures;
+    const {
+      applyMs,
+      drainMs,
+      contactMs,
+      graceMs,
+      ackMs,
+      keyWindowMs,
+      retryRatio,
+      retryExtra,
+      retryWindowMs,
+    } = figures;
     const leaseMs = leasePart * Math.min(applyMs, drainMs);
     const pollMs = leaseMs / 4;
     const heartbeatMs = settings.heartbeatMs ?? usualHeartbeatMs;
--- a/src/machine/daemon.ts
+++ b/src/machine/daemon.ts
@@ -105,7 +105,10 @@
       tolerate: settings.tolerate ?? { machines: 1, zones: 0 },
       seeds: () => this.seeds,
     };
-    this.meeting = new Meeting(world, this.link, place, { leader: () => this.recorder?.leader || this.ferry.leader, recorders: () => this.ferry.recorders });
+    this.meeting = new Meeting(world, this.link, place, {
+      leader: () => this.recorder?.leader || this.ferry.leader,
+      recorders: () => this.ferry.recorders,
+    });
     this.view = new View(world, this.ferry, () => this.machine(), this.budget);
     this.shares = new Shares(settings.zone, () => world.random());
     this.view.onLease = () => this.door.leased();
@@ -115,7 +118,14 @@
       this.shares.know(contracts, world.clock.nowMs());
     };
     const self = { machine: settings.machine, incarnation: this.incarnation, zone: settings.zone };
-    this.edgeCounts = new EdgeCounts(world, this.link, bounds.counts, this.view, self, bounds.budget);
+    this.edgeCounts = new EdgeCounts(
+      world,
+      this.link,
+      bounds.counts,
+      this.view,
+      self,
+      bounds.budget,
+    );
     this.door = new Door(world, {
       view: this.view,
       backEnds: options.backEnds,
@@ -129,25 +139,58 @@
     });
     if (this.roles.includes("recorder") && world.disk) {
       const book = new Book();
-      this.recorder = new Recorder(world, this.link, place, { ...bounds.waits, ...options.waits }, book, new Store(world.disk), this.meeting);
-      this.registry = new Registry(world, this.recorder, book, bounds.terms, new Allowance(bounds.budget, bounds.leaseMs));
+      this.recorder = new Recorder(
+        world,
+        this.link,
+        place,
+        { ...bounds.waits, ...options.waits },
+        book,
+        new Store(world.disk),
+        this.meeting,
+      );
+      this.registry = new Registry(
+        world,
+        this.recorder,
+        book,
+        bounds.terms,
+        new Allowance(bounds.budget, bounds.leaseMs),
+      );
       book.onApplied((deed) => {
         if (deed.kind === "config" && book.inForce) this.archive?.keep(book.inForce);
       });
     }
-    if (this.roles.includes("collector")) this.collector = new Collector(world, this.link, bounds.counts, settings.peers, this.incarnation, () => this.recorder?.leader || this.ferry.leader);
-    this.desk = new Operators(world, this.ferry, this.view, this.shares, {
-      status: () => this.status(),
-      notReady: () => this.notReady(),
-      counts: () => this.collector?.latest ?? this.edgeCounts.latest,
-    }, bounds);
+    if (this.roles.includes("collector"))
+      this.collector = new Collector(
+        world,
+        this.link,
+        bounds.counts,
+        settings.peers,
+        this.incarnation,
+        () => this.recorder?.leader || this.ferry.leader,
+      );
+    this.desk = new Operators(
+      world,
+      this.ferry,
+      this.view,
+      this.shares,
+      {
+        status: () => this.status(),
+        notReady: () => this.notReady(),
+        counts: () => this.collector?.latest ?? this.edgeCounts.latest,
+      },
+      bounds,
+    );
   }
 
   /** Starts all tasks; ends once the daemon listens for its peers. */
   *start(): Task {
     const { world, registry, recorder, collector } = this;
-    this.callers.each(world.clock.scheduler, ({ job, caller }) => World.start(world, "door", this.door.handle(job, caller)));
-    this.operators.each(world.clock.scheduler, ({ job, give }) => World.start(world, "operator", this.desk.handle(job), give));
+    this.callers.each(world.clock.scheduler, ({ job, caller }) =>
+      World.start(world, "door", this.door.handle(job, caller)),
+    );
+    this.operators.each(world.clock.scheduler, ({ job, give }) =>
+      World.start(world, "operator", this.desk.handle(job), give),
+    );
     if (recorder && registry) {
       const leadership = {
         get leads() {
@@ -187,8 +230,12 @@
     yield* Clock.rest(this.world.clock, startedMs + serveOnMs - this.world.clock.nowMs());
     this.door.close();
     closeToCallers();
-    while (this.door.unfinished > 0 && this.world.clock.nowMs() - startedMs < abandonMs) yield* Clock.rest(this.world.clock, 20);
-    if (this.door.unfinished > 0) this.log.warn("Stops with work unfinished; it is given up on.", { inHand: this.door.unfinished });
+    while (this.door.unfinished > 0 && this.world.clock.nowMs() - startedMs < abandonMs)
+      yield* Clock.rest(this.world.clock, 20);
+    if (this.door.unfinished > 0)
+      this.log.warn("Stops with work unfinished; it is given up on.", {
+        inHand: this.door.unfinished,
+      });
     this.door.abandon();
     if (this.door.unfinished > 0) return;
     this.log.say("Drained.");
@@ -216,7 +263,14 @@
 
   private machine(): Machine {
     const { machine, zone, peers } = this.settings;
-    return { name: machine, zone, roles: this.roles, peer: peers, incarnation: this.incarnation, draining: this.draining };
+    return {
+      name: machine,
+      zone,
+      roles: this.roles,
+      peer: peers,
+      incarnation: this.incarnation,
+      draining: this.draining,
+    };
   }
 
   private notReady(): string {
@@ -235,8 +289,16 @@
       grants: this.view.grants,
       droppedFrames: this.link.droppedFrames,
       record: this.recorder?.status ?? null,
-      door: this.roles.includes("edge") ? { inHand: this.door.inHand, ...this.door.tally, capacities: Object.fromEntries(this.budget.capacities) } : null,
-      collector: this.collector ? { refused: this.collector.refused, coverage: this.collector.latest?.coverage ?? null } : null,
+      door: this.roles.includes("edge")
+        ? {
+            inHand: this.door.inHand,
+            ...this.door.tally,
+            capacities: Object.fromEntries(this.budget.capacities),
+          }
+        : null,
+      collector: this.collector
+        ? { refused: this.collector.refused, coverage: this.collector.latest?.coverage ?? null }
+        : null,
     };
   }
 }
--- a/src/machine/httpServer.ts
+++ b/src/machine/httpServer.ts
@@ -13,7 +13,12 @@
   readonly idleMs: number;
 }
 
-const usual: ServerLimits = { headerBytes: 16 * 1024, bodyBytes: 64 * 1024 * 1024, headerMs: 10_000, idleMs: 15_000 };
+const usual: ServerLimits = {
+  headerBytes: 16 * 1024,
+  bodyBytes: 64 * 1024 * 1024,
+  headerMs: 10_000,
+  idleMs: 15_000,
+};
 /** The parser's own bound on headers, over all that the limits may say. */
 const parserHeaderBytes = 256 * 1024;
 /** How often connections are looked through for headers that take too long. */
@@ -39,7 +44,12 @@
   readonly over: Set<() => void>;
 }
 
-const callerOf = (request: IncomingMessage, response: ServerResponse, connection: Connection, closing: () => boolean): Caller => {
+const callerOf = (
+  request: IncomingMessage,
+  response: ServerResponse,
+  connection: Connection,
+  closing: () => boolean,
+): Caller => {
   const finish = (code: number, headers: Record<string, string>): void => {
     response.sendDate = false;
     response.writeHead(code, closing() ? { ...headers, connection: "close" } : headers);
@@ -68,7 +78,11 @@
   };
 };
 
-const restOf = async function* (request: IncomingMessage, heldBytes: number, limitBytes: number): AsyncGenerator<Uint8Array> {
+const restOf = async function* (
+  request: IncomingMessage,
+  heldBytes: number,
+  limitBytes: number,
+): AsyncGenerator<Uint8Array> {
   let sumBytes = heldBytes;
   for await (const piece of request) {
     if (!(piece instanceof Uint8Array)) throw new BodyBrokenError("The body is not bytes.");
@@ -85,7 +99,8 @@
   return sum;
 };
 
-const refused = (caller: Caller, code: number, error: string): void => caller.whole(Return.json(code, { error, verdict: "neverRan" }, { connection: "close" }));
+const refused = (caller: Caller, code: number, error: string): void =>
+  caller.whole(Return.json(code, { error, verdict: "neverRan" }, { connection: "close" }));
 
 /** An HTTP/1.1 server that hands on requests, small bodies held whole. */
 export class HttpServer {
@@ -100,14 +115,22 @@
   constructor(take: (job: Job, caller: Caller) => void, wholeOnly = true) {
     this.take = take;
     this.wholeOnly = wholeOnly;
-    this.server = createServer({ maxHeaderSize: parserHeaderBytes, connectionsCheckingInterval: lookMs, noDelay: true }, (request, response) => this.arrived(request, response));
+    this.server = createServer(
+      { maxHeaderSize: parserHeaderBytes, connectionsCheckingInterval: lookMs, noDelay: true },
+      (request, response) => this.arrived(request, response),
+    );
     this.server.on("connection", (socket) => this.connected(socket));
     this.server.requestTimeout = 0;
     this.bound(usual);
   }
 
   /** Holds callers to limits from now on. */
-  bound({ headerBytes, bodyBytes, headerMs, idleMs }: { readonly [name in keyof ServerLimits]?: number | undefined }): void {
+  bound({
+    headerBytes,
+    bodyBytes,
+    headerMs,
+    idleMs,
+  }: { readonly [name in keyof ServerLimits]?: number | undefined }): void {
     this.limits = {
       headerBytes: headerBytes ?? usual.headerBytes,
       bodyBytes: bodyBytes ?? usual.bodyBytes,
@@ -124,7 +147,8 @@
       server.once("error", done);
       server.listen({ ...Address.parts(address), backlog: 1024 }, () => done("listening"));
     });
-    if (fault !== "listening") throw new ListenError(`Can't listen for HTTP on ${address}.`, { cause: fault });
+    if (fault !== "listening")
+      throw new ListenError(`Can't listen for HTTP on ${address}.`, { cause: fault });
   }
 
   /** From now on every return asks its caller to open another connection; those there are still serve. */
@@ -160,10 +184,17 @@
     request.on("error", () => undefined);
     response.on("error", () => undefined);
     const statedBytes = Number(request.headers["content-length"] ?? 0);
-    if (headerBytesOf(request) > headerBytes) return refused(caller, 431, `The headers have at most ${headerBytes} bytes.`);
-    if (statedBytes > bodyBytes) return refused(caller, 413, `A body has at most ${bodyBytes} bytes.`);
+    if (headerBytesOf(request) > headerBytes)
+      return refused(caller, 431, `The headers have at most ${headerBytes} bytes.`);
+    if (statedBytes > bodyBytes)
+      return refused(caller, 413, `A body has at most ${bodyBytes} bytes.`);
     const hand = (body: Uint8Array, rest?: AsyncIterable<Uint8Array>): void => {
-      const job = { method: request.method ?? "", target: request.url ?? "/", headers: flat(request), body };
+      const job = {
+        method: request.method ?? "",
+        target: request.url ?? "/",
+        headers: flat(request),
+        body,
+      };
       this.take(rest ? { ...job, rest } : job, caller);
     };
     if (statedBytes === 0 && request.headers["transfer-encoding"] === undefined) {
--- a/src/machine/main.ts
+++ b/src/machine/main.ts
@@ -33,9 +33,20 @@
   }
 };
 
-const send = async (at: string, method: "GET" | "PUT" | "PATCH" | "POST", path: string, body?: string, headers: Record<string, string> = {}): Promise<number> => {
+const send = async (
+  at: string,
+  method: "GET" | "PUT" | "PATCH" | "POST",
+  path: string,
+  body?: string,
+  headers: Record<string, string> = {},
+): Promise<number> => {
   try {
-    const ret = await request(`http://${at}${path}`, { method, headers, body: body ?? null, headersTimeout: 10_000 });
+    const ret = await request(`http://${at}${path}`, {
+      method,
+      headers,
+      body: body ?? null,
+      headersTimeout: 10_000,
+    });
     const text = await ret.body.text();
     let shown = text;
     try {
@@ -60,7 +71,15 @@
 
 let ending: Promise<number> | undefined;
 
-const settingFlags = ["machine", "zone", "callers", "operators", "peers", "dataFolder", "logLevel"] as const;
+const settingFlags = [
+  "machine",
+  "zone",
+  "callers",
+  "operators",
+  "peers",
+  "dataFolder",
+  "logLevel",
+] as const;
 
 interface RunOptions extends Partial<Record<(typeof settingFlags)[number], string>> {
   settings?: string;
@@ -74,7 +93,8 @@
     return exit.usage;
   }
   const flags: Record<string, unknown> = {};
-  for (const name of settingFlags) if (options[name] !== undefined) flags[name] = String(options[name]);
+  for (const name of settingFlags)
+    if (options[name] !== undefined) flags[name] = String(options[name]);
   if (options.seeds !== undefined) flags.seeds = options.seeds.split(",");
   if (options.roles !== undefined) flags.roles = options.roles.split(",");
   try {
@@ -94,9 +114,13 @@
       complain("dataFolder: this daemon keeps no record.");
       return exit.usage;
     }
-    complain("WARNING: this makes this recorder the only voter. What only the lost recorders had acknowledged is gone. Their data folders must be emptied before they start again.");
+    complain(
+      "WARNING: this makes this recorder the only voter. What only the lost recorders had acknowledged is gone. Their data folders must be emptied before they start again.",
+    );
     if (options.acceptLoss !== true) {
-      complain("Nothing was changed. Repeat with --accept-loss if the other voters are lost for good.");
+      complain(
+        "Nothing was changed. Repeat with --accept-loss if the other voters are lost for good.",
+      );
       return exit.refused;
     }
     const restored = await new Promise<Restored>((done, fail) =>
@@ -109,7 +133,10 @@
       ),
     );
     if (restored.kind === "refused") complain(restored.why);
-    else process.stdout.write(`Restored: ${peers} is the only voter; the record ends at entry ${restored.lastIndex}. Start this daemon, then the others with empty data folders.\n`);
+    else
+      process.stdout.write(
+        `Restored: ${peers} is the only voter; the record ends at entry ${restored.lastIndex}. Start this daemon, then the others with empty data folders.\n`,
+      );
     return restored.kind === "restored" ? exit.well : exit.refused;
   } catch (error) {
     if (!(error instanceof SettingsError)) throw error;
@@ -131,7 +158,11 @@
   return exit.well;
 };
 
-const sendFile = async (method: "PUT" | "PATCH", file: string, options: { at: string; base?: number; changeId?: string }): Promise<number> => {
+const sendFile = async (
+  method: "PUT" | "PATCH",
+  file: string,
+  options: { at: string; base?: number; changeId?: string },
+): Promise<number> => {
   const read = await readJson(file);
   return read ? send(options.at, method, "/config", read.text, changeHeaders(options)) : exit.usage;
 };
@@ -144,7 +175,10 @@
   .option("--callers <ip:port>", "Where callers' requests are taken")
   .option("--operators <ip:port>", "Where operators and back ends are heard")
   .option("--peers <ip:port>", "Where other daemons are heard")
-  .option("--seeds <list>", "Peer addresses of up to nine daemons, through which the others are found")
+  .option(
+    "--seeds <list>",
+    "Peer addresses of up to nine daemons, through which the others are found",
+  )
   .option("--roles <list>", "edge, recorder, collector; by default what the machine can bear")
   .option("--data-folder <folder>", "Where a recorder keeps its files")
   .option("--log-level <level>", "debug, info, warn or error")
@@ -156,13 +190,20 @@
 program
   .command("ask <...words>", "Ask or order in the small language")
   .option("--at <ip:port>", atOption, { default: atDefault })
-  .example(`  daledoor ask show service checklists\n${Query.forms.map((form) => `  daledoor ask ${form}`).join("\n")}`)
+  .example(
+    `  daledoor ask show service checklists\n${Query.forms.map((form) => `  daledoor ask ${form}`).join("\n")}`,
+  )
   .action((words: string[], options: { at: string }) => {
     ending = send(options.at, "POST", "/ask", words.join(" "));
   });
 for (const method of ["PUT", "PATCH"] as const) {
   program
-    .command(`${method.toLowerCase()} <file>`, method === "PUT" ? "Put a whole config in force" : "Change parts of the config (JSON merge patch)")
+    .command(
+      `${method.toLowerCase()} <file>`,
+      method === "PUT"
+        ? "Put a whole config in force"
+        : "Change parts of the config (JSON merge patch)",
+    )
     .option("--at <ip:port>", atOption, { default: atDefault })
     .option("--base <sequence>", "Only if this config is in force")
     .option("--change-id <id>", "Name of the change; a repeat under it returns the first outcome")
@@ -177,15 +218,20 @@
     ending = send(options.at, "GET", sequence === undefined ? "/config" : `/config/${sequence}`);
   });
 program
-  .command("restore", "Restore the record from this recorder alone, when a majority is lost for good (the daemon must not run)")
+  .command(
+    "restore",
+    "Restore the record from this recorder alone, when a majority is lost for good (the daemon must not run)",
+  )
   .option("--settings <file>", "Settings file of this recorder")
   .option("--accept-loss", "Do it, knowing that what only the lost recorders held is gone")
   .action((options: RunOptions & { acceptLoss?: boolean }) => {
     ending = restoreRecord(options);
   });
-program.command("check <file>", "Check a settings file or a config without sending it").action((file: string) => {
-  ending = checkFile(file);
-});
+program
+  .command("check <file>", "Check a settings file or a config without sending it")
+  .action((file: string) => {
+    ending = checkFile(file);
+  });
 program
   .command("status", "Show how one daemon stands")
   .option("--at <ip:port>", atOption, { default: atDefault })
--- a/src/machine/run.ts
+++ b/src/machine/run.ts
@@ -29,7 +29,10 @@
 const configBodyBytes = 64 * 1024 * 1024;
 
 /** Runs the daemon of this machine until it is told to stop; ends with the exit code. */
-export const serve = async (file: SettingsFile, { adapter, archive: isArchived = false }: ServeOptions = {}): Promise<number> => {
+export const serve = async (
+  file: SettingsFile,
+  { adapter, archive: isArchived = false }: ServeOptions = {},
+): Promise<number> => {
   let settings = file.read();
   const logbook = Logbook.open(settings.machine, settings.logLevel ?? "info");
   const log = logbook.part("machine");
@@ -42,19 +45,36 @@
       end(1);
     };
     const life = function* (): Task<number> {
-      const disk = settings.dataFolder === undefined ? undefined : yield* Disk.open(settings.dataFolder);
+      const disk =
+        settings.dataFolder === undefined ? undefined : yield* Disk.open(settings.dataFolder);
       const broken = (part: string, error: unknown): void => {
         logbook.part(part).fault("A task broke off; the daemon ends.", error);
         end(1);
       };
-      const archive = settings.dataFolder !== undefined && isArchived ? new Archive(settings.dataFolder, logbook.part("operator")) : undefined;
-      const world: World = { clock, wire, disk, logbook, broken, random: Math.random, wallTime: () => new Date() };
-      const daemon = new Daemon(world, settings, { backEnds, archive, ...(adapter ? { dialect: adapter.dialect } : {}) });
+      const archive =
+        settings.dataFolder !== undefined && isArchived
+          ? new Archive(settings.dataFolder, logbook.part("operator"))
+          : undefined;
+      const world: World = {
+        clock,
+        wire,
+        disk,
+        logbook,
+        broken,
+        random: Math.random,
+        wallTime: () => new Date(),
+      };
+      const daemon = new Daemon(world, settings, {
+        backEnds,
+        archive,
+        ...(adapter ? { dialect: adapter.dialect } : {}),
+      });
       const control = (takes: (job: Job) => boolean): HttpServer => {
         const server = new HttpServer((job, caller) => {
           const read = adapter ? adapter.control.into(job) : { job, back: (ret: Return) => ret };
           if ("code" in read) caller.whole(read);
-          else if (takes(read.job)) daemon.operators.put({ job: read.job, give: (ret) => caller.whole(read.back(ret)) });
+          else if (takes(read.job))
+            daemon.operators.put({ job: read.job, give: (ret) => caller.whole(read.back(ret)) });
           else caller.whole(Return.json(404, { error: "Only readiness is served here." }));
         });
         server.bound({ bodyBytes: configBodyBytes });
@@ -79,7 +99,9 @@
           log.say("Settings were read again.", { applied, needRestart });
           settings = { ...settings, logLevel: after.logLevel ?? "info", seeds: after.seeds };
         } catch (error) {
-          log.warn("The settings on file have faults; the old ones stay.", { faults: error instanceof SettingsError ? error.faults : String(error) });
+          log.warn("The settings on file have faults; the old ones stay.", {
+            faults: error instanceof SettingsError ? error.faults : String(error),
+          });
         }
       };
       const looking = function* (): Task {
@@ -90,7 +112,8 @@
       };
       Task.start(looking(), fail);
       const signals = new Source<"SIGTERM" | "SIGINT" | "SIGHUP">();
-      for (const name of ["SIGTERM", "SIGINT", "SIGHUP"] as const) process.on(name, () => signals.put(name));
+      for (const name of ["SIGTERM", "SIGINT", "SIGHUP"] as const)
+        process.on(name, () => signals.put(name));
       signals.each(clock.scheduler, (name) => {
         if (name === "SIGHUP") readAgain();
       });
@@ -118,4 +141,5 @@
 };
 
 /** Runs the daemon that a file in the product's own words describes, with flags laid over it. */
-export const run = (file: string | undefined, flags: Record<string, unknown>): Promise<number> => serve(SettingsFile.own(file, flags), { archive: true });
+export const run = (file: string | undefined, flags: Record<string, unknown>): Promise<number> =>
+  serve(SettingsFile.own(file, flags), { archive: true });
--- a/src/machine/settings.ts
+++ b/src/machine/settings.ts
@@ -1,15 +1,40 @@
 import { isIP } from "node:net";
-import { array, define, enums, integer, max, min, nonempty, number, object, optional, boolean, record, size, string, validate, type Infer } from "superstruct";
+import {
+  array,
+  define,
+  enums,
+  integer,
+  max,
+  min,
+  nonempty,
+  number,
+  object,
+  optional,
+  boolean,
+  record,
+  size,
+  string,
+  validate,
+  type Infer,
+} from "superstruct";
 import { Address } from "../runtime/wire.js";
 import { faultsOf, type Fault } from "../contract/config.js";
 import { Bounds } from "./bounds.js";
 import { boundsShape } from "./boundSettings.js";
 
-const word = define<string>("word", (value) => (typeof value === "string" && /^[a-zA-Z0-9][a-zA-Z0-9._-]{0,62}$/.test(value)) || "Expected a name of letters, digits, dots and dashes");
+const word = define<string>(
+  "word",
+  (value) =>
+    (typeof value === "string" && /^[a-zA-Z0-9][a-zA-Z0-9._-]{0,62}$/.test(value)) ||
+    "Expected a name of letters, digits, dots and dashes",
+);
 const address = define<string>("address", (value) => {
   if (typeof value !== "string") return "Expected an address of the form IP:port";
   const { host, port } = Address.parts(value);
-  return (isIP(host) !== 0 && Number.isInteger(port) && port > 0 && port < 65_536) || "Expected an address of the form IP:port";
+  return (
+    (isIP(host) !== 0 && Number.isInteger(port) && port > 0 && port < 65_536) ||
+    "Expected an address of the form IP:port"
+  );
 });
 const ms = max(min(number(), 0), 86_400_000);
 const amount = min(number(), 0);
@@ -34,7 +59,15 @@
   /** How often back ends announce themselves. */
   heartbeatMs: optional(ms),
   /** What this machine can bear. */
-  limits: optional(object({ memoryMb: optional(amount), descriptors: optional(amount), diskMb: optional(amount), cpu: optional(amount), linkMbps: optional(amount) })),
+  limits: optional(
+    object({
+      memoryMb: optional(amount),
+      descriptors: optional(amount),
+      diskMb: optional(amount),
+      cpu: optional(amount),
+      linkMbps: optional(amount),
+    }),
+  ),
   bounds: optional(boundsShape),
 });
 
@@ -54,26 +87,44 @@
     if (error) return { faults: faultsOf(error.failures()) };
     const faults: Fault[] = [];
     const roles = Settings.roles(settings);
-    if (roles.includes("recorder") && settings.dataFolder === undefined) faults.push({ path: "dataFolder", expected: "a folder, since this daemon is a recorder" });
-    if (roles.includes("edge") && settings.callers === undefined) faults.push({ path: "callers", expected: "an address of the form IP:port, since this daemon is an edge" });
-    if (new Set(settings.seeds).size !== settings.seeds.length) faults.push({ path: "seeds", expected: "addresses that differ" });
-    const own = [settings.callers, settings.operators, settings.peers, settings.ready].filter((one) => one !== undefined);
-    if (new Set(own).size !== own.length) faults.push({ path: "peers", expected: "an address of its own for callers, operators, peers and readiness" });
+    if (roles.includes("recorder") && settings.dataFolder === undefined)
+      faults.push({ path: "dataFolder", expected: "a folder, since this daemon is a recorder" });
+    if (roles.includes("edge") && settings.callers === undefined)
+      faults.push({
+        path: "callers",
+        expected: "an address of the form IP:port, since this daemon is an edge",
+      });
+    if (new Set(settings.seeds).size !== settings.seeds.length)
+      faults.push({ path: "seeds", expected: "addresses that differ" });
+    const own = [settings.callers, settings.operators, settings.peers, settings.ready].filter(
+      (one) => one !== undefined,
+    );
+    if (new Set(own).size !== own.length)
+      faults.push({
+        path: "peers",
+        expected: "an address of its own for callers, operators, peers and readiness",
+      });
     faults.push(...Bounds.faults(settings));
     return faults.length > 0 ? { faults } : { settings };
   },
 
   /** The roles that are set, or those the machine can bear. */
   roles(settings: Settings): Role[] {
-    return settings.roles ?? (settings.dataFolder === undefined ? ["edge"] : ["recorder", "collector"]);
+    return (
+      settings.roles ?? (settings.dataFolder === undefined ? ["edge"] : ["recorder", "collector"])
+    );
   },
 
   /** What differs, parted into what applies at once and what needs a restart. */
   difference(before: Settings, after: Settings): { applied: string[]; needRestart: string[] } {
     const names = [...new Set([...Object.keys(before), ...Object.keys(after)])].sort();
-    const pick = (settings: Settings, name: string): string => JSON.stringify(Object.entries(settings).find(([key]) => key === name)?.[1] ?? null);
+    const pick = (settings: Settings, name: string): string =>
+      JSON.stringify(Object.entries(settings).find(([key]) => key === name)?.[1] ?? null);
     const differing = names.filter((name) => pick(before, name) !== pick(after, name));
     const isChangeable = (name: string): boolean => changeable.some((one) => one === name);
-    return { applied: differing.filter(isChangeable), needRestart: differing.filter((name) => !isChangeable(name)) };
+    return {
+      applied: differing.filter(isChangeable),
+      needRestart: differing.filter((name) => !isChangeable(name)),
+    };
   },
 };
--- a/src/machine/settingsFile.ts
+++ b/src/machine/settingsFile.ts
@@ -7,7 +7,9 @@
     const value: unknown = JSON.parse(text);
     return value;
   } catch (error) {
-    throw new SettingsError([{ path, expected: `a file with JSON that can be read (${String(error)})` }]);
+    throw new SettingsError([
+      { path, expected: `a file with JSON that can be read (${String(error)})` },
+    ]);
   }
 };
 
@@ -29,7 +31,12 @@
     try {
       this.text = readFileSync(this.path, "utf8");
     } catch (error) {
-      throw new SettingsError([{ path: this.path, expected: `a file that can be read (${error instanceof Error ? error.message : String(error)})` }]);
+      throw new SettingsError([
+        {
+          path: this.path,
+          expected: `a file that can be read (${error instanceof Error ? error.message : String(error)})`,
+        },
+      ]);
     }
     return SettingsFile.checked(this.translate(this.text, this.path));
   }
@@ -48,7 +55,9 @@
   static own(path: string | undefined, flags: Record<string, unknown>): SettingsFile {
     return new SettingsFile(path, (text, at) => {
       const value = json(text, at);
-      return typeof value === "object" && value !== null && !Array.isArray(value) ? { ...value, ...flags } : value;
+      return typeof value === "object" && value !== null && !Array.isArray(value)
+        ? { ...value, ...flags }
+        : value;
     });
   }
 
--- a/src/operator/archive.ts
+++ b/src/operator/archive.ts
@@ -11,7 +11,8 @@
 
 const author = { name: "daledoor", email: "record@daledoor.invalid" };
 const fileName = "config.json";
-const messageOf = (config: AcceptedConfig): string => `Config ${config.sequence}\n\nChange: ${config.changeId}\nAccepted: ${config.acceptedAt}\n`;
+const messageOf = (config: AcceptedConfig): string =>
+  `Config ${config.sequence}\n\nChange: ${config.changeId}\nAccepted: ${config.acceptedAt}\n`;
 
 /** A Git repository in which accepted configs are also kept, one commit each; never on the path of acceptance. */
 export class Archive {
@@ -33,12 +34,19 @@
   /** Keeps configs one after another; what can't be kept is told and left out. */
   *own(): Task {
     const begun = yield* Task.settle(this.begin());
-    if ("error" in begun) return this.log.warn("The archive of configs can't be opened; none are kept in it.", { why: String(begun.error) });
+    if ("error" in begun)
+      return this.log.warn("The archive of configs can't be opened; none are kept in it.", {
+        why: String(begun.error),
+      });
     for (;;) {
       const config = yield* this.holding.take();
       if (config.sequence <= this.newest) continue;
       const kept = yield* Task.settle(this.commit(config));
-      if ("error" in kept) this.log.warn("A config could not be kept in the archive.", { sequence: config.sequence, why: String(kept.error) });
+      if ("error" in kept)
+        this.log.warn("A config could not be kept in the archive.", {
+          sequence: config.sequence,
+          why: String(kept.error),
+        });
       else this.newest = config.sequence;
     }
   }
@@ -46,8 +54,11 @@
   private async begin(): Promise<void> {
     await mkdir(this.folder, { recursive: true });
     const git = await loadGit();
-    if (!existsSync(join(this.folder, ".git"))) await git.init({ fs: { promises: files }, dir: this.folder, defaultBranch: "main" });
-    const [last] = await git.log({ fs: { promises: files }, dir: this.folder, depth: 1 }).catch(() => []);
+    if (!existsSync(join(this.folder, ".git")))
+      await git.init({ fs: { promises: files }, dir: this.folder, defaultBranch: "main" });
+    const [last] = await git
+      .log({ fs: { promises: files }, dir: this.folder, depth: 1 })
+      .catch(() => []);
     this.newest = Number(/^Config (\d+)/.exec(last?.commit.message ?? "")?.[1] ?? 0);
   }
 
@@ -56,6 +67,11 @@
     const parsed: unknown = JSON.parse(config.text);
     await writeFile(join(this.folder, fileName), `${JSON.stringify(parsed, null, 2)}\n`);
     await git.add({ fs: { promises: files }, dir: this.folder, filepath: fileName });
-    await git.commit({ fs: { promises: files }, dir: this.folder, message: messageOf(config), author });
+    await git.commit({
+      fs: { promises: files },
+      dir: this.folder,
+      message: messageOf(config),
+      author,
+    });
   }
 }
--- a/src/operator/language.ts
+++ b/src/operator/language.ts
@@ -36,12 +36,15 @@
 
   one(expected: string, takes: (word: string) => boolean = () => true): string {
     const word = this.words.shift();
-    if (word === undefined || !takes(word)) throw new WordError({ word: word ?? "(end of line)", expected });
+    if (word === undefined || !takes(word))
+      throw new WordError({ word: word ?? "(end of line)", expected });
     return word;
   }
 
   of(...choices: string[]): string {
-    return this.one(choices.map((choice) => `"${choice}"`).join(" or "), (word) => choices.includes(word));
+    return this.one(choices.map((choice) => `"${choice}"`).join(" or "), (word) =>
+      choices.includes(word),
+    );
   }
 
   get isOver(): boolean {
@@ -86,14 +89,26 @@
     case "set": {
       words.of("goal");
       const route = words.one("the name of a route");
-      const latencyMs = Number(words.one("a latency such as 250ms", (word) => /^[1-9]\d{0,5}ms$/.test(word)).slice(0, -2));
+      const latencyMs = Number(
+        words.one("a latency such as 250ms", (word) => /^[1-9]\d{0,5}ms$/.test(word)).slice(0, -2),
+      );
       if (words.isOver) return { kind: "setGoal", route, latencyMs, furtherTries: undefined };
       words.of("tries");
-      return { kind: "setGoal", route, latencyMs, furtherTries: Number(words.one("a number of further tries from 0 to 5", (word) => /^[0-5]$/.test(word))) };
+      return {
+        kind: "setGoal",
+        route,
+        latencyMs,
+        furtherTries: Number(
+          words.one("a number of further tries from 0 to 5", (word) => /^[0-5]$/.test(word)),
+        ),
+      };
     }
     case "drain":
       words.of("backend");
-      return { kind: "drainBackEnd", address: words.one("the address of a back end, IP:port", isAddress) };
+      return {
+        kind: "drainBackEnd",
+        address: words.one("the address of a back end, IP:port", isAddress),
+      };
     default:
       return { kind: "explain" };
   }
--- a/src/operator/operators.ts
+++ b/src/operator/operators.ts
@@ -1,4 +1,22 @@
-import { boolean, create, define, integer, literal, max, min, nullable, number, object, optional, partial, string, type, union, unknown, validate } from "superstruct";
+import {
+  boolean,
+  create,
+  define,
+  integer,
+  literal,
+  max,
+  min,
+  nullable,
+  number,
+  object,
+  optional,
+  partial,
+  string,
+  type,
+  union,
+  unknown,
+  validate,
+} from "superstruct";
 import { faultsOf, itemsShape, namesShape, nameShape, type Fault } from "../contract/config.js";
 import type { Ferry } from "../contract/ferry.js";
 import type { ChangeOrder, Order } from "../contract/order.js";
@@ -18,9 +36,19 @@
 const noticeWaitMs = 900;
 const heavyPhi = 0.1;
 
-const address = define<string>("address", (value) => (typeof value === "string" && /^[0-9a-fA-F.:[\]]+:\d{1,5}$/.test(value)) || "Expected an address of the form IP:port");
+const address = define<string>(
+  "address",
+  (value) =>
+    (typeof value === "string" && /^[0-9a-fA-F.:[\]]+:\d{1,5}$/.test(value)) ||
+    "Expected an address of the form IP:port",
+);
 const serviceName = nameShape;
-const instanceName = define<string>("instance", (value) => (typeof value === "string" && /^[\x21-\x7e]{1,100}$/.test(value)) || "Expected an instance of 1 to 100 visible characters");
+const instanceName = define<string>(
+  "instance",
+  (value) =>
+    (typeof value === "string" && /^[\x21-\x7e]{1,100}$/.test(value)) ||
+    "Expected an instance of 1 to 100 visible characters",
+);
 const announcement = object({
   service: serviceName,
   address,
@@ -41,8 +69,20 @@
   object({ lost: number() }),
   object({ faults: define<Fault[]>("faults", Array.isArray) }),
 ]);
-const foundShape = type({ found: nullable(type({ sequence: number(), version: number(), changeId: string(), acceptedAt: string(), text: string() })) });
-const historyShape = type({ journal: define<Array<{ index: number; text: string }>>("journal", Array.isArray) });
+const foundShape = type({
+  found: nullable(
+    type({
+      sequence: number(),
+      version: number(),
+      changeId: string(),
+      acceptedAt: string(),
+      text: string(),
+    }),
+  ),
+});
+const historyShape = type({
+  journal: define<Array<{ index: number; text: string }>>("journal", Array.isArray),
+});
 const readyShape = object({ ready: literal(true) });
 
 /** What the operators' port needs of its daemon. */
@@ -50,13 +90,24 @@
   status(): Record<string, unknown>;
   /** Why the daemon is not ready, or an empty word. */
   notReady(): string;
-  counts(): { counts: Counts; ageMs: number; coverage: { edges: number; oldestMs: number } } | undefined;
+  counts():
+    { counts: Counts; ageMs: number; coverage: { edges: number; oldestMs: number } } | undefined;
 }
 
 const unknownFate = (changeId: string): Return =>
-  Return.json(504, { error: "Nobody could say whether this took effect. Repeat it with the same Change-Id, or read back.", changeId, verdict: "mayHaveRun" }, { "retry-after": "2" });
+  Return.json(
+    504,
+    {
+      error:
+        "Nobody could say whether this took effect. Repeat it with the same Change-Id, or read back.",
+      changeId,
+      verdict: "mayHaveRun",
+    },
+    { "retry-after": "2" },
+  );
 
-const fault = (code: number, error: string, more: Record<string, unknown> = {}): Return => Return.json(code, { error, ...more });
+const fault = (code: number, error: string, more: Record<string, unknown> = {}): Return =>
+  Return.json(code, { error, ...more });
 
 const parse = (body: Uint8Array): { value: unknown } | undefined => {
   try {
@@ -77,7 +128,17 @@
   private readonly orderMs: number;
   private readonly rules: BudgetRules;
 
-  constructor(world: World, ferry: Ferry, view: View, shares: Shares, desk: Desk, bounds: { readonly orderMs: number; readonly budget: BudgetRules } = { orderMs: 4000, budget: usualRules }) {
+  constructor(
+    world: World,
+    ferry: Ferry,
+    view: View,
+    shares: Shares,
+    desk: Desk,
+    bounds: { readonly orderMs: number; readonly budget: BudgetRules } = {
+      orderMs: 4000,
+      budget: usualRules,
+    },
+  ) {
     this.world = world;
     this.ferry = ferry;
     this.view = view;
@@ -91,11 +152,14 @@
     const path = Jobs.path(job);
     const at = `${job.method} ${path}`;
     const version = /^\/config\/(\d{1,15})$/.exec(path)?.[1];
-    if (job.method === "GET" && version !== undefined) return yield* this.readConfig(Number(version));
+    if (job.method === "GET" && version !== undefined)
+      return yield* this.readConfig(Number(version));
     switch (at) {
       case "GET /ready": {
         const why = this.desk.notReady();
-        return why === "" ? Return.json(200, create({ ready: true }, readyShape)) : Return.json(503, { ready: false, why });
+        return why === ""
+          ? Return.json(200, create({ ready: true }, readyShape))
+          : Return.json(503, { ready: false, why });
       }
       case "GET /status":
         return Return.json(200, this.desk.status());
@@ -115,7 +179,17 @@
         return yield* this.ask(Buffer.from(job.body).toString("utf8"));
       default:
         return fault(404, "Nothing is served at this path.", {
-          served: ["GET /ready", "GET /status", "GET|PUT|PATCH /config", "GET /config/VERSION", "POST /config/items", "GET /config/history", "POST /backends/announce", "POST /backends/leave", "POST /ask"],
+          served: [
+            "GET /ready",
+            "GET /status",
+            "GET|PUT|PATCH /config",
+            "GET /config/VERSION",
+            "POST /config/items",
+            "GET /config/history",
+            "POST /backends/announce",
+            "POST /backends/leave",
+            "POST /ask",
+          ],
         });
     }
   }
@@ -123,64 +197,136 @@
   private *read(order: Order, waitMs = this.orderMs): Task<Return> {
     const text = yield* this.ferry.command(order, waitMs);
     if (text === undefined) return fault(503, "No leader could be asked.");
-    return { code: 200, headers: { "content-type": "application/json" }, body: Buffer.from(`${text}\n`) };
+    return {
+      code: 200,
+      headers: { "content-type": "application/json" },
+      body: Buffer.from(`${text}\n`),
+    };
   }
 
   private *readConfig(version: number | undefined): Task<Return> {
-    const text = yield* this.ferry.command({ kind: "get", ...(version === undefined ? {} : { version }) }, this.orderMs);
+    const text = yield* this.ferry.command(
+      { kind: "get", ...(version === undefined ? {} : { version }) },
+      this.orderMs,
+    );
     if (text === undefined) return fault(503, "No leader could be asked.");
     const { found } = create(JSON.parse(text), foundShape);
-    if (!found) return fault(404, version === undefined ? "No config was accepted yet." : `No config ${version} is kept.`);
+    if (!found)
+      return fault(
+        404,
+        version === undefined ? "No config was accepted yet." : `No config ${version} is kept.`,
+      );
     const config: unknown = JSON.parse(found.text);
-    return Return.json(200, { sequence: found.version, version: found.version, changeId: found.changeId, acceptedAt: found.acceptedAt, config }, { etag: `"${found.version}"` });
+    return Return.json(
+      200,
+      {
+        sequence: found.version,
+        version: found.version,
+        changeId: found.changeId,
+        acceptedAt: found.acceptedAt,
+        config,
+      },
+      { etag: `"${found.version}"` },
+    );
   }
 
   private *change(job: Job): Task<Return> {
     const parsed = parse(job.body);
-    if (!parsed) return fault(400, "The body is not JSON.", { faults: [{ path: "(whole)", expected: "JSON" }] });
+    if (!parsed)
+      return fault(400, "The body is not JSON.", {
+        faults: [{ path: "(whole)", expected: "JSON" }],
+      });
     const match = job.headers["if-match"];
     const base = match === undefined ? undefined : /^(?:W\/)?"?(\d{1,15})"?$/.exec(match)?.[1];
-    if (match !== undefined && base === undefined) return fault(400, "If-Match names no version.", { faults: [{ path: "If-Match", expected: 'the version of a config, such as "12"' }] });
+    if (match !== undefined && base === undefined)
+      return fault(400, "If-Match names no version.", {
+        faults: [{ path: "If-Match", expected: 'the version of a config, such as "12"' }],
+      });
     const chosen = job.headers["config-version"];
     const version = chosen === undefined ? undefined : /^\d{1,15}$/.exec(chosen)?.[0];
-    if (chosen !== undefined && version === undefined) return fault(400, "Config-Version names no version.", { faults: [{ path: "Config-Version", expected: "a number, such as 12" }] });
+    if (chosen !== undefined && version === undefined)
+      return fault(400, "Config-Version names no version.", {
+        faults: [{ path: "Config-Version", expected: "a number, such as 12" }],
+      });
     const changeId = job.headers["change-id"] ?? World.nonce(this.world);
-    if (changeId.length === 0 || changeId.length > 100) return fault(400, "A Change-Id has 1 to 100 characters.");
-    const change = { changeId, ...(base === undefined ? {} : { base: Number(base) }), ...(version === undefined ? {} : { version: Number(version) }) };
-    if (job.method !== "POST") return yield* this.enter({ kind: job.method === "PUT" ? "put" : "patch", ...change, value: parsed.value });
+    if (changeId.length === 0 || changeId.length > 100)
+      return fault(400, "A Change-Id has 1 to 100 characters.");
+    const change = {
+      changeId,
+      ...(base === undefined ? {} : { base: Number(base) }),
+      ...(version === undefined ? {} : { version: Number(version) }),
+    };
+    if (job.method !== "POST")
+      return yield* this.enter({
+        kind: job.method === "PUT" ? "put" : "patch",
+        ...change,
+        value: parsed.value,
+      });
     const [failure, items] = validate(parsed.value, amendment);
-    if (failure) return fault(400, "The change is refused whole.", { faults: faultsOf(failure.failures()) });
-    return yield* this.enter({ kind: "amend", ...change, put: items.put ?? {}, remove: { services: items.remove?.services ?? [], routes: items.remove?.routes ?? [], goals: items.remove?.goals ?? [] } });
+    if (failure)
+      return fault(400, "The change is refused whole.", { faults: faultsOf(failure.failures()) });
+    return yield* this.enter({
+      kind: "amend",
+      ...change,
+      put: items.put ?? {},
+      remove: {
+        services: items.remove?.services ?? [],
+        routes: items.remove?.routes ?? [],
+        goals: items.remove?.goals ?? [],
+      },
+    });
   }
 
   private *enter(order: ChangeOrder): Task<Return> {
     const text = yield* this.ferry.command(order, this.orderMs);
     if (text === undefined) return unknownFate(order.changeId);
     const outcome = create(JSON.parse(text), outcomeShape);
-    if ("accepted" in outcome) return Return.json(200, { sequence: outcome.accepted, version: outcome.accepted }, { etag: `"${outcome.accepted}"` });
-    if ("lost" in outcome) return fault(412, `Another change came first; config ${outcome.lost} is in force.`, { sequence: outcome.lost, version: outcome.lost });
+    if ("accepted" in outcome)
+      return Return.json(
+        200,
+        { sequence: outcome.accepted, version: outcome.accepted },
+        { etag: `"${outcome.accepted}"` },
+      );
+    if ("lost" in outcome)
+      return fault(412, `Another change came first; config ${outcome.lost} is in force.`, {
+        sequence: outcome.lost,
+        version: outcome.lost,
+      });
     return fault(400, "The config is refused whole.", { faults: outcome.faults });
   }
 
   private *announced(job: Job): Task<Return> {
     const [failure, told] = validate(parse(job.body)?.value, announcement);
-    if (failure) return fault(400, "The announcement is refused.", { faults: faultsOf(failure.failures()) });
+    if (failure)
+      return fault(400, "The announcement is refused.", { faults: faultsOf(failure.failures()) });
     const announced = { ...told, warmth: told.warmth ?? 1 };
     const heard = this.view.hear(announced);
     if (heard) return Return.json(200, { ...heard });
-    return yield* this.read({ kind: "announce", ...announced, seen: Math.max(0, this.view.directorySequence) }, noticeWaitMs);
+    return yield* this.read(
+      { kind: "announce", ...announced, seen: Math.max(0, this.view.directorySequence) },
+      noticeWaitMs,
+    );
   }
 
   private *left(job: Job): Task<Return> {
     const value = parse(job.body)?.value;
-    const [failure, told] = typeof value === "object" && value !== null && "instance" in value ? validate(value, leavingInstance) : validate(value, leaving);
-    if (failure) return fault(400, "The notice is refused.", { faults: faultsOf(failure.failures()) });
+    const [failure, told] =
+      typeof value === "object" && value !== null && "instance" in value
+        ? validate(value, leavingInstance)
+        : validate(value, leaving);
+    if (failure)
+      return fault(400, "The notice is refused.", { faults: faultsOf(failure.failures()) });
     return yield* this.read({ kind: "leave", ...told }, noticeWaitMs);
   }
 
   private *ask(line: string): Task<Return> {
     const read = Query.read(line);
-    if ("fault" in read) return fault(400, `"${read.fault.word}" is not understood; expected ${read.fault.expected}.`, { ...read.fault, forms: Query.forms });
+    if ("fault" in read)
+      return fault(
+        400,
+        `"${read.fault.word}" is not understood; expected ${read.fault.expected}.`,
+        { ...read.fault, forms: Query.forms },
+      );
     const { query } = read;
     switch (query.kind) {
       case "showMachines":
@@ -191,26 +337,59 @@
       case "showService":
         return this.showService(query.service);
       case "showRoutes":
-        return Return.json(200, { sequence: this.view.configSequence, routes: this.view.mappings.all.map(({ name, service, goalMs, furtherTries, repeatable }) => ({ route: name, service, goalMs, furtherTries, repeatable })) });
+        return Return.json(200, {
+          sequence: this.view.configSequence,
+          routes: this.view.mappings.all.map(
+            ({ name, service, goalMs, furtherTries, repeatable }) => ({
+              route: name,
+              service,
+              goalMs,
+              furtherTries,
+              repeatable,
+            }),
+          ),
+        });
       case "showHeavyRoutes":
         return this.showHeavy();
       case "showShares":
         return Return.json(200, { shares: this.allShares() });
       case "whyShare": {
         const found = this.allShares().find((share) => share.address === query.address);
-        return found ? Return.json(200, { ...found }) : fault(404, `No back end at ${query.address} is known here.`);
+        return found
+          ? Return.json(200, { ...found })
+          : fault(404, `No back end at ${query.address} is known here.`);
       }
       case "whyRoute": {
         const mapping = this.view.mappings.all.find(({ name }) => name === query.route);
         if (!mapping) return fault(404, `No route "${query.route}" is in force.`);
-        return Return.json(200, { route: mapping.name, service: mapping.service, why: `config ${this.view.configSequence} says so`, backEnds: this.shares.explain(this.view.backEnds(mapping.service), this.world.clock.nowMs()) });
+        return Return.json(200, {
+          route: mapping.name,
+          service: mapping.service,
+          why: `config ${this.view.configSequence} says so`,
+          backEnds: this.shares.explain(
+            this.view.backEnds(mapping.service),
+            this.world.clock.nowMs(),
+          ),
+        });
       }
       case "moveRoute":
-        return yield* this.patch({ routes: { [query.route]: { service: query.service, split: null, origin: null } } }, query.route);
+        return yield* this.patch(
+          { routes: { [query.route]: { service: query.service, split: null, origin: null } } },
+          query.route,
+        );
       case "setGoal": {
-        const goal = { latencyMs: query.latencyMs, ...(query.furtherTries === undefined ? {} : { furtherTries: query.furtherTries }) };
-        const route = { origin: null, ...(query.furtherTries === undefined ? {} : { attempts: null }) };
-        return yield* this.patch({ routes: { [query.route]: route }, goals: { [query.route]: goal } }, query.route);
+        const goal = {
+          latencyMs: query.latencyMs,
+          ...(query.furtherTries === undefined ? {} : { furtherTries: query.furtherTries }),
+        };
+        const route = {
+          origin: null,
+          ...(query.furtherTries === undefined ? {} : { attempts: null }),
+        };
+        return yield* this.patch(
+          { routes: { [query.route]: route }, goals: { [query.route]: goal } },
+          query.route,
+        );
       }
       case "drainBackEnd":
         return yield* this.read({ kind: "drainBackEnd", address: query.address });
@@ -218,22 +397,36 @@
   }
 
   private *patch(value: unknown, route: string): Task<Return> {
-    if (!this.view.mappings.all.some(({ name }) => name === route)) return fault(404, `No route "${route}" is in force.`);
+    if (!this.view.mappings.all.some(({ name }) => name === route))
+      return fault(404, `No route "${route}" is in force.`);
     return yield* this.enter({ kind: "patch", changeId: World.nonce(this.world), value });
   }
 
   private *showFleet(kind: "showMachines" | "showBackEnds"): Task<Return> {
     const text = yield* this.ferry.command({ kind: "fleet" }, this.orderMs);
     if (text === undefined) return fault(503, "No leader could be asked.");
-    const fleet = create(JSON.parse(text), type({ leader: string(), voters: unknown(), learners: unknown(), machines: unknown(), backEnds: unknown() }));
+    const fleet = create(
+      JSON.parse(text),
+      type({
+        leader: string(),
+        voters: unknown(),
+        learners: unknown(),
+        machines: unknown(),
+        backEnds: unknown(),
+      }),
+    );
     const { leader, voters, learners, machines, backEnds } = fleet;
-    return kind === "showMachines" ? Return.json(200, { leader, voters, learners, machines }) : Return.json(200, { backEnds });
+    return kind === "showMachines"
+      ? Return.json(200, { leader, voters, learners, machines })
+      : Return.json(200, { backEnds });
   }
 
   private *explain(): Task<Return> {
     const text = yield* this.ferry.command({ kind: "history" }, this.orderMs);
     if (text === undefined) return fault(503, "No leader could be asked.");
-    return Return.json(200, { journal: create(JSON.parse(text), historyShape).journal.slice(-100) });
+    return Return.json(200, {
+      journal: create(JSON.parse(text), historyShape).journal.slice(-100),
+    });
   }
 
   private showService(service: string): Return {
@@ -258,12 +451,24 @@
     if (!latest) return fault(503, "The fleet's counts have not come yet.");
     const { windowMs } = this.rules;
     const heavy = latest.counts.heavyRoutes(heavyPhi, this.world.clock.nowMs(), windowMs);
-    const routes = heavy.map(({ item, estimate }) => ({ route: this.view.nameOf(item)?.replace(/^route /, "") ?? `number ${item}`, requests: Math.round(estimate) }));
-    return Return.json(200, { atLeastPartOfAll: heavyPhi, windowMs, routes, coverage: { ...latest.coverage, ageMs: Math.round(latest.ageMs) } });
+    const routes = heavy.map(({ item, estimate }) => ({
+      route: this.view.nameOf(item)?.replace(/^route /, "") ?? `number ${item}`,
+      requests: Math.round(estimate),
+    }));
+    return Return.json(200, {
+      atLeastPartOfAll: heavyPhi,
+      windowMs,
+      routes,
+      coverage: { ...latest.coverage, ageMs: Math.round(latest.ageMs) },
+    });
   }
 
   private allShares() {
     const nowMs = this.world.clock.nowMs();
-    return this.view.services.flatMap((service) => this.shares.explain(this.view.backEnds(service), nowMs).map((share) => ({ service, ...share })));
+    return this.view.services.flatMap((service) =>
+      this.shares
+        .explain(this.view.backEnds(service), nowMs)
+        .map((share) => ({ service, ...share })),
+    );
   }
 }
--- a/src/record/book.ts
+++ b/src/record/book.ts
@@ -1,6 +1,22 @@
 import { passes } from "../runtime/quick.js";
 import { Map as Table } from "immutable";
-import { array, boolean, create, defaulted, define, literal, number, object, optional, record, string, tuple, type, union, type Infer } from "superstruct";
+import {
+  array,
+  boolean,
+  create,
+  defaulted,
+  define,
+  literal,
+  number,
+  object,
+  optional,
+  record,
+  string,
+  tuple,
+  type,
+  union,
+  type Infer,
+} from "superstruct";
 import { kindOf } from "../runtime/kindOf.js";
 import { Numbering } from "./numbering.js";
 import type { Members } from "./members.js";
@@ -66,7 +82,15 @@
 
 const goneShape = define<Array<[string, number]>>(
   "gone instances",
-  (value) => Array.isArray(value) && value.every((one: unknown) => Array.isArray(one) && one.length === 2 && typeof one[0] === "string" && typeof one[1] === "number"),
+  (value) =>
+    Array.isArray(value) &&
+    value.every(
+      (one: unknown) =>
+        Array.isArray(one) &&
+        one.length === 2 &&
+        typeof one[0] === "string" &&
+        typeof one[1] === "number",
+    ),
 );
 
 /** How many instances that are gone for good are kept at most; beyond that the oldest go. */
@@ -85,16 +109,30 @@
   atIndex: number;
 }
 
-export const acceptedConfigShape = object({ sequence: number(), version: optional(number()), index: number(), changeId: string(), acceptedAt: string(), text: string() });
+export const acceptedConfigShape = object({
+  sequence: number(),
+  version: optional(number()),
+  index: number(),
+  changeId: string(),
+  acceptedAt: string(),
+  text: string(),
+});
 
 /** A configuration as it was accepted; it names its version where that isn't its sequence. */
 export type AcceptedConfig = Infer<typeof acceptedConfigShape>;
 
 /** The version under which operators know a config: always above the one before. */
-export const versionOf = ({ sequence, version }: Pick<AcceptedConfig, "sequence" | "version">): number => version ?? sequence;
+export const versionOf = ({
+  sequence,
+  version,
+}: Pick<AcceptedConfig, "sequence" | "version">): number => version ?? sequence;
 
 /** A config's sequence, and its version where that is another. */
-const numbersOf = (sequence: number, version: number): Pick<AcceptedConfig, "sequence" | "version"> => (version === sequence ? { sequence } : { sequence, version });
+const numbersOf = (
+  sequence: number,
+  version: number,
+): Pick<AcceptedConfig, "sequence" | "version"> =>
+  version === sequence ? { sequence } : { sequence, version };
 
 const isKeyClaim = (value: unknown): value is KeyClaim =>
   typeof value === "object" &&
@@ -112,7 +150,17 @@
 /** The table of keys is large, so that it is checked in one go. */
 const keysShape = define<Array<{ scope: string; claim: KeyClaim }>>(
   "keys",
-  (value) => Array.isArray(value) && value.every((one: unknown) => typeof one === "object" && one !== null && "scope" in one && typeof one.scope === "string" && "claim" in one && isKeyClaim(one.claim)),
+  (value) =>
+    Array.isArray(value) &&
+    value.every(
+      (one: unknown) =>
+        typeof one === "object" &&
+        one !== null &&
+        "scope" in one &&
+        typeof one.scope === "string" &&
+        "claim" in one &&
+        isKeyClaim(one.claim),
+    ),
 );
 
 /** How many keys are held at most; then claims are dropped, so that a checkpoint fits a frame and is made within a leader's grant. */
@@ -122,7 +170,17 @@
   leads: object({ kind: literal("leads"), machine: string(), term: number() }),
   members: object({ kind: literal("members"), voters: array(string()), learners: array(string()) }),
   rejoined: object({ kind: literal("rejoined"), machine: string(), nonce: string() }),
-  config: object({ kind: literal("config"), expected: number(), version: optional(number()), changeId: string(), acceptedAt: string(), text: string(), services: array(string()), routes: array(string()), rested: optional(array(number())) }),
+  config: object({
+    kind: literal("config"),
+    expected: number(),
+    version: optional(number()),
+    changeId: string(),
+    acceptedAt: string(),
+    text: string(),
+    services: array(string()),
+    routes: array(string()),
+    rested: optional(array(number())),
+  }),
   contract: object({
     kind: literal("contract"),
     address: string(),
@@ -134,12 +192,24 @@
     warmMs: optional(number()),
     order: optional(number()),
   }),
-  leave: object({ kind: literal("leave"), address: string(), service: string(), drained: boolean(), instance: optional(string()) }),
+  leave: object({
+    kind: literal("leave"),
+    address: string(),
+    service: string(),
+    drained: boolean(),
+    instance: optional(string()),
+  }),
   end: object({ kind: literal("end"), address: string(), number: number(), why: string() }),
   purge: object({ kind: literal("purge"), address: string(), number: number() }),
   forgetGone: object({ kind: literal("forgetGone"), instances: array(string()) }),
   claim: object({ kind: literal("claim"), scope: string(), bodyHash: string(), job: string() }),
-  settle: object({ kind: literal("settle"), scope: string(), job: string(), verdict: union([literal("ran"), literal("mayHaveRun")]), return: optional(returnShape) }),
+  settle: object({
+    kind: literal("settle"),
+    scope: string(),
+    job: string(),
+    verdict: union([literal("ran"), literal("mayHaveRun")]),
+    return: optional(returnShape),
+  }),
   release: object({ kind: literal("release"), scope: string(), job: string() }),
   forget: object({ kind: literal("forget"), scopes: array(string()), upTo: number() }),
   note: object({ kind: literal("note"), text: string() }),
@@ -150,9 +220,11 @@
 /** One entry of the record, as it is written. */
 export type Deed = Infer<(typeof deedShapes)[keyof typeof deedShapes]>;
 
-const isDeedKind = (kind: string): kind is keyof typeof deedShapes => Object.hasOwn(deedShapes, kind);
+const isDeedKind = (kind: string): kind is keyof typeof deedShapes =>
+  Object.hasOwn(deedShapes, kind);
 
-const isDeed = (kind: keyof typeof deedShapes, value: unknown): value is Deed => passes(deedShapes[kind], value);
+const isDeed = (kind: keyof typeof deedShapes, value: unknown): value is Deed =>
+  passes(deedShapes[kind], value);
 
 export const Deed = {
   text: (deed: Deed): string => JSON.stringify(deed),
@@ -161,7 +233,8 @@
   read(text: string): Deed {
     const value: unknown = JSON.parse(text);
     const kind = kindOf(value);
-    if (!isDeedKind(kind)) throw new Error(`The record holds an entry of the unknown kind "${kind}".`);
+    if (!isDeedKind(kind))
+      throw new Error(`The record holds an entry of the unknown kind "${kind}".`);
     return isDeed(kind, value) ? value : deedShapes[kind].create(value);
   },
 };
@@ -170,13 +243,27 @@
   voters: array(string()),
   learners: array(string()),
   configs: array(acceptedConfigShape),
-  recent: optional(array(object({ sequence: number(), version: optional(number()), changeId: string(), acceptedAt: string() }))),
+  recent: optional(
+    array(
+      object({
+        sequence: number(),
+        version: optional(number()),
+        changeId: string(),
+        acceptedAt: string(),
+      }),
+    ),
+  ),
   changes: array(object({ changeId: string(), sequence: number(), version: optional(number()) })),
   contracts: array(contractShape),
   gone: optional(goneShape),
   directorySequence: number(),
   keys: keysShape,
-  numbering: type({ inForce: array(tuple([string(), number()])), resting: array(tuple([string(), number()])), free: array(number()), next: number() }),
+  numbering: type({
+    inForce: array(tuple([string(), number()])),
+    resting: array(tuple([string(), number()])),
+    free: array(number()),
+    next: number(),
+  }),
   journal: array(object({ index: number(), text: string() })),
   holders: optional(array(string())),
   returns: array(string()),
@@ -217,7 +304,9 @@
 
   /** The contracts of an instance: one that stands, and others that it left behind. */
   contractsOf(instance: string): Contract[] {
-    return instance === "" ? [] : [...this.contracts.values()].filter((contract) => contract.instance === instance);
+    return instance === ""
+      ? []
+      : [...this.contracts.values()].filter((contract) => contract.instance === instance);
   }
 
   /** The version in force, or 0 for none yet. */
@@ -271,13 +360,26 @@
   restore(text: string): Members {
     const kept = create(JSON.parse(text), bookShape);
     this.configs = kept.configs;
-    this.recent = kept.recent ?? kept.configs.map(({ sequence, version, changeId, acceptedAt }) => ({ ...numbersOf(sequence, version ?? sequence), changeId, acceptedAt }));
-    this.changes = new Map(kept.changes.map(({ changeId, sequence, version }) => [changeId, numbersOf(sequence, version ?? sequence)]));
+    this.recent =
+      kept.recent ??
+      kept.configs.map(({ sequence, version, changeId, acceptedAt }) => ({
+        ...numbersOf(sequence, version ?? sequence),
+        changeId,
+        acceptedAt,
+      }));
+    this.changes = new Map(
+      kept.changes.map(({ changeId, sequence, version }) => [
+        changeId,
+        numbersOf(sequence, version ?? sequence),
+      ]),
+    );
     this.contracts = Table(kept.contracts.map((contract) => [contract.address, contract]));
     this.gone = new Map(kept.gone ?? []);
     this.directorySequence = kept.directorySequence;
     this.keys = new Map(kept.keys.map(({ scope, claim }) => [scope, claim]));
-    this.returns = new Map(kept.returns.map((scope) => [scope, this.keys.get(scope)?.return?.body.length ?? 0]));
+    this.returns = new Map(
+      kept.returns.map((scope) => [scope, this.keys.get(scope)?.return?.body.length ?? 0]),
+    );
     this.returnBytes = [...this.returns.values()].reduce((sum, bytes) => sum + bytes, 0);
     this.numbering.restore(kept.numbering);
     this.journal = kept.journal;
@@ -286,7 +388,9 @@
   }
 
   private after(upTo: number): AcceptedConfig[] {
-    return this.configs.filter((config, at) => config.sequence > upTo || at === this.configs.length - 1);
+    return this.configs.filter(
+      (config, at) => config.sequence > upTo || at === this.configs.length - 1,
+    );
   }
 
   private take(index: number, deed: Deed): Record<string, unknown> {
@@ -294,7 +398,10 @@
       case "leads":
         return this.note(index, `${deed.machine} leads the record in term ${deed.term}.`);
       case "members":
-        return this.note(index, `Voters: ${deed.voters.join(", ")}; learners: ${deed.learners.join(", ") || "none"}.`);
+        return this.note(
+          index,
+          `Voters: ${deed.voters.join(", ")}; learners: ${deed.learners.join(", ") || "none"}.`,
+        );
       case "rejoined":
         return this.note(index, `${deed.machine} rejoined the record.`);
       case "note":
@@ -306,31 +413,53 @@
         const version = deed.version ?? this.version + 1;
         if (deed.expected !== current || version <= this.version) return { lost: this.version };
         const numbers = numbersOf(current + 1, version);
-        this.configs.push({ ...numbers, index, changeId: deed.changeId, acceptedAt: deed.acceptedAt, text: deed.text });
-        this.recent = [...this.recent.slice(1 - keptRecent), { ...numbers, changeId: deed.changeId, acceptedAt: deed.acceptedAt }];
+        this.configs.push({
+          ...numbers,
+          index,
+          changeId: deed.changeId,
+          acceptedAt: deed.acceptedAt,
+          text: deed.text,
+        });
+        this.recent = [
+          ...this.recent.slice(1 - keptRecent),
+          { ...numbers, changeId: deed.changeId, acceptedAt: deed.acceptedAt },
+        ];
         this.changes.set(deed.changeId, numbers);
         for (const changeId of this.changes.keys()) {
           if (this.changes.size <= keptChanges) break;
           this.changes.delete(changeId);
         }
-        this.numbering.adopt([...deed.services.map((service) => `service ${service}`), ...deed.routes.map((route) => `route ${route}`)], deed.rested ?? []);
+        this.numbering.adopt(
+          [
+            ...deed.services.map((service) => `service ${service}`),
+            ...deed.routes.map((route) => `route ${route}`),
+          ],
+          deed.rested ?? [],
+        );
         this.note(index, `Config ${version} is in force (change ${deed.changeId}).`);
         return { accepted: version };
       }
       case "contract":
         return this.enterContract(index, deed);
       case "leave":
-        return deed.instance === undefined || deed.instance === "" ? this.leaveAddress(index, deed) : this.leaveInstance(index, deed.instance, deed.drained);
+        return deed.instance === undefined || deed.instance === ""
+          ? this.leaveAddress(index, deed)
+          : this.leaveInstance(index, deed.instance, deed.drained);
       case "end": {
         const contract = this.contracts.get(deed.address);
         if (!contract || contract.number !== deed.number) return { known: false };
-        this.contracts = this.contracts.set(deed.address, { ...contract, leaving: true, leftAt: index });
+        this.contracts = this.contracts.set(deed.address, {
+          ...contract,
+          leaving: true,
+          leftAt: index,
+        });
         this.directorySequence = index;
         this.note(index, `${deed.address} of ${contract.service} ended: ${deed.why}.`);
         return { known: true };
       }
       case "purge":
-        if (this.contracts.get(deed.address)?.number === deed.number) this.contracts = this.contracts.delete(deed.address);
+        if (this.contracts.get(deed.address)?.number === deed.number)
+          this.contracts = this.contracts.delete(deed.address);
         this.directorySequence = index;
         return { known: true };
       case "forgetGone":
@@ -339,13 +468,22 @@
       case "claim": {
         const known = this.keys.get(deed.scope);
         if (known && known.job !== deed.job) return { held: known };
-        this.keys.set(deed.scope, { bodyHash: deed.bodyHash, job: deed.job, verdict: "inHand", atIndex: index });
+        this.keys.set(deed.scope, {
+          bodyHash: deed.bodyHash,
+          job: deed.job,
+          verdict: "inHand",
+          atIndex: index,
+        });
         return { claimed: true };
       }
       case "settle": {
         const known = this.keys.get(deed.scope);
         if (known?.job !== deed.job) return { known: false };
-        this.keys.set(deed.scope, { ...known, verdict: deed.verdict, ...(deed.return ? { return: deed.return } : {}) });
+        this.keys.set(deed.scope, {
+          ...known,
+          verdict: deed.verdict,
+          ...(deed.return ? { return: deed.return } : {}),
+        });
         if (deed.return) this.boundReturns(deed.scope, deed.return.body.length);
         return { known: true };
       }
@@ -361,40 +499,104 @@
         for (const edge of deed.edges) this.holders.delete(edge);
         return {};
       case "forget":
-        for (const scope of deed.scopes) if ((this.keys.get(scope)?.atIndex ?? Infinity) <= deed.upTo) this.forgetKey(scope);
+        for (const scope of deed.scopes)
+          if ((this.keys.get(scope)?.atIndex ?? Infinity) <= deed.upTo) this.forgetKey(scope);
         return { known: true };
     }
   }
 
-  private enterContract(index: number, deed: Extract<Deed, { kind: "contract" }>): Record<string, unknown> {
-    const { address, service, zone, warmth, instance = "", capacity = 0, warmMs = 0, order = 0 } = deed;
+  private enterContract(
+    index: number,
+    deed: Extract<Deed, { kind: "contract" }>,
+  ): Record<string, unknown> {
+    const {
+      address,
+      service,
+      zone,
+      warmth,
+      instance = "",
+      capacity = 0,
+      warmMs = 0,
+      order = 0,
+    } = deed;
     if (this.gone.has(instance)) return { gone: true };
     const former = this.contracts.get(address);
     const isSame = former?.instance === instance && former.service === service;
     const staysSame = isSame && instance !== "" && !former.leaving && former.zone === zone;
     if (former && former.instance !== instance) this.goForGood(index, former.instance);
-    for (const other of this.contractsOf(instance)) if (other.address !== address && !other.leaving) this.contracts = this.contracts.set(other.address, { ...other, leaving: true, leftAt: index });
+    for (const other of this.contractsOf(instance))
+      if (other.address !== address && !other.leaving)
+        this.contracts = this.contracts.set(other.address, {
+          ...other,
+          leaving: true,
+          leftAt: index,
+        });
     const number = staysSame ? former.number : index;
-    this.contracts = this.contracts.set(address, { address, service, zone, warmth, number, leaving: false, leftAt: 0, drained: false, instance, capacity, warmMs, order });
+    this.contracts = this.contracts.set(address, {
+      address,
+      service,
+      zone,
+      warmth,
+      number,
+      leaving: false,
+      leftAt: 0,
+      drained: false,
+      instance,
+      capacity,
+      warmMs,
+      order,
+    });
     this.directorySequence = index;
-    if (former && former.service !== service) this.note(index, `${address} now serves ${service}, no longer ${former.service}.`);
+    if (former && former.service !== service)
+      this.note(index, `${address} now serves ${service}, no longer ${former.service}.`);
     return { number };
   }
 
-  private leaveAddress(index: number, { address, service, drained }: Extract<Deed, { kind: "leave" }>): Record<string, unknown> {
-    const contract = this.contracts.get(address) ?? { address, service, zone: "", warmth: 0, number: index, leaving: true, leftAt: index, drained: false, instance: "", capacity: 0, warmMs: 0, order: 0 };
+  private leaveAddress(
+    index: number,
+    { address, service, drained }: Extract<Deed, { kind: "leave" }>,
+  ): Record<string, unknown> {
+    const contract = this.contracts.get(address) ?? {
+      address,
+      service,
+      zone: "",
+      warmth: 0,
+      number: index,
+      leaving: true,
+      leftAt: index,
+      drained: false,
+      instance: "",
+      capacity: 0,
+      warmMs: 0,
+      order: 0,
+    };
     if (contract.service !== service) return { known: false };
     this.goForGood(index, contract.instance);
-    this.contracts = this.contracts.set(address, { ...contract, leaving: true, leftAt: index, drained: contract.drained || drained });
+    this.contracts = this.contracts.set(address, {
+      ...contract,
+      leaving: true,
+      leftAt: index,
+      drained: contract.drained || drained,
+    });
     if (drained) this.note(index, `${address} of ${service} is drained by an operator.`);
     this.directorySequence = index;
     return { known: true };
   }
 
-  private leaveInstance(index: number, instance: string, drained: boolean): Record<string, unknown> {
+  private leaveInstance(
+    index: number,
+    instance: string,
+    drained: boolean,
+  ): Record<string, unknown> {
     this.goForGood(index, instance);
     const contracts = this.contractsOf(instance);
-    for (const contract of contracts) this.contracts = this.contracts.set(contract.address, { ...contract, leaving: true, leftAt: index, drained: contract.drained || drained });
+    for (const contract of contracts)
+      this.contracts = this.contracts.set(contract.address, {
+        ...contract,
+        leaving: true,
+        leftAt: index,
+        drained: contract.drained || drained,
+      });
     if (contracts.length > 0) this.directorySequence = index;
     return { known: contracts.length > 0 };
   }
@@ -417,7 +619,13 @@
       this.returns.delete(oldest);
       this.returnBytes -= bytes;
       const claim = this.keys.get(oldest);
-      if (claim) this.keys.set(oldest, { bodyHash: claim.bodyHash, job: claim.job, verdict: claim.verdict, atIndex: claim.atIndex });
+      if (claim)
+        this.keys.set(oldest, {
+          bodyHash: claim.bodyHash,
+          job: claim.job,
+          verdict: claim.verdict,
+          atIndex: claim.atIndex,
+        });
     }
   }
 
@@ -429,7 +637,8 @@
 
   private note(index: number, text: string): Record<string, unknown> {
     this.journal.push({ index, text });
-    if (this.journal.length > keptJournal) this.journal.splice(0, this.journal.length - keptJournal);
+    if (this.journal.length > keptJournal)
+      this.journal.splice(0, this.journal.length - keptJournal);
     return {};
   }
 }
--- a/src/record/history.ts
+++ b/src/record/history.ts
@@ -14,7 +14,8 @@
 const nameOf = (file: number): string => `history-${file}`;
 const firstOf = (file: number): number => file * fileConfigs + 1;
 
-const encode = (config: AcceptedConfig): Buffer => Buffer.from(seal(deflateRawSync(Buffer.from(JSON.stringify(config), "utf8"))));
+const encode = (config: AcceptedConfig): Buffer =>
+  Buffer.from(seal(deflateRawSync(Buffer.from(JSON.stringify(config), "utf8"))));
 
 /** What a file's bytes hold: configs that follow one another from the file's first on, until the end or the first damage. */
 const decode = (bytes: Buffer, file: number): { configs: AcceptedConfig[]; wholeBytes: number } => {
@@ -72,7 +73,9 @@
     let left = configs.filter(({ sequence }) => sequence > this.newest);
     while (left[0]?.sequence === this.newest + 1) {
       const file = fileOf(this.newest + 1);
-      const own = left.filter(({ sequence }, at) => sequence === this.newest + 1 + at && fileOf(sequence) === file);
+      const own = left.filter(
+        ({ sequence }, at) => sequence === this.newest + 1 + at && fileOf(sequence) === file,
+      );
       const bytes = this.tail?.file === file ? this.tail.bytes : yield* this.cut(file);
       this.tail = undefined;
       const added = Buffer.concat(own.map(encode));
@@ -99,7 +102,9 @@
   /** Configs from a sequence on that follow one another, as they travel. */
   *piece(from: number): Task<Uint8Array> {
     if (from < 1 || from > this.newest) return new Uint8Array();
-    return History.pack((yield* this.readFile(fileOf(from))).filter(({ sequence }) => sequence >= from));
+    return History.pack(
+      (yield* this.readFile(fileOf(from))).filter(({ sequence }) => sequence >= from),
+    );
   }
 
   /** Configs as they travel, as many as one piece may carry. */
--- a/src/record/meeting.ts
+++ b/src/record/meeting.ts
@@ -45,7 +45,8 @@
 const keepMs = 10_000;
 const tellMs = 5000;
 
-const isIn = (one: Met | undefined, fleet: string): boolean => one !== undefined && one.fleet === fleet && (one.state === "unborn" || one.state === "formed");
+const isIn = (one: Met | undefined, fleet: string): boolean =>
+  one !== undefined && one.fleet === fleet && (one.state === "unborn" || one.state === "formed");
 
 /** Where the daemons of a fleet meet: tells who this one is, brings recorders together and forms their record. */
 export class Meeting {
@@ -65,7 +66,12 @@
   private begun: { fleet: string; members: Members; atMs: number } | undefined;
   private toldMs = -Infinity;
 
-  constructor(world: World, link: Link, place: Place, outlook: Outlook = { leader: () => "", recorders: () => [] }) {
+  constructor(
+    world: World,
+    link: Link,
+    place: Place,
+    outlook: Outlook = { leader: () => "", recorders: () => [] },
+  ) {
     this.world = world;
     this.link = link;
     this.place = place;
@@ -115,28 +121,63 @@
 
   private get mayFound(): boolean {
     const { founds, self } = this.place;
-    return founds && this.place.seeds()[0] === self && !this.recordKnown && this.outlook.leader() === "" && (this.state === "none" || this.state === "empty");
+    return (
+      founds &&
+      this.place.seeds()[0] === self &&
+      !this.recordKnown &&
+      this.outlook.leader() === "" &&
+      (this.state === "none" || this.state === "empty")
+    );
   }
 
   private *answering(ask: Ask): Task<Met> {
     if (ask.peer) this.shown.set(ask.peer, this.world.clock.nowMs());
     if (ask.fleet && ask.open) this.attendee?.open(ask.fleet);
-    else if (this.attendee && ask.fleet && ask.incarnation === this.incarnation && this.place.founds && this.state === "empty") yield* this.attendee.form(ask.fleet, ask);
+    else if (
+      this.attendee &&
+      ask.fleet &&
+      ask.incarnation === this.incarnation &&
+      this.place.founds &&
+      this.state === "empty"
+    )
+      yield* this.attendee.form(ask.fleet, ask);
     return this.answer;
   }
 
   private get answer(): Met {
     const { machine, zone, founds } = this.place;
-    const { state, fleet, voters, learners } = this.attendee?.attendance ?? { state: "none", fleet: "", voters: [], learners: [] };
+    const { state, fleet, voters, learners } = this.attendee?.attendance ?? {
+      state: "none",
+      fleet: "",
+      voters: [],
+      learners: [],
+    };
     const recorders = [...new Set([...this.recorders, ...this.outlook.recorders()])];
-    return { machine, zone, state, fleet, leader: this.outlook.leader(), founds, incarnation: this.incarnation, voters: [...voters], learners: [...learners], recorders };
+    return {
+      machine,
+      zone,
+      state,
+      fleet,
+      leader: this.outlook.leader(),
+      founds,
+      incarnation: this.incarnation,
+      voters: [...voters],
+      learners: [...learners],
+      recorders,
+    };
   }
 
   /** Meets all that are known; then rejoins, forms or opens, or waits. */
   private *round(): Task {
     const seeds = this.place.seeds();
-    const met = yield* this.meetAll([...new Set([...seeds, ...this.recorders, ...this.outlook.recorders(), ...this.named])]);
-    this.named = [...new Set([...met.values()].flatMap((one) => [one.leader, ...one.recorders, ...one.voters]))].filter((peer) => peer !== "").slice(0, contactsHeld);
+    const met = yield* this.meetAll([
+      ...new Set([...seeds, ...this.recorders, ...this.outlook.recorders(), ...this.named]),
+    ]);
+    this.named = [
+      ...new Set([...met.values()].flatMap((one) => [one.leader, ...one.recorders, ...one.voters])),
+    ]
+      .filter((peer) => peer !== "")
+      .slice(0, contactsHeld);
     const own = this.attendee?.attendance;
     if (own?.state === "formed") return;
     const formed = [...met.values()].find((one) => one.state === "formed");
@@ -149,9 +190,17 @@
   }
 
   private *unborn(own: Attendance, met: Map<string, Met>): Task {
-    const other = [...met.values()].find((one) => one.state === "formed" && one.fleet !== own.fleet && one.voters.some((voter) => own.voters.includes(voter)));
+    const other = [...met.values()].find(
+      (one) =>
+        one.state === "formed" &&
+        one.fleet !== own.fleet &&
+        one.voters.some((voter) => own.voters.includes(voter)),
+    );
     if (other && this.attendee) {
-      this.log.warn("What was formed here can't be any more, since one of its voters formed another record.", { fleet: own.fleet, other: other.fleet });
+      this.log.warn(
+        "What was formed here can't be any more, since one of its voters formed another record.",
+        { fleet: own.fleet, other: other.fleet },
+      );
       return yield* this.attendee.rejoin(other.fleet, other);
     }
     yield* this.complete(own.fleet, own, met);
@@ -159,22 +208,35 @@
 
   private *found(seeds: readonly string[], met: Map<string, Met>): Task {
     const nowMs = this.world.clock.nowMs();
-    const [unborn] = [...met.values()].filter((one) => one.state === "unborn").sort((a, b) => (a.fleet < b.fleet ? -1 : 1));
+    const [unborn] = [...met.values()]
+      .filter((one) => one.state === "unborn")
+      .sort((a, b) => (a.fleet < b.fleet ? -1 : 1));
     if (unborn) return yield* this.complete(unborn.fleet, unborn, met);
-    if (this.begun && nowMs - this.begun.atMs < keepMs) return yield* this.complete(this.begun.fleet, this.begun.members, met);
+    if (this.begun && nowMs - this.begun.atMs < keepMs)
+      return yield* this.complete(this.begun.fleet, this.begun.members, met);
     this.begun = undefined;
     const damaged = [...met.values()].some((one) => one.state === "damaged");
-    const candidates = [...met].filter(([, one]) => one.state === "empty" && one.founds).map(([peer, { machine, zone }]) => ({ peer, machine, zone }));
+    const candidates = [...met]
+      .filter(([, one]) => one.state === "empty" && one.founds)
+      .map(([peer, { machine, zone }]) => ({ peer, machine, zone }));
     const members = damaged ? undefined : Place.choose(this.place, candidates);
     if (!members) {
       this.enoughSinceMs = undefined;
-      return this.tell("Waiting for enough recorders to form the record.", { candidates: candidates.map(({ machine }) => machine), voters: Place.voters(this.place), damaged });
+      return this.tell("Waiting for enough recorders to form the record.", {
+        candidates: candidates.map(({ machine }) => machine),
+        voters: Place.voters(this.place),
+        damaged,
+      });
     }
     this.enoughSinceMs ??= nowMs;
     const haveAll = seeds.every((seed) => seed === this.place.self || met.has(seed));
     if (nowMs - this.enoughSinceMs < (haveAll ? settleMs.all : settleMs.some)) return;
     this.begun = { fleet: World.nonce(this.world), members, atMs: nowMs };
-    this.log.say("Forms the fleet's record.", { fleet: this.begun.fleet, voters: members.voters, learners: members.learners });
+    this.log.say("Forms the fleet's record.", {
+      fleet: this.begun.fleet,
+      voters: members.voters,
+      learners: members.learners,
+    });
     yield* this.complete(this.begun.fleet, members, met);
   }
 
@@ -187,13 +249,25 @@
     const { self } = this.place;
     const opened = [...met.values()].some((one) => one.fleet === fleet && one.state === "formed");
     if (opened) return attendee?.open(fleet);
-    if (voters.some((voter) => !isIn(met.get(voter), fleet) && met.get(voter)?.state !== "empty")) return this.tell("Waiting for the voters of the record that is being formed.", { fleet, voters });
+    if (voters.some((voter) => !isIn(met.get(voter), fleet) && met.get(voter)?.state !== "empty"))
+      return this.tell("Waiting for the voters of the record that is being formed.", {
+        fleet,
+        voters,
+      });
     if (this.place.founds) {
       const asks: Task[] = [];
       for (const peer of [...voters, ...learners]) {
         const one = met.get(peer);
         if (one?.state !== "empty") continue;
-        if (peer !== self) asks.push(this.meet(peer, { ...this.hello, fleet, incarnation: one.incarnation, voters, learners }, formMs, met));
+        if (peer !== self)
+          asks.push(
+            this.meet(
+              peer,
+              { ...this.hello, fleet, incarnation: one.incarnation, voters, learners },
+              formMs,
+              met,
+            ),
+          );
         else if (attendee) asks.push(attendee.form(fleet, { voters, learners }));
       }
       yield* Task.all((task) => World.start(this.world, "record", task), asks);
@@ -203,11 +277,19 @@
     this.recordKnown = true;
     attendee?.open(fleet);
     const open = { ...this.hello, fleet, open: true };
-    for (const peer of [...voters, ...learners]) if (peer !== self) World.start(this.world, "record", this.meet(peer, open, askMs, met));
+    for (const peer of [...voters, ...learners])
+      if (peer !== self) World.start(this.world, "record", this.meet(peer, open, askMs, met));
   }
 
   private get hello(): Ask {
-    return { peer: this.attendee ? this.place.self : "", fleet: "", incarnation: "", voters: [], learners: [], open: false };
+    return {
+      peer: this.attendee ? this.place.self : "",
+      fleet: "",
+      incarnation: "",
+      voters: [],
+      learners: [],
+      open: false,
+    };
   }
 
   private *meet(peer: string, ask: Ask, waitMs: number, met: Map<string, Met>): Task {
@@ -220,7 +302,10 @@
     const met = new Map<string, Met>();
     const { hello } = this;
     const others = peers.filter((peer) => peer !== this.place.self);
-    yield* Task.all((task) => World.start(this.world, "record", task), others.map((peer) => this.meet(peer, hello, askMs, met)));
+    yield* Task.all(
+      (task) => World.start(this.world, "record", task),
+      others.map((peer) => this.meet(peer, hello, askMs, met)),
+    );
     return met;
   }
 
--- a/src/record/numbering.ts
+++ b/src/record/numbering.ts
@@ -56,7 +56,10 @@
     }
     for (const name of wanted) {
       if (this.names.has(name)) continue;
-      const number = this.rests.get(name) ?? this.free.pop() ?? (this.next < numberLimit ? this.next++ : undefined);
+      const number =
+        this.rests.get(name) ??
+        this.free.pop() ??
+        (this.next < numberLimit ? this.next++ : undefined);
       if (number === undefined) continue;
       this.rests.delete(name);
       this.names.set(name, number);
--- a/src/record/place.ts
+++ b/src/record/place.ts
@@ -31,13 +31,23 @@
   choose(place: Place, candidates: readonly Candidate[]): Members | undefined {
     const wanted = Place.voters(place);
     const byZone = new Map<string, Candidate[]>();
-    for (const one of [...candidates].sort((a, b) => compare(a.zone, b.zone) || compare(a.machine, b.machine) || compare(a.peer, b.peer))) byZone.set(one.zone, [...(byZone.get(one.zone) ?? []), one]);
-    const inTurn = [...byZone.values()].flatMap((zone, zoneAt) => zone.map((candidate, turn) => ({ candidate, zoneAt, turn }))).sort((a, b) => a.turn - b.turn || a.zoneAt - b.zoneAt);
+    for (const one of [...candidates].sort(
+      (a, b) => compare(a.zone, b.zone) || compare(a.machine, b.machine) || compare(a.peer, b.peer),
+    ))
+      byZone.set(one.zone, [...(byZone.get(one.zone) ?? []), one]);
+    const inTurn = [...byZone.values()]
+      .flatMap((zone, zoneAt) => zone.map((candidate, turn) => ({ candidate, zoneAt, turn })))
+      .sort((a, b) => a.turn - b.turn || a.zoneAt - b.zoneAt);
     const chosen = inTurn.slice(0, wanted).map(({ candidate }) => candidate);
     if (chosen.length < wanted) return undefined;
-    const inZones = [...byZone.keys()].map((zone) => chosen.filter((one) => one.zone === zone).length).sort((a, b) => b - a);
+    const inZones = [...byZone.keys()]
+      .map((zone) => chosen.filter((one) => one.zone === zone).length)
+      .sort((a, b) => b - a);
     const lost = inZones.slice(0, place.tolerate.zones).reduce((sum, count) => sum + count, 0);
     if (2 * (wanted - lost) <= wanted) return undefined;
-    return { voters: chosen.map(({ peer }) => peer), learners: inTurn.slice(wanted).map(({ candidate }) => candidate.peer) };
+    return {
+      voters: chosen.map(({ peer }) => peer),
+      learners: inTurn.slice(wanted).map(({ candidate }) => candidate.peer),
+    };
   },
 };
