--- a/src/record/recorder.ts
+++ b/src/record/recorder.ts
@@ -29,7 +29,15 @@
 }
 
 export const Waits = {
-  usual: { heartbeatMs: 60, electionMinMs: 300, electionMaxMs: 500, leaderGrantMs: 240, stallMs: 700, lostMs: 10_000, checkpointBytes: 4 * 1024 * 1024 },
+  usual: {
+    heartbeatMs: 60,
+    electionMinMs: 300,
+    electionMaxMs: 500,
+    leaderGrantMs: 240,
+    stallMs: 700,
+    lostMs: 10_000,
+    checkpointBytes: 4 * 1024 * 1024,
+  },
 };
 
 /** What became of a proposal: committed and applied here, or its fate is unknown. */
@@ -70,7 +78,10 @@
 const kept = { entries: 2000, bytes: 16 * 1024 * 1024 };
 
 /** How many entries from the first on stay within a bound; at least one. Exported for its test. */
-export const within = (entries: Iterable<Entry>, bound: { entries: number; bytes: number }): number => {
+export const within = (
+  entries: Iterable<Entry>,
+  bound: { entries: number; bytes: number },
+): number => {
   let count = 0;
   let heldBytes = 0;
   for (const { text } of entries) {
@@ -130,7 +141,15 @@
   private cuts = 0;
   private leaderHooks: Array<(leads: boolean) => void> = [];
 
-  constructor(world: World, link: Link, place: Place, waits: Waits, book: Book, store: Store, meeting = new Meeting(world, link, place)) {
+  constructor(
+    world: World,
+    link: Link,
+    place: Place,
+    waits: Waits,
+    book: Book,
+    store: Store,
+    meeting = new Meeting(world, link, place),
+  ) {
     this.world = world;
     this.link = link;
     this.self = place.self;
@@ -154,7 +173,11 @@
 
   /** Whether this recorder may answer for the fleet now. */
   get hasGrant(): boolean {
-    return this.role === "leader" && this.applied >= this.leadingSinceIndex && this.world.clock.nowMs() < this.grantUntilMs();
+    return (
+      this.role === "leader" &&
+      this.applied >= this.leadingSinceIndex &&
+      this.world.clock.nowMs() < this.grantUntilMs()
+    );
   }
 
   /** How this recorder stands, for status and tests. */
@@ -191,7 +214,13 @@
 
   /** Whether the record was formed here, but not yet by all of its voters as far as is known. */
   private get isUnborn(): boolean {
-    return this.state === "formed" && !this.isOpen && this.term === 0 && this.lastIndex === 0 && this.rejoining === "";
+    return (
+      this.state === "formed" &&
+      !this.isOpen &&
+      this.term === 0 &&
+      this.lastIndex === 0 &&
+      this.rejoining === ""
+    );
   }
 
   /** Hears each time this recorder begins or ceases to lead. */
@@ -201,7 +230,9 @@
 
   /** Asks the record to take an entry; ends once its fate is known, or known to be unknown. */
   *propose(text: string): Task<Proposed> {
-    const outcomes = yield* Task.wait<Proposed[]>((done) => this.holding.put({ kind: "propose", texts: [text], done }));
+    const outcomes = yield* Task.wait<Proposed[]>((done) =>
+      this.holding.put({ kind: "propose", texts: [text], done }),
+    );
     return outcomes[0] ?? "unknown";
   }
 
@@ -212,7 +243,8 @@
 
   /** Steps down in favour of the follower that is furthest. */
   *yieldLeadership(): Task {
-    if (this.role === "leader") yield* Task.wait<true>((done) => this.holding.put({ kind: "yield", done }));
+    if (this.role === "leader")
+      yield* Task.wait<true>((done) => this.holding.put({ kind: "yield", done }));
   }
 
   /** The recorder's own task: loads, forms or rejoins, then follows, stands and leads. */
@@ -265,11 +297,15 @@
     });
     this.link.serve(Kind.checkpoint, function* (ask) {
       if (closed()) return { term: 0, counts: false, matched: 0 };
-      return yield* Task.wait<CheckpointReturn>((done) => holding.put({ kind: "checkpoint", ask, done }));
+      return yield* Task.wait<CheckpointReturn>((done) =>
+        holding.put({ kind: "checkpoint", ask, done }),
+      );
     });
     this.link.serve(Kind.handOver, function* ({ term }) {
       if (closed()) return { taken: false };
-      return { taken: yield* Task.wait<boolean>((done) => holding.put({ kind: "handOver", term, done })) };
+      return {
+        taken: yield* Task.wait<boolean>((done) => holding.put({ kind: "handOver", term, done })),
+      };
     });
     this.link.serve(Kind.history, ({ from }) => this.historyFrom(from));
   }
@@ -278,7 +314,16 @@
   *form(fleet: string, { voters, learners }: Members): Task {
     if (this.state !== "empty" || this.isTurning) return;
     this.isTurning = true;
-    const standing: Standing = { fleet, rejoining: "", term: 0, votedFor: "", lastIndex: 0, lastTerm: 0, book: this.book.checkpoint({ voters, learners }), entries: [] };
+    const standing: Standing = {
+      fleet,
+      rejoining: "",
+      term: 0,
+      votedFor: "",
+      lastIndex: 0,
+      lastTerm: 0,
+      book: this.book.checkpoint({ voters, learners }),
+      entries: [],
+    };
     yield* Task.wait<boolean>((done) => this.writer.checkpoint(standing, () => done(true)));
     this.isTurning = false;
     this.log.say("The fleet's record is formed.", { fleet, voters, learners });
@@ -294,7 +339,9 @@
 
   /** One accepted config, from here or from another recorder; `undefined` where nobody who is reached holds it. */
   *config(sequence: number): Task<AcceptedConfig | undefined> {
-    const own = this.book.configs.find((config) => config.sequence === sequence) ?? (yield* this.store.history.read(sequence));
+    const own =
+      this.book.configs.find((config) => config.sequence === sequence) ??
+      (yield* this.store.history.read(sequence));
     return own ?? (yield* this.fetched(sequence))[0];
   }
 
@@ -308,13 +355,22 @@
     const kept = yield* this.store.history.piece(from);
     const [first] = this.book.configs;
     const inBook = kept.length === 0 && first !== undefined && from >= first.sequence;
-    return { configs: inBook ? History.pack(this.book.configs.filter(({ sequence }) => sequence >= from)) : kept };
+    return {
+      configs: inBook
+        ? History.pack(this.book.configs.filter(({ sequence }) => sequence >= from))
+        : kept,
+    };
   }
 
   /** Configs from one on, as another recorder holds them; none where nobody who is reached does. */
   private *fetched(from: number): Task<AcceptedConfig[]> {
     const { voters, learners } = this.members;
-    for (const peer of new Set([this.knownLeader, ...voters, ...learners, ...this.meeting.recorders])) {
+    for (const peer of new Set([
+      this.knownLeader,
+      ...voters,
+      ...learners,
+      ...this.meeting.recorders,
+    ])) {
       if (peer === this.self || peer === "") continue;
       const ret = yield* this.link.ask(peer, Kind.history, { from }, historyWaitMs);
       const configs = ret ? History.unpack(ret.configs, from) : [];
@@ -331,8 +387,10 @@
       const [file] = history.damaged;
       if (this.state === "formed" && !this.hasHistory) {
         const configs = yield* this.fetched(history.newest + 1);
-        if (configs.length > 0) yield* Task.wait<boolean>((done) => this.writer.keep(configs, () => done(true)));
-        if (this.hasHistory) this.log.say("The history of configs is whole.", { newest: history.newest });
+        if (configs.length > 0)
+          yield* Task.wait<boolean>((done) => this.writer.keep(configs, () => done(true)));
+        if (this.hasHistory)
+          this.log.say("The history of configs is whole.", { newest: history.newest });
         else if (configs.length > 0) continue;
       } else if (this.state === "formed" && file !== undefined) yield* this.mending(file);
       yield* Clock.rest(this.world.clock, learnMs);
@@ -342,7 +400,10 @@
   private *mending(file: number): Task {
     const { history } = this.store;
     const { from, to } = History.span(file, history.newest);
-    this.log.warn("A file of the history is damaged; its configs are learned from the others.", { from, to });
+    this.log.warn("A file of the history is damaged; its configs are learned from the others.", {
+      from,
+      to,
+    });
     const configs: AcceptedConfig[] = [];
     for (let next = from; next <= to; next = from + configs.length) {
       const more = yield* this.fetched(next);
@@ -378,7 +439,11 @@
     while (this.rejoining) {
       const asked = new Set([this.self, ""]);
       const contacts = [this.knownLeader, ...this.meeting.recorders, ...this.place.seeds()];
-      for (let address = contacts.shift(); address !== undefined && this.rejoining; address = contacts.shift()) {
+      for (
+        let address = contacts.shift();
+        address !== undefined && this.rejoining;
+        address = contacts.shift()
+      ) {
         if (asked.has(address)) continue;
         asked.add(address);
         const text = JSON.stringify({ kind: "rejoin", machine: this.self, nonce: this.rejoining });
@@ -442,7 +507,9 @@
 
   private grantUntilMs(): number {
     const sent = this.members.voters
-      .map((voter) => (voter === this.self ? this.world.clock.nowMs() : (this.ackedSentMs.get(voter) ?? -Infinity)))
+      .map((voter) =>
+        voter === this.self ? this.world.clock.nowMs() : (this.ackedSentMs.get(voter) ?? -Infinity),
+      )
       .sort((a, b) => b - a);
     return (sent[this.majority - 1] ?? -Infinity) + this.waits.leaderGrantMs;
   }
@@ -461,7 +528,12 @@
       if (this.heardLeaderMs !== heardMs) untilMs = this.heardLeaderMs + this.electionWaitMs();
       else if (this.world.clock.nowMs() >= untilMs) {
         this.knownLeader = "";
-        if (this.isVoter && this.writer.breakdown === undefined && this.writer.waitingMs < this.waits.stallMs) this.role = "preCandidate";
+        if (
+          this.isVoter &&
+          this.writer.breakdown === undefined &&
+          this.writer.waitingMs < this.waits.stallMs
+        )
+          this.role = "preCandidate";
         else untilMs = this.world.clock.nowMs() + this.electionWaitMs();
       }
     }
@@ -497,14 +569,29 @@
   }
 
   private startVoting(isPreVote: boolean, term: number, handOver: boolean): void {
-    const ask: VoteAsk = { isPreVote, term, candidate: this.self, lastIndex: this.lastIndex, lastTerm: this.lastTerm, handOver };
-    this.holding.put({ kind: "voted", peer: this.self, isPreVote, term, ret: { term, granted: true } });
-    for (const peer of this.members.voters.filter((voter) => voter !== this.self)) World.start(this.world, "record", this.asking(peer, ask));
+    const ask: VoteAsk = {
+      isPreVote,
+      term,
+      candidate: this.self,
+      lastIndex: this.lastIndex,
+      lastTerm: this.lastTerm,
+      handOver,
+    };
+    this.holding.put({
+      kind: "voted",
+      peer: this.self,
+      isPreVote,
+      term,
+      ret: { term, granted: true },
+    });
+    for (const peer of this.members.voters.filter((voter) => voter !== this.self))
+      World.start(this.world, "record", this.asking(peer, ask));
   }
 
   private *asking(peer: string, ask: VoteAsk): Task {
     const ret = yield* this.link.ask(peer, Kind.vote, ask, this.waits.electionMinMs);
-    if (ret) this.holding.put({ kind: "voted", peer, isPreVote: ask.isPreVote, term: ask.term, ret });
+    if (ret)
+      this.holding.put({ kind: "voted", peer, isPreVote: ask.isPreVote, term: ask.term, ret });
   }
 
   private *leading(): Task {
@@ -521,13 +608,19 @@
     const startedMs = this.world.clock.nowMs();
     while (this.isLeading(term)) {
       this.keepReplicating(term);
-      const command = yield* this.holding.takeUntil(this.world.clock, this.world.clock.nowMs() + this.waits.heartbeatMs);
+      const command = yield* this.holding.takeUntil(
+        this.world.clock,
+        this.world.clock.nowMs() + this.waits.heartbeatMs,
+      );
       if (command) this.handle(command);
       if (!this.isLeading(term)) break;
       const nowMs = this.world.clock.nowMs();
-      if (this.writer.breakdown !== undefined || this.writer.waitingMs > this.waits.stallMs) this.handOver("The disk doesn't keep up.");
-      else if (!this.members.voters.includes(this.self) && this.committed >= this.membersIndex) this.handOver("No longer a voter.");
-      else if (nowMs > Math.max(this.grantUntilMs(), startedMs) + 2 * this.waits.electionMaxMs) this.follow(this.term, "");
+      if (this.writer.breakdown !== undefined || this.writer.waitingMs > this.waits.stallMs)
+        this.handOver("The disk doesn't keep up.");
+      else if (!this.members.voters.includes(this.self) && this.committed >= this.membersIndex)
+        this.handOver("No longer a voter.");
+      else if (nowMs > Math.max(this.grantUntilMs(), startedMs) + 2 * this.waits.electionMaxMs)
+        this.follow(this.term, "");
       else this.replaceLost(startedMs);
     }
     for (const promise of this.promises.values()) promise.done("unknown");
@@ -562,20 +655,35 @@
   private replaceLost(startedMs: number): void {
     if (this.committed < this.leadingSinceIndex || this.membersIndex > this.committed) return;
     const nowMs = this.world.clock.nowMs();
-    const silentMs = (peer: string): number => nowMs - Math.max(startedMs, this.ackedSentMs.get(peer) ?? startedMs);
+    const silentMs = (peer: string): number =>
+      nowMs - Math.max(startedMs, this.ackedSentMs.get(peer) ?? startedMs);
     const { voters, learners } = this.members;
     const wanted = Place.voters(this.place);
     const lost = voters.find((voter) => voter !== this.self && silentMs(voter) > this.waits.lostMs);
-    const ready = learners.find((learner) => this.ackedSentMs.has(learner) && silentMs(learner) < this.waits.electionMaxMs && (this.matched.get(learner) ?? 0) + 64 >= this.committed);
+    const ready = learners.find(
+      (learner) =>
+        this.ackedSentMs.has(learner) &&
+        silentMs(learner) < this.waits.electionMaxMs &&
+        (this.matched.get(learner) ?? 0) + 64 >= this.committed,
+    );
     if (voters.length > wanted && lost !== undefined) {
       this.log.warn("A lost voter is taken off.", { voter: lost });
-      this.changeMembers({ voters: voters.filter((voter) => voter !== lost), learners: [...learners, lost] });
+      this.changeMembers({
+        voters: voters.filter((voter) => voter !== lost),
+        learners: [...learners, lost],
+      });
     } else if (voters.length < wanted && ready !== undefined) {
       this.log.warn("A learner becomes a voter, since there are too few.", { learner: ready });
-      this.changeMembers({ voters: [...voters, ready], learners: learners.filter((learner) => learner !== ready) });
+      this.changeMembers({
+        voters: [...voters, ready],
+        learners: learners.filter((learner) => learner !== ready),
+      });
     } else if (lost !== undefined && ready !== undefined) {
       this.log.warn("A learner takes a lost voter's place.", { learner: ready, lost });
-      this.changeMembers({ voters: [...voters, ready], learners: learners.filter((learner) => learner !== ready) });
+      this.changeMembers({
+        voters: [...voters, ready],
+        learners: learners.filter((learner) => learner !== ready),
+      });
     }
   }
 
@@ -595,13 +703,29 @@
   private *replicating(peer: string, term: number, nudge: Holding<true>): Task {
     let next = this.lastIndex;
     let sure = false;
-    while (this.isLeading(term) && (this.members.voters.includes(peer) || this.members.learners.includes(peer))) {
+    while (
+      this.isLeading(term) &&
+      (this.members.voters.includes(peer) || this.members.learners.includes(peer))
+    ) {
       const sentMs = this.world.clock.nowMs();
       if (next <= this.baseIndex) {
-        const standing = { term, leader: this.self, lastIndex: this.applied, lastTerm: this.termAt(this.applied) ?? 0, text: this.book.checkpoint(this.membersAt(this.applied)) };
+        const standing = {
+          term,
+          leader: this.self,
+          lastIndex: this.applied,
+          lastTerm: this.termAt(this.applied) ?? 0,
+          text: this.book.checkpoint(this.membersAt(this.applied)),
+        };
         const ret = yield* this.link.ask(peer, Kind.checkpoint, standing, 5000);
         if (ret) {
-          this.holding.put({ kind: "acked", peer, term, sentMs, matched: ret.matched, counts: ret.counts });
+          this.holding.put({
+            kind: "acked",
+            peer,
+            term,
+            sentMs,
+            matched: ret.matched,
+            counts: ret.counts,
+          });
           if (ret.term > term) this.holding.put({ kind: "outdated", term: ret.term });
           if (ret.matched >= standing.lastIndex) next = ret.matched + 1;
         }
@@ -610,13 +734,29 @@
         const following: Entry[] = sure ? this.entries.slice(from, from + batch.entries) : [];
         const entries: Entry[] = following.slice(0, within(following, batch));
         const previousTerm = this.termAt(next - 1) ?? 0;
-        const ask = { term, leader: this.self, previousIndex: next - 1, previousTerm, committed: this.committed, entries };
+        const ask = {
+          term,
+          leader: this.self,
+          previousIndex: next - 1,
+          previousTerm,
+          committed: this.committed,
+          entries,
+        };
         const ret = yield* this.link.ask(peer, Kind.append, ask, this.waits.electionMinMs);
         if (ret && ret.term > term) this.holding.put({ kind: "outdated", term: ret.term });
         else if (ret && ret.term === term) {
-          this.holding.put({ kind: "acked", peer, term, sentMs, matched: ret.fits ? ret.matched : 0, counts: ret.counts });
+          this.holding.put({
+            kind: "acked",
+            peer,
+            term,
+            sentMs,
+            matched: ret.fits ? ret.matched : 0,
+            counts: ret.counts,
+          });
           sure = ret.fits;
-          next = ret.fits ? Math.max(next, ret.matched + 1) : Math.max(0, Math.min(next - 1, ret.matched + 1));
+          next = ret.fits
+            ? Math.max(next, ret.matched + 1)
+            : Math.max(0, Math.min(next - 1, ret.matched + 1));
           if (!ret.fits || this.lastIndex >= next) continue;
         }
       }
@@ -628,7 +768,8 @@
 
   private membersAt(index: number): Members {
     let members = this.baseMembers;
-    for (const entry of this.entries) if (entry.index <= index) members = Members.in(entry.text) ?? members;
+    for (const entry of this.entries)
+      if (entry.index <= index) members = Members.in(entry.text) ?? members;
     return members;
   }
 
@@ -654,7 +795,9 @@
 
   private write(records: LogRecord[]): void {
     const { term, lastIndex } = this;
-    this.writer.append(records, () => this.holding.put({ kind: "written", term, index: lastIndex }));
+    this.writer.append(records, () =>
+      this.holding.put({ kind: "written", term, index: lastIndex }),
+    );
   }
 
   private handle(command: Command): void {
@@ -666,7 +809,11 @@
       case "checkpoint":
         return this.handleCheckpoint(command.ask, command.done);
       case "handOver": {
-        const taken = command.term === this.term && this.isVoter && this.role === "follower" && this.writer.breakdown === undefined;
+        const taken =
+          command.term === this.term &&
+          this.isVoter &&
+          this.role === "follower" &&
+          this.writer.breakdown === undefined;
         if (taken) {
           this.handedOver = true;
           this.role = "candidate";
@@ -693,8 +840,12 @@
         return command.done(true);
       case "learn": {
         const { voters, learners } = this.members;
-        if (voters.includes(command.machine) || learners.includes(command.machine)) return command.done(true);
-        const free = this.role === "leader" && this.membersIndex <= this.committed && this.committed >= this.leadingSinceIndex;
+        if (voters.includes(command.machine) || learners.includes(command.machine))
+          return command.done(true);
+        const free =
+          this.role === "leader" &&
+          this.membersIndex <= this.committed &&
+          this.committed >= this.leadingSinceIndex;
         if (free) this.changeMembers({ voters, learners: [...learners, command.machine] });
         return command.done(free);
       }
@@ -720,9 +871,14 @@
   }
 
   private handleVote(ask: VoteAsk, done: (ret: VoteReturn) => void): void {
-    const hears = this.role === "leader" || this.world.clock.nowMs() - this.heardLeaderMs < this.waits.electionMinMs;
-    const upToDate = ask.lastTerm > this.lastTerm || (ask.lastTerm === this.lastTerm && ask.lastIndex >= this.lastIndex);
-    if ((hears && !ask.handOver) || this.rejoining || ask.term < this.term) return done({ term: this.term, granted: false });
+    const hears =
+      this.role === "leader" ||
+      this.world.clock.nowMs() - this.heardLeaderMs < this.waits.electionMinMs;
+    const upToDate =
+      ask.lastTerm > this.lastTerm ||
+      (ask.lastTerm === this.lastTerm && ask.lastIndex >= this.lastIndex);
+    if ((hears && !ask.handOver) || this.rejoining || ask.term < this.term)
+      return done({ term: this.term, granted: false });
     if (ask.isPreVote) return done({ term: this.term, granted: upToDate && ask.term > this.term });
     if (ask.term > this.term) this.follow(ask.term, "");
     const granted = upToDate && (this.votedFor === "" || this.votedFor === ask.candidate);
@@ -731,13 +887,25 @@
       this.votedFor = ask.candidate;
       this.heardLeaderMs = this.world.clock.nowMs();
     }
-    this.writer.append([{ kind: "vote", term, text: this.votedFor }], () => done({ term, granted }));
+    this.writer.append([{ kind: "vote", term, text: this.votedFor }], () =>
+      done({ term, granted }),
+    );
   }
 
-  private handleVoted(command: { peer: string; isPreVote: boolean; term: number; ret: VoteReturn }): void {
+  private handleVoted(command: {
+    peer: string;
+    isPreVote: boolean;
+    term: number;
+    ret: VoteReturn;
+  }): void {
     const { peer, isPreVote, term, ret } = command;
     if (ret.term > term) return this.follow(ret.term, "");
-    if (isPreVote ? this.role !== "preCandidate" || term !== this.term + 1 : this.role !== "candidate" || term !== this.term) return;
+    if (
+      isPreVote
+        ? this.role !== "preCandidate" || term !== this.term + 1
+        : this.role !== "candidate" || term !== this.term
+    )
+      return;
     if (!ret.granted) return;
     this.votes.add(peer);
     const count = this.members.voters.filter((voter) => this.votes.has(voter)).length;
@@ -745,14 +913,21 @@
   }
 
   private handleAppend(ask: AppendAsk, done: (ret: AppendReturn) => void): void {
-    if (ask.term < this.term) return done({ term: this.term, fits: false, counts: false, matched: 0 });
-    const records: LogRecord[] = ask.term > this.term ? [{ kind: "vote", term: ask.term, text: "" }] : [];
+    if (ask.term < this.term)
+      return done({ term: this.term, fits: false, counts: false, matched: 0 });
+    const records: LogRecord[] =
+      ask.term > this.term ? [{ kind: "vote", term: ask.term, text: "" }] : [];
     this.follow(ask.term, ask.leader);
     const { term } = this;
     const counts = !this.rejoining && this.hasHistory;
     const before = this.termAt(ask.previousIndex);
     if (ask.previousIndex >= this.baseIndex && before !== ask.previousTerm) {
-      return done({ term, fits: false, counts: false, matched: Math.min(this.lastIndex, ask.previousIndex - 1) });
+      return done({
+        term,
+        fits: false,
+        counts: false,
+        matched: Math.min(this.lastIndex, ask.previousIndex - 1),
+      });
     }
     for (const entry of ask.entries) {
       if (entry.index <= this.baseIndex) continue;
@@ -772,7 +947,8 @@
     const matched = Math.max(ask.previousIndex, this.baseIndex, ask.entries.at(-1)?.index ?? 0);
     const { cuts } = this;
     const finish = (): void => {
-      if (this.term !== term || this.cuts !== cuts) return done({ term: this.term, fits: false, counts: false, matched: 0 });
+      if (this.term !== term || this.cuts !== cuts)
+        return done({ term: this.term, fits: false, counts: false, matched: 0 });
       this.synced = Math.max(this.synced, matched);
       done({ term, fits: true, counts, matched });
     };
@@ -795,30 +971,48 @@
       lastIndex: ask.lastIndex,
       lastTerm: ask.lastTerm,
       book: ask.text,
-      entries: this.termAt(ask.lastIndex) === ask.lastTerm ? this.entries.slice(ask.lastIndex - this.baseIndex) : [],
+      entries:
+        this.termAt(ask.lastIndex) === ask.lastTerm
+          ? this.entries.slice(ask.lastIndex - this.baseIndex)
+          : [],
     };
     this.adopt(standing);
     this.synced = 0;
     this.cuts += 1;
     const { cuts } = this;
     this.writer.checkpoint(standing, () => {
-      if (this.term !== term || this.cuts !== cuts) return done({ term: this.term, counts: false, matched: 0 });
+      if (this.term !== term || this.cuts !== cuts)
+        return done({ term: this.term, counts: false, matched: 0 });
       this.synced = Math.max(this.synced, standing.lastIndex + standing.entries.length);
       done({ term, counts, matched: ask.lastIndex });
     });
   }
 
-  private handleAcked(command: { peer: string; term: number; sentMs: number; matched: number; counts: boolean }): void {
+  private handleAcked(command: {
+    peer: string;
+    term: number;
+    sentMs: number;
+    matched: number;
+    counts: boolean;
+  }): void {
     if (!this.isLeading(command.term)) return;
     if (command.counts) {
-      this.matched.set(command.peer, Math.max(this.matched.get(command.peer) ?? 0, command.matched));
-      this.ackedSentMs.set(command.peer, Math.max(this.ackedSentMs.get(command.peer) ?? -Infinity, command.sentMs));
+      this.matched.set(
+        command.peer,
+        Math.max(this.matched.get(command.peer) ?? 0, command.matched),
+      );
+      this.ackedSentMs.set(
+        command.peer,
+        Math.max(this.ackedSentMs.get(command.peer) ?? -Infinity, command.sentMs),
+      );
     }
     this.advance();
   }
 
   private advance(): void {
-    const reached = this.members.voters.map((voter) => (voter === this.self ? this.synced : (this.matched.get(voter) ?? 0))).sort((a, b) => b - a);
+    const reached = this.members.voters
+      .map((voter) => (voter === this.self ? this.synced : (this.matched.get(voter) ?? 0)))
+      .sort((a, b) => b - a);
     const index = reached[this.majority - 1] ?? 0;
     if (index > this.committed && this.termAt(index) === this.term) this.commit(index);
   }
@@ -827,7 +1021,8 @@
     this.committed = Math.max(this.committed, Math.min(index, this.lastIndex));
     while (this.applied < this.committed) {
       const entry = this.entries[this.applied - this.baseIndex];
-      if (entry?.index !== this.applied + 1) throw new RecordError(`Entry ${this.applied + 1} is not where it should be.`);
+      if (entry?.index !== this.applied + 1)
+        throw new RecordError(`Entry ${this.applied + 1} is not where it should be.`);
       this.applied = entry.index;
       if (entry.text.startsWith('{"kind":"rejoined"')) this.noteRejoined(entry.text);
       const outcome = this.book.apply(entry.index, entry.text);
@@ -835,12 +1030,18 @@
       this.promises.delete(entry.index);
       promise?.done(promise.term === entry.term ? { index: entry.index, outcome } : "unknown");
     }
-    if (!this.checkpointing && this.writer.addedBytes > this.waits.checkpointBytes && this.state === "formed") this.writeCheckpoint("");
+    if (
+      !this.checkpointing &&
+      this.writer.addedBytes > this.waits.checkpointBytes &&
+      this.state === "formed"
+    )
+      this.writeCheckpoint("");
   }
 
   private noteRejoined(text: string): void {
     const mark = create(JSON.parse(text), markShape);
-    if (mark.machine === this.self && this.rejoining !== "" && mark.nonce === this.rejoining) this.writeCheckpoint("rejoined");
+    if (mark.machine === this.self && this.rejoining !== "" && mark.nonce === this.rejoining)
+      this.writeCheckpoint("rejoined");
   }
 
   private writeCheckpoint(then: "rejoined" | ""): void {
--- a/src/record/restore.ts
+++ b/src/record/restore.ts
@@ -4,7 +4,8 @@
 import { Store } from "./store.js";
 
 /** What a restore did, or why it did nothing. */
-export type Restored = { kind: "restored"; entries: number; lastIndex: number } | { kind: "refused"; why: string };
+export type Restored =
+  { kind: "restored"; entries: number; lastIndex: number } | { kind: "refused"; why: string };
 
 /**
  * Makes a recorder the only voter of the record, for a core that has lost its majority for good.
@@ -14,13 +15,27 @@
   const store = new Store(disk);
   const loaded = yield* store.load();
   if (loaded.kind === "empty") return { kind: "refused", why: "The data folder holds no record." };
-  if (loaded.kind === "damaged") return { kind: "refused", why: `The record here is damaged: ${loaded.why}` };
+  if (loaded.kind === "damaged")
+    return { kind: "refused", why: `The record here is damaged: ${loaded.why}` };
   const { standing } = loaded;
-  if (standing.rejoining !== "") return { kind: "refused", why: "This recorder was learning the record anew and may lack a part of it." };
+  if (standing.rejoining !== "")
+    return {
+      kind: "refused",
+      why: "This recorder was learning the record anew and may lack a part of it.",
+    };
   const term = standing.term + 1;
   const lastIndex = standing.lastIndex + standing.entries.length;
-  const added = [Deed.text({ kind: "members", voters: [self], learners: [] }), Deed.text({ kind: "note", text: `An operator restored the record from ${self} alone, in term ${term}.` })];
-  const entries = [...standing.entries, ...added.map((text, at) => ({ index: lastIndex + 1 + at, term, text }))];
+  const added = [
+    Deed.text({ kind: "members", voters: [self], learners: [] }),
+    Deed.text({
+      kind: "note",
+      text: `An operator restored the record from ${self} alone, in term ${term}.`,
+    }),
+  ];
+  const entries = [
+    ...standing.entries,
+    ...added.map((text, at) => ({ index: lastIndex + 1 + at, term, text })),
+  ];
   yield* store.checkpoint({ ...standing, term, votedFor: self, entries });
   return { kind: "restored", entries: entries.length, lastIndex: lastIndex + added.length };
 };
--- a/src/record/store.ts
+++ b/src/record/store.ts
@@ -30,13 +30,21 @@
   | { kind: "cut"; index: number };
 
 /** What a recorder finds on its disk. */
-export type Loaded = { kind: "empty" } | { kind: "damaged"; why: string } | { kind: "whole"; standing: Standing };
-
-const payload = new r.Struct({ kind: r.uint8, term: r.uint32, index: r.uint32, text: new r.String(r.uint32, "utf8") });
+export type Loaded =
+  { kind: "empty" } | { kind: "damaged"; why: string } | { kind: "whole"; standing: Standing };
+
+const payload = new r.Struct({
+  kind: r.uint8,
+  term: r.uint32,
+  index: r.uint32,
+  text: new r.String(r.uint32, "utf8"),
+});
 const encode = (record: LogRecord): Uint8Array => {
   switch (record.kind) {
     case "entry":
-      return seal(payload.toBuffer({ kind: 1, term: record.term, index: record.index, text: record.text }));
+      return seal(
+        payload.toBuffer({ kind: 1, term: record.term, index: record.index, text: record.text }),
+      );
     case "vote":
       return seal(payload.toBuffer({ kind: 2, term: record.term, index: 0, text: record.text }));
     case "cut":
@@ -103,11 +111,14 @@
         continue;
       }
       const { sequence, standing } = create(JSON.parse(body.toString("utf8")), slotShape);
-      if (!best || sequence > best.sequence) best = { sequence, standing: { ...standing, book: book.toString("utf8") } };
+      if (!best || sequence > best.sequence)
+        best = { sequence, standing: { ...standing, book: book.toString("utf8") } };
     }
     if (!best) {
       const logged = names.some((name) => name.startsWith("log-") || History.isName(name));
-      return logged || broken > 1 ? { kind: "damaged", why: "No slot can be read." } : { kind: "empty" };
+      return logged || broken > 1
+        ? { kind: "damaged", why: "No slot can be read." }
+        : { kind: "empty" };
     }
     this.sequence = best.sequence;
     if (broken > 0 && names.includes(logName(best.sequence + 1)))
@@ -115,12 +126,14 @@
     const bytes = Buffer.from((yield* this.disk.read(logName(best.sequence))) ?? Buffer.alloc(0));
     let at = 0;
     for (let body = unseal(bytes, at); body !== undefined; body = unseal(bytes, at)) {
-      if (!replay(best.standing, body)) return { kind: "damaged", why: `The log has a gap at byte ${at}.` };
+      if (!replay(best.standing, body))
+        return { kind: "damaged", why: `The log has a gap at byte ${at}.` };
       at += sealBytes + body.length;
     }
     if (at < bytes.length) {
       for (let later = at + 1; later + sealBytes < bytes.length; later += 1)
-        if (unseal(bytes, later) !== undefined) return { kind: "damaged", why: `The log is damaged at byte ${at}, before its tail.` };
+        if (unseal(bytes, later) !== undefined)
+          return { kind: "damaged", why: `The log is damaged at byte ${at}, before its tail.` };
       yield* this.disk.truncate(logName(best.sequence), at);
     }
     this.logBytes = at;
@@ -133,7 +146,9 @@
   /** Clears a damaged disk. A mark stands from before the first file goes until a new checkpoint is whole. */
   *clear(): Task {
     yield* this.disk.write(clearing, Buffer.alloc(0));
-    for (const name of yield* this.disk.list()) if (slots.includes(name) || name.startsWith("log-") || History.isName(name)) yield* this.disk.remove(name);
+    for (const name of yield* this.disk.list())
+      if (slots.includes(name) || name.startsWith("log-") || History.isName(name))
+        yield* this.disk.remove(name);
     yield* this.history.load([]);
     this.sequence = 0;
     this.logBytes = 0;
--- a/src/record/writer.ts
+++ b/src/record/writer.ts
@@ -6,7 +6,10 @@
 import type { AcceptedConfig } from "./book.js";
 import type { LogRecord, Standing, Store } from "./store.js";
 
-type Order = { records: LogRecord[]; done: () => void } | { standing: Standing; done: () => void } | { configs: AcceptedConfig[]; file: number | undefined; done: () => void };
+type Order =
+  | { records: LogRecord[]; done: () => void }
+  | { standing: Standing; done: () => void }
+  | { configs: AcceptedConfig[]; file: number | undefined; done: () => void };
 
 const retryMs = 200;
 
@@ -72,7 +75,9 @@
 
   private work(order: Exclude<Order, { records: LogRecord[] }>): Task {
     if ("standing" in order) return this.store.checkpoint(order.standing);
-    return order.file === undefined ? this.store.history.append(order.configs) : this.store.history.mend(order.file, order.configs);
+    return order.file === undefined
+      ? this.store.history.append(order.configs)
+      : this.store.history.mend(order.file, order.configs);
   }
 
   private *appendGroup(group: Array<{ records: LogRecord[]; done: () => void }>): Task {
@@ -94,7 +99,8 @@
       } catch (error) {
         if (!(error instanceof DiskBreakdown)) throw error;
         const why = error.cause instanceof Error ? error.cause.message : error.message;
-        if (this.breakdown === undefined) this.log.warn("The disk takes no writes; nothing is acknowledged.", { why });
+        if (this.breakdown === undefined)
+          this.log.warn("The disk takes no writes; nothing is acknowledged.", { why });
         this.breakdown = why;
         yield* Clock.rest(this.clock, retryMs);
       }
--- a/src/rehearsal/budgetMeasure.ts
+++ b/src/rehearsal/budgetMeasure.ts
@@ -23,24 +23,50 @@
 const stepMs = 10;
 
 /** Runs a fleet at some part of its rate while back ends lose a part of their answers, and tells who decided on further tries. */
-export const measureBudget = (profile: Profile, seed: number, rate: number, where: Where, losesPart: number, forMs: number): Decided => {
+export const measureBudget = (
+  profile: Profile,
+  seed: number,
+  rate: number,
+  where: Where,
+  losesPart: number,
+  forMs: number,
+): Decided => {
   const simulation = new Simulation(profile, seed, rate);
   simulation.begin();
   simulation.start(simulation.day.putConfig());
   simulation.time.runUntil(20_000);
-  const edges = simulation.machines.filter((machine): machine is SimMachine => machine.settings.callers !== undefined);
+  const edges = simulation.machines.filter(
+    (machine): machine is SimMachine => machine.settings.callers !== undefined,
+  );
   const [only] = edges;
   const [service = ""] = Object.keys(profile.backEnds);
   for (const standIn of simulation.standIns)
-    if (standIn.service === service) standIn.behave({ losesPart, ...(where === "one" && only ? { onlyFrom: only.daemon?.name ?? "" } : {}) });
-  const decided: Decided = { granted: 0, sketch: 0, guard: 0, needless: { sketch: 0, guard: 0 }, errors: [], agesMs: [], coverage: [], worst: 0 };
+    if (standIn.service === service)
+      standIn.behave({
+        losesPart,
+        ...(where === "one" && only ? { onlyFrom: only.daemon?.name ?? "" } : {}),
+      });
+  const decided: Decided = {
+    granted: 0,
+    sketch: 0,
+    guard: 0,
+    needless: { sketch: 0, guard: 0 },
+    errors: [],
+    agesMs: [],
+    coverage: [],
+    worst: 0,
+  };
   const seen = new Map<SimMachine, { sketch: number; guard: number }>();
-  const tallyOf = (edge: SimMachine): { sketch: number; guard: number } => edge.daemon?.door.tally.furtherRefused ?? { sketch: 0, guard: 0 };
+  const tallyOf = (edge: SimMachine): { sketch: number; guard: number } =>
+    edge.daemon?.door.tally.furtherRefused ?? { sketch: 0, guard: 0 };
   const tried = new Set<string>();
   const further: number[] = [];
   let readRuns = 0;
   for (const edge of edges) seen.set(edge, { ...tallyOf(edge) });
-  const grantedBefore = edges.reduce((sum, { daemon }) => sum + (daemon?.door.tally.furtherTries ?? 0), 0);
+  const grantedBefore = edges.reduce(
+    (sum, { daemon }) => sum + (daemon?.door.tally.furtherTries ?? 0),
+    0,
+  );
   const untilMs = simulation.time.nowMs() + forMs;
   while (simulation.time.nowMs() < untilMs) {
     simulation.time.runUntil(simulation.time.nowMs() + stepMs);
@@ -66,24 +92,44 @@
     }
     if (nowMs % 500 < stepMs) sample(simulation, edges, service, decided, nowMs);
   }
-  decided.granted = edges.reduce((sum, { daemon }) => sum + (daemon?.door.tally.furtherTries ?? 0), 0) - grantedBefore;
+  decided.granted =
+    edges.reduce((sum, { daemon }) => sum + (daemon?.door.tally.furtherTries ?? 0), 0) -
+    grantedBefore;
   return decided;
 };
 
 /** Whether one more further try now would keep the sketch's rule, on true counts, in every stretch of the window. */
-const room = (simulation: Simulation, service: string, further: readonly number[], nowMs: number): boolean => {
+const room = (
+  simulation: Simulation,
+  service: string,
+  further: readonly number[],
+  nowMs: number,
+): boolean => {
   const requests: number[] = [];
   for (let at = simulation.ledger.callers.length - 1; at >= 0; at -= 1) {
     const record = simulation.ledger.callers[at];
     if (!record || record.endedMs < nowMs - retryWindowMs) break;
-    if (record.service === service && record.sentMs > nowMs - retryWindowMs) requests.push(record.sentMs);
+    if (record.service === service && record.sentMs > nowMs - retryWindowMs)
+      requests.push(record.sentMs);
   }
   const lately = further.filter((atMs) => atMs > nowMs - retryWindowMs);
-  return lately.every((fromMs, at) => lately.length - at + 1 <= sketchRule.earned * requests.filter((atMs) => atMs >= fromMs).length + sketchRule.pool);
+  return lately.every(
+    (fromMs, at) =>
+      lately.length - at + 1 <=
+      sketchRule.earned * requests.filter((atMs) => atMs >= fromMs).length + sketchRule.pool,
+  );
 };
 
-const sample = (simulation: Simulation, edges: readonly SimMachine[], service: string, decided: Decided, nowMs: number): void => {
-  const truth = simulation.ledger.runs.filter((run) => run.meant === service && run.atMs > nowMs - retryWindowMs).length;
+const sample = (
+  simulation: Simulation,
+  edges: readonly SimMachine[],
+  service: string,
+  decided: Decided,
+  nowMs: number,
+): void => {
+  const truth = simulation.ledger.runs.filter(
+    (run) => run.meant === service && run.atMs > nowMs - retryWindowMs,
+  ).length;
   for (const { daemon } of edges) {
     const told = daemon?.toldTries(service);
     if (!told || truth === 0) continue;
--- a/src/rehearsal/day.ts
+++ b/src/rehearsal/day.ts
@@ -44,7 +44,10 @@
 const verdictBody = type({ verdict: string() });
 
 /** The one word that a body holds under a shape, or an empty one. */
-const wordIn = (body: Buffer, shape: Struct<{ of: string }> | Struct<{ verdict: string }>): string => {
+const wordIn = (
+  body: Buffer,
+  shape: Struct<{ of: string }> | Struct<{ verdict: string }>,
+): string => {
   try {
     const read = shape.create(JSON.parse(body.toString()));
     return "of" in read ? read.of : read.verdict;
@@ -80,13 +83,15 @@
   /** Callers of one kind, each request at a time of its own. */
   *callers(traffic: Traffic): Task {
     const { clock } = this.outside;
-    for (let nextMs = clock.nowMs(); !this.isOver; ) {
+    for (let nextMs = clock.nowMs(); !this.isOver;) {
       if (this.crowd === 0) {
         yield* Clock.rest(clock, 50);
         nextMs = clock.nowMs();
         continue;
       }
-      nextMs += (-Math.log(1 - this.outside.random()) * 1000) / (traffic.perSecond * this.rateFactor * this.crowd);
+      nextMs +=
+        (-Math.log(1 - this.outside.random()) * 1000) /
+        (traffic.perSecond * this.rateFactor * this.crowd);
       if (nextMs > clock.nowMs()) yield* Clock.rest(clock, nextMs - clock.nowMs());
       this.outside.start(this.person(traffic));
     }
@@ -99,7 +104,10 @@
       const accepted = this.ledger.of("accepted").slice(-3);
       const probe = accepted[Math.floor(this.outside.random() * accepted.length)]?.probe;
       const [service] = Object.keys(this.profile.backEnds);
-      if (probe !== undefined && service !== undefined) this.outside.start(this.oneCall(service, "GET", `/probe/${probe}`, undefined, Buffer.alloc(0)));
+      if (probe !== undefined && service !== undefined)
+        this.outside.start(
+          this.oneCall(service, "GET", `/probe/${probe}`, undefined, Buffer.alloc(0)),
+        );
     }
   }
 
@@ -108,8 +116,23 @@
     while (!this.isOver) {
       if (standIn.isAnnouncing && standIn.isUp) {
         const { service, address, zone, incarnation } = standIn;
-        const ret = yield* this.outside.desk(undefined, this.deskJob("POST", "/backends/announce", { service, address, zone, warmth: incarnation > 1 ? 0.3 : 1 }), address);
-        if (ret?.code === 200) this.ledger.world.push({ kind: "announced", atMs: this.outside.clock.nowMs(), address, service });
+        const ret = yield* this.outside.desk(
+          undefined,
+          this.deskJob("POST", "/backends/announce", {
+            service,
+            address,
+            zone,
+            warmth: incarnation > 1 ? 0.3 : 1,
+          }),
+          address,
+        );
+        if (ret?.code === 200)
+          this.ledger.world.push({
+            kind: "announced",
+            atMs: this.outside.clock.nowMs(),
+            address,
+            service,
+          });
       }
       yield* Clock.rest(this.outside.clock, everyMs * (0.9 + this.outside.random() * 0.2));
     }
@@ -120,9 +143,19 @@
     standIn.isAnnouncing = false;
     const { service, address, incarnation } = standIn;
     for (let round = 0; round < 40 && !this.isOver; round += 1) {
-      const ret = yield* this.outside.desk(undefined, this.deskJob("POST", "/backends/leave", { service, address }), address);
+      const ret = yield* this.outside.desk(
+        undefined,
+        this.deskJob("POST", "/backends/leave", { service, address }),
+        address,
+      );
       if (ret?.code === 200) {
-        this.ledger.world.push({ kind: "left", atMs: this.outside.clock.nowMs(), address, service, incarnation });
+        this.ledger.world.push({
+          kind: "left",
+          atMs: this.outside.clock.nowMs(),
+          address,
+          service,
+          incarnation,
+        });
         return true;
       }
       yield* Clock.rest(this.outside.clock, 200);
@@ -136,7 +169,8 @@
     this.changes += 1;
     const probe = (base + 1) * 1000 + (this.changes % 1000);
     for (const [route, services] of Object.entries(this.profile.moves))
-      if (this.outside.random() < 0.3) this.moved[route] = services[Math.floor(this.outside.random() * services.length)] ?? "";
+      if (this.outside.random() < 0.3)
+        this.moved[route] = services[Math.floor(this.outside.random() * services.length)] ?? "";
     const text = JSON.stringify(Profile.config(this.profile, probe, this.moved, this.extraRoutes));
     const changeId = `change-${this.changes}`;
     this.ledger.world.push({ kind: "sent", atMs: this.outside.clock.nowMs(), probe, text });
@@ -144,7 +178,11 @@
       const ret = yield* this.outside.desk(undefined, {
         method: "PUT",
         target: "/config",
-        headers: { "content-type": "application/json", "if-match": `"${base}"`, "change-id": changeId },
+        headers: {
+          "content-type": "application/json",
+          "if-match": `"${base}"`,
+          "change-id": changeId,
+        },
         body: Buffer.from(text),
       });
       const atMs = this.outside.clock.nowMs();
@@ -156,7 +194,11 @@
       }
       if (ret && ret.code >= 400 && ret.code < 500) {
         this.ledger.world.push({ kind: "rejected", atMs, probe });
-        if (ret.code === 412) this.sequence = Math.max(this.sequence, create(JSON.parse(Buffer.from(ret.body).toString()), sequenced).sequence);
+        if (ret.code === 412)
+          this.sequence = Math.max(
+            this.sequence,
+            create(JSON.parse(Buffer.from(ret.body).toString()), sequenced).sequence,
+          );
         return false;
       }
       yield* Clock.rest(this.outside.clock, 150);
@@ -170,7 +212,10 @@
     const probe = (this.sequence + 1) * 1000 + (this.changes % 1000);
     const good = Profile.config(this.profile, probe);
     const route = { match: { path: "/astray" }, service: Object.keys(this.profile.backEnds)[0] };
-    const routeWith = (more: Record<string, unknown>): unknown => ({ ...good, routes: { ...good.routes, astray: { ...route, ...more } } });
+    const routeWith = (more: Record<string, unknown>): unknown => ({
+      ...good,
+      routes: { ...good.routes, astray: { ...route, ...more } },
+    });
     const bad = [
       "{not json",
       "null",
@@ -192,7 +237,10 @@
         { ...good, goals: { checklists: { latencyMs: -1 }, issues: { latencyMs: -1 } } },
         { ...good, goals: { "probe-1": { latencyMs: "fast" } } },
         { ...good, goals: { nowhere: { latencyMs: 5 } } },
-        { ...good, goals: { ...good.goals, [`probe-${probe}`]: { latencyMs: 5, furtherTries: 6 } } },
+        {
+          ...good,
+          goals: { ...good.goals, [`probe-${probe}`]: { latencyMs: 5, furtherTries: 6 } },
+        },
         routeWith({ service: "nowhere" }),
         routeWith({ service: 3 }),
         routeWith({ match: {} }),
@@ -213,9 +261,20 @@
       ].map((value) => JSON.stringify(value)),
     ];
     const body = Buffer.from(bad[Math.floor(this.outside.random() * bad.length)] ?? "");
-    const ret = yield* this.outside.desk(undefined, { method: "PUT", target: "/config", headers: { "if-match": `"${this.sequence}"` }, body });
-    if (ret && ret.code === 400) this.ledger.world.push({ kind: "rejected", atMs: this.outside.clock.nowMs(), probe });
-    if (ret && ret.code < 300) this.ledger.world.push({ kind: "tookMalformed", atMs: this.outside.clock.nowMs(), text: body.toString() });
+    const ret = yield* this.outside.desk(undefined, {
+      method: "PUT",
+      target: "/config",
+      headers: { "if-match": `"${this.sequence}"` },
+      body,
+    });
+    if (ret && ret.code === 400)
+      this.ledger.world.push({ kind: "rejected", atMs: this.outside.clock.nowMs(), probe });
+    if (ret && ret.code < 300)
+      this.ledger.world.push({
+        kind: "tookMalformed",
+        atMs: this.outside.clock.nowMs(),
+        text: body.toString(),
+      });
   }
 
   /** From now on configs hold many more routes. */
@@ -230,12 +289,20 @@
       for (let round = 0; round < 10; round += 1) {
         const ret = yield* this.outside.desk(undefined, this.deskJob("GET", `/config/${sequence}`));
         if (ret && ret.code !== 503) {
-          if (ret.code === 200) text = JSON.stringify(create(JSON.parse(Buffer.from(ret.body).toString()), foundConfig).config);
+          if (ret.code === 200)
+            text = JSON.stringify(
+              create(JSON.parse(Buffer.from(ret.body).toString()), foundConfig).config,
+            );
           break;
         }
         yield* Clock.rest(this.outside.clock, 200);
       }
-      this.ledger.world.push({ kind: "readBack", atMs: this.outside.clock.nowMs(), sequence, text });
+      this.ledger.world.push({
+        kind: "readBack",
+        atMs: this.outside.clock.nowMs(),
+        sequence,
+        text,
+      });
     }
   }
 
@@ -253,35 +320,73 @@
       if (record.code > 0 && record.code < 500) return;
       if (record.broke === "hungUp") continue;
       const obeys = this.outside.random() < 0.3;
-      yield* Clock.rest(this.outside.clock, obeys ? (record.retryAfterS ?? 1) * 1000 : this.outside.random() * 30);
+      yield* Clock.rest(
+        this.outside.clock,
+        obeys ? (record.retryAfterS ?? 1) * 1000 : this.outside.random() * 30,
+      );
     }
   }
 
-  private *oneCall(service: string, method: string, path: string, key: string | undefined, body: Buffer): Task<CallerRecord> {
+  private *oneCall(
+    service: string,
+    method: string,
+    path: string,
+    key: string | undefined,
+    body: Buffer,
+  ): Task<CallerRecord> {
     const { clock } = this.outside;
     this.calls += 1;
-    const zone = this.profile.zones[Math.floor(this.outside.random() * this.profile.zones.length)] ?? "";
+    const zone =
+      this.profile.zones[Math.floor(this.outside.random() * this.profile.zones.length)] ?? "";
     const ready = this.outside.ready();
     const near = ready.filter((one) => one.zone === zone);
     const open = near.length > 0 ? near : ready;
-    const keeps = this.outside.random() < keptPart ? this.kept[Math.floor(this.outside.random() * this.kept.length)] : undefined;
-    const daemon = keeps !== undefined && this.outside.isUp(keeps) ? keeps : (open[Math.floor(this.outside.random() * open.length)]?.machine ?? "");
-    const patienceMs = this.outside.random() < hangUpPart ? 2 + this.outside.random() ** 3 * 600 : callerWaitMs;
+    const keeps =
+      this.outside.random() < keptPart
+        ? this.kept[Math.floor(this.outside.random() * this.kept.length)]
+        : undefined;
+    const daemon =
+      keeps !== undefined && this.outside.isUp(keeps)
+        ? keeps
+        : (open[Math.floor(this.outside.random() * open.length)]?.machine ?? "");
+    const patienceMs =
+      this.outside.random() < hangUpPart ? 2 + this.outside.random() ** 3 * 600 : callerWaitMs;
     const sentMs = clock.nowMs();
     const record: CallerRecord = {
-      id: `c${this.calls}`, daemon, service, method, path, key, sentMs, endedMs: sentMs,
-      code: 0, broke: "refused", bodyOf: "", isWhole: false, isGarbage: false, retryAfterS: undefined, verdict: "",
+      id: `c${this.calls}`,
+      daemon,
+      service,
+      method,
+      path,
+      key,
+      sentMs,
+      endedMs: sentMs,
+      code: 0,
+      broke: "refused",
+      bodyOf: "",
+      isWhole: false,
+      isGarbage: false,
+      retryAfterS: undefined,
+      verdict: "",
     };
     if (daemon === "") {
       yield* Clock.rest(clock, 20);
       record.endedMs = clock.nowMs();
     } else {
-      const end = yield* this.outside.call(daemon, {
-        method,
-        target: path,
-        headers: { "x-caller": record.id, "content-type": "application/json", ...(key === undefined ? {} : { "idempotency-key": key }) },
-        body,
-      }, patienceMs);
+      const end = yield* this.outside.call(
+        daemon,
+        {
+          method,
+          target: path,
+          headers: {
+            "x-caller": record.id,
+            "content-type": "application/json",
+            ...(key === undefined ? {} : { "idempotency-key": key }),
+          },
+          body,
+        },
+        patienceMs,
+      );
       if (end.code > 0) this.kept = [...this.kept.slice(-20), daemon];
       record.endedMs = clock.nowMs();
       record.code = end.code;
@@ -289,7 +394,8 @@
       record.retryAfterS = end.retryAfterS;
       record.isWhole = end.statedBytes === end.body.length;
       record.isGarbage = end.body.subarray(0, 7).toString() === "garbage";
-      if (record.isWhole && !record.isGarbage && end.code < 300) record.bodyOf = wordIn(end.body, ownBody);
+      if (record.isWhole && !record.isGarbage && end.code < 300)
+        record.bodyOf = wordIn(end.body, ownBody);
       if (record.isWhole && end.code >= 400) record.verdict = wordIn(end.body, verdictBody);
     }
     this.ledger.callers.push(record);
@@ -297,6 +403,11 @@
   }
 
   private deskJob(method: string, target: string, body?: unknown): Job {
-    return { method, target, headers: { "content-type": "application/json" }, body: body === undefined ? Buffer.alloc(0) : Buffer.from(JSON.stringify(body)) };
+    return {
+      method,
+      target,
+      headers: { "content-type": "application/json" },
+      body: body === undefined ? Buffer.alloc(0) : Buffer.from(JSON.stringify(body)),
+    };
   }
 }
--- a/src/rehearsal/drillMain.ts
+++ b/src/rehearsal/drillMain.ts
@@ -23,13 +23,16 @@
   for (const machine of machines) fleet.start(fleet.kill(machine));
   for (const standIn of standIns) fleet.start(fleet.crash(standIn));
   yield* fleet.until(() => machines.every((machine) => machine.process === undefined), 5000);
-  say(`zone ${zone} is out: ${machines.map(({ settings }) => settings.machine).join(", ")} and ${standIns.length} back ends`);
+  say(
+    `zone ${zone} is out: ${machines.map(({ settings }) => settings.machine).join(", ")} and ${standIns.length} back ends`,
+  );
 };
 
 /** Brings a zone's machines and back ends back. */
 const bringBack = function* (fleet: Fleet, zone: string): Task {
   for (const machine of fleet.machines) if (machine.settings.zone === zone) fleet.boot(machine);
-  for (const standIn of fleet.standIns) if (standIn.zone === zone) yield* fleet.replace(standIn, standIn.service);
+  for (const standIn of fleet.standIns)
+    if (standIn.zone === zone) yield* fleet.replace(standIn, standIn.service);
   say(`zone ${zone} is back`);
 };
 
@@ -48,13 +51,19 @@
     const profile = profileNamed(options.profile);
     const zone = options.zone ?? profile?.zones[0] ?? "";
     if (!profile?.zones.includes(zone)) {
-      if (profile) process.stderr.write(`There is no zone "${zone}"; there are ${profile.zones.join(", ")}.\n`);
+      if (profile)
+        process.stderr.write(
+          `There is no zone "${zone}"; there are ${profile.zones.join(", ")}.\n`,
+        );
       process.exitCode = 2;
       return;
     }
     const fleet = await Fleet.lay(profile, options.seed, options.rate);
-    for (const name of ["SIGINT", "SIGTERM"] as const) process.once(name, () => void fleet.end(false).then(() => process.exit(130)));
-    say(`Drill on ${profile.name}: zone ${zone} of ${profile.zones.join(", ")} goes out for ${options.seconds} s; logs under ${fleet.folder}`);
+    for (const name of ["SIGINT", "SIGTERM"] as const)
+      process.once(name, () => void fleet.end(false).then(() => process.exit(130)));
+    say(
+      `Drill on ${profile.name}: zone ${zone} of ${profile.zones.join(", ")} goes out for ${options.seconds} s; logs under ${fleet.folder}`,
+    );
     if (!(await bringUp(fleet))) process.exit(1);
     const { clock, ledger } = fleet;
     const fromMs = clock.nowMs();
@@ -67,13 +76,21 @@
     const backMs = clock.nowMs();
     await fleet.perform(bringBack(fleet, zone));
     ledger.world.push({ kind: "recovered", atMs: clock.nowMs() });
-    const ready = await fleet.perform(fleet.until(() => fleet.machines.every(({ isReady }) => isReady), hours.recoverMs));
+    const ready = await fleet.perform(
+      fleet.until(() => fleet.machines.every(({ isReady }) => isReady), hours.recoverMs),
+    );
     const readyMs = clock.nowMs() - backMs;
     await fleet.perform(Clock.rest(clock, Math.max(0, hours.recoverMs - readyMs) + hours.afterMs));
     const endMs = clock.nowMs();
     const breaches = await windUp(fleet, fromMs);
-    say(`Served before ${percent(servedPart(ledger, fromMs, outMs))}, in the first 5 s without the zone ${percent(servedPart(ledger, outMs, outMs + 5000))}, then ${percent(servedPart(ledger, outMs + 5000, backMs))}, after its return ${percent(servedPart(ledger, backMs, endMs))}`);
-    say(ready ? `All machines were ready ${(readyMs / 1000).toFixed(1)} s after the zone's return` : "NOT all machines became ready again");
+    say(
+      `Served before ${percent(servedPart(ledger, fromMs, outMs))}, in the first 5 s without the zone ${percent(servedPart(ledger, outMs, outMs + 5000))}, then ${percent(servedPart(ledger, outMs + 5000, backMs))}, after its return ${percent(servedPart(ledger, backMs, endMs))}`,
+    );
+    say(
+      ready
+        ? `All machines were ready ${(readyMs / 1000).toFixed(1)} s after the zone's return`
+        : "NOT all machines became ready again",
+    );
     const kept = breaches === 0 && ready;
     say(kept ? "The drill is passed: every promise was kept." : "The drill is FAILED.");
     await fleet.end(options.keep ?? false);
--- a/src/rehearsal/faults.ts
+++ b/src/rehearsal/faults.ts
@@ -5,14 +5,21 @@
 
 type Fault = (simulation: Simulation) => Task;
 
-const pick = <T>(simulation: Simulation, items: readonly T[]): T | undefined => items[Math.floor(simulation.random() * items.length)];
-const rest = (simulation: Simulation, leastMs: number, mostMs: number): Task => Clock.rest(simulation.clock, leastMs + simulation.random() * (mostMs - leastMs));
+const pick = <T>(simulation: Simulation, items: readonly T[]): T | undefined =>
+  items[Math.floor(simulation.random() * items.length)];
+const rest = (simulation: Simulation, leastMs: number, mostMs: number): Task =>
+  Clock.rest(simulation.clock, leastMs + simulation.random() * (mostMs - leastMs));
 
-const alive = (simulation: Simulation): SimMachine[] => simulation.machines.filter(({ gate, isStopping }) => gate.isAlive && !isStopping);
-const disks = (simulation: Simulation): SimMachine[] => alive(simulation).filter(({ disk }) => disk);
-const smalls = (simulation: Simulation): SimMachine[] => alive(simulation).filter(({ disk }) => !disk);
-const working = (simulation: Simulation): StandIn[] => simulation.standIns.filter(({ isUp, isAnnouncing }) => isUp && isAnnouncing);
-const leaders = (simulation: Simulation): SimMachine[] => disks(simulation).filter(({ daemon }) => daemon?.recorder?.status.role === "leader");
+const alive = (simulation: Simulation): SimMachine[] =>
+  simulation.machines.filter(({ gate, isStopping }) => gate.isAlive && !isStopping);
+const disks = (simulation: Simulation): SimMachine[] =>
+  alive(simulation).filter(({ disk }) => disk);
+const smalls = (simulation: Simulation): SimMachine[] =>
+  alive(simulation).filter(({ disk }) => !disk);
+const working = (simulation: Simulation): StandIn[] =>
+  simulation.standIns.filter(({ isUp, isAnnouncing }) => isUp && isAnnouncing);
+const leaders = (simulation: Simulation): SimMachine[] =>
+  disks(simulation).filter(({ daemon }) => daemon?.recorder?.status.role === "leader");
 
 const reboot = function* (simulation: Simulation, machines: SimMachine[], power = false): Task {
   for (const machine of machines) simulation.kill(machine, power);
@@ -23,7 +30,12 @@
 type Ways = ReadonlyArray<readonly [from: string, to: string]>;
 
 /** Cuts ways for a while, each of which may be one way only. */
-const cutting = function* (simulation: Simulation, ways: Ways, leastMs: number, mostMs: number): Task {
+const cutting = function* (
+  simulation: Simulation,
+  ways: Ways,
+  leastMs: number,
+  mostMs: number,
+): Task {
   for (const [from, to] of ways) simulation.network.cut(from, to);
   yield* rest(simulation, leastMs, mostMs);
   for (const [from, to] of ways) simulation.network.mend(from, to);
@@ -33,11 +45,27 @@
 
 /** The ways between places of two kinds; where one way only, only the ways there. */
 const waysBetween = (some: readonly string[], others: readonly string[], oneWay = false): Ways =>
-  some.flatMap((one) => others.filter((other) => other !== one).flatMap((other): Ways => (oneWay ? [[one, other]] : [[one, other], [other, one]])));
+  some.flatMap((one) =>
+    others
+      .filter((other) => other !== one)
+      .flatMap((other): Ways =>
+        oneWay
+          ? [[one, other]]
+          : [
+              [one, other],
+              [other, one],
+            ],
+      ),
+  );
 
 const isolate = function* (simulation: Simulation, machines: SimMachine[], oneWay: boolean): Task {
   const others = simulation.machines.filter((other) => !machines.includes(other));
-  yield* cutting(simulation, waysBetween(machines.map(placeOf), others.map(placeOf), oneWay), 500, 7000);
+  yield* cutting(
+    simulation,
+    waysBetween(machines.map(placeOf), others.map(placeOf), oneWay),
+    500,
+    7000,
+  );
 };
 
 /** Some of the ways there, the ways back, or both. */
@@ -46,7 +74,10 @@
   return ways.filter((_, at) => drawn < 0.34 || (drawn < 0.67 ? at % 2 === 0 : at % 2 === 1));
 };
 
-const bad = function* (simulation: Simulation, weather: Partial<Simulation["network"]["weather"]>): Task {
+const bad = function* (
+  simulation: Simulation,
+  weather: Partial<Simulation["network"]["weather"]>,
+): Task {
   const { network } = simulation;
   network.weather = { ...network.weather, ...weather };
   yield* rest(simulation, 1500, 6000);
@@ -55,7 +86,10 @@
 
 const allFormed = (simulation: Simulation): boolean => {
   const whole = disks(simulation);
-  return whole.length === simulation.profile.diskMachines && whole.every(({ daemon }) => daemon?.recorder?.status.state === "formed");
+  return (
+    whole.length === simulation.profile.diskMachines &&
+    whole.every(({ daemon }) => daemon?.recorder?.status.state === "formed")
+  );
 };
 
 /** A recorder loses its disk and comes back with an empty one; only while all others hold the record. */
@@ -74,10 +108,19 @@
   return one;
 };
 
-const handOver = function* (simulation: Simulation, one: StandIn, services: readonly string[]): Task {
+const handOver = function* (
+  simulation: Simulation,
+  one: StandIn,
+  services: readonly string[],
+): Task {
   yield* rest(simulation, 0, 3000);
   one.replace(pick(simulation, services) ?? one.service);
-  simulation.ledger.world.push({ kind: "reused", atMs: simulation.time.nowMs(), address: one.address, service: one.service });
+  simulation.ledger.world.push({
+    kind: "reused",
+    atMs: simulation.time.nowMs(),
+    address: one.address,
+    service: one.service,
+  });
 };
 
 /** The failures of the brief, each of which ends by itself. */
@@ -137,7 +180,14 @@
   *cutLeaderFromCore(simulation) {
     const [leader] = leaders(simulation);
     if (!leader) return;
-    simulation.start(cutting(simulation, waysBetween([placeOf(leader)], disks(simulation).map(placeOf)), 4000, 6000));
+    simulation.start(
+      cutting(
+        simulation,
+        waysBetween([placeOf(leader)], disks(simulation).map(placeOf)),
+        4000,
+        6000,
+      ),
+    );
     yield* rest(simulation, 700, 1200);
     simulation.start(simulation.day.putConfig());
     yield* rest(simulation, 3300, 5300);
@@ -145,13 +195,20 @@
   *loseDiskWhileAnotherLags(simulation) {
     const [leader] = leaders(simulation);
     const voters = leader?.daemon?.recorder?.currentMembers.voters ?? [];
-    const [lagging, emptied, more] = disks(simulation).filter((one) => one !== leader && voters.includes(one.settings.peers));
-    const whole = disks(simulation).every(({ daemon }) => daemon?.recorder?.status.state === "formed");
+    const [lagging, emptied, more] = disks(simulation).filter(
+      (one) => one !== leader && voters.includes(one.settings.peers),
+    );
+    const whole = disks(simulation).every(
+      ({ daemon }) => daemon?.recorder?.status.state === "formed",
+    );
     if (!leader || !lagging || !emptied || more || !whole) return;
     const ways = waysBetween([placeOf(lagging)], disks(simulation).map(placeOf));
     for (const [from, to] of ways) simulation.network.cut(from, to);
     yield* simulation.day.putConfig();
-    const still = disks(simulation).every(({ daemon }) => daemon?.recorder?.status.state === "formed") && emptied.gate.isAlive && leader.gate.isAlive;
+    const still =
+      disks(simulation).every(({ daemon }) => daemon?.recorder?.status.state === "formed") &&
+      emptied.gate.isAlive &&
+      leader.gate.isAlive;
     if (still) {
       simulation.kill(emptied, true);
       emptied.disk?.wipe();
@@ -234,11 +291,18 @@
   *reuseAddress(simulation) {
     const one = yield* crashBackEnd(simulation);
     if (!one) return;
-    const services = Object.keys(simulation.profile.backEnds).filter((service) => service !== one.service);
+    const services = Object.keys(simulation.profile.backEnds).filter(
+      (service) => service !== one.service,
+    );
     const few = working(simulation).filter(({ service }) => service === one.service).length < 5;
     const service = few ? one.service : (pick(simulation, services) ?? one.service);
     one.replace(service);
-    simulation.ledger.world.push({ kind: "reused", atMs: simulation.time.nowMs(), address: one.address, service });
+    simulation.ledger.world.push({
+      kind: "reused",
+      atMs: simulation.time.nowMs(),
+      address: one.address,
+      service,
+    });
   },
   *stormConfigs(simulation) {
     for (let count = 0; count < 12; count += 1) {
@@ -265,16 +329,39 @@
   *cutFromBackEnds(simulation) {
     const some = smalls(simulation).slice(0, 1 + Math.floor(simulation.random() * 4));
     const most = simulation.random() < 0.3 ? 1 : simulation.random();
-    const addresses = simulation.standIns.filter(() => simulation.random() < most).map(({ address }) => address);
-    yield* cutting(simulation, sided(simulation, waysBetween(some.map(placeOf), addresses)), 300, 5000);
+    const addresses = simulation.standIns
+      .filter(() => simulation.random() < most)
+      .map(({ address }) => address);
+    yield* cutting(
+      simulation,
+      sided(simulation, waysBetween(some.map(placeOf), addresses)),
+      300,
+      5000,
+    );
   },
   *cutFromCallers(simulation) {
     const some = smalls(simulation).filter(() => simulation.random() < 0.3);
-    yield* cutting(simulation, sided(simulation, waysBetween(some.map(placeOf), [callersPlace])), 300, 5000);
+    yield* cutting(
+      simulation,
+      sided(simulation, waysBetween(some.map(placeOf), [callersPlace])),
+      300,
+      5000,
+    );
   },
   *cutBackEndsOff(simulation) {
     const some = working(simulation).filter(() => simulation.random() < 0.3);
-    yield* cutting(simulation, sided(simulation, waysBetween(simulation.machines.map(placeOf), some.map(({ address }) => address))), 500, 6000);
+    yield* cutting(
+      simulation,
+      sided(
+        simulation,
+        waysBetween(
+          simulation.machines.map(placeOf),
+          some.map(({ address }) => address),
+        ),
+      ),
+      500,
+      6000,
+    );
   },
   *slowNetwork(simulation) {
     yield* bad(simulation, { slowMs: 10 + simulation.random() * 120 });
@@ -306,7 +393,13 @@
   *breakDownService(simulation) {
     const service = pick(simulation, Object.keys(simulation.profile.backEnds));
     const all = working(simulation).filter((one) => one.service === service);
-    const manners = pick(simulation, [{ losesPart: 1 }, { garbagePart: 1 }, { cutPart: 1 }, { losesPart: 0.7, garbagePart: 0.5 }]) ?? {};
+    const manners =
+      pick(simulation, [
+        { losesPart: 1 },
+        { garbagePart: 1 },
+        { cutPart: 1 },
+        { losesPart: 0.7, garbagePart: 0.5 },
+      ]) ?? {};
     for (const one of all) one.behave(manners);
     if (simulation.random() < 0.5) {
       yield* rest(simulation, 300, 2000);
@@ -353,7 +446,8 @@
     for (const one of some) one.replace(one.service);
   },
   *jumpWallClocks(simulation) {
-    for (const machine of simulation.machines) machine.wallJumpMs = (simulation.random() - 0.5) * 2e9;
+    for (const machine of simulation.machines)
+      machine.wallJumpMs = (simulation.random() - 0.5) * 2e9;
     yield* simulation.day.putConfig();
     yield* rest(simulation, 500, 2000);
     for (const machine of simulation.machines) machine.wallJumpMs = 0;
@@ -401,11 +495,31 @@
     const services = Object.keys(simulation.profile.backEnds);
     const some = working(simulation).filter(() => simulation.random() < 0.35);
     if (simulation.random() < 0.5) simulation.start(reboot(simulation, leaders(simulation)));
-    else simulation.start(cutting(simulation, sided(simulation, waysBetween(smalls(simulation).slice(0, 3).map(placeOf), some.map(({ address }) => address))), 300, 3000));
+    else
+      simulation.start(
+        cutting(
+          simulation,
+          sided(
+            simulation,
+            waysBetween(
+              smalls(simulation).slice(0, 3).map(placeOf),
+              some.map(({ address }) => address),
+            ),
+          ),
+          300,
+          3000,
+        ),
+      );
     const former = some.map(({ service }) => service);
     for (const one of some) {
       one.end();
-      simulation.start(handOver(simulation, one, services.filter((service) => service !== one.service)));
+      simulation.start(
+        handOver(
+          simulation,
+          one,
+          services.filter((service) => service !== one.service),
+        ),
+      );
     }
     yield* rest(simulation, 6000, 8000);
     for (const [at, one] of some.entries()) one.replace(former[at] ?? one.service);
--- a/src/rehearsal/fleet.ts
+++ b/src/rehearsal/fleet.ts
@@ -31,7 +31,12 @@
 }
 
 /** Exported for its test. */
-export const daemonProgram = fileURLToPath(new URL(import.meta.url.endsWith(".ts") ? "../../dist/machine/main.js" : "../machine/main.js", import.meta.url));
+export const daemonProgram = fileURLToPath(
+  new URL(
+    import.meta.url.endsWith(".ts") ? "../../dist/machine/main.js" : "../machine/main.js",
+    import.meta.url,
+  ),
+);
 const readyEveryMs = 200;
 
 /** Ports that nobody listens on now. */
@@ -55,11 +60,19 @@
   return servers.map(({ port }) => port);
 };
 
-const codeOf = (error: unknown): string => (error instanceof Error && "code" in error && typeof error.code === "string" ? error.code : "");
+const codeOf = (error: unknown): string =>
+  error instanceof Error && "code" in error && typeof error.code === "string" ? error.code : "";
 
-const noEnd = (broke: CallerEnd["broke"]): CallerEnd => ({ code: 0, broke, body: Buffer.alloc(0), statedBytes: undefined, retryAfterS: undefined });
+const noEnd = (broke: CallerEnd["broke"]): CallerEnd => ({
+  code: 0,
+  broke,
+  body: Buffer.alloc(0),
+  statedBytes: undefined,
+  retryAfterS: undefined,
+});
 
-const first = (value: string | string[] | undefined): string | undefined => (Array.isArray(value) ? value[0] : value);
+const first = (value: string | string[] | undefined): string | undefined =>
+  Array.isArray(value) ? value[0] : value;
 
 /** A whole fleet of real daemons on this machine, with callers, back ends and operators of our own. */
 export class Fleet {
@@ -77,15 +90,38 @@
   readonly failures: unknown[] = [];
   private isOver = false;
 
-  private constructor(profile: Profile, seed: number, rateFactor: number, folder: string, machines: FleetMachine[], standInPorts: number[]) {
+  private constructor(
+    profile: Profile,
+    seed: number,
+    rateFactor: number,
+    folder: string,
+    machines: FleetMachine[],
+    standInPorts: number[],
+  ) {
     this.profile = profile;
     this.folder = folder;
     this.machines = machines;
     this.random = Draw.of(seed);
-    const bodyBytes = new Map(profile.traffic.map((one) => [`${one.method} /${one.path(0).split("/")[1] ?? ""}`, one.bodyBytes]));
+    const bodyBytes = new Map(
+      profile.traffic.map((one) => [
+        `${one.method} /${one.path(0).split("/")[1] ?? ""}`,
+        one.bodyBytes,
+      ]),
+    );
     const ports = [...standInPorts];
     this.standIns = Object.entries(profile.backEnds).flatMap(([service, many]) =>
-      Array.from({ length: many }, (_, at) => new StandIn(`127.0.0.1:${ports.shift() ?? 0}`, profile.zones[at % profile.zones.length] ?? "", service, this.ledger, this.random, bodyBytes)),
+      Array.from(
+        { length: many },
+        (_, at) =>
+          new StandIn(
+            `127.0.0.1:${ports.shift() ?? 0}`,
+            profile.zones[at % profile.zones.length] ?? "",
+            service,
+            this.ledger,
+            this.random,
+            bodyBytes,
+          ),
+      ),
     );
     this.day = new Day(this.outside(), profile, this.ledger, rateFactor);
   }
@@ -112,8 +148,21 @@
       };
       await mkdir(join(folder, name), { recursive: true });
       const settingsFile = join(folder, name, "settings.json");
-      await writeFile(settingsFile, JSON.stringify({ ...settings, ...(hasDisk ? { dataFolder: join(folder, name, "data") } : {}) }, null, 2));
-      machines.push({ settings, settingsFile, process: undefined, isReady: false, exitCode: undefined });
+      await writeFile(
+        settingsFile,
+        JSON.stringify(
+          { ...settings, ...(hasDisk ? { dataFolder: join(folder, name, "data") } : {}) },
+          null,
+          2,
+        ),
+      );
+      machines.push({
+        settings,
+        settingsFile,
+        process: undefined,
+        isReady: false,
+        exitCode: undefined,
+      });
     }
     return new Fleet(profile, seed, rateFactor, folder, machines, ports.slice(count * 3));
   }
@@ -133,7 +182,11 @@
   }
 
   boot(machine: FleetMachine): void {
-    const child = spawn(process.execPath, [daemonProgram, "run", "--settings", machine.settingsFile], { stdio: ["ignore", "ignore", "pipe"] });
+    const child = spawn(
+      process.execPath,
+      [daemonProgram, "run", "--settings", machine.settingsFile],
+      { stdio: ["ignore", "ignore", "pipe"] },
+    );
     child.stderr.pipe(createWriteStream(`${machine.settingsFile}.log`, { flags: "a" }));
     machine.process = child;
     machine.exitCode = undefined;
@@ -148,14 +201,22 @@
   *fillDisk(machine: FleetMachine, isFull: boolean): Task {
     const pid = machine.process?.pid;
     if (pid === undefined) return;
-    yield* Task.wait<boolean>((done) => spawn("prlimit", [`--fsize=${isFull ? "1" : "unlimited"}:unlimited`, `--pid=${pid}`], { stdio: "ignore" }).once("exit", () => done(true)));
+    yield* Task.wait<boolean>((done) =>
+      spawn("prlimit", [`--fsize=${isFull ? "1" : "unlimited"}:unlimited`, `--pid=${pid}`], {
+        stdio: "ignore",
+      }).once("exit", () => done(true)),
+    );
   }
 
   /** Kills a daemon's process at once. */
   *kill(machine: FleetMachine): Task {
     const child = machine.process;
     if (!child) return;
-    this.ledger.world.push({ kind: "killed", atMs: this.clock.nowMs(), daemon: machine.settings.machine });
+    this.ledger.world.push({
+      kind: "killed",
+      atMs: this.clock.nowMs(),
+      daemon: machine.settings.machine,
+    });
     machine.isReady = false;
     yield* Task.wait<boolean>((done) => {
       child.once("exit", () => done(true));
@@ -179,7 +240,12 @@
       child.once("exit", () => done(true));
       child.kill("SIGTERM");
     });
-    this.ledger.world.push({ kind: "stopped", atMs, daemon: machine.settings.machine, endedMs: this.clock.nowMs() });
+    this.ledger.world.push({
+      kind: "stopped",
+      atMs,
+      daemon: machine.settings.machine,
+      endedMs: this.clock.nowMs(),
+    });
   }
 
   /** A back end's process ends: its port closes and its connections break. */
@@ -212,14 +278,21 @@
 
   /** How a daemon says that it stands. */
   *status(machine: FleetMachine): Task<unknown> {
-    const ret = yield* this.desk(machine.settings.machine, { method: "GET", target: "/status", headers: {}, body: Buffer.alloc(0) });
+    const ret = yield* this.desk(machine.settings.machine, {
+      method: "GET",
+      target: "/status",
+      headers: {},
+      body: Buffer.alloc(0),
+    });
     return ret ? JSON.parse(Buffer.from(ret.body).toString()) : undefined;
   }
 
   start(task: Task<unknown>): void {
     Task.start(task, (error) => {
       this.failures.push(error);
-      process.stderr.write(`fleet: ${error instanceof Error ? (error.stack ?? error.message) : String(error)}\n`);
+      process.stderr.write(
+        `fleet: ${error instanceof Error ? (error.stack ?? error.message) : String(error)}\n`,
+      );
     });
   }
 
@@ -253,15 +326,25 @@
 
   private async open(standIn: StandIn): Promise<void> {
     const server = createHttpServer((incoming, outgoing) => {
-      if (incoming.url === proofPath) return void outgoing.writeHead(204, { [serviceHeader]: standIn.service }).end();
+      if (incoming.url === proofPath)
+        return void outgoing.writeHead(204, { [serviceHeader]: standIn.service }).end();
       const pieces: Buffer[] = [];
       incoming.on("data", (piece: Buffer) => pieces.push(piece));
       incoming.on("error", () => undefined);
       outgoing.on("error", () => undefined);
       incoming.on("end", () => {
         const headers: Record<string, string> = {};
-        for (const [name, value] of Object.entries(incoming.headers)) headers[name] = first(value) ?? "";
-        const reply = standIn.run({ method: incoming.method ?? "", path: incoming.url ?? "", headers, body: Buffer.concat(pieces) }, this.clock.nowMs());
+        for (const [name, value] of Object.entries(incoming.headers))
+          headers[name] = first(value) ?? "";
+        const reply = standIn.run(
+          {
+            method: incoming.method ?? "",
+            path: incoming.url ?? "",
+            headers,
+            body: Buffer.concat(pieces),
+          },
+          this.clock.nowMs(),
+        );
         this.clock.after(reply.waitMs, () => {
           if (reply.isLost) return outgoing.destroy();
           outgoing.writeHead(reply.code, reply.headers);
@@ -281,7 +364,12 @@
     while (!this.isOver) {
       yield* Clock.rest(this.clock, readyEveryMs);
       if (!machine.process) continue;
-      const ret = yield* this.desk(machine.settings.machine, { method: "GET", target: "/ready", headers: {}, body: Buffer.alloc(0) });
+      const ret = yield* this.desk(machine.settings.machine, {
+        method: "GET",
+        target: "/ready",
+        headers: {},
+        body: Buffer.alloc(0),
+      });
       machine.isReady = ret?.code === 200 && machine.process !== undefined;
     }
   }
@@ -291,8 +379,12 @@
       clock: this.clock,
       random: this.random,
       start: (task) => this.start(task),
-      ready: () => this.machines.filter((one) => one.settings.callers !== undefined && one.isReady).map(({ settings }) => settings),
-      isUp: (daemon) => this.machines.some((one) => one.settings.machine === daemon && one.process !== undefined),
+      ready: () =>
+        this.machines
+          .filter((one) => one.settings.callers !== undefined && one.isReady)
+          .map(({ settings }) => settings),
+      isUp: (daemon) =>
+        this.machines.some((one) => one.settings.machine === daemon && one.process !== undefined),
       call: (daemon, job, patienceMs) => this.call(daemon, job, patienceMs),
       desk: (daemon, job) => this.desk(daemon, job),
     };
@@ -315,30 +407,68 @@
     if (callers === undefined) return noEnd("refused");
     const ret = yield* Task.settle(
       this.pool(callers)
-        .request({ method: job.method, path: job.target, headers: job.headers, body: job.body.length > 0 ? job.body : null, signal: AbortSignal.timeout(Math.ceil(patienceMs)) })
-        .then(async ({ statusCode, headers, body }) => ({ statusCode, headers, body: Buffer.from(await body.arrayBuffer()) })),
+        .request({
+          method: job.method,
+          path: job.target,
+          headers: job.headers,
+          body: job.body.length > 0 ? job.body : null,
+          signal: AbortSignal.timeout(Math.ceil(patienceMs)),
+        })
+        .then(async ({ statusCode, headers, body }) => ({
+          statusCode,
+          headers,
+          body: Buffer.from(await body.arrayBuffer()),
+        })),
     );
     if ("error" in ret) {
       const isTimeout = ret.error instanceof Error && ret.error.name === "TimeoutError";
-      return noEnd(isTimeout ? (patienceMs < callerWaitMs ? "hungUp" : "silent") : codeOf(ret.error) === "ECONNREFUSED" ? "refused" : "broken");
+      return noEnd(
+        isTimeout
+          ? patienceMs < callerWaitMs
+            ? "hungUp"
+            : "silent"
+          : codeOf(ret.error) === "ECONNREFUSED"
+            ? "refused"
+            : "broken",
+      );
     }
     const { statusCode, headers, body } = ret.value;
     const stated = first(headers["content-length"]);
     const retryAfter = first(headers["retry-after"]);
-    return { code: statusCode, broke: "", body, statedBytes: stated === undefined ? undefined : Number(stated), retryAfterS: retryAfter === undefined ? undefined : Number(retryAfter) };
+    return {
+      code: statusCode,
+      broke: "",
+      body,
+      statedBytes: stated === undefined ? undefined : Number(stated),
+      retryAfterS: retryAfter === undefined ? undefined : Number(retryAfter),
+    };
   }
 
   private *desk(name: string | undefined, job: Job): Task<Return | undefined> {
     const open = this.machines.filter((one) => one.process !== undefined);
-    const settings = name === undefined ? open[Math.floor(this.random() * open.length)]?.settings : this.settingsOf(name);
+    const settings =
+      name === undefined
+        ? open[Math.floor(this.random() * open.length)]?.settings
+        : this.settingsOf(name);
     if (!settings) return undefined;
     const ret = yield* Task.settle(
       request(`http://${settings.operators}${job.target}`, {
-        method: job.method === "PUT" ? "PUT" : job.method === "PATCH" ? "PATCH" : job.method === "GET" ? "GET" : "POST",
+        method:
+          job.method === "PUT"
+            ? "PUT"
+            : job.method === "PATCH"
+              ? "PATCH"
+              : job.method === "GET"
+                ? "GET"
+                : "POST",
         headers: job.headers,
         body: job.body.length > 0 ? job.body : null,
         signal: AbortSignal.timeout(5000),
-      }).then(async ({ statusCode, body }) => ({ code: statusCode, headers: {}, body: Buffer.from(await body.arrayBuffer()) })),
+      }).then(async ({ statusCode, body }) => ({
+        code: statusCode,
+        headers: {},
+        body: Buffer.from(await body.arrayBuffer()),
+      })),
     );
     return "value" in ret ? ret.value : undefined;
   }
--- a/src/rehearsal/fleetMain.ts
+++ b/src/rehearsal/fleetMain.ts
@@ -14,7 +14,12 @@
   keep?: boolean;
 }
 
-const decided = type({ door: type({ furtherTries: number(), furtherRefused: type({ sketch: number(), guard: number() }) }) });
+const decided = type({
+  door: type({
+    furtherTries: number(),
+    furtherRefused: type({ sketch: number(), guard: number() }),
+  }),
+});
 const leads = type({ record: type({ role: string() }) });
 /** How long callers come after the last fault: the time to recover, and then some. */
 const settleMs = 18_000;
@@ -37,7 +42,9 @@
     sum.sketch += status.door.furtherRefused.sketch;
     sum.guard += status.door.furtherRefused.guard;
   }
-  say(`  ${sum.granted} further tries were granted, ${sum.sketch} refused by the sketch, ${sum.guard} by the guard`);
+  say(
+    `  ${sum.granted} further tries were granted, ${sum.sketch} refused by the sketch, ${sum.guard} by the guard`,
+  );
 };
 
 const trouble = function* (fleet: Fleet, secondsMs: number): Task {
@@ -78,11 +85,17 @@
     yield* fleet.crash(leaver);
   }
   if (reused) {
-    const other = fleet.standIns.find(({ service }) => service !== reused.service)?.service ?? reused.service;
+    const other =
+      fleet.standIns.find(({ service }) => service !== reused.service)?.service ?? reused.service;
     say(`${reused.address} of ${reused.service} is reused by ${other}`);
     yield* fleet.crash(reused);
     yield* Clock.rest(clock, 1500);
-    fleet.ledger.world.push({ kind: "reused", atMs: clock.nowMs(), address: reused.address, service: other });
+    fleet.ledger.world.push({
+      kind: "reused",
+      atMs: clock.nowMs(),
+      address: reused.address,
+      service: other,
+    });
     yield* fleet.replace(reused, other);
   }
   if (liar) {
@@ -115,7 +128,10 @@
 
 const program = cac("fleet");
 program
-  .command("", "Start a whole fleet of real daemons on this machine, with callers and back ends, and judge it")
+  .command(
+    "",
+    "Start a whole fleet of real daemons on this machine, with callers and back ends, and judge it",
+  )
   .option("--profile <name>", "kovacic or rastro", { default: "kovacic" })
   .option("--seconds <count>", "How long callers come", { default: 60 })
   .option("--rate <part>", "Part of the profile's requests that are sent", { default: 1 })
@@ -129,14 +145,21 @@
       return;
     }
     const fleet = await Fleet.lay(profile, options.seed, options.rate);
-    for (const name of ["SIGINT", "SIGTERM"] as const) process.once(name, () => void fleet.end(false).then(() => process.exit(130)));
-    say(`${profile.name}: ${profile.diskMachines} machines with disks, ${profile.smallMachines} small ones, ${fleet.standIns.length} back ends; logs under ${fleet.folder}`);
+    for (const name of ["SIGINT", "SIGTERM"] as const)
+      process.once(name, () => void fleet.end(false).then(() => process.exit(130)));
+    say(
+      `${profile.name}: ${profile.diskMachines} machines with disks, ${profile.smallMachines} small ones, ${fleet.standIns.length} back ends; logs under ${fleet.folder}`,
+    );
     if (!(await bringUp(fleet))) process.exit(1);
     say("All machines are ready and a config is in force; callers come");
     const fromMs = fleet.clock.nowMs();
     fleet.beginCalls();
     fleet.start(configuring(fleet));
-    await fleet.perform(options.calm ? Clock.rest(fleet.clock, options.seconds * 1000) : trouble(fleet, options.seconds * 1000));
+    await fleet.perform(
+      options.calm
+        ? Clock.rest(fleet.clock, options.seconds * 1000)
+        : trouble(fleet, options.seconds * 1000),
+    );
     if (!options.calm) await fleet.perform(Clock.rest(fleet.clock, settleMs));
     const breaches = await windUp(fleet, fromMs);
     await fleet.end(options.keep ?? false);
--- a/src/rehearsal/gate.ts
+++ b/src/rehearsal/gate.ts
@@ -23,7 +23,8 @@
 
   thaw(): void {
     this.frozen = false;
-    for (let run = this.late.shift(); run !== undefined && !this.frozen; run = this.late.shift()) this.pass(run);
+    for (let run = this.late.shift(); run !== undefined && !this.frozen; run = this.late.shift())
+      this.pass(run);
   }
 
   kill(): void {
--- a/src/rehearsal/judge.ts
+++ b/src/rehearsal/judge.ts
@@ -19,7 +19,10 @@
 const recoverMs = 15_000;
 const probe = /^\/probe\/(\d+)$/;
 
-const groupBy = <T>(items: Iterable<T>, keyOf: (item: T) => string | undefined): Map<string, T[]> => {
+const groupBy = <T>(
+  items: Iterable<T>,
+  keyOf: (item: T) => string | undefined,
+): Map<string, T[]> => {
   const groups = new Map<string, T[]>();
   for (const item of items) {
     const key = keyOf(item);
@@ -34,7 +37,9 @@
 const succeeded = (record: CallerRecord): boolean => record.code >= 200 && record.code < 300;
 
 const keyRanOnce: Rule = function* (ledger) {
-  const byKey = groupBy(ledger.runs, (run) => (run.key === undefined ? undefined : `${run.method} ${run.path} ${run.key}`));
+  const byKey = groupBy(ledger.runs, (run) =>
+    run.key === undefined ? undefined : `${run.method} ${run.path} ${run.key}`,
+  );
   for (const [key, runs] of byKey) {
     const times = runs.map(({ atMs }) => atMs).sort((a, b) => a - b);
     for (let at = 1; at < times.length; at += 1) {
@@ -51,23 +56,30 @@
     else if (!record.isWhole) yield `${record.id} got a body that is cut short as a success`;
     else {
       const sameKey = record.key !== undefined && keys.get(record.bodyOf) === record.key;
-      if (record.bodyOf !== record.id && !sameKey && record.method !== "HEAD") yield `${record.id} got the return of ${record.bodyOf || "nobody"}`;
+      if (record.bodyOf !== record.id && !sameKey && record.method !== "HEAD")
+        yield `${record.id} got the return of ${record.bodyOf || "nobody"}`;
     }
   }
 };
 
 const droppedNeverRan: Rule = function* (ledger) {
   const ran = new Set(ledger.runs.map(({ caller }) => caller));
-  for (const record of ledger.callers) if (record.code === 503 && ran.has(record.id)) yield `${record.id} was told to try later, but ran`;
+  for (const record of ledger.callers)
+    if (record.code === 503 && ran.has(record.id))
+      yield `${record.id} was told to try later, but ran`;
 };
 
 const unrepeatableRanOnce: Rule = function* (ledger) {
-  for (const [caller, runs] of groupBy(ledger.runs, (run) => (safeMethods.has(run.method) ? undefined : run.caller)))
+  for (const [caller, runs] of groupBy(ledger.runs, (run) =>
+    safeMethods.has(run.method) ? undefined : run.caller,
+  ))
     if (runs.length > 1) yield `${caller} ran ${runs.length} times`;
 };
 
 /** The most further tries that any window held, against what it might. */
-export const worstRepeats = (ledger: Ledger): Map<string, { further: number; requests: number; allowed: number }> => {
+export const worstRepeats = (
+  ledger: Ledger,
+): Map<string, { further: number; requests: number; allowed: number }> => {
   const worst = new Map<string, { further: number; requests: number; allowed: number }>();
   const seen = new Set<string>();
   const further: RunRecord[] = [];
@@ -84,7 +96,8 @@
       const base = sent.filter(inWindow).length;
       const allowed = base / 5 + 70;
       const known = worst.get(service);
-      if (!known || count / allowed > known.further / known.allowed) worst.set(service, { further: count, requests: base, allowed });
+      if (!known || count / allowed > known.further / known.allowed)
+        worst.set(service, { further: count, requests: base, allowed });
     }
   }
   return worst;
@@ -92,13 +105,18 @@
 
 const repeatsAreBounded: Rule = function* (ledger) {
   for (const [service, { further, requests, allowed }] of worstRepeats(ledger))
-    if (further > allowed) yield `${service} got ${further} repeats in ten seconds with ${requests} requests; ${Math.floor(allowed)} were allowed`;
+    if (further > allowed)
+      yield `${service} got ${further} repeats in ten seconds with ${requests} requests; ${Math.floor(allowed)} were allowed`;
 };
 
 const leaversGetNothing: Rule = function* (ledger) {
   for (const left of ledger.of("left"))
     for (const run of ledger.runs)
-      if (run.address === left.address && run.incarnation === left.incarnation && run.atMs - run.heldMs > left.atMs + leftMs)
+      if (
+        run.address === left.address &&
+        run.incarnation === left.incarnation &&
+        run.atMs - run.heldMs > left.atMs + leftMs
+      )
         yield `${left.address} got work ${Math.round(run.atMs - left.atMs)} ms after its leave was heard`;
 };
 
@@ -114,21 +132,31 @@
   for (const record of ledger.callers) {
     const number = probed(record);
     if (number === undefined) continue;
-    const newest = accepted.filter(({ atMs }) => atMs <= record.sentMs - staleMs).reduce((most, one) => Math.max(most, one.probe), 0);
-    if (record.code === 200 && newest > number) yield `${record.daemon} handled a request by config ${number} though ${newest} was accepted 2 s before it was sent`;
+    const newest = accepted
+      .filter(({ atMs }) => atMs <= record.sentMs - staleMs)
+      .reduce((most, one) => Math.max(most, one.probe), 0);
+    if (record.code === 200 && newest > number)
+      yield `${record.daemon} handled a request by config ${number} though ${newest} was accepted 2 s before it was sent`;
     const mayBeNewer = sent.some((one) => one.probe > number && one.atMs <= record.endedMs);
-    if (newest === number && record.code === 404 && !mayBeNewer) yield `${record.daemon} did not yet know config ${number}, accepted 2 s before`;
+    if (newest === number && record.code === 404 && !mayBeNewer)
+      yield `${record.daemon} did not yet know config ${number}, accepted 2 s before`;
   }
 };
 
 const configsNeverSlipBack: Rule = function* (ledger) {
-  for (const [daemon, records] of groupBy(ledger.callers, (record) => (probed(record) !== undefined && record.code === 200 ? record.daemon : undefined))) {
+  for (const [daemon, records] of groupBy(ledger.callers, (record) =>
+    probed(record) !== undefined && record.code === 200 ? record.daemon : undefined,
+  )) {
     const ended = [...records].sort((a, b) => a.endedMs - b.endedMs);
     const sent = [...records].sort((a, b) => a.sentMs - b.sentMs);
     let at = 0;
     let newest = 0;
     for (const record of sent) {
-      for (let earlier = ended[at]; earlier && earlier.endedMs <= record.sentMs - slipMs; earlier = ended[at]) {
+      for (
+        let earlier = ended[at];
+        earlier && earlier.endedMs <= record.sentMs - slipMs;
+        earlier = ended[at]
+      ) {
         newest = Math.max(newest, probed(earlier) ?? 0);
         at += 1;
       }
@@ -149,7 +177,11 @@
     const name = `${run.method} ${run.path}`;
     let allowed = known.get(name);
     if (!allowed) {
-      allowed = new Set(configs.map((mappings) => mappings.find(run.method, run.path)?.service).filter((service) => service !== undefined));
+      allowed = new Set(
+        configs
+          .map((mappings) => mappings.find(run.method, run.path)?.service)
+          .filter((service) => service !== undefined),
+      );
       known.set(name, allowed);
     }
     if (!allowed.has(run.service)) yield `${run.caller} (${name}) reached ${run.service}`;
@@ -160,32 +192,55 @@
   const accepted = ledger.of("accepted");
   const rejected = new Set(ledger.of("rejected").map((record) => record.probe));
   for (const [sequence, records] of groupBy(accepted, ({ sequence }) => String(sequence)))
-    if (new Set(records.map(({ text }) => text)).size > 1) yield `two configs were accepted as ${sequence}`;
-  for (const { text } of ledger.of("tookMalformed")) yield `a malformed config was accepted: ${text.slice(0, 80)}`;
+    if (new Set(records.map(({ text }) => text)).size > 1)
+      yield `two configs were accepted as ${sequence}`;
+  for (const { text } of ledger.of("tookMalformed"))
+    yield `a malformed config was accepted: ${text.slice(0, 80)}`;
   for (const read of ledger.of("readBack")) {
     const own = accepted.find(({ sequence }) => sequence === read.sequence);
-    if (own && read.text !== own.text) yield `config ${read.sequence} reads back ${read.text === undefined ? "as missing" : "changed"}`;
-    const newest = accepted.filter(({ atMs }) => atMs <= read.atMs).reduce((most, { sequence }) => Math.max(most, sequence), 0);
-    const mayBeNewer = ledger.of("sent").some(({ probe: number, atMs }) => atMs <= read.atMs && !rejected.has(number) && !accepted.some((one) => one.probe === number && one.atMs <= read.atMs));
-    if (read.text !== undefined && read.sequence > newest && !mayBeNewer) yield `config ${read.sequence} is in force though none accepted it`;
+    if (own && read.text !== own.text)
+      yield `config ${read.sequence} reads back ${read.text === undefined ? "as missing" : "changed"}`;
+    const newest = accepted
+      .filter(({ atMs }) => atMs <= read.atMs)
+      .reduce((most, { sequence }) => Math.max(most, sequence), 0);
+    const mayBeNewer = ledger
+      .of("sent")
+      .some(
+        ({ probe: number, atMs }) =>
+          atMs <= read.atMs &&
+          !rejected.has(number) &&
+          !accepted.some((one) => one.probe === number && one.atMs <= read.atMs),
+      );
+    if (read.text !== undefined && read.sequence > newest && !mayBeNewer)
+      yield `config ${read.sequence} is in force though none accepted it`;
   }
   for (const record of ledger.callers) {
     const number = probed(record);
-    if (number !== undefined && record.code === 200 && rejected.has(number)) yield `${record.daemon} serves by the rejected config ${number}`;
+    if (number !== undefined && record.code === 200 && rejected.has(number))
+      yield `${record.daemon} serves by the rejected config ${number}`;
   }
 };
 
 const stopsFinishWork: Rule = function* (ledger) {
   for (const { daemon, atMs, endedMs } of ledger.of("stopped")) {
     for (const record of ledger.callers)
-      if (record.daemon === daemon && record.sentMs < atMs && record.endedMs >= atMs && record.broke === "broken") yield `${daemon} dropped ${record.id} in hand when it was stopped`;
-    if (endedMs > atMs + drainMs + 1500) yield `${daemon} took ${Math.round(endedMs - atMs)} ms to stop`;
+      if (
+        record.daemon === daemon &&
+        record.sentMs < atMs &&
+        record.endedMs >= atMs &&
+        record.broke === "broken"
+      )
+        yield `${daemon} dropped ${record.id} in hand when it was stopped`;
+    if (endedMs > atMs + drainMs + 1500)
+      yield `${daemon} took ${Math.round(endedMs - atMs)} ms to stop`;
   }
 };
 
 /** The part of requests sent in a time that were served. */
 export const servedPart = (ledger: Ledger, fromMs: number, untilMs: number): number => {
-  const sent = ledger.callers.filter(({ sentMs, path }) => sentMs >= fromMs && sentMs < untilMs && !probe.test(path));
+  const sent = ledger.callers.filter(
+    ({ sentMs, path }) => sentMs >= fromMs && sentMs < untilMs && !probe.test(path),
+  );
   return sent.length === 0 ? 0 : sent.filter(succeeded).length / sent.length;
 };
 
@@ -196,7 +251,8 @@
       continue;
     }
     const part = servedPart(ledger, atMs + recoverMs, ledger.endMs - 1000);
-    if (part < 0.9) yield `${Math.round(part * 100)}% of requests were served 15 s after the fault's end`;
+    if (part < 0.9)
+      yield `${Math.round(part * 100)}% of requests were served 15 s after the fault's end`;
   }
 };
 
@@ -217,4 +273,7 @@
 };
 
 /** Judges a run by all rules. */
-export const judge = (ledger: Ledger): Breach[] => Object.entries(rules).flatMap(([rule, find]) => [...find(ledger)].map((what) => ({ rule, what })));
+export const judge = (ledger: Ledger): Breach[] =>
+  Object.entries(rules).flatMap(([rule, find]) =>
+    [...find(ledger)].map((what) => ({ rule, what })),
+  );
--- a/src/rehearsal/ledger.ts
+++ b/src/rehearsal/ledger.ts
@@ -62,7 +62,8 @@
 
   /** The records of one kind. */
   of<K extends WorldRecord["kind"]>(kind: K): Array<Extract<WorldRecord, { kind: K }>> {
-    const isKind = (record: WorldRecord): record is Extract<WorldRecord, { kind: K }> => record.kind === kind;
+    const isKind = (record: WorldRecord): record is Extract<WorldRecord, { kind: K }> =>
+      record.kind === kind;
     return this.world.filter(isKind);
   }
 }
--- a/src/rehearsal/measureMain.ts
+++ b/src/rehearsal/measureMain.ts
@@ -17,7 +17,8 @@
 
 const spread = (values: number[], digits = 2): string => {
   const sorted = [...values].sort((a, b) => a - b);
-  const at = (part: number): string => (sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * part))] ?? 0).toFixed(digits);
+  const at = (part: number): string =>
+    (sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * part))] ?? 0).toFixed(digits);
   return `least ${at(0)}, half ${at(0.5)}, nine of ten ${at(0.9)}, most ${at(1)} (${sorted.length} readings)`;
 };
 
@@ -26,17 +27,28 @@
 
 const until = (simulation: Simulation, holds: () => boolean, limitMs: number): number => {
   const startMs = simulation.time.nowMs();
-  while (!holds() && simulation.time.nowMs() < startMs + limitMs) simulation.time.runUntil(simulation.time.nowMs() + stepMs);
+  while (!holds() && simulation.time.nowMs() < startMs + limitMs)
+    simulation.time.runUntil(simulation.time.nowMs() + stepMs);
   return simulation.time.nowMs() - startMs;
 };
 
-const leading = (simulation: Simulation): SimMachine | undefined => simulation.machines.find(({ daemon }) => daemon?.recorder?.hasGrant);
-const edgesOf = (simulation: Simulation): SimMachine[] => simulation.machines.filter(({ settings, daemon }) => settings.callers !== undefined && daemon !== undefined);
+const leading = (simulation: Simulation): SimMachine | undefined =>
+  simulation.machines.find(({ daemon }) => daemon?.recorder?.hasGrant);
+const edgesOf = (simulation: Simulation): SimMachine[] =>
+  simulation.machines.filter(
+    ({ settings, daemon }) => settings.callers !== undefined && daemon !== undefined,
+  );
 
 const fleetUp = (profile: Profile, seed: number, rate: number): Simulation => {
   const simulation = new Simulation(profile, seed, rate);
   simulation.begin();
-  until(simulation, () => leading(simulation) !== undefined && edgesOf(simulation).every(({ daemon }) => daemon?.standing.isGranted), 20_000);
+  until(
+    simulation,
+    () =>
+      leading(simulation) !== undefined &&
+      edgesOf(simulation).every(({ daemon }) => daemon?.standing.isGranted),
+    20_000,
+  );
   return simulation;
 };
 
@@ -51,22 +63,43 @@
     if (!old) continue;
     simulation.kill(old, true);
     let lapsed = 0;
-    elected.push(until(simulation, () => leading(simulation) !== undefined, 10_000) / Waits.usual.electionMinMs);
+    elected.push(
+      until(simulation, () => leading(simulation) !== undefined, 10_000) /
+        Waits.usual.electionMinMs,
+    );
     until(
       simulation,
       () => {
-        lapsed = Math.max(lapsed, edgesOf(simulation).filter(({ daemon }) => !daemon?.standing.isGranted).length);
+        lapsed = Math.max(
+          lapsed,
+          edgesOf(simulation).filter(({ daemon }) => !daemon?.standing.isGranted).length,
+        );
         return false;
       },
       1500,
     );
     if (lapsed > 0) stopped += 1;
     simulation.boot(old);
-    shortest.push(until(simulation, () => old.daemon?.recorder?.status.role === "follower" && (old.daemon?.recorder?.status.applied ?? -1) >= (leading(simulation)?.daemon?.recorder?.status.committed ?? Infinity), 10_000) / Waits.usual.electionMinMs);
+    shortest.push(
+      until(
+        simulation,
+        () =>
+          old.daemon?.recorder?.status.role === "follower" &&
+          (old.daemon?.recorder?.status.applied ?? -1) >=
+            (leading(simulation)?.daemon?.recorder?.status.committed ?? Infinity),
+        10_000,
+      ) / Waits.usual.electionMinMs,
+    );
   }
-  say(`${profile.name}: a leader's death to the next leader's first answer, in shortest election waits: ${spread(elected)}`);
-  say(`${profile.name}: a restarted recorder has caught up, in shortest election waits: ${spread(shortest)}`);
-  say(`${profile.name}: leaders' deaths after which some edge lost its grant: ${stopped} of ${seeds}`);
+  say(
+    `${profile.name}: a leader's death to the next leader's first answer, in shortest election waits: ${spread(elected)}`,
+  );
+  say(
+    `${profile.name}: a restarted recorder has caught up, in shortest election waits: ${spread(shortest)}`,
+  );
+  say(
+    `${profile.name}: leaders' deaths after which some edge lost its grant: ${stopped} of ${seeds}`,
+  );
 };
 
 const measureRollOut = (profile: Profile, seeds: number, extraRoutes: number): void => {
@@ -77,7 +110,11 @@
     for (let round = 0; round < 3; round += 1) {
       const wanted = simulation.day.sequence + 1;
       simulation.start(simulation.day.putConfig());
-      until(simulation, () => simulation.ledger.of("accepted").some(({ sequence }) => sequence === wanted), 10_000);
+      until(
+        simulation,
+        () => simulation.ledger.of("accepted").some(({ sequence }) => sequence === wanted),
+        10_000,
+      );
       const startMs = simulation.time.nowMs();
       const waiting = new Set(edgesOf(simulation));
       until(
@@ -94,7 +131,9 @@
       );
     }
   }
-  say(`${profile.name}: an acceptance to an edge serving by it, in grants, with ${extraRoutes} more routes: ${spread(delays)}`);
+  say(
+    `${profile.name}: an acceptance to an edge serving by it, in grants, with ${extraRoutes} more routes: ${spread(delays)}`,
+  );
 };
 
 const measureRecord = (profile: Profile, rate: number): void => {
@@ -102,18 +141,30 @@
   simulation.start(simulation.day.putConfig());
   simulation.time.runUntil(simulation.time.nowMs() + 3000);
   const status = () => leading(simulation)?.daemon?.recorder?.status;
-  const [before, fromMs, keyed] = [status(), simulation.time.nowMs(), simulation.ledger.callers.length];
+  const [before, fromMs, keyed] = [
+    status(),
+    simulation.time.nowMs(),
+    simulation.ledger.callers.length,
+  ];
   simulation.time.runUntil(fromMs + 10_000);
   const after = status();
   if (!before || !after) return;
-  const writes = simulation.ledger.callers.slice(keyed).filter(({ key }) => key !== undefined).length;
+  const writes = simulation.ledger.callers
+    .slice(keyed)
+    .filter(({ key }) => key !== undefined).length;
   const entries = after.written - before.written;
-  say(`${profile.name} at ${rate} of its rate: ${(writes / 10).toFixed(0)} keyed writes a second, ${(entries / 10).toFixed(0)} entries a second, ${(entries / (after.syncs - before.syncs)).toFixed(2)} entries in a sync`);
+  say(
+    `${profile.name} at ${rate} of its rate: ${(writes / 10).toFixed(0)} keyed writes a second, ${(entries / 10).toFixed(0)} entries a second, ${(entries / (after.syncs - before.syncs)).toFixed(2)} entries in a sync`,
+  );
 };
 
 const measureSketches = (): void => {
   for (const epsilon of [0.05, 0.1, 0.2]) {
-    const form = { ...CountsForm.usual, tries: { ...CountsForm.usual.tries, epsilon }, routes: { ...CountsForm.usual.routes, epsilon: epsilon * 2 } };
+    const form = {
+      ...CountsForm.usual,
+      tries: { ...CountsForm.usual.tries, epsilon },
+      routes: { ...CountsForm.usual.routes, epsilon: epsilon * 2 },
+    };
     const random = Draw.of(3);
     const leaves = Array.from({ length: 16 }, () => new Counts(form));
     const sketches = Array.from({ length: 16 }, () => new EcmSketch(form.tries));
@@ -136,23 +187,49 @@
       if (fanIn === 1) single = tookMs;
       cost.push(tookMs / single);
     }
-    const root = EcmSketch.merge([EcmSketch.merge(sketches.slice(0, 8), form.tries, stampOf(15_000)), EcmSketch.merge(sketches.slice(8), form.tries, stampOf(15_000))], form.tries, stampOf(15_000));
+    const root = EcmSketch.merge(
+      [
+        EcmSketch.merge(sketches.slice(0, 8), form.tries, stampOf(15_000)),
+        EcmSketch.merge(sketches.slice(8), form.tries, stampOf(15_000)),
+      ],
+      form.tries,
+      stampOf(15_000),
+    );
     const total = times.flat().filter((atMs) => atMs > 15_000 - retryWindowMs).length;
-    const worst = Math.max(...times.map((one, service) => Math.abs(root.estimate(service * 2, stampOf(15_000), retryWindowMs) - one.filter((atMs) => atMs > 15_000 - retryWindowMs).length) / total));
+    const worst = Math.max(
+      ...times.map(
+        (one, service) =>
+          Math.abs(
+            root.estimate(service * 2, stampOf(15_000), retryWindowMs) -
+              one.filter((atMs) => atMs > 15_000 - retryWindowMs).length,
+          ) / total,
+      ),
+    );
     const cell = root.cellEpsilon;
     const merged = 2 * cell * (1 + cell) + cell;
-    say(`eps ${epsilon}: an edge's push has ${bytes.toFixed(1)} KiB; merging 1, 4, 16 costs ${cost.map((one) => one.toFixed(1)).join(", ")}; error over two levels ${(worst * 100).toFixed(2)}% of all arrivals, bound ${((merged + cell + merged * cell) * 100).toFixed(1)}%`);
+    say(
+      `eps ${epsilon}: an edge's push has ${bytes.toFixed(1)} KiB; merging 1, 4, 16 costs ${cost.map((one) => one.toFixed(1)).join(", ")}; error over two levels ${(worst * 100).toFixed(2)}% of all arrivals, bound ${((merged + cell + merged * cell) * 100).toFixed(1)}%`,
+    );
   }
 };
 
 const measureDecisions = (profile: Profile, seeds: number, rate: number): void => {
   for (const where of ["even", "one"] as const) {
     for (const losesPart of [0.05, 0.3, 1]) {
-      const all = Array.from({ length: seeds }, (_, at) => measureBudget(profile, at + 1, rate, where, losesPart, 20_000));
-      const sum = (of: (one: (typeof all)[number]) => number): number => all.reduce((total, one) => total + of(one), 0);
+      const all = Array.from({ length: seeds }, (_, at) =>
+        measureBudget(profile, at + 1, rate, where, losesPart, 20_000),
+      );
+      const sum = (of: (one: (typeof all)[number]) => number): number =>
+        all.reduce((total, one) => total + of(one), 0);
       const [sketch, guard] = [sum((one) => one.sketch), sum((one) => one.guard)];
       say(
-        `${profile.name} at ${rate} of its rate, ${where === "even" ? "all edges" : "one edge"} losing ${losesPart * 100}% of answers: ${sum((one) => one.granted)} further tries granted, ${sketch} refused by the sketch and ${guard} by the guard; ${sum((one) => one.needless.sketch)} and ${sum((one) => one.needless.guard)} of them though there was room; the sketch's error ${spread(all.flatMap((one) => one.errors))}; own part ${spread(all.flatMap((one) => one.agesMs), 0)} ms old; edges covered ${spread(all.flatMap((one) => one.coverage), 0)}`,
+        `${profile.name} at ${rate} of its rate, ${where === "even" ? "all edges" : "one edge"} losing ${losesPart * 100}% of answers: ${sum((one) => one.granted)} further tries granted, ${sketch} refused by the sketch and ${guard} by the guard; ${sum((one) => one.needless.sketch)} and ${sum((one) => one.needless.guard)} of them though there was room; the sketch's error ${spread(all.flatMap((one) => one.errors))}; own part ${spread(
+          all.flatMap((one) => one.agesMs),
+          0,
+        )} ms old; edges covered ${spread(
+          all.flatMap((one) => one.coverage),
+          0,
+        )}`,
       );
     }
   }
@@ -164,14 +241,41 @@
   let index = 0;
   const apply = (deed: Deed): void => void book.apply((index += 1), Deed.text(deed));
   const names = Array.from({ length: 5000 }, (_, at) => `route-${at}`);
-  const routes = Object.fromEntries(names.map((name) => [name, { match: { path: `/${name}/*` }, service: "issues" }]));
-  apply({ kind: "config", expected: 0, changeId: "c", acceptedAt: "", text: JSON.stringify({ services: { issues: {} }, routes }), services: ["issues"], routes: names });
-  for (let at = 0; at < 400; at += 1) apply({ kind: "contract", address: `10.0.0.1:${at}`, service: "issues", zone: "red", warmth: 1 });
+  const routes = Object.fromEntries(
+    names.map((name) => [name, { match: { path: `/${name}/*` }, service: "issues" }]),
+  );
+  apply({
+    kind: "config",
+    expected: 0,
+    changeId: "c",
+    acceptedAt: "",
+    text: JSON.stringify({ services: { issues: {} }, routes }),
+    services: ["issues"],
+    routes: names,
+  });
+  for (let at = 0; at < 400; at += 1)
+    apply({
+      kind: "contract",
+      address: `10.0.0.1:${at}`,
+      service: "issues",
+      zone: "red",
+      warmth: 1,
+    });
   for (let at = 0; at < keys; at += 1) {
     const scope = String(at).padStart(64, "f");
     const job = `abcdef-ghijkl-mnopqr/${at}`;
     apply({ kind: "claim", scope, bodyHash: "a".repeat(64), job });
-    apply({ kind: "settle", scope, job, verdict: "ran", return: { code: 201, headers: { "content-type": "application/json" }, body: "x".repeat(bodyBytes) } });
+    apply({
+      kind: "settle",
+      scope,
+      job,
+      verdict: "ran",
+      return: {
+        code: 201,
+        headers: { "content-type": "application/json" },
+        body: "x".repeat(bodyBytes),
+      },
+    });
   }
   return book;
 };
@@ -183,26 +287,41 @@
     run();
     return (performance.now() - startMs) / Waits.usual.leaderGrantMs;
   };
-  for (const [keys, bodyBytes] of [[14_400, 120], [14_400, 21_844], [heldKeys, 120]] as const) {
+  for (const [keys, bodyBytes] of [
+    [14_400, 120],
+    [14_400, 21_844],
+    [heldKeys, 120],
+  ] as const) {
     const book = fullBook(keys, bodyBytes);
     let text = "";
-    const made = Array.from({ length: 5 }, () => inGrants(() => seal(Buffer.from((text = book.checkpoint(members)), "utf8"))));
+    const made = Array.from({ length: 5 }, () =>
+      inGrants(() => seal(Buffer.from((text = book.checkpoint(members)), "utf8"))),
+    );
     const restored = Array.from({ length: 5 }, () => inGrants(() => new Book().restore(text)));
-    say(`${keys} keys, returns of ${bodyBytes} bytes, 5,000 routes, 400 back ends: a checkpoint of ${(text.length / 2 ** 20).toFixed(1)} MiB, made in ${spread(made)} and restored in ${spread(restored)} of a leader's grant`);
+    say(
+      `${keys} keys, returns of ${bodyBytes} bytes, 5,000 routes, 400 back ends: a checkpoint of ${(text.length / 2 ** 20).toFixed(1)} MiB, made in ${spread(made)} and restored in ${spread(restored)} of a leader's grant`,
+    );
   }
 };
 
 const program = cac("measure");
 program
-  .command("", "Measure elections, roll-outs, the record and the sketches; ratios and counts, no absolute times")
+  .command(
+    "",
+    "Measure elections, roll-outs, the record and the sketches; ratios and counts, no absolute times",
+  )
   .option("--seeds <count>", "How many fleets each figure is drawn from", { default: 20 })
-  .option("--only <part>", "elections, rollout, record, sketches, bounds, budget or, only where it is named, scale")
+  .option(
+    "--only <part>",
+    "elections, rollout, record, sketches, bounds, budget or, only where it is named, scale",
+  )
   .action(async ({ seeds, only }: { seeds: number; only?: string }) => {
     if (only === "scale") return ScaleSlopes.measure(undefined, scaleSeconds, say);
     const wants = (part: string): boolean => only === undefined || only === part;
     for (const profile of Object.values(Profile.all)) {
       if (wants("elections")) measureElections(profile, seeds);
-      if (wants("rollout")) for (const routes of [0, 2000]) measureRollOut(profile, Math.ceil(seeds / 4), routes);
+      if (wants("rollout"))
+        for (const routes of [0, 2000]) measureRollOut(profile, Math.ceil(seeds / 4), routes);
       if (wants("record")) for (const rate of [0.25, 1]) measureRecord(profile, rate);
       if (wants("budget")) measureDecisions(profile, Math.ceil(seeds / 10), 1);
     }
--- a/src/rehearsal/profile.ts
+++ b/src/rehearsal/profile.ts
@@ -30,10 +30,42 @@
   smallMachines: 10,
   backEnds: { checklists: 17, sightings: 12, archives: 6 },
   traffic: [
-    { route: "checklists", service: "checklists", method: "GET", path: (at) => `/checklists/${at % 400}`, keyed: false, perSecond: 134, bodyBytes: 600 },
-    { route: "sightings", service: "sightings", method: "POST", path: () => "/sightings", keyed: true, perSecond: 38, bodyBytes: 150 },
-    { route: "archives", service: "archives", method: "GET", path: (at) => `/archives/${at % 40}`, keyed: false, perSecond: 6, bodyBytes: 400_000 },
-    { route: "maps", service: "archives", method: "POST", path: (at) => `/maps/${at % 20}/refresh`, keyed: false, perSecond: 2, bodyBytes: 100 },
+    {
+      route: "checklists",
+      service: "checklists",
+      method: "GET",
+      path: (at) => `/checklists/${at % 400}`,
+      keyed: false,
+      perSecond: 134,
+      bodyBytes: 600,
+    },
+    {
+      route: "sightings",
+      service: "sightings",
+      method: "POST",
+      path: () => "/sightings",
+      keyed: true,
+      perSecond: 38,
+      bodyBytes: 150,
+    },
+    {
+      route: "archives",
+      service: "archives",
+      method: "GET",
+      path: (at) => `/archives/${at % 40}`,
+      keyed: false,
+      perSecond: 6,
+      bodyBytes: 400_000,
+    },
+    {
+      route: "maps",
+      service: "archives",
+      method: "POST",
+      path: (at) => `/maps/${at % 20}/refresh`,
+      keyed: false,
+      perSecond: 2,
+      bodyBytes: 100,
+    },
   ],
   moves: { sightings: ["sightings", "checklists"], maps: ["archives", "checklists"] },
 };
@@ -45,10 +77,42 @@
   smallMachines: 12,
   backEnds: { issues: 18, triage: 12, crashes: 6 },
   traffic: [
-    { route: "issues", service: "issues", method: "GET", path: (at) => `/issues/${at % 900}`, keyed: false, perSecond: 405, bodyBytes: 900 },
-    { route: "resolves", service: "triage", method: "POST", path: (at) => `/issues/${at % 900}/resolve`, keyed: true, perSecond: 120, bodyBytes: 80 },
-    { route: "crashes", service: "crashes", method: "GET", path: (at) => `/crashes/${at % 60}`, keyed: false, perSecond: 15, bodyBytes: 350_000 },
-    { route: "syncs", service: "crashes", method: "POST", path: (at) => `/syncs/${at % 30}`, keyed: false, perSecond: 10, bodyBytes: 100 },
+    {
+      route: "issues",
+      service: "issues",
+      method: "GET",
+      path: (at) => `/issues/${at % 900}`,
+      keyed: false,
+      perSecond: 405,
+      bodyBytes: 900,
+    },
+    {
+      route: "resolves",
+      service: "triage",
+      method: "POST",
+      path: (at) => `/issues/${at % 900}/resolve`,
+      keyed: true,
+      perSecond: 120,
+      bodyBytes: 80,
+    },
+    {
+      route: "crashes",
+      service: "crashes",
+      method: "GET",
+      path: (at) => `/crashes/${at % 60}`,
+      keyed: false,
+      perSecond: 15,
+      bodyBytes: 350_000,
+    },
+    {
+      route: "syncs",
+      service: "crashes",
+      method: "POST",
+      path: (at) => `/syncs/${at % 30}`,
+      keyed: false,
+      perSecond: 10,
+      bodyBytes: 100,
+    },
   ],
   moves: { resolves: ["triage", "issues"], syncs: ["crashes", "issues"] },
 };
@@ -68,7 +132,12 @@
   all: { kovacic, rastro },
 
   /** A config for a profile; `probe` names a route that no other config has. */
-  config(profile: Profile, probe: number, moved: Readonly<Record<string, string>> = {}, extraRoutes = 0): Config {
+  config(
+    profile: Profile,
+    probe: number,
+    moved: Readonly<Record<string, string>> = {},
+    extraRoutes = 0,
+  ): Config {
     const config: Config = { services: {}, routes: {}, goals: {} };
     const [first] = Object.keys(profile.backEnds);
     for (const service of Object.keys(profile.backEnds)) config.services[service] = {};
@@ -79,10 +148,19 @@
         ...(keyed ? { keyed } : {}),
         giveUpMs: 3000,
       };
-      if (config.goals) config.goals[route] = { latencyMs: method === "GET" ? 250 : 400, furtherTries: 2 };
+      if (config.goals)
+        config.goals[route] = { latencyMs: method === "GET" ? 250 : 400, furtherTries: 2 };
     }
-    for (let extra = 0; extra < extraRoutes; extra += 1) config.routes[`extra-${extra}`] = { match: { path: `/extra/${extra}/*` }, service: first ?? "" };
-    config.routes[`probe-${probe}`] = { match: { path: `/probe/${probe}`, methods: ["GET"] }, service: first ?? "", giveUpMs: 3000 };
+    for (let extra = 0; extra < extraRoutes; extra += 1)
+      config.routes[`extra-${extra}`] = {
+        match: { path: `/extra/${extra}/*` },
+        service: first ?? "",
+      };
+    config.routes[`probe-${probe}`] = {
+      match: { path: `/probe/${probe}`, methods: ["GET"] },
+      service: first ?? "",
+      giveUpMs: 3000,
+    };
     return config;
   },
 };
--- a/src/rehearsal/rehearsal.ts
+++ b/src/rehearsal/rehearsal.ts
@@ -36,7 +36,14 @@
 const tailMs = 19_000;
 
 /** Rehearses one day: a fleet comes up, failures strike by seed, one last fault, then recovery; and judges it. */
-export const rehearse = ({ profile, seed, dayMs, rateFactor, only, atOnce = 2 }: RehearsalOptions): Rehearsed => {
+export const rehearse = ({
+  profile,
+  seed,
+  dayMs,
+  rateFactor,
+  only,
+  atOnce = 2,
+}: RehearsalOptions): Rehearsed => {
   const simulation = new Simulation(profile, seed, rateFactor);
   const random = Draw.of(seed + 7919);
   const struck: string[] = [];
@@ -61,7 +68,8 @@
       simulation.boot(machine);
       if (machine.disk) machine.disk.full = false;
     }
-    for (const standIn of simulation.standIns) if (!standIn.isUp || !standIn.isAnnouncing) standIn.replace(standIn.service);
+    for (const standIn of simulation.standIns)
+      if (!standIn.isUp || !standIn.isAnnouncing) standIn.replace(standIn.service);
     simulation.ledger.world.push({ kind: "recovered", atMs: simulation.time.nowMs() });
   };
   const configuring = function* (): Task {
@@ -75,9 +83,15 @@
   simulation.start(configuring());
   simulation.time.runUntil(settleMs);
   for (let strikers = 0; strikers < atOnce; strikers += 1) simulation.start(striking());
-  while (simulation.ledger.of("recovered").length < atOnce && simulation.time.nowMs() < settleMs + dayMs + 120_000) simulation.time.runUntil(simulation.time.nowMs() + 500);
+  while (
+    simulation.ledger.of("recovered").length < atOnce &&
+    simulation.time.nowMs() < settleMs + dayMs + 120_000
+  )
+    simulation.time.runUntil(simulation.time.nowMs() + 500);
   const recoveredMs = Math.max(0, ...simulation.ledger.of("recovered").map(({ atMs }) => atMs));
-  const marks = simulation.ledger.world.filter((record) => record.kind !== "recovered" || record.atMs === recoveredMs);
+  const marks = simulation.ledger.world.filter(
+    (record) => record.kind !== "recovered" || record.atMs === recoveredMs,
+  );
   simulation.ledger.world.splice(0, Infinity, ...marks);
   simulation.time.runUntil(recoveredMs + tailMs);
   simulation.ledger.endMs = simulation.time.nowMs();
@@ -100,6 +114,9 @@
     requests: ledger.callers.length,
     configs: ledger.of("accepted").length,
     elections: simulation.lines.filter((line) => line.includes("Leads the record")).length,
-    worstRepeats: Math.max(0, ...[...worstRepeats(ledger).values()].map(({ further, allowed }) => further / allowed)),
+    worstRepeats: Math.max(
+      0,
+      ...[...worstRepeats(ledger).values()].map(({ further, allowed }) => further / allowed),
+    ),
   };
 };
--- a/src/rehearsal/rehearseMain.ts
+++ b/src/rehearsal/rehearseMain.ts
@@ -24,26 +24,44 @@
   .option("--trace <file>", "Write the last day's log lines to a file")
   .action((options: Options) => {
     const [from = 1, to = from] = String(options.seeds).split("-").map(Number);
-    const profiles = Object.values(Profile.all).filter(({ name }) => options.profile === "both" || options.profile === name);
+    const profiles = Object.values(Profile.all).filter(
+      ({ name }) => options.profile === "both" || options.profile === name,
+    );
     let broken = 0;
     let days = 0;
     const startedMs = performance.now();
     for (const profile of profiles) {
       for (let seed = from; seed <= to; seed += 1) {
-        const day = rehearse({ profile, seed, dayMs: options.seconds * 1000, rateFactor: options.rate, ...(options.only === undefined ? {} : { only: options.only.split(",") }) });
+        const day = rehearse({
+          profile,
+          seed,
+          dayMs: options.seconds * 1000,
+          rateFactor: options.rate,
+          ...(options.only === undefined ? {} : { only: options.only.split(",") }),
+        });
         days += 1;
         if (day.breaches.length > 0) broken += 1;
         const line = `${profile.name} ${seed}: ${day.requests} requests, ${Math.round(day.served * 100)}% served, ${day.configs} configs, ${day.elections} elections, ${day.faults.length} faults, repeats at ${Math.round(day.worstRepeats * 100)}% of what is allowed, ${day.breaches.length} breaches`;
         process.stdout.write(`${line}\n`);
         if (day.breaches.length > 0) process.stdout.write(`  ${day.faults.join(" ")}\n`);
-        for (const { rule, what } of day.breaches.slice(0, 8)) process.stdout.write(`  BROKEN ${rule}: ${what}\n`);
+        for (const { rule, what } of day.breaches.slice(0, 8))
+          process.stdout.write(`  BROKEN ${rule}: ${what}\n`);
         if (options.trace !== undefined) {
-          const marks = day.simulation.ledger.of("fault").map(({ atMs, what }) => `${(atMs / 1000).toFixed(3)} FAULT ${what}`);
-          writeFileSync(options.trace, [...day.simulation.lines, ...marks].sort((a, b) => parseFloat(a) - parseFloat(b)).join("\n"));
+          const marks = day.simulation.ledger
+            .of("fault")
+            .map(({ atMs, what }) => `${(atMs / 1000).toFixed(3)} FAULT ${what}`);
+          writeFileSync(
+            options.trace,
+            [...day.simulation.lines, ...marks]
+              .sort((a, b) => parseFloat(a) - parseFloat(b))
+              .join("\n"),
+          );
         }
       }
     }
-    process.stdout.write(`${days} days, ${broken} with a broken rule, ${((performance.now() - startedMs) / 1000).toFixed(1)} s\n`);
+    process.stdout.write(
+      `${days} days, ${broken} with a broken rule, ${((performance.now() - startedMs) / 1000).toFixed(1)} s\n`,
+    );
     process.exitCode = broken > 0 ? 1 : 0;
   });
 program.help();
--- a/src/rehearsal/report.ts
+++ b/src/rehearsal/report.ts
@@ -13,50 +13,91 @@
   process.stdout.write(`${line}\n`);
 };
 
-const quantile = (sorted: number[], part: number): number => Math.round(sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * part))] ?? 0);
+const quantile = (sorted: number[], part: number): number =>
+  Math.round(sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * part))] ?? 0);
 
 /** Prints what callers, back ends and operators recorded, rule by rule; tells how often a rule was broken. */
 export const report = (fleet: Fleet, fromMs: number): number => {
   const { ledger } = fleet;
   const tallied = (nameOf: (record: CallerRecord) => string): string => {
     const counts = new Map<string, number>();
-    for (const record of ledger.callers) counts.set(nameOf(record), (counts.get(nameOf(record)) ?? 0) + 1);
+    for (const record of ledger.callers)
+      counts.set(nameOf(record), (counts.get(nameOf(record)) ?? 0) + 1);
     return [...counts]
       .sort(([a], [b]) => a.localeCompare(b))
       .map(([name, count]) => `${name}: ${count}`)
       .join(", ");
   };
-  say(`Requests: ${ledger.callers.length}, ${(servedPart(ledger, fromMs, Infinity) * 100).toFixed(2)}% served`);
+  say(
+    `Requests: ${ledger.callers.length}, ${(servedPart(ledger, fromMs, Infinity) * 100).toFixed(2)}% served`,
+  );
   say(`  by return: ${tallied(({ code, broke }) => (code === 0 ? broke : String(code)))}`);
-  say(`  by verdict: ${tallied(({ code, verdict }) => (code === 0 ? "none heard" : verdict || "ran"))}`);
+  say(
+    `  by verdict: ${tallied(({ code, verdict }) => (code === 0 ? "none heard" : verdict || "ran"))}`,
+  );
   for (const { route, method } of fleet.profile.traffic) {
-    const sample = fleet.profile.traffic.find((one) => one.route === route)?.path(0).split("/")[1];
-    const took = ledger.callers.filter((one) => one.method === method && one.path.split("/")[1] === sample && one.code >= 200 && one.code < 300).map((one) => one.endedMs - one.sentMs).sort((a, b) => a - b);
-    say(`  ${route}: ${took.length} served, half within ${quantile(took, 0.5)} ms, 99 of 100 within ${quantile(took, 0.99)} ms`);
+    const sample = fleet.profile.traffic
+      .find((one) => one.route === route)
+      ?.path(0)
+      .split("/")[1];
+    const took = ledger.callers
+      .filter(
+        (one) =>
+          one.method === method &&
+          one.path.split("/")[1] === sample &&
+          one.code >= 200 &&
+          one.code < 300,
+      )
+      .map((one) => one.endedMs - one.sentMs)
+      .sort((a, b) => a - b);
+    say(
+      `  ${route}: ${took.length} served, half within ${quantile(took, 0.5)} ms, 99 of 100 within ${quantile(took, 0.99)} ms`,
+    );
   }
-  say(`Tries that reached back ends: ${ledger.runs.length}; configs accepted: ${ledger.of("accepted").length}`);
-  for (const [service, { further, requests, allowed }] of worstRepeats(ledger)) say(`  ${service}: worst ten seconds had ${further} repeats with ${requests} requests, ${Math.floor(allowed)} allowed`);
+  say(
+    `Tries that reached back ends: ${ledger.runs.length}; configs accepted: ${ledger.of("accepted").length}`,
+  );
+  for (const [service, { further, requests, allowed }] of worstRepeats(ledger))
+    say(
+      `  ${service}: worst ten seconds had ${further} repeats with ${requests} requests, ${Math.floor(allowed)} allowed`,
+    );
   const breaches = judge(ledger);
   for (const rule of Object.keys(rules)) {
     const own = breaches.filter((breach) => breach.rule === rule);
-    say(`${own.length === 0 ? "kept  " : "BROKEN"} ${rule}${own.length > 0 ? ` (${own.length} times)` : ""}`);
+    say(
+      `${own.length === 0 ? "kept  " : "BROKEN"} ${rule}${own.length > 0 ? ` (${own.length} times)` : ""}`,
+    );
     for (const { what } of own.slice(0, 5)) say(`         ${what}`);
   }
-  if (fleet.failures.length > 0) say(`BROKEN the rehearsal itself broke down ${fleet.failures.length} times; it proves nothing`);
+  if (fleet.failures.length > 0)
+    say(`BROKEN the rehearsal itself broke down ${fleet.failures.length} times; it proves nothing`);
   return breaches.length + fleet.failures.length;
 };
 
 /** Starts a fleet and puts a first config in force; false, and why on the error stream, when that fails. */
 export const bringUp = async (fleet: Fleet): Promise<boolean> => {
   await fleet.begin();
-  const up = await fleet.perform(fleet.until(() => fleet.machines.every(({ isReady }) => isReady), upMs));
+  const up = await fleet.perform(
+    fleet.until(() => fleet.machines.every(({ isReady }) => isReady), upMs),
+  );
   const configured = up && (await fleet.perform(fleet.day.putConfig()));
   if (configured) {
-    await fleet.perform(fleet.until(() => new Set(fleet.ledger.of("announced").map(({ address }) => address)).size >= fleet.standIns.length, upMs));
+    await fleet.perform(
+      fleet.until(
+        () =>
+          new Set(fleet.ledger.of("announced").map(({ address }) => address)).size >=
+          fleet.standIns.length,
+        upMs,
+      ),
+    );
     return true;
   }
-  const late = fleet.machines.filter(({ isReady }) => !isReady).map(({ settings }) => settings.machine);
-  process.stderr.write(`${up ? "The first config was not accepted" : `Not ready: ${late.join(", ")}`}; logs under ${fleet.folder}\n`);
+  const late = fleet.machines
+    .filter(({ isReady }) => !isReady)
+    .map(({ settings }) => settings.machine);
+  process.stderr.write(
+    `${up ? "The first config was not accepted" : `Not ready: ${late.join(", ")}`}; logs under ${fleet.folder}\n`,
+  );
   await fleet.end(true);
   return false;
 };
@@ -82,6 +123,9 @@
 /** The profile of a name; undefined, and the names there are on the error stream, when there is none. */
 export const profileNamed = (name: string): Profile | undefined => {
   const profile = Object.values(Profile.all).find((one) => one.name === name);
-  if (!profile) process.stderr.write(`There is no profile "${name}"; there are ${Object.keys(Profile.all).join(" and ")}.\n`);
+  if (!profile)
+    process.stderr.write(
+      `There is no profile "${name}"; there are ${Object.keys(Profile.all).join(" and ")}.\n`,
+    );
   return profile;
 };
--- a/src/rehearsal/scaleChild.ts
+++ b/src/rehearsal/scaleChild.ts
@@ -13,7 +13,10 @@
   daemons = 0;
 
   constructor() {
-    this.process = fork(program, { execArgv: ["--expose-gc"], stdio: ["ignore", "inherit", "inherit", "ipc"] });
+    this.process = fork(program, {
+      execArgv: ["--expose-gc"],
+      stdio: ["ignore", "inherit", "inherit", "ipc"],
+    });
     this.process.on("message", (value) => {
       const ret = ScaleOrder.readReturn(value);
       this.waiting.get(ret.id)?.(ret);
--- a/src/rehearsal/scaleChildMain.ts
+++ b/src/rehearsal/scaleChildMain.ts
@@ -21,7 +21,9 @@
 const announcing = new Set<string>();
 
 const fail = (error: unknown): void => {
-  process.stderr.write(`hollow: ${error instanceof Error ? (error.stack ?? error.message) : String(error)}\n`);
+  process.stderr.write(
+    `hollow: ${error instanceof Error ? (error.stack ?? error.message) : String(error)}\n`,
+  );
   process.exit(1);
 };
 
@@ -37,12 +39,31 @@
   wallTime: () => new Date(),
 });
 
-const open = ({ from, count, seeds, zones, spread, bounds, heartbeatMs }: Extract<ScaleOrder, { kind: "open" }>): void => {
+const open = ({
+  from,
+  count,
+  seeds,
+  zones,
+  spread,
+  bounds,
+  heartbeatMs,
+}: Extract<ScaleOrder, { kind: "open" }>): void => {
   for (let at = from; at < from + count; at += 1) {
     const zone = ScaleSpec.zone(at, spread);
-    const wire = new ScaleWire(tcp, clock, (address) => ScaleSpec.oneWayMs(zone, zones[address] ?? zone, spread));
-    const place = { machine: `hollow-${at}`, zone, peer: `127.1.${Math.floor(at / 250)}.${(at % 250) + 1}:7000` };
-    const daemon = new HollowDaemon(worldOf(wire), place, seeds, Bounds.of({ bounds, heartbeatMs }));
+    const wire = new ScaleWire(tcp, clock, (address) =>
+      ScaleSpec.oneWayMs(zone, zones[address] ?? zone, spread),
+    );
+    const place = {
+      machine: `hollow-${at}`,
+      zone,
+      peer: `127.1.${Math.floor(at / 250)}.${(at % 250) + 1}:7000`,
+    };
+    const daemon = new HollowDaemon(
+      worldOf(wire),
+      place,
+      seeds,
+      Bounds.of({ bounds, heartbeatMs }),
+    );
     wires.push(wire);
     daemons.push(daemon);
     clock.after(Math.random() * 200, () => daemon.start());
@@ -77,8 +98,10 @@
 
 const report = (collect: boolean): Outcome => {
   if (collect) globalThis.gc?.();
-  const sum = (of: (wire: ScaleWire) => number): number => wires.reduce((total, wire) => total + of(wire), 0);
-  const every = (of: (daemon: HollowDaemon) => number): number => daemons.reduce((total, daemon) => total + of(daemon), 0);
+  const sum = (of: (wire: ScaleWire) => number): number =>
+    wires.reduce((total, wire) => total + of(wire), 0);
+  const every = (of: (daemon: HollowDaemon) => number): number =>
+    daemons.reduce((total, daemon) => total + of(daemon), 0);
   return {
     figures: {
       bytesIn: sum(({ tally }) => tally.bytesIn),
@@ -91,7 +114,11 @@
       settled: every(({ keyed }) => keyed.settled),
       failed: every(({ keyed }) => keyed.failed),
       covered: Math.max(0, ...daemons.map(({ coverage }) => coverage)),
-      directory: Math.min(...daemons.map(({ view }) => view.services.reduce((total, service) => total + view.backEnds(service).length, 0))),
+      directory: Math.min(
+        ...daemons.map(({ view }) =>
+          view.services.reduce((total, service) => total + view.backEnds(service).length, 0),
+        ),
+      ),
       heapBytes: process.memoryUsage().heapUsed,
     },
     times: [],
@@ -118,14 +145,31 @@
       const isOn = (): boolean => rounds[order.kind] === mine;
       const share = order.perSecond / Math.max(1, daemons.length);
       if (share <= 0) return nothing;
-      for (const daemon of daemons) start(order.kind === "write" ? daemon.writing(share, isOn) : daemon.counting(share, order.services, order.routes, isOn));
+      for (const daemon of daemons)
+        start(
+          order.kind === "write"
+            ? daemon.writing(share, isOn)
+            : daemon.counting(share, order.services, order.routes, isOn),
+        );
       return nothing;
     }
     case "awaitConfig":
-      return { figures: {}, times: yield* awaitAll(({ view }) => view.configSequence >= order.sequence && view.isGranted) };
+      return {
+        figures: {},
+        times: yield* awaitAll(
+          ({ view }) => view.configSequence >= order.sequence && view.isGranted,
+        ),
+      };
     case "awaitGone": {
       const gone = new Set(order.addresses);
-      return { figures: {}, times: yield* awaitAll(({ view }) => order.services.every((service) => !view.backEnds(service).some(({ address }) => gone.has(address)))) };
+      return {
+        figures: {},
+        times: yield* awaitAll(({ view }) =>
+          order.services.every(
+            (service) => !view.backEnds(service).some(({ address }) => gone.has(address)),
+          ),
+        ),
+      };
     }
     case "report":
       return report(order.collect > 0);
--- a/src/rehearsal/scaleFleet.ts
+++ b/src/rehearsal/scaleFleet.ts
@@ -36,7 +36,11 @@
 
 const statusShape = type({ ready: boolean(), record: type({ role: string() }) });
 const edgeShape = type({ ready: boolean() });
-const fleetShape = type({ machines: array(type({ name: string(), silent: boolean() })), backEnds: array(type({ address: string(), leaving: boolean() })), keys: number() });
+const fleetShape = type({
+  machines: array(type({ name: string(), silent: boolean() })),
+  backEnds: array(type({ address: string(), leaving: boolean() })),
+  keys: number(),
+});
 const acceptedShape = type({ accepted: number() });
 const orderMs = 5000;
 const lookMs = 100;
@@ -102,7 +106,10 @@
     for (let at = 0; at < count; at += 1) {
       const isRecorder = at < spec.recorders;
       const name = `${isRecorder ? "recorder" : "edge"}-${at}`;
-      const zone = ScaleSpec.zone(isRecorder ? at * Math.max(1, Math.floor(spec.zones / spec.regions / spec.recorders)) : at, spec);
+      const zone = ScaleSpec.zone(
+        isRecorder ? at * Math.max(1, Math.floor(spec.zones / spec.regions / spec.recorders)) : at,
+        spec,
+      );
       const settings = {
         machine: name,
         zone,
@@ -110,13 +117,29 @@
         peers: address(at * 3),
         seeds,
         logLevel: "warn",
-        ...(isRecorder ? { dataFolder: join(folder, name, "data") } : { callers: address(at * 3 + 2) }),
-        ...(isOwn ? { tolerate: { machines: Math.floor((spec.recorders - 1) / 2), zones: 0 }, heartbeatMs: spec.heartbeatMs, bounds: { applyMs: spec.applyMs, drainMs: spec.drainMs } } : {}),
+        ...(isRecorder
+          ? { dataFolder: join(folder, name, "data") }
+          : { callers: address(at * 3 + 2) }),
+        ...(isOwn
+          ? {
+              tolerate: { machines: Math.floor((spec.recorders - 1) / 2), zones: 0 },
+              heartbeatMs: spec.heartbeatMs,
+              bounds: { applyMs: spec.applyMs, drainMs: spec.drainMs },
+            }
+          : {}),
       };
       await mkdir(join(folder, name), { recursive: true });
       const settingsFile = join(folder, name, "settings.json");
       await writeFile(settingsFile, JSON.stringify(settings));
-      real.push({ name, zone, peers: settings.peers, operators: settings.operators, isRecorder, settingsFile, process: undefined });
+      real.push({
+        name,
+        zone,
+        peers: settings.peers,
+        operators: settings.operators,
+        isRecorder,
+        settingsFile,
+        process: undefined,
+      });
     }
     const fleet = new ScaleFleet(spec, folder, real);
     try {
@@ -134,20 +157,49 @@
     const zones = Object.fromEntries(this.real.map(({ peers, zone }) => [peers, zone]));
     const { spec } = this;
     for (const [at, child] of this.children.entries()) {
-      const own = Math.floor(count / this.children.length) + (at < count % this.children.length ? 1 : 0);
+      const own =
+        Math.floor(count / this.children.length) + (at < count % this.children.length ? 1 : 0);
       if (own === 0) continue;
-      await child.tell({ kind: "open", from: this.nextDaemon, count: own, seeds: this.seeds, zones, spread: { zones: spec.zones, regions: spec.regions }, bounds: { applyMs: spec.applyMs, drainMs: spec.drainMs }, heartbeatMs: spec.heartbeatMs });
+      await child.tell({
+        kind: "open",
+        from: this.nextDaemon,
+        count: own,
+        seeds: this.seeds,
+        zones,
+        spread: { zones: spec.zones, regions: spec.regions },
+        bounds: { applyMs: spec.applyMs, drainMs: spec.drainMs },
+        heartbeatMs: spec.heartbeatMs,
+      });
       this.nextDaemon += own;
     }
-    await this.until(async () => (await this.total("granted")) >= this.nextDaemon * mostPart, waitMs, `grants of ${this.nextDaemon} daemons`, () => this.total("granted"));
+    await this.until(
+      async () => (await this.total("granted")) >= this.nextDaemon * mostPart,
+      waitMs,
+      `grants of ${this.nextDaemon} daemons`,
+      () => this.total("granted"),
+    );
   }
 
   /** A process of its own for daemons that are to be lost together. */
   async openLost(count: number): Promise<ScaleChild> {
     const child = new ScaleChild();
     const { spec } = this;
-    await child.tell({ kind: "open", from: 10_000, count, seeds: this.seeds, zones: {}, spread: { zones: spec.zones, regions: spec.regions }, bounds: { applyMs: spec.applyMs, drainMs: spec.drainMs }, heartbeatMs: spec.heartbeatMs });
-    await this.until(async () => ((await child.tell({ kind: "report", collect: 0 })).figures["granted"] ?? 0) >= count, waitMs, "grants of those to be lost");
+    await child.tell({
+      kind: "open",
+      from: 10_000,
+      count,
+      seeds: this.seeds,
+      zones: {},
+      spread: { zones: spec.zones, regions: spec.regions },
+      bounds: { applyMs: spec.applyMs, drainMs: spec.drainMs },
+      heartbeatMs: spec.heartbeatMs,
+    });
+    await this.until(
+      async () =>
+        ((await child.tell({ kind: "report", collect: 0 })).figures["granted"] ?? 0) >= count,
+      waitMs,
+      "grants of those to be lost",
+    );
     return child;
   }
 
@@ -156,8 +208,16 @@
     const added = Array.from({ length: count }, () => this.newBackEnd());
     this.backEnds.push(...added);
     for (const [at, child] of this.children.entries())
-      await child.tell({ kind: "announce", backEnds: added.filter((_, place) => place % this.children.length === at), everyMs: this.spec.heartbeatMs });
-    await this.until(async () => (await this.least("directory")) >= this.backEnds.length, 120_000, "back ends known to all");
+      await child.tell({
+        kind: "announce",
+        backEnds: added.filter((_, place) => place % this.children.length === at),
+        everyMs: this.spec.heartbeatMs,
+      });
+    await this.until(
+      async () => (await this.least("directory")) >= this.backEnds.length,
+      120_000,
+      "back ends known to all",
+    );
   }
 
   /** Sends a new config and waits until every hollow daemon serves by it; what passed since its acceptance, each. */
@@ -167,13 +227,19 @@
     const accepted = this.put();
     await during?.();
     const acceptedMs = (await accepted) ? sharedMs() : NaN;
-    return (await Promise.all(reached)).flatMap(({ times }) => times.map((atMs) => atMs - acceptedMs));
+    return (await Promise.all(reached)).flatMap(({ times }) =>
+      times.map((atMs) => atMs - acceptedMs),
+    );
   }
 
   /** Puts the next config. */
   async put(): Promise<boolean> {
     this.changes += 1;
-    const text = await this.command({ kind: "put", changeId: `change-${this.changes}`, value: ScaleSpec.config(this.spec, this.changes) });
+    const text = await this.command({
+      kind: "put",
+      changeId: `change-${this.changes}`,
+      value: ScaleSpec.config(this.spec, this.changes),
+    });
     return text !== undefined && acceptedShape.is(JSON.parse(text));
   }
 
@@ -183,7 +249,15 @@
     const addresses = gone.map(({ address }) => address);
     const startMs = sharedMs();
     await Promise.all(this.children.map((child) => child.tell({ kind: "silence", addresses })));
-    const returned = await Promise.all(this.children.map((child) => child.tell({ kind: "awaitGone", addresses, services: [...new Set(gone.map(({ service }) => service))] })));
+    const returned = await Promise.all(
+      this.children.map((child) =>
+        child.tell({
+          kind: "awaitGone",
+          addresses,
+          services: [...new Set(gone.map(({ service }) => service))],
+        }),
+      ),
+    );
     return returned.flatMap(({ times }) => times.map((atMs) => atMs - startMs));
   }
 
@@ -194,7 +268,11 @@
     await this.until(
       async () => {
         const { machines } = await this.fleet();
-        return machines.filter(({ name, silent }) => silent && Number(name.replace("hollow-", "")) >= 10_000).length >= child.daemons;
+        return (
+          machines.filter(
+            ({ name, silent }) => silent && Number(name.replace("hollow-", "")) >= 10_000,
+          ).length >= child.daemons
+        );
       },
       waitMs,
       "the lost noted",
@@ -227,7 +305,14 @@
   /** Measures for a while, in which configs are changed and back ends replaced as told; anew where the leader changed meanwhile. */
   async measure(seconds: number, configChanges = 0, replacements = 0): Promise<ScaleFigures> {
     for (let round = 0; round < rounds; round += 1) {
-      await this.until(async () => (await this.leader()) !== undefined && (await this.total("granted")) >= this.nextDaemon * mostPart, waitMs, "a leader and grants", () => this.total("granted"));
+      await this.until(
+        async () =>
+          (await this.leader()) !== undefined &&
+          (await this.total("granted")) >= this.nextDaemon * mostPart,
+        waitMs,
+        "a leader and grants",
+        () => this.total("granted"),
+      );
       const leader = await this.leader();
       const figures = leader && (await this.measured(leader, seconds, configChanges, replacements));
       if (figures && (await this.leader()) === leader) return figures;
@@ -235,16 +320,43 @@
     throw new ScaleError("The leader changed during each measurement.");
   }
 
-  private async measured(leader: RealDaemon, seconds: number, configChanges: number, replacements: number): Promise<ScaleFigures> {
+  private async measured(
+    leader: RealDaemon,
+    seconds: number,
+    configChanges: number,
+    replacements: number,
+  ): Promise<ScaleFigures> {
     const pidOf = (daemon: RealDaemon | undefined): number => daemon?.process?.pid ?? 0;
     const followers = this.real.filter((one) => one.isRecorder && one !== leader && one.process);
     const edges = this.real.filter((one) => !one.isRecorder && one.process);
     const readAll = async (collect: number) => {
-      const reports = await Promise.all(this.children.map((child) => child.tell({ kind: "report", collect })));
+      const reports = await Promise.all(
+        this.children.map((child) => child.tell({ kind: "report", collect })),
+      );
       const own = (name: string): number => sum(reports.map(({ figures }) => figures[name] ?? 0));
-      const counted = Object.fromEntries(["bytesIn", "bytesOut", "messagesIn", "messagesOut", "polls", "grants", "settled", "failed", "heapBytes"].map((name) => [name, own(name)]));
+      const counted = Object.fromEntries(
+        [
+          "bytesIn",
+          "bytesOut",
+          "messagesIn",
+          "messagesOut",
+          "polls",
+          "grants",
+          "settled",
+          "failed",
+          "heapBytes",
+        ].map((name) => [name, own(name)]),
+      );
       const covered = Math.max(0, ...reports.map(({ figures }) => figures["covered"] ?? 0));
-      return { counted, covered, granted: own("granted"), hollow: this.children.map((child) => child.reading()), leader: ProcessReading.of(pidOf(leader)), followers: followers.map((one) => ProcessReading.of(pidOf(one))), edges: edges.map((one) => ProcessReading.of(pidOf(one))) };
+      return {
+        counted,
+        covered,
+        granted: own("granted"),
+        hollow: this.children.map((child) => child.reading()),
+        leader: ProcessReading.of(pidOf(leader)),
+        followers: followers.map((one) => ProcessReading.of(pidOf(one))),
+        edges: edges.map((one) => ProcessReading.of(pidOf(one))),
+      };
     };
     const before = await readAll(0);
     const untilMs = sharedMs() + seconds * 1000;
@@ -260,10 +372,13 @@
     const after = await readAll(0);
     const heap = (await readAll(1)).counted["heapBytes"] ?? 0;
     const passedMs = after.leader.atMs - before.leader.atMs;
-    const share = (from: ProcessReading[], to: ProcessReading[]): number => sum(to.map(({ cpuMs }, at) => cpuMs - (from[at]?.cpuMs ?? 0))) / passedMs;
-    const rate = (name: string): number => (((after.counted[name] ?? 0) - (before.counted[name] ?? 0)) / passedMs) * 1000;
+    const share = (from: ProcessReading[], to: ProcessReading[]): number =>
+      sum(to.map(({ cpuMs }, at) => cpuMs - (from[at]?.cpuMs ?? 0))) / passedMs;
+    const rate = (name: string): number =>
+      (((after.counted[name] ?? 0) - (before.counted[name] ?? 0)) / passedMs) * 1000;
     const many = Math.max(1, this.nextDaemon);
-    const mebibytes = (readings: ProcessReading[]): number => sum(readings.map(({ rssBytes }) => rssBytes)) / Math.max(1, readings.length) / 2 ** 20;
+    const mebibytes = (readings: ProcessReading[]): number =>
+      sum(readings.map(({ rssBytes }) => rssBytes)) / Math.max(1, readings.length) / 2 ** 20;
     return {
       leaderCore: share([before.leader], [after.leader]),
       followerCore: share(before.followers, after.followers) / Math.max(1, followers.length),
@@ -313,7 +428,11 @@
   }
 
   private boot(daemon: RealDaemon): void {
-    const child = spawn(process.execPath, [this.spec.program || daemonProgram, "run", "--settings", daemon.settingsFile], { stdio: ["ignore", "ignore", "pipe"] });
+    const child = spawn(
+      process.execPath,
+      [this.spec.program || daemonProgram, "run", "--settings", daemon.settingsFile],
+      { stdio: ["ignore", "ignore", "pipe"] },
+    );
     child.stderr.pipe(createWriteStream(`${daemon.settingsFile}.log`, { flags: "a" }));
     daemon.process = child;
     running.add(child);
@@ -323,7 +442,11 @@
   private newBackEnd(): ScaleBackEnd {
     const at = this.nextBackEnd;
     this.nextBackEnd += 1;
-    return { address: `10.${1 + Math.floor(at / 62_500)}.${Math.floor(at / 250) % 250}.${(at % 250) + 1}:8080`, service: ScaleSpec.service(at, this.spec), zone: ScaleSpec.zone(at, this.spec) };
+    return {
+      address: `10.${1 + Math.floor(at / 62_500)}.${Math.floor(at / 250) % 250}.${(at % 250) + 1}:8080`,
+      service: ScaleSpec.service(at, this.spec),
+      zone: ScaleSpec.zone(at, this.spec),
+    };
   }
 
   /** One back end leaves and another comes in its place. */
@@ -333,7 +456,9 @@
     if (!old || !child) return;
     const fresh = this.newBackEnd();
     this.backEnds.push(fresh);
-    await Promise.all(this.children.map((one) => one.tell({ kind: "silence", addresses: [old.address] })));
+    await Promise.all(
+      this.children.map((one) => one.tell({ kind: "silence", addresses: [old.address] })),
+    );
     await this.command({ kind: "leave", address: old.address, service: old.service });
     await child.tell({ kind: "announce", backEnds: [fresh], everyMs: this.spec.heartbeatMs });
   }
@@ -352,12 +477,16 @@
   private async fleet() {
     const text = await this.command({ kind: "fleet" });
     const value: unknown = JSON.parse(text ?? "{}");
-    return fleetShape.is(value) ? value : create({ machines: [], backEnds: [], keys: 0 }, fleetShape);
+    return fleetShape.is(value)
+      ? value
+      : create({ machines: [], backEnds: [], keys: 0 }, fleetShape);
   }
 
   private async status(daemon: RealDaemon): Promise<unknown> {
     try {
-      return await (await request(`http://${daemon.operators}/status`, { headersTimeout: 2000 })).body.json();
+      return await (
+        await request(`http://${daemon.operators}/status`, { headersTimeout: 2000 })
+      ).body.json();
     } catch {
       return undefined;
     }
@@ -375,23 +504,45 @@
 
   /** Whether all real edges may serve. */
   async edgesReady(): Promise<boolean> {
-    const statuses = await Promise.all(this.real.filter(({ isRecorder }) => !isRecorder).map((one) => this.status(one)));
+    const statuses = await Promise.all(
+      this.real.filter(({ isRecorder }) => !isRecorder).map((one) => this.status(one)),
+    );
     return statuses.every((status) => edgeShape.is(status) && status.ready);
   }
 
   private async total(name: string): Promise<number> {
-    return sum((await Promise.all(this.children.map((child) => child.tell({ kind: "report", collect: 0 })))).map(({ figures }) => figures[name] ?? 0));
+    return sum(
+      (
+        await Promise.all(this.children.map((child) => child.tell({ kind: "report", collect: 0 })))
+      ).map(({ figures }) => figures[name] ?? 0),
+    );
   }
 
   private async least(name: string): Promise<number> {
-    return Math.min(...(await Promise.all(this.children.filter(({ daemons }) => daemons > 0).map((child) => child.tell({ kind: "report", collect: 0 })))).map(({ figures }) => figures[name] ?? 0));
+    return Math.min(
+      ...(
+        await Promise.all(
+          this.children
+            .filter(({ daemons }) => daemons > 0)
+            .map((child) => child.tell({ kind: "report", collect: 0 })),
+        )
+      ).map(({ figures }) => figures[name] ?? 0),
+    );
   }
 
   /** Waits until a condition holds; raises what was waited for in vain. */
-  async until(holds: () => Promise<boolean>, mostMs: number, what: string, reached?: () => Promise<number>): Promise<void> {
+  async until(
+    holds: () => Promise<boolean>,
+    mostMs: number,
+    what: string,
+    reached?: () => Promise<number>,
+  ): Promise<void> {
     const untilMs = sharedMs() + mostMs;
     while (!(await holds())) {
-      if (sharedMs() > untilMs) throw new ScaleError(`Waited in vain for ${what}${reached ? `; reached: ${await reached()}` : ""}.`);
+      if (sharedMs() > untilMs)
+        throw new ScaleError(
+          `Waited in vain for ${what}${reached ? `; reached: ${await reached()}` : ""}.`,
+        );
       await rest(lookMs);
     }
   }
--- a/src/rehearsal/scaleHollow.ts
+++ b/src/rehearsal/scaleHollow.ts
@@ -51,12 +51,31 @@
     this.world = world;
     this.pollMs = bounds.pollMs;
     this.ferry = new Ferry(world, link, () => seeds);
-    this.view = new View(world, this.ferry, () => ({ name: place.machine, zone: place.zone, roles: ["edge"], peer: place.peer, incarnation, draining: false }), budget);
+    this.view = new View(
+      world,
+      this.ferry,
+      () => ({
+        name: place.machine,
+        zone: place.zone,
+        roles: ["edge"],
+        peer: place.peer,
+        incarnation,
+        draining: false,
+      }),
+      budget,
+    );
     this.view.onDirectory = (contracts) => {
       this.directoryChanges += 1;
       shares.know(contracts, world.clock.nowMs());
     };
-    this.edgeCounts = new EdgeCounts(world, link, bounds.counts, this.view, { machine: place.machine, incarnation, zone: place.zone }, bounds.budget);
+    this.edgeCounts = new EdgeCounts(
+      world,
+      link,
+      bounds.counts,
+      this.view,
+      { machine: place.machine, incarnation, zone: place.zone },
+      bounds.budget,
+    );
   }
 
   /** Begins to poll and to push. */
@@ -78,7 +97,14 @@
   /** Hears a back end's announcement once, as the operators' port does; tells whether it is known. */
   *hear(backEnd: ScaleBackEnd): Task<boolean> {
     if (this.view.hear({ ...backEnd, warmth: 1 })) return true;
-    return (yield* this.order({ kind: "announce", ...backEnd, warmth: 1, seen: Math.max(0, this.view.directorySequence) })) !== undefined;
+    return (
+      (yield* this.order({
+        kind: "announce",
+        ...backEnd,
+        warmth: 1,
+        seen: Math.max(0, this.view.directorySequence),
+      })) !== undefined
+    );
   }
 
   /** Counts requests as if they came, for as long as `isOn` says. */
@@ -88,9 +114,15 @@
       yield* Clock.rest(this.world.clock, countEveryMs);
       owed += (perSecond * countEveryMs) / 1000;
       for (; owed >= 1; owed -= 1) {
-        const route = this.view.numberOf("route", `route-${Math.floor(routes * this.world.random() ** 4)}`);
+        const route = this.view.numberOf(
+          "route",
+          `route-${Math.floor(routes * this.world.random() ** 4)}`,
+        );
         if (route !== undefined) this.edgeCounts.countRoute(route);
-        this.edgeCounts.countTry(`service-${Math.floor(services * this.world.random() ** 2)}`, this.world.random() < furtherPart);
+        this.edgeCounts.countTry(
+          `service-${Math.floor(services * this.world.random() ** 2)}`,
+          this.world.random() < furtherPart,
+        );
       }
     }
   }
@@ -100,7 +132,11 @@
     while (isOn()) {
       yield* Clock.rest(this.world.clock, -Math.log(1 - this.world.random()) * (1000 / perSecond));
       this.writes += 1;
-      World.start(this.world, "contract", this.write(`${this.view.polls}-${this.writes}-${World.nonce(this.world)}`));
+      World.start(
+        this.world,
+        "contract",
+        this.write(`${this.view.polls}-${this.writes}-${World.nonce(this.world)}`),
+      );
     }
   }
 
@@ -112,7 +148,13 @@
       return;
     }
     yield* Clock.rest(this.world.clock, workMs);
-    const settled = yield* this.order({ kind: "settle", scope, job, verdict: "ran", return: { code: 201, headers: { "content-type": "application/json" }, body: "x".repeat(120) } });
+    const settled = yield* this.order({
+      kind: "settle",
+      scope,
+      job,
+      verdict: "ran",
+      return: { code: 201, headers: { "content-type": "application/json" }, body: "x".repeat(120) },
+    });
     if (settled === undefined) this.keyed.failed += 1;
     else this.keyed.settled += 1;
   }
--- a/src/rehearsal/scaleLine.ts
+++ b/src/rehearsal/scaleLine.ts
@@ -6,7 +6,8 @@
   readonly start: number;
 }
 
-const mean = (values: number[]): number => values.reduce((sum, value) => sum + value, 0) / values.length;
+const mean = (values: number[]): number =>
+  values.reduce((sum, value) => sum + value, 0) / values.length;
 
 export const ScaleLine = {
   /** The line of least squares; the error is unknown with fewer than three points. */
@@ -16,6 +17,10 @@
     const slope = points.reduce((sum, [x, y]) => sum + (x - middleX) * (y - middleY), 0) / spread;
     const start = middleY - slope * middleX;
     const left = points.reduce((sum, [x, y]) => sum + (y - start - slope * x) ** 2, 0);
-    return { slope, start, error: points.length > 2 ? Math.sqrt(left / (points.length - 2) / spread) : NaN };
+    return {
+      slope,
+      start,
+      error: points.length > 2 ? Math.sqrt(left / (points.length - 2) / spread) : NaN,
+    };
   },
 };
--- a/src/rehearsal/scaleOrder.ts
+++ b/src/rehearsal/scaleOrder.ts
@@ -1,4 +1,14 @@
-import { array, create, literal, number, object, record, string, union, type Infer } from "superstruct";
+import {
+  array,
+  create,
+  literal,
+  number,
+  object,
+  record,
+  string,
+  union,
+  type Infer,
+} from "superstruct";
 
 const backEndShape = object({ address: string(), service: string(), zone: string() });
 
@@ -32,7 +42,11 @@
 export type ScaleOrder = Infer<typeof orderShape>;
 
 const numberedShape = object({ id: number(), order: orderShape });
-const returnShape = object({ id: number(), figures: record(string(), number()), times: array(number()) });
+const returnShape = object({
+  id: number(),
+  figures: record(string(), number()),
+  times: array(number()),
+});
 
 /** What a process of hollow daemons returns. */
 export type ScaleReturn = Infer<typeof returnShape>;
--- a/src/rehearsal/scaleProcess.ts
+++ b/src/rehearsal/scaleProcess.ts
@@ -17,10 +17,15 @@
 const cpuMs = (pid: number): number => {
   try {
     let sum = 0;
-    for (const thread of readdirSync(`/proc/${pid}/task`)) sum += Number(readFileSync(`/proc/${pid}/task/${thread}/schedstat`, "utf8").split(" ")[0] ?? 0);
+    for (const thread of readdirSync(`/proc/${pid}/task`))
+      sum += Number(
+        readFileSync(`/proc/${pid}/task/${thread}/schedstat`, "utf8").split(" ")[0] ?? 0,
+      );
     return sum / 1e6;
   } catch {
-    const fields = readFileSync(`/proc/${pid}/stat`, "utf8").replace(/^.*\) /, "").split(" ");
+    const fields = readFileSync(`/proc/${pid}/stat`, "utf8")
+      .replace(/^.*\) /, "")
+      .split(" ");
     return (Number(fields[11] ?? 0) + Number(fields[12] ?? 0)) * tickMs;
   }
 };
@@ -33,6 +38,12 @@
   of(pid: number): ProcessReading {
     const status = readFileSync(`/proc/${pid}/status`, "utf8");
     const io = readFileSync(`/proc/${pid}/io`, "utf8");
-    return { cpuMs: cpuMs(pid), rssBytes: number(status, /VmRSS:\s+(\d+)/) * 1024, readBytes: number(io, /rchar: (\d+)/), writtenBytes: number(io, /wchar: (\d+)/), atMs: sharedMs() };
+    return {
+      cpuMs: cpuMs(pid),
+      rssBytes: number(status, /VmRSS:\s+(\d+)/) * 1024,
+      readBytes: number(io, /rchar: (\d+)/),
+      writtenBytes: number(io, /wchar: (\d+)/),
+      atMs: sharedMs(),
+    };
   },
 };
--- a/src/rehearsal/scaleSpec.ts
+++ b/src/rehearsal/scaleSpec.ts
@@ -64,19 +64,27 @@
   },
 
   /** A config of so many services and routes. */
-  config({ services, routes }: Pick<ScaleSpec, "services" | "routes">, change: number): Record<string, unknown> {
+  config(
+    { services, routes }: Pick<ScaleSpec, "services" | "routes">,
+    change: number,
+  ): Record<string, unknown> {
     const named = Array.from({ length: services }, (_, at) => `service-${at}`);
     return {
       services: Object.fromEntries(named.map((name) => [name, {}])),
       routes: Object.fromEntries(
         Array.from({ length: routes }, (_, at) => [
           `route-${at}`,
-          { match: { path: `/r${at}/*`, methods: ["GET"], host: `tenant-${at % 997}.example` }, service: named[at % named.length], giveUpMs: 3000 + (at === 0 ? change % 1000 : 0) },
+          {
+            match: { path: `/r${at}/*`, methods: ["GET"], host: `tenant-${at % 997}.example` },
+            service: named[at % named.length],
+            giveUpMs: 3000 + (at === 0 ? change % 1000 : 0),
+          },
         ]),
       ),
     };
   },
 
   /** The services that back ends of a fleet belong to, by their place. */
-  service: (at: number, { services }: Pick<ScaleSpec, "services">): string => `service-${at % services}`,
+  service: (at: number, { services }: Pick<ScaleSpec, "services">): string =>
+    `service-${at % services}`,
 };
--- a/src/rehearsal/simulation.ts
+++ b/src/rehearsal/simulation.ts
@@ -73,13 +73,40 @@
       const gate = new Gate();
       const offsetMs = this.random() * 1e7;
       const rate = 1 + (this.random() - 0.5) * 0.002;
-      const disk = hasDisk ? new VirtualDisk(this.machineClock(gate, offsetMs, rate), this.random) : undefined;
-      return { settings, disk, offsetMs, rate, wallJumpMs: 0, gate, daemon: undefined, isStopping: false, gone: new Set() };
+      const disk = hasDisk
+        ? new VirtualDisk(this.machineClock(gate, offsetMs, rate), this.random)
+        : undefined;
+      return {
+        settings,
+        disk,
+        offsetMs,
+        rate,
+        wallJumpMs: 0,
+        gate,
+        daemon: undefined,
+        isStopping: false,
+        gone: new Set(),
+      };
     });
-    const bodyBytes = new Map(profile.traffic.map((one) => [`${one.method} /${one.path(0).split("/")[1] ?? ""}`, Math.min(one.bodyBytes, 300_000)]));
+    const bodyBytes = new Map(
+      profile.traffic.map((one) => [
+        `${one.method} /${one.path(0).split("/")[1] ?? ""}`,
+        Math.min(one.bodyBytes, 300_000),
+      ]),
+    );
     let port = 9000;
     for (const [service, many] of Object.entries(profile.backEnds))
-      for (let at = 0; at < many; at += 1) this.standIns.push(new StandIn(`10.1.0.1:${(port += 1)}`, profile.zones[at % profile.zones.length] ?? "", service, this.ledger, this.random, bodyBytes));
+      for (let at = 0; at < many; at += 1)
+        this.standIns.push(
+          new StandIn(
+            `10.1.0.1:${(port += 1)}`,
+            profile.zones[at % profile.zones.length] ?? "",
+            service,
+            this.ledger,
+            this.random,
+            bodyBytes,
+          ),
+        );
     this.day = new Day(this.outside(), profile, this.ledger, rateFactor);
   }
 
@@ -109,11 +136,17 @@
       clock,
       wire: this.network.wire(machine.settings.machine, gate),
       disk: machine.disk,
-      lines: (line) => this.lines.push(`${(this.time.nowMs() / 1000).toFixed(3)} ${machine.settings.machine} ${line}`),
+      lines: (line) =>
+        this.lines.push(
+          `${(this.time.nowMs() / 1000).toFixed(3)} ${machine.settings.machine} ${line}`,
+        ),
       random: this.random,
       wallTime: () => new Date(1.8e12 + this.time.nowMs() + machine.offsetMs + machine.wallJumpMs),
     });
-    const daemon = new Daemon(world, machine.settings, { backEnds: this.backEnds(machine, gate, clock), waits: { checkpointBytes: simCheckpointBytes } });
+    const daemon = new Daemon(world, machine.settings, {
+      backEnds: this.backEnds(machine, gate, clock),
+      waits: { checkpointBytes: simCheckpointBytes },
+    });
     machine.daemon = daemon;
     this.start(daemon.start());
   }
@@ -128,7 +161,11 @@
     this.network.drop(machine.settings.machine);
     for (const hear of [...machine.gone]) hear();
     machine.gone.clear();
-    this.ledger.world.push({ kind: "killed", atMs: this.time.nowMs(), daemon: machine.settings.machine });
+    this.ledger.world.push({
+      kind: "killed",
+      atMs: this.time.nowMs(),
+      daemon: machine.settings.machine,
+    });
   }
 
   /** The machine is told to stop, and its process ends once drained. */
@@ -143,7 +180,12 @@
     });
     if (!gate.isAlive) return;
     yield* Clock.rest(this.clock, 50);
-    this.ledger.world.push({ kind: "stopped", atMs, daemon: machine.settings.machine, endedMs: this.time.nowMs() });
+    this.ledger.world.push({
+      kind: "stopped",
+      atMs,
+      daemon: machine.settings.machine,
+      endedMs: this.time.nowMs(),
+    });
     this.kill(machine);
   }
 
@@ -164,7 +206,13 @@
       clock: this.clock,
       random: this.random,
       start: (task) => this.start(task),
-      ready: () => this.machines.filter((one) => one.settings.callers !== undefined && one.daemon !== undefined && !one.isStopping).map(({ settings }) => settings),
+      ready: () =>
+        this.machines
+          .filter(
+            (one) =>
+              one.settings.callers !== undefined && one.daemon !== undefined && !one.isStopping,
+          )
+          .map(({ settings }) => settings),
       isUp: (daemon) => this.machine(daemon)?.daemon !== undefined,
       call: (daemon, job, patienceMs) => this.call(daemon, job, patienceMs),
       desk: (daemon, job, from) => this.desk(daemon, job, from),
@@ -175,10 +223,23 @@
   *call(name: string, job: Job, patienceMs: number): Task<CallerEnd> {
     const machine = this.machine(name);
     const { network, clock, random } = this;
-    const broken = (broke: CallerEnd["broke"]): CallerEnd => ({ code: 0, broke, body: Buffer.alloc(0), statedBytes: undefined, retryAfterS: undefined });
+    const broken = (broke: CallerEnd["broke"]): CallerEnd => ({
+      code: 0,
+      broke,
+      body: Buffer.alloc(0),
+      statedBytes: undefined,
+      retryAfterS: undefined,
+    });
     let hangUp = (): void => undefined;
     const end = yield* Clock.within<CallerEnd>(clock, patienceMs, (done) => {
-      const back = (outcome: CallerEnd): void => network.deliver(name, callersPlace, outsideGate, () => done(outcome), () => done(broken("silent")));
+      const back = (outcome: CallerEnd): void =>
+        network.deliver(
+          name,
+          callersPlace,
+          outsideGate,
+          () => done(outcome),
+          () => done(broken("silent")),
+        );
       const arrive = (): void => {
         if (!machine?.daemon || !machine.gate.isAlive) return back(broken("refused"));
         const { daemon, gate } = machine;
@@ -192,16 +253,23 @@
         const gone = (): void => finish(broken("broken"));
         machine.gone.add(gone);
         hangUp = () =>
-          network.deliver(callersPlace, name, gate, () => {
-            isGone = true;
-            machine.gone.delete(gone);
-          }, () => undefined);
+          network.deliver(
+            callersPlace,
+            name,
+            gate,
+            () => {
+              isGone = true;
+              machine.gone.delete(gone);
+            },
+            () => undefined,
+          );
         const ended = (code: number, headers: Record<string, string>, body: Buffer): CallerEnd => ({
           code,
           broke: "",
           body,
           statedBytes: Number(headers["content-length"] ?? body.length),
-          retryAfterS: headers["retry-after"] === undefined ? undefined : Number(headers["retry-after"]),
+          retryAfterS:
+            headers["retry-after"] === undefined ? undefined : Number(headers["retry-after"]),
         });
         const caller: Caller = {
           get isGone() {
@@ -215,7 +283,10 @@
           },
           *piece(bytes) {
             open?.pieces.push(Buffer.from(bytes));
-            if (random() < 0.2) yield* Task.wait<boolean>((drained) => clock.after(2, () => gate.pass(() => drained(true))));
+            if (random() < 0.2)
+              yield* Task.wait<boolean>((drained) =>
+                clock.after(2, () => gate.pass(() => drained(true))),
+              );
             return !isGone;
           },
           end: () => {
@@ -227,7 +298,9 @@
         };
         gate.pass(() => daemon.callers.put({ job, caller }));
       };
-      clock.after(network.connectMs(), () => network.deliver(callersPlace, name, outsideGate, arrive, () => done(broken("silent"))));
+      clock.after(network.connectMs(), () =>
+        network.deliver(callersPlace, name, outsideGate, arrive, () => done(broken("silent"))),
+      );
     });
     if (end) return end;
     hangUp();
@@ -236,12 +309,20 @@
 
   private *desk(name: string | undefined, job: Job, from = "operators"): Task<Return | undefined> {
     const open = this.machines.filter((one) => one.daemon !== undefined);
-    const machine = name === undefined ? open[Math.floor(this.random() * open.length)] : this.machine(name);
+    const machine =
+      name === undefined ? open[Math.floor(this.random() * open.length)] : this.machine(name);
     if (!machine) return undefined;
     const { network } = this;
     const place = machine.settings.machine;
     return yield* Clock.within<Return | undefined>(this.clock, 5000, (done) => {
-      const back = (ret: Return | undefined): void => network.deliver(place, from, outsideGate, () => done(ret), () => done(undefined));
+      const back = (ret: Return | undefined): void =>
+        network.deliver(
+          place,
+          from,
+          outsideGate,
+          () => done(ret),
+          () => done(undefined),
+        );
       const arrive = (): void => {
         if (!machine.daemon || !machine.gate.isAlive) return back(undefined);
         const { daemon, gate } = machine;
--- a/src/rehearsal/standIn.ts
+++ b/src/rehearsal/standIn.ts
@@ -39,7 +39,14 @@
   private readonly random: () => number;
   private readonly bodyBytes: ReadonlyMap<string, number>;
 
-  constructor(address: string, zone: string, service: string, ledger: Ledger, random: () => number, bodyBytes: ReadonlyMap<string, number>) {
+  constructor(
+    address: string,
+    zone: string,
+    service: string,
+    ledger: Ledger,
+    random: () => number,
+    bodyBytes: ReadonlyMap<string, number>,
+  ) {
     this.address = address;
     this.zone = zone;
     this.service = service;
@@ -95,14 +102,26 @@
       key: job.headers["idempotency-key"],
       meant,
     });
-    const { slowFactor, losesPart, garbagePart, cutPart } = (job.headers["x-daledoor-job"] ?? "").includes(this.manners.onlyFrom) ? this.manners : honest;
+    const { slowFactor, losesPart, garbagePart, cutPart } = (
+      job.headers["x-daledoor-job"] ?? ""
+    ).includes(this.manners.onlyFrom)
+      ? this.manners
+      : honest;
     const waitMs = (3 + this.random() * 12 + (this.random() < 0.02 ? 60 : 0)) * slowFactor;
     const stamp = job.headers["x-daledoor-job"] ?? "";
     const pad = "x".repeat(this.bodyBytes.get(`${job.method} /${path.split("/")[1] ?? ""}`) ?? 100);
     const isGarbage = this.random() < garbagePart;
-    const body = Buffer.from(isGarbage ? `garbage ${pad}` : JSON.stringify({ of: caller, service: this.service, pad }));
-    const headers: Record<string, string> = { "content-type": "application/json", "content-length": String(body.length) };
-    if (!isGarbage) headers["x-daledoor-stamp"] = stamp.startsWith(`${this.service}/`) ? stamp : `${this.service}/?`;
+    const body = Buffer.from(
+      isGarbage ? `garbage ${pad}` : JSON.stringify({ of: caller, service: this.service, pad }),
+    );
+    const headers: Record<string, string> = {
+      "content-type": "application/json",
+      "content-length": String(body.length),
+    };
+    if (!isGarbage)
+      headers["x-daledoor-stamp"] = stamp.startsWith(`${this.service}/`)
+        ? stamp
+        : `${this.service}/?`;
     return {
       waitMs,
       isLost: this.random() < losesPart,
--- a/src/rehearsal/virtualBackEnds.ts
+++ b/src/rehearsal/virtualBackEnds.ts
@@ -28,21 +28,39 @@
 const outside = new Gate();
 
 /** The back ends as one machine of a simulated fleet reaches them: over connections that are slow, cut and broken like real ones. */
-export const virtualBackEnds = ({ place, gate, own, clock, network, random, standInAt }: BackEndParts): BackEnds => {
+export const virtualBackEnds = ({
+  place,
+  gate,
+  own,
+  clock,
+  network,
+  random,
+  standInAt,
+}: BackEndParts): BackEnds => {
   const idle = new Map<string, Line[]>();
 
-  const isWhole = ({ standIn, incarnation }: Line): boolean => standIn.isUp && standIn.incarnation === incarnation;
+  const isWhole = ({ standIn, incarnation }: Line): boolean =>
+    standIn.isUp && standIn.incarnation === incarnation;
   const lineTo = (standIn: StandIn): Line => {
     const line: Line = { standIn, incarnation: standIn.incarnation, isOver: false };
     standIn.onEnd(() =>
-      network.deliver(standIn.address, place, gate, () => {
-        line.isOver = true;
-      }, () => undefined),
+      network.deliver(
+        standIn.address,
+        place,
+        gate,
+        () => {
+          line.isOver = true;
+        },
+        () => undefined,
+      ),
     );
     return line;
   };
 
-  const proven = function* ({ address, service }: BackTry): Task<Line | "refused" | "foreign" | "unreached"> {
+  const proven = function* ({
+    address,
+    service,
+  }: BackTry): Task<Line | "refused" | "foreign" | "unreached"> {
     return yield* Task.wait<Line | "refused" | "foreign" | "unreached">((done) => {
       let isOver = false;
       const give = (outcome: Line | "refused" | "foreign" | "unreached"): void => {
@@ -52,15 +70,31 @@
         gate.pass(() => done(outcome));
       };
       const cancel = clock.after(connectMs, () => give("unreached"));
-      const back = (outcome: Line | "refused" | "foreign" | "unreached"): void => network.deliver(address, place, gate, () => give(outcome), () => undefined);
+      const back = (outcome: Line | "refused" | "foreign" | "unreached"): void =>
+        network.deliver(
+          address,
+          place,
+          gate,
+          () => give(outcome),
+          () => undefined,
+        );
       const arrive = (): void => {
         const standIn = standInAt(address);
         if (!standIn?.isUp) return back("refused");
         const line = lineTo(standIn);
-        const prove = (): void => (isWhole(line) ? back(standIn.service === service ? line : "foreign") : back("unreached"));
-        network.deliver(address, place, gate, () => network.deliver(place, address, outside, prove, () => undefined), () => undefined);
+        const prove = (): void =>
+          isWhole(line) ? back(standIn.service === service ? line : "foreign") : back("unreached");
+        network.deliver(
+          address,
+          place,
+          gate,
+          () => network.deliver(place, address, outside, prove, () => undefined),
+          () => undefined,
+        );
       };
-      clock.after(network.connectMs(), () => network.deliver(place, address, outside, arrive, () => undefined));
+      clock.after(network.connectMs(), () =>
+        network.deliver(place, address, outside, arrive, () => undefined),
+      );
     });
   };
 
@@ -76,7 +110,14 @@
         gate.pass(() => done(opened));
       };
       const cancel = clock.after(untilMs - own.nowMs(), () => give("late"));
-      const back = (opened: Opened): void => network.deliver(address, place, gate, () => give(opened), () => give("lost"));
+      const back = (opened: Opened): void =>
+        network.deliver(
+          address,
+          place,
+          gate,
+          () => give(opened),
+          () => give("lost"),
+        );
       const sentMs = clock.nowMs();
       const tripMs = network.tripMs();
       network.deliver(
@@ -85,8 +126,14 @@
         outside,
         () => {
           if (!isWhole(line)) return back("lost");
-          const reply = standIn.run(job, clock.nowMs(), Math.max(0, clock.nowMs() - sentMs - tripMs));
-          clock.after(reply.waitMs, () => back(reply.isLost || !isWhole(line) ? "lost" : replied(line, reply, pool)));
+          const reply = standIn.run(
+            job,
+            clock.nowMs(),
+            Math.max(0, clock.nowMs() - sentMs - tripMs),
+          );
+          clock.after(reply.waitMs, () =>
+            back(reply.isLost || !isWhole(line) ? "lost" : replied(line, reply, pool)),
+          );
         },
         () => give("lost"),
         tripMs,
@@ -107,7 +154,16 @@
           rest(line, pool);
           return "end";
         }
-        const came = yield* Task.wait<boolean>((done) => network.deliver(address, place, gate, () => done(isWhole(line)), () => gate.pass(() => done(false)), network.tripMs() / 10));
+        const came = yield* Task.wait<boolean>((done) =>
+          network.deliver(
+            address,
+            place,
+            gate,
+            () => done(isWhole(line)),
+            () => gate.pass(() => done(false)),
+            network.tripMs() / 10,
+          ),
+        );
         if (!came) return "cut";
         const piece = body.subarray(at, at + 65_536);
         at += piece.length;
--- a/src/rehearsal/virtualDisk.ts
+++ b/src/rehearsal/virtualDisk.ts
@@ -32,7 +32,10 @@
   losePower(): void {
     if (this.writing) {
       const { name, bytes, keptBytes } = this.writing;
-      this.files.set(name, bytes.subarray(0, keptBytes + Math.floor(this.random() * (bytes.length - keptBytes))));
+      this.files.set(
+        name,
+        bytes.subarray(0, keptBytes + Math.floor(this.random() * (bytes.length - keptBytes))),
+      );
       this.writing = undefined;
     }
   }
@@ -86,7 +89,8 @@
   }
 
   private *lasting(name: string, bytes: Buffer, keptBytes: number): Task {
-    if (this.full && bytes.length > this.peek(name).length) throw new DiskBreakdown("The disk is full.");
+    if (this.full && bytes.length > this.peek(name).length)
+      throw new DiskBreakdown("The disk is full.");
     this.writing = { name, bytes, keptBytes };
     yield* this.rest();
     this.writing = undefined;
@@ -94,6 +98,9 @@
   }
 
   private *rest(): Task {
-    yield* Clocks.rest(this.clock, 0.3 + this.random() * 2 + Math.max(0, this.stalledUntilMs - this.clock.nowMs()));
+    yield* Clocks.rest(
+      this.clock,
+      0.3 + this.random() * 2 + Math.max(0, this.stalledUntilMs - this.clock.nowMs()),
+    );
   }
 }
--- a/src/rehearsal/virtualNetwork.ts
+++ b/src/rehearsal/virtualNetwork.ts
@@ -20,7 +20,10 @@
 export class VirtualNetwork {
   private readonly clock: Clock;
   private readonly random: () => number;
-  private readonly listeners = new Map<string, { place: string; gate: Gate; accept: (channel: Channel) => void }>();
+  private readonly listeners = new Map<
+    string,
+    { place: string; gate: Gate; accept: (channel: Channel) => void }
+  >();
   private readonly ends = new Set<End>();
   private readonly cuts = new Map<string, number>();
   /** How much longer a way takes at most, how much longer a connection does, and which part of pieces must be sent again. */
@@ -59,7 +62,13 @@
     const { slowMs, lossPart } = this.weather;
     let againMs = 0;
     while (lossPart > 0 && againMs < giveUpMs && this.random() < lossPart) againMs += resendMs;
-    return 0.2 + this.random() * 1.2 + (this.random() < 0.01 ? this.random() * 25 : 0) + (slowMs > 0 ? this.random() * slowMs : 0) + againMs;
+    return (
+      0.2 +
+      this.random() * 1.2 +
+      (this.random() < 0.01 ? this.random() * 25 : 0) +
+      (slowMs > 0 ? this.random() * slowMs : 0) +
+      againMs
+    );
   }
 
   /** How much longer a new connection takes now than a way there and back. */
@@ -69,12 +78,21 @@
 
   /** All that a place held open breaks; its listeners are gone. */
   drop(place: string): void {
-    for (const [address, listener] of this.listeners) if (listener.place === place) this.listeners.delete(address);
+    for (const [address, listener] of this.listeners)
+      if (listener.place === place) this.listeners.delete(address);
     for (const end of this.ends) if (end.place === place) end.isOpen = false;
   }
 
   /** Delivers after a trip, trying again while the way is cut; `failed` once that has taken too long. */
-  deliver(from: string, to: string, gate: Gate, run: () => void, failed: () => void, waitMs = this.tripMs(), sinceMs = this.clock.nowMs()): void {
+  deliver(
+    from: string,
+    to: string,
+    gate: Gate,
+    run: () => void,
+    failed: () => void,
+    waitMs = this.tripMs(),
+    sinceMs = this.clock.nowMs(),
+  ): void {
     this.clock.after(waitMs, () => {
       if (!this.isCut(from, to)) return gate.pass(run);
       if (this.clock.nowMs() - sinceMs > giveUpMs) return failed();
@@ -84,8 +102,10 @@
 
   /** The wire of one machine. */
   wire(place: string, gate: Gate): Wire {
-    const listen = (address: string, accept: (channel: Channel) => void): unknown => this.listeners.set(address, { place, gate, accept });
-    const connect = (address: string, done: (channel: Channel | undefined) => void): void => this.connect(place, gate, address, done);
+    const listen = (address: string, accept: (channel: Channel) => void): unknown =>
+      this.listeners.set(address, { place, gate, accept });
+    const connect = (address: string, done: (channel: Channel | undefined) => void): void =>
+      this.connect(place, gate, address, done);
     return {
       *listen(address, accept) {
         listen(address, accept);
@@ -96,15 +116,34 @@
     };
   }
 
-  private connect(place: string, gate: Gate, address: string, done: (channel: Channel | undefined) => void): void {
-    const give = (channel: Channel | undefined, waitMs: number): unknown => this.clock.after(waitMs, () => gate.pass(() => done(channel)));
+  private connect(
+    place: string,
+    gate: Gate,
+    address: string,
+    done: (channel: Channel | undefined) => void,
+  ): void {
+    const give = (channel: Channel | undefined, waitMs: number): unknown =>
+      this.clock.after(waitMs, () => gate.pass(() => done(channel)));
     const listener = this.listeners.get(address);
     if (!listener?.gate.isAlive) return void give(undefined, 2 * this.tripMs());
-    if (this.isCut(place, listener.place) || this.isCut(listener.place, place)) return void give(undefined, 1000);
+    if (this.isCut(place, listener.place) || this.isCut(listener.place, place))
+      return void give(undefined, 1000);
     const near: End = { place, gate, incoming: new Holding(), isOpen: true, lastMs: 0 };
-    const far: End = { place: listener.place, gate: listener.gate, incoming: new Holding(), isOpen: true, lastMs: 0 };
+    const far: End = {
+      place: listener.place,
+      gate: listener.gate,
+      incoming: new Holding(),
+      isOpen: true,
+      lastMs: 0,
+    };
     this.ends.add(near).add(far);
-    this.deliver(place, listener.place, listener.gate, () => listener.accept(this.channel(far, near)), () => this.close(near, far));
+    this.deliver(
+      place,
+      listener.place,
+      listener.gate,
+      () => listener.accept(this.channel(far, near)),
+      () => this.close(near, far),
+    );
     give(this.channel(near, far), 2 * this.tripMs() + 0.5 + this.connectMs());
   }
 
@@ -125,7 +164,8 @@
   private travel(own: End, other: End, bytes: Uint8Array, waitMs: number, sentMs: number): void {
     this.clock.after(waitMs, () => {
       if (!own.isOpen || !other.isOpen) return this.close(own, other);
-      if (!this.isCut(own.place, other.place)) return other.gate.pass(() => other.incoming.put(bytes));
+      if (!this.isCut(own.place, other.place))
+        return other.gate.pass(() => other.incoming.put(bytes));
       const nowMs = this.clock.nowMs();
       if (nowMs - sentMs > giveUpMs) return this.close(own, other);
       this.travel(own, other, bytes, resendMs, sentMs);
--- a/src/rehearsal/virtualWorld.ts
+++ b/src/rehearsal/virtualWorld.ts
@@ -15,7 +15,14 @@
 }
 
 /** A world on virtual parts, in which a task that breaks off ends the run. */
-export const virtualWorld = ({ clock, wire, random, disk, lines = () => undefined, wallTime = () => new Date(0) }: VirtualParts): World => ({
+export const virtualWorld = ({
+  clock,
+  wire,
+  random,
+  disk,
+  lines = () => undefined,
+  wallTime = () => new Date(0),
+}: VirtualParts): World => ({
   clock,
   wire,
   disk,
--- a/src/runtime/clock.ts
+++ b/src/runtime/clock.ts
@@ -1,4 +1,12 @@
-import { currentTime, delay, cancelTask, newClockTimer, newPlatformClock, newScheduler, newTimeline } from "@most/scheduler";
+import {
+  currentTime,
+  delay,
+  cancelTask,
+  newClockTimer,
+  newPlatformClock,
+  newScheduler,
+  newTimeline,
+} from "@most/scheduler";
 import type { Scheduler } from "@most/types";
 import { Task } from "./task.js";
 
@@ -48,7 +56,11 @@
   },
 
   /** Waits for an outcome, at most `waitMs`; `undefined` once that is over. */
-  *within<T>(clock: Clock, waitMs: number, start: (done: (outcome: T) => void) => void): Task<T | undefined> {
+  *within<T>(
+    clock: Clock,
+    waitMs: number,
+    start: (done: (outcome: T) => void) => void,
+  ): Task<T | undefined> {
     return yield* Task.wait<T | undefined>((done) => {
       const cancel = clock.after(waitMs, () => done(undefined));
       start((outcome) => {
--- a/src/runtime/disk.ts
+++ b/src/runtime/disk.ts
@@ -27,7 +27,8 @@
 };
 
 const whole = async (handle: FileHandle, bytes: Uint8Array): Promise<void> => {
-  for (let at = 0; at < bytes.length; ) at += (await handle.write(bytes, at, bytes.length - at)).bytesWritten;
+  for (let at = 0; at < bytes.length;)
+    at += (await handle.write(bytes, at, bytes.length - at)).bytesWritten;
 };
 
 const awaitDisk = function* <T>(promise: Promise<T>): Task<T> {
--- a/src/runtime/logbook.ts
+++ b/src/runtime/logbook.ts
@@ -33,10 +33,14 @@
   into(lines: (line: string) => void): Logbook {
     return {
       part: (name) => ({
-        say: (sentence, fields) => lines(`${name}: ${sentence}${fields ? ` ${JSON.stringify(fields)}` : ""}`),
-        warn: (sentence, fields) => lines(`${name}: ${sentence}${fields ? ` ${JSON.stringify(fields)}` : ""}`),
+        say: (sentence, fields) =>
+          lines(`${name}: ${sentence}${fields ? ` ${JSON.stringify(fields)}` : ""}`),
+        warn: (sentence, fields) =>
+          lines(`${name}: ${sentence}${fields ? ` ${JSON.stringify(fields)}` : ""}`),
         fault(sentence, error) {
-          lines(`${name}: ${sentence} ${error instanceof Error ? (error.stack ?? error.message) : String(error)}`);
+          lines(
+            `${name}: ${sentence} ${error instanceof Error ? (error.stack ?? error.message) : String(error)}`,
+          );
           throw error;
         },
       }),
--- a/src/runtime/quick.ts
+++ b/src/runtime/quick.ts
@@ -2,7 +2,12 @@
 
 type Guard = (value: unknown) => boolean;
 
-const isStruct = (value: unknown): value is Struct<unknown, unknown> => typeof value === "object" && value !== null && "is" in value && "type" in value && "schema" in value;
+const isStruct = (value: unknown): value is Struct<unknown, unknown> =>
+  typeof value === "object" &&
+  value !== null &&
+  "is" in value &&
+  "type" in value &&
+  "schema" in value;
 
 const plain: Readonly<Record<string, Guard>> = {
   string: (value) => typeof value === "string",
@@ -13,7 +18,8 @@
 
 const fieldsOf = (schema: object, isExact: boolean): Guard => {
   const fields = new Map<string, Guard>();
-  for (const [name, struct] of Object.entries(schema)) if (isStruct(struct)) fields.set(name, guardOf(struct));
+  for (const [name, struct] of Object.entries(schema))
+    if (isStruct(struct)) fields.set(name, guardOf(struct));
   const needed = [...fields].filter(([, guard]) => !guard(undefined)).map(([name]) => name);
   return (value) => {
     if (typeof value !== "object" || value === null || Array.isArray(value)) return false;
@@ -32,7 +38,8 @@
   const simple = plain[type];
   if (simple) return simple;
   if (type === "literal") return (value) => value === schema;
-  if ((type === "object" || type === "type") && typeof schema === "object" && schema !== null) return fieldsOf(schema, type === "object");
+  if ((type === "object" || type === "type") && typeof schema === "object" && schema !== null)
+    return fieldsOf(schema, type === "object");
   if (type === "array" && isStruct(schema)) {
     const guard = guardOf(schema);
     return (value) => Array.isArray(value) && value.every(guard);
@@ -54,11 +61,13 @@
   const inner = innerOf(struct);
   const takesUndefined = struct.is(undefined);
   const takesNull = struct.is(null);
-  return (value) => (value === undefined ? takesUndefined : value === null ? takesNull : inner(value));
+  return (value) =>
+    value === undefined ? takesUndefined : value === null ? takesNull : inner(value);
 };
 
 /** Whether a value is of a shape, looked at by plain code. */
-export const passes = (struct: object, value: unknown): boolean => isStruct(struct) && guardOf(struct)(value);
+export const passes = (struct: object, value: unknown): boolean =>
+  isStruct(struct) && guardOf(struct)(value);
 
 /** A reader of values from outside that looks at them by plain code; one that is refused is told of by its shape. For shapes without refinements. */
 export const quick = <T, S>(struct: Struct<T, S>): ((value: unknown) => T) => {
--- a/src/runtime/wire.ts
+++ b/src/runtime/wire.ts
@@ -38,7 +38,10 @@
 export const Address = {
   parts(address: string): { host: string; port: number } {
     const colon = address.lastIndexOf(":");
-    return { host: address.slice(0, colon).replace(/^\[|\]$/g, ""), port: Number(address.slice(colon + 1)) };
+    return {
+      host: address.slice(0, colon).replace(/^\[|\]$/g, ""),
+      port: Number(address.slice(colon + 1)),
+    };
   },
 };
 
@@ -77,7 +80,8 @@
           server.once("error", done);
           server.listen(Address.parts(address), () => done("listening"));
         });
-        if (fault !== "listening") throw new ListenError(`Can't listen for peers on ${address}.`, { cause: fault });
+        if (fault !== "listening")
+          throw new ListenError(`Can't listen for peers on ${address}.`, { cause: fault });
       },
       close() {
         for (const server of servers) server.close();
--- a/src/runtime/world.ts
+++ b/src/runtime/world.ts
@@ -26,6 +26,8 @@
 
   /** A word no other draw gives again. */
   nonce(world: World): string {
-    return Array.from({ length: 3 }, () => Math.floor(world.random() * 2 ** 32).toString(36)).join("-");
+    return Array.from({ length: 3 }, () => Math.floor(world.random() * 2 ** 32).toString(36)).join(
+      "-",
+    );
   },
 };
--- a/src/zone/allowance.ts
+++ b/src/zone/allowance.ts
@@ -55,18 +55,27 @@
 
   /** The edges that were expected or heard and can hold nothing any more. */
   past(nowMs: number, known: Iterable<string>): string[] {
-    return [...known].filter((edge) => nowMs >= this.settledMs && (this.holders.get(edge)?.untilMs ?? 0) < nowMs);
+    return [...known].filter(
+      (edge) => nowMs >= this.settledMs && (this.holders.get(edge)?.untilMs ?? 0) < nowMs,
+    );
   }
 
   /** The capacities of one edge, given what it holds and how many further tries it wished for lately. */
-  grant(edge: string, report: CapacityReport, wished: ReadonlyMap<string, number>, services: readonly string[], nowMs: number): { number: string; capacities: Map<string, number> } {
+  grant(
+    edge: string,
+    report: CapacityReport,
+    wished: ReadonlyMap<string, number>,
+    services: readonly string[],
+    nowMs: number,
+  ): { number: string; capacities: Map<string, number> } {
     for (const [name, { untilMs }] of this.holders) if (untilMs < nowMs) this.holders.delete(name);
     const holder = this.holders.get(edge) ?? this.adopt(edge, report, nowMs);
     this.expected.delete(edge);
     holder.untilMs = nowMs + this.keepMs;
     holder.wished = wished;
     if (report.number === holder.number)
-      for (const [service, held] of holder.held) holder.held.set(service, Math.min(held, report.capacities.get(service) ?? 0));
+      for (const [service, held] of holder.held)
+        holder.held.set(service, Math.min(held, report.capacities.get(service) ?? 0));
     const told = new Map(holder.told);
     for (const service of services) {
       const held = holder.held.get(service) ?? 0;
@@ -87,20 +96,30 @@
   }
 
   private adopt(edge: string, report: CapacityReport, nowMs: number): Holder {
-    const held = nowMs < this.settledMs && this.expected.has(edge) ? new Map(report.capacities) : new Map<string, number>();
+    const held =
+      nowMs < this.settledMs && this.expected.has(edge)
+        ? new Map(report.capacities)
+        : new Map<string, number>();
     const holder: Holder = { number: "", told: new Map(held), held, wished: new Map(), untilMs: 0 };
     this.holders.set(edge, holder);
     return holder;
   }
 
   private target(holder: Holder, service: string): number {
-    const all = [...this.holders.values()].reduce((sum, { wished }) => sum + (wished.get(service) ?? 0), 0);
+    const all = [...this.holders.values()].reduce(
+      (sum, { wished }) => sum + (wished.get(service) ?? 0),
+      0,
+    );
     const even = all > fewWishes ? evenPart.wished : evenPart.quiet;
     const byWish = all > fewWishes ? ((1 - even) * (holder.wished.get(service) ?? 0)) / all : 0;
     return this.pool * (even / this.holders.size + byWish);
   }
 
   private free(service: string): number {
-    return Math.max(0, this.pool - [...this.holders.values()].reduce((sum, { held }) => sum + (held.get(service) ?? 0), 0));
+    return Math.max(
+      0,
+      this.pool -
+        [...this.holders.values()].reduce((sum, { held }) => sum + (held.get(service) ?? 0), 0),
+    );
   }
 }
--- a/src/zone/budget.ts
+++ b/src/zone/budget.ts
@@ -49,7 +49,11 @@
   }
 
   /** Takes leave for one further try, or tells who refused it. */
-  take(service: string, sketch: SketchLeave | undefined, nowMs: number): "granted" | "sketch" | "guard" {
+  take(
+    service: string,
+    sketch: SketchLeave | undefined,
+    nowMs: number,
+  ): "granted" | "sketch" | "guard" {
     const account = this.account(service);
     const slot = this.slot(account, nowMs);
     slot.wished += 1;
@@ -81,7 +85,10 @@
       const account = this.account(service);
       this.slot(account, nowMs);
       const granted = capacities.get(service) ?? 0;
-      account.capacity = granted >= account.capacity ? granted : Math.max(granted, Math.min(account.capacity, this.used(account)));
+      account.capacity =
+        granted >= account.capacity
+          ? granted
+          : Math.max(granted, Math.min(account.capacity, this.used(account)));
     }
   }
 
