--- a/src/zone/collector.ts
+++ b/src/zone/collector.ts
@@ -1,4 +1,14 @@
-import { array, boolean, literal, number, object, optional, string, union, type Infer } from "superstruct";
+import {
+  array,
+  boolean,
+  literal,
+  number,
+  object,
+  optional,
+  string,
+  union,
+  type Infer,
+} from "superstruct";
 import type { Held, Link } from "../link/link.js";
 import { Kind } from "../link/kind.js";
 import { Clock } from "../runtime/clock.js";
@@ -72,7 +82,10 @@
   included: Map<string, number>;
 }
 
-const sameChild = (a: Child, b: Child): boolean => a.machine === b.machine && a.incarnation === b.incarnation && a.parentSequence === b.parentSequence;
+const sameChild = (a: Child, b: Child): boolean =>
+  a.machine === b.machine &&
+  a.incarnation === b.incarnation &&
+  a.parentSequence === b.parentSequence;
 
 /** Merges the sketches of its children; at the leader it is the root, elsewhere it pushes to the root. */
 export class Collector {
@@ -93,13 +106,21 @@
   private pushes = 0;
   private routesMs = -Infinity;
   /** The fleet's counts as they go down to edges, made once for all of them. */
-  private packed: { of: Counts | undefined; withRoutes: boolean; bytes: Uint8Array; atMs: number } | undefined;
+  private packed:
+    { of: Counts | undefined; withRoutes: boolean; bytes: Uint8Array; atMs: number } | undefined;
   private halfTripMs = 0;
   private readonly nudge = new Holding<true>();
   /** Children refused for what they sent. */
   refused = 0;
 
-  constructor(world: World, link: Link, form: CountsForm, self: string, incarnation: string, leader: () => string) {
+  constructor(
+    world: World,
+    link: Link,
+    form: CountsForm,
+    self: string,
+    incarnation: string,
+    leader: () => string,
+  ) {
     this.world = world;
     this.link = link;
     this.form = form;
@@ -112,7 +133,13 @@
 
   /** The fleet's counts as last heard, and what they cover. */
   get latest(): { counts: Counts; ageMs: number; coverage: Down["coverage"] } | undefined {
-    return this.fleet && { counts: this.fleet.counts, ageMs: this.world.clock.nowMs() - this.fleet.atMs, coverage: this.fleet.coverage };
+    return (
+      this.fleet && {
+        counts: this.fleet.counts,
+        ageMs: this.world.clock.nowMs() - this.fleet.atMs,
+        coverage: this.fleet.coverage,
+      }
+    );
   }
 
   /** Merges and pushes at its own pace. */
@@ -120,12 +147,16 @@
     for (;;) {
       const startedMs = this.world.clock.nowMs();
       yield* Clock.rest(this.world.clock, hurriedMs);
-      const isHurried = (yield* this.nudge.takeUntil(this.world.clock, startedMs + pushMs)) !== undefined;
+      const isHurried =
+        (yield* this.nudge.takeUntil(this.world.clock, startedMs + pushMs)) !== undefined;
       this.forget();
       const children = [...this.children.values()].map(({ push }) => Collector.childOf(push));
-      const isGranted = (child: Child): boolean => this.granted.some((one) => sameChild(one, child));
+      const isGranted = (child: Child): boolean =>
+        this.granted.some((one) => sameChild(one, child));
       const nowMs = this.world.clock.nowMs();
-      const held = [...this.children.values()].filter(({ push }) => isGranted(Collector.childOf(push)));
+      const held = [...this.children.values()].filter(({ push }) =>
+        isGranted(Collector.childOf(push)),
+      );
       const withRoutes = nowMs - this.routesMs >= routesEveryMs;
       if (withRoutes) this.routesMs = nowMs;
       const merged = Counts.merge(
@@ -134,7 +165,9 @@
         nowMs,
         withRoutes,
       );
-      const included = new Map(held.map(({ push }) => [`${push.from} ${push.incarnation}`, push.push]));
+      const included = new Map(
+        held.map(({ push }) => [`${push.from} ${push.incarnation}`, push.push]),
+      );
       this.pushes += 1;
       const push: Push = {
         from: this.self,
@@ -150,14 +183,22 @@
       const leader = this.leader();
       if (!leader) continue;
       const ask = { text: JSON.stringify(push), sketches: merged.encode(nowMs) };
-      const ret = leader === this.self ? this.take(ask) : yield* this.link.ask(leader, Kind.push, ask, pushMs);
+      const ret =
+        leader === this.self
+          ? this.take(ask)
+          : yield* this.link.ask(leader, Kind.push, ask, pushMs);
       if (!ret) continue;
       this.halfTripMs = leader === this.self ? 0 : (this.world.clock.nowMs() - nowMs) / 2;
       const down = Down.read(ret.text);
       if (down.taken !== "") continue;
       this.granted = down.granted;
       this.fleet = {
-        counts: Counts.decode(ret.sketches, this.form, this.world.clock.nowMs(), this.halfTripMs).withRoutesOf(this.fleet?.counts),
+        counts: Counts.decode(
+          ret.sketches,
+          this.form,
+          this.world.clock.nowMs(),
+          this.halfTripMs,
+        ).withRoutesOf(this.fleet?.counts),
         atMs: this.world.clock.nowMs(),
         coverage: down.coverage,
         included,
@@ -179,7 +220,11 @@
     let kept: Kept;
     try {
       const push = readPush(JSON.parse(ask.text));
-      kept = { push, atMs: nowMs, counts: Counts.decode(ask.sketches, this.form, nowMs, push.halfTripMs) };
+      kept = {
+        push,
+        atMs: nowMs,
+        counts: Counts.decode(ask.sketches, this.form, nowMs, push.halfTripMs),
+      };
     } catch (error) {
       if (!(error instanceof SketchMismatchError)) throw error;
       this.refused += 1;
@@ -194,7 +239,8 @@
     const { push } = kept;
     const name = `${push.from} ${push.incarnation}`;
     const known = this.children.get(name);
-    if (!known || known.push.push <= push.push) this.children.set(name, { ...kept, counts: kept.counts.withRoutesOf(known?.counts) });
+    if (!known || known.push.push <= push.push)
+      this.children.set(name, { ...kept, counts: kept.counts.withRoutesOf(known?.counts) });
     if (push.isHurried) this.nudge.putOnce(true);
     const fleet = this.fleet;
     const includedPush = fleet?.included.get(name);
@@ -205,13 +251,22 @@
       coverage: fleet?.coverage ?? { edges: 0, oldestMs: 0 },
     };
     const { bytes, atMs } = this.pack(fleet?.counts, kept.counts.hasRoutes);
-    return { text: JSON.stringify({ ...down, sinceMs: this.world.clock.nowMs() - atMs }), sketches: bytes };
+    return {
+      text: JSON.stringify({ ...down, sinceMs: this.world.clock.nowMs() - atMs }),
+      sketches: bytes,
+    };
   }
 
   private pack(of: Counts | undefined, withRoutes: boolean): { bytes: Uint8Array; atMs: number } {
-    if (this.packed && this.packed.of === of && this.packed.withRoutes === withRoutes) return this.packed;
+    if (this.packed && this.packed.of === of && this.packed.withRoutes === withRoutes)
+      return this.packed;
     const atMs = this.world.clock.nowMs();
-    this.packed = { of, withRoutes, atMs, bytes: (of ?? new Counts(this.form)).encode(atMs, withRoutes) };
+    this.packed = {
+      of,
+      withRoutes,
+      atMs,
+      bytes: (of ?? new Counts(this.form)).encode(atMs, withRoutes),
+    };
     return this.packed;
   }
 
@@ -224,8 +279,15 @@
       const name = `${child.machine} ${child.incarnation}`;
       const counted = this.countedBy.get(name);
       const mine = counted?.collector === push.from;
-      const moved = counted !== undefined && !mine && counted.child.parentSequence < child.parentSequence;
-      const stillHeld = counted && this.collectors.get(counted.collector)?.push.includes.some((one) => one.machine === child.machine && one.incarnation === child.incarnation);
+      const moved =
+        counted !== undefined && !mine && counted.child.parentSequence < child.parentSequence;
+      const stillHeld =
+        counted &&
+        this.collectors
+          .get(counted.collector)
+          ?.push.includes.some(
+            (one) => one.machine === child.machine && one.incarnation === child.incarnation,
+          );
       if (counted === undefined || mine || (moved && !stillHeld)) {
         this.countedBy.set(name, { child, collector: push.from, atMs: nowMs });
         granted.push(child);
@@ -237,22 +299,31 @@
     });
     const former = this.collectors.get(push.from);
     const { hasRoutes } = kept.counts;
-    if (revoked.length === 0) this.collectors.set(push.from, { ...kept, counts: kept.counts.withRoutesOf(former?.counts) });
+    if (revoked.length === 0)
+      this.collectors.set(push.from, { ...kept, counts: kept.counts.withRoutesOf(former?.counts) });
     const merged = Counts.merge(
       [...this.collectors.values()].map(({ counts }) => counts),
       this.form,
       nowMs,
       hasRoutes,
     );
-    const edges = [...this.collectors.values()].reduce((sum, one) => sum + one.push.includes.length, 0);
+    const edges = [...this.collectors.values()].reduce(
+      (sum, one) => sum + one.push.includes.length,
+      0,
+    );
     const oldestMs = Math.max(0, ...[...this.collectors.values()].map(({ atMs }) => nowMs - atMs));
-    const down: Down = { taken: "", granted: granted.filter((child) => !revoked.some((one) => sameChild(one, child))), coverage: { edges, oldestMs } };
+    const down: Down = {
+      taken: "",
+      granted: granted.filter((child) => !revoked.some((one) => sameChild(one, child))),
+      coverage: { edges, oldestMs },
+    };
     return { text: JSON.stringify(down), sketches: merged.encode(nowMs) };
   }
 
   private forget(): void {
     const oldMs = this.world.clock.nowMs() - this.form.tries.windowMs;
-    for (const table of [this.children, this.collectors]) for (const [name, { atMs }] of table) if (atMs < oldMs) table.delete(name);
+    for (const table of [this.children, this.collectors])
+      for (const [name, { atMs }] of table) if (atMs < oldMs) table.delete(name);
     for (const [name, { atMs }] of this.countedBy) if (atMs < oldMs) this.countedBy.delete(name);
   }
 }
--- a/src/zone/counts.ts
+++ b/src/zone/counts.ts
@@ -34,9 +34,20 @@
   },
 };
 
-const form = new r.Struct({ epsilon: r.double, delta: r.double, windowMs: r.uint32, seed: r.uint32 });
-const histogram = new r.Struct({ floorAge: r.uint16, levels: new r.Array(new r.Array(r.uint16, r.uint16), r.uint8) });
-const sketch = new r.Struct({ form, cells: new r.Array(new r.Struct({ cell: r.uint32, histogram }), r.uint16) });
+const form = new r.Struct({
+  epsilon: r.double,
+  delta: r.double,
+  windowMs: r.uint32,
+  seed: r.uint32,
+});
+const histogram = new r.Struct({
+  floorAge: r.uint16,
+  levels: new r.Array(new r.Array(r.uint16, r.uint16), r.uint8),
+});
+const sketch = new r.Struct({
+  form,
+  cells: new r.Array(new r.Struct({ cell: r.uint32, histogram }), r.uint16),
+});
 const counts = new r.Struct({ tries: sketch, routes: new r.Array(sketch, r.uint8) });
 
 /** First and further tries by service and requests by route, in a sliding window. */
@@ -56,7 +67,9 @@
 
   /** These tries with the routes of counts that came before, where these came without. */
   withRoutesOf(former: Counts | undefined): Counts {
-    return this.hasRoutes || !former ? this : new Counts(this.form, this.tries, former.routes, former.hasRoutes);
+    return this.hasRoutes || !former
+      ? this
+      : new Counts(this.form, this.tries, former.routes, former.hasRoutes);
   }
 
   /** Counts a try sent to a back end of a service. */
@@ -72,11 +85,18 @@
   /** First and further tries of a service in the last `rangeMs`. */
   ofService(service: number, nowMs: number, rangeMs: number): { first: number; further: number } {
     const now = stampOf(nowMs);
-    return { first: this.tries.estimate(service * 2, now, rangeMs), further: this.tries.estimate(service * 2 + 1, now, rangeMs) };
+    return {
+      first: this.tries.estimate(service * 2, now, rangeMs),
+      further: this.tries.estimate(service * 2 + 1, now, rangeMs),
+    };
   }
 
   /** Routes that make up at least `phi` of all requests in the last `rangeMs`, by number. */
-  heavyRoutes(phi: number, nowMs: number, rangeMs: number): Array<{ item: number; estimate: number }> {
+  heavyRoutes(
+    phi: number,
+    nowMs: number,
+    rangeMs: number,
+  ): Array<{ item: number; estimate: number }> {
     return this.routes.heavy(phi, stampOf(nowMs), rangeMs);
   }
 
@@ -88,7 +108,10 @@
   /** As they travel, with or without routes. */
   encode(nowMs: number, withRoutes = true): Uint8Array {
     const now = stampOf(nowMs);
-    return counts.toBuffer({ tries: this.tries.aged(now), routes: withRoutes && this.hasRoutes ? this.routes.aged(now) : [] });
+    return counts.toBuffer({
+      tries: this.tries.aged(now),
+      routes: withRoutes && this.hasRoutes ? this.routes.aged(now) : [],
+    });
   }
 
   /** Reads counts that were on their way for `olderMs`; those of another form are refused. */
@@ -97,8 +120,13 @@
     const now = stampOf(nowMs);
     const tries = EcmSketch.ofAged(held.tries, form.tries, now, olderMs);
     if (held.routes.length === 0) return new Counts(form, tries, undefined, false);
-    if (held.routes.length !== form.routeBits) throw new SketchMismatchError("The sketch has another number of levels.");
-    return new Counts(form, tries, DyadicSketch.ofAged(held.routes, form.routes, form.routeBits, now, olderMs));
+    if (held.routes.length !== form.routeBits)
+      throw new SketchMismatchError("The sketch has another number of levels.");
+    return new Counts(
+      form,
+      tries,
+      DyadicSketch.ofAged(held.routes, form.routes, form.routeBits, now, olderMs),
+    );
   }
 
   static merge(inputs: Counts[], form: CountsForm, nowMs: number, withRoutes = true): Counts {
--- a/src/zone/dyadicSketch.ts
+++ b/src/zone/dyadicSketch.ts
@@ -29,11 +29,22 @@
   /** All items that came more often than `phi` of all arrivals, found from the widest ranges down. */
   heavy(phi: number, now: number, rangeMs: number): HeavyItem[] {
     const threshold = phi * (this.levels[0]?.total(now, rangeMs) ?? 0);
-    let found: HeavyItem[] = [{ item: 0, estimate: 0 }, { item: 1, estimate: 0 }];
+    let found: HeavyItem[] = [
+      { item: 0, estimate: 0 },
+      { item: 1, estimate: 0 },
+    ];
     for (let level = this.bits - 1; level >= 0; level -= 1) {
-      const ranges = level === this.bits - 1 ? found : found.flatMap(({ item }) => [item * 2, item * 2 + 1].map((half) => ({ item: half, estimate: 0 })));
+      const ranges =
+        level === this.bits - 1
+          ? found
+          : found.flatMap(({ item }) =>
+              [item * 2, item * 2 + 1].map((half) => ({ item: half, estimate: 0 })),
+            );
       found = ranges
-        .map(({ item }) => ({ item, estimate: this.levels[level]?.estimate(item, now, rangeMs) ?? 0 }))
+        .map(({ item }) => ({
+          item,
+          estimate: this.levels[level]?.estimate(item, now, rangeMs) ?? 0,
+        }))
         .filter(({ estimate }) => estimate > 0 && estimate >= threshold);
     }
     return found.sort((a, b) => b.estimate - a.estimate);
@@ -47,7 +58,13 @@
     return this.levels.map((sketch) => sketch.aged(now));
   }
 
-  static ofAged(aged: AgedSketch[], form: SketchForm, bits: number, now: number, olderMs: number): DyadicSketch {
+  static ofAged(
+    aged: AgedSketch[],
+    form: SketchForm,
+    bits: number,
+    now: number,
+    olderMs: number,
+  ): DyadicSketch {
     return new DyadicSketch(
       form,
       bits,
--- a/src/zone/ecmSketch.ts
+++ b/src/zone/ecmSketch.ts
@@ -25,7 +25,11 @@
 export class SketchMismatchError extends Error {}
 
 export const SketchForm = {
-  same: (a: SketchForm, b: SketchForm): boolean => a.epsilon === b.epsilon && a.delta === b.delta && a.windowMs === b.windowMs && a.seed === b.seed,
+  same: (a: SketchForm, b: SketchForm): boolean =>
+    a.epsilon === b.epsilon &&
+    a.delta === b.delta &&
+    a.windowMs === b.windowMs &&
+    a.seed === b.seed,
 };
 
 /** A Count-Min array whose cells are exponential histograms: frequencies of items in a sliding window. */
@@ -63,7 +67,9 @@
 
   /** How often an item came in the last `rangeMs`: the least of its rows. */
   estimate(item: number, now: number, rangeMs: number): number {
-    return Math.min(...this.cellsOf(item).map((cell) => this.cells.get(cell)?.estimate(now, rangeMs) ?? 0));
+    return Math.min(
+      ...this.cellsOf(item).map((cell) => this.cells.get(cell)?.estimate(now, rangeMs) ?? 0),
+    );
   }
 
   /** How many arrivals there were in the last `rangeMs`, from the sum of a row: the least of the rows' sums. */
@@ -86,16 +92,24 @@
 
   aged(now: number): AgedSketch {
     this.expire(now);
-    return { form: this.form, cells: [...this.cells].map(([cell, histogram]) => ({ cell, histogram: histogram.aged(now) })) };
+    return {
+      form: this.form,
+      cells: [...this.cells].map(([cell, histogram]) => ({ cell, histogram: histogram.aged(now) })),
+    };
   }
 
   /** A sketch from its aged form; `olderMs` is how long it has been on its way. */
   static ofAged(aged: AgedSketch, form: SketchForm, now: number, olderMs: number): EcmSketch {
-    if (!SketchForm.same(aged.form, form)) throw new SketchMismatchError("The sketch has other dimensions.");
+    if (!SketchForm.same(aged.form, form))
+      throw new SketchMismatchError("The sketch has other dimensions.");
     const sketch = new EcmSketch(form);
     for (const { cell, histogram } of aged.cells) {
-      if (cell >= sketch.width * sketch.depth) throw new SketchMismatchError("The sketch has a cell too many.");
-      sketch.cells.set(cell, ExponentialHistogram.ofAged(histogram, sketch.cellEpsilon, form.windowMs, now, olderMs));
+      if (cell >= sketch.width * sketch.depth)
+        throw new SketchMismatchError("The sketch has a cell too many.");
+      sketch.cells.set(
+        cell,
+        ExponentialHistogram.ofAged(histogram, sketch.cellEpsilon, form.windowMs, now, olderMs),
+      );
     }
     return sketch;
   }
@@ -105,7 +119,8 @@
     const merged = new EcmSketch(form);
     const byCell = new Map<number, ExponentialHistogram[]>();
     for (const input of inputs) {
-      if (!SketchForm.same(input.form, form)) throw new SketchMismatchError("The sketch has other dimensions.");
+      if (!SketchForm.same(input.form, form))
+        throw new SketchMismatchError("The sketch has other dimensions.");
       for (const [cell, histogram] of input.cells) {
         const held = byCell.get(cell);
         if (held) held.push(histogram);
@@ -113,7 +128,12 @@
       }
     }
     for (const [cell, histograms] of byCell) {
-      const histogram = ExponentialHistogram.merge(histograms, merged.cellEpsilon, form.windowMs, now);
+      const histogram = ExponentialHistogram.merge(
+        histograms,
+        merged.cellEpsilon,
+        form.windowMs,
+        now,
+      );
       if (!histogram.isEmpty) merged.cells.set(cell, histogram);
     }
     return merged;
@@ -122,7 +142,10 @@
   private cellsOf(item: number): readonly number[] {
     const known = this.known.get(item);
     if (known) return known;
-    const cells = Array.from({ length: this.depth }, (_, row) => row * this.width + (h32(String(item), this.form.seed + row) % this.width));
+    const cells = Array.from(
+      { length: this.depth },
+      (_, row) => row * this.width + (h32(String(item), this.form.seed + row) % this.width),
+    );
     if (this.known.size >= knownItems) this.known.clear();
     this.known.set(item, cells);
     return cells;
--- a/src/zone/edgeCounts.ts
+++ b/src/zone/edgeCounts.ts
@@ -37,7 +37,14 @@
   private halfTripMs = 0;
   private routesMs = -Infinity;
 
-  constructor(world: World, link: Link, form: CountsForm, view: View, self: { machine: string; incarnation: string; zone: string }, rules: BudgetRules = usualRules) {
+  constructor(
+    world: World,
+    link: Link,
+    form: CountsForm,
+    view: View,
+    self: { machine: string; incarnation: string; zone: string },
+    rules: BudgetRules = usualRules,
+  ) {
     this.world = world;
     this.link = link;
     this.form = form;
@@ -50,7 +57,13 @@
 
   /** The fleet's counts as last heard. */
   get latest(): { counts: Counts; ageMs: number; coverage: Down["coverage"] } | undefined {
-    return this.fleet && { counts: this.fleet.counts, ageMs: this.world.clock.nowMs() - this.fleet.atMs, coverage: this.fleet.coverage };
+    return (
+      this.fleet && {
+        counts: this.fleet.counts,
+        ageMs: this.world.clock.nowMs() - this.fleet.atMs,
+        coverage: this.fleet.coverage,
+      }
+    );
   }
 
   countRoute(route: number): void {
@@ -81,19 +94,29 @@
     const since = this.own.ofService(number, nowMs, Math.min(windowMs, nowMs - this.includedMs));
     const own = this.own.ofService(number, nowMs, windowMs).further - since.further;
     const all = counts.ofService(number, nowMs, windowMs).further;
-    const part = Math.min(1, (own + evenTries) / (Math.max(own, all) + evenTries * Math.max(1, coverage.edges)));
+    const part = Math.min(
+      1,
+      (own + evenTries) / (Math.max(own, all) + evenTries * Math.max(1, coverage.edges)),
+    );
     return { part: left * part * roundPart + sketch.earned * since.first, taken: since.further };
   }
 
   /** First and further tries of a service across the fleet in the retry window, with this daemon's own since. */
-  ofService(service: string): { first: number; further: number; ageMs: number; edges: number } | undefined {
+  ofService(
+    service: string,
+  ): { first: number; further: number; ageMs: number; edges: number } | undefined {
     const number = this.view.numberOf("service", service);
     if (number === undefined || !this.fleet) return undefined;
     const nowMs = this.world.clock.nowMs();
     const { windowMs } = this.rules;
     const fleet = this.fleet.counts.ofService(number, nowMs, windowMs);
     const since = this.own.ofService(number, nowMs, Math.min(windowMs, nowMs - this.includedMs));
-    return { first: fleet.first + since.first, further: fleet.further + since.further, ageMs: nowMs - this.includedMs, edges: this.fleet.coverage.edges };
+    return {
+      first: fleet.first + since.first,
+      further: fleet.further + since.further,
+      ageMs: nowMs - this.includedMs,
+      edges: this.fleet.coverage.edges,
+    };
   }
 
   /** Has the next push go sooner, since further tries are wished for. */
@@ -106,7 +129,11 @@
     for (;;) {
       const startedMs = this.world.clock.nowMs();
       yield* Clock.rest(this.world.clock, hurriedMs);
-      const isHurried = (yield* this.nudge.takeUntil(this.world.clock, startedMs + pushMs * (0.9 + this.world.random() * 0.2))) !== undefined;
+      const isHurried =
+        (yield* this.nudge.takeUntil(
+          this.world.clock,
+          startedMs + pushMs * (0.9 + this.world.random() * 0.2),
+        )) !== undefined;
       const nowMs = this.world.clock.nowMs();
       this.own.expire(nowMs);
       const withRoutes = nowMs - this.routesMs >= routesEveryMs;
@@ -126,7 +153,12 @@
       };
       this.pushes.push({ push: this.lastPush, atMs: nowMs });
       this.pushes = this.pushes.filter(({ atMs }) => atMs > nowMs - this.form.tries.windowMs);
-      const ret = yield* this.link.ask(parent, Kind.push, { text: JSON.stringify(push), sketches: this.own.encode(nowMs, withRoutes) }, pushMs);
+      const ret = yield* this.link.ask(
+        parent,
+        Kind.push,
+        { text: JSON.stringify(push), sketches: this.own.encode(nowMs, withRoutes) },
+        pushMs,
+      );
       const heardMs = this.world.clock.nowMs();
       if (!ret) {
         this.parent = "";
@@ -139,8 +171,19 @@
         this.log.warn("The collector refused this daemon's sketch.", { why: down.taken });
         continue;
       }
-      if (down.includedPush !== undefined) this.includedMs = this.pushes.find(({ push: number }) => number === down.includedPush)?.atMs ?? -Infinity;
-      this.fleet = { counts: Counts.decode(ret.sketches, this.form, heardMs, this.halfTripMs + (down.sinceMs ?? 0)).withRoutesOf(this.fleet?.counts), atMs: heardMs, coverage: down.coverage };
+      if (down.includedPush !== undefined)
+        this.includedMs =
+          this.pushes.find(({ push: number }) => number === down.includedPush)?.atMs ?? -Infinity;
+      this.fleet = {
+        counts: Counts.decode(
+          ret.sketches,
+          this.form,
+          heardMs,
+          this.halfTripMs + (down.sinceMs ?? 0),
+        ).withRoutesOf(this.fleet?.counts),
+        atMs: heardMs,
+        coverage: down.coverage,
+      };
     }
   }
 
--- a/src/zone/exponentialHistogram.ts
+++ b/src/zone/exponentialHistogram.ts
@@ -2,7 +2,8 @@
 export const wrapMs = 65_536;
 
 /** The age of a stamp at a moment, both on a counter that wraps around. */
-export const ageOf = (now: number, stamp: number): number => (((now - stamp) % wrapMs) + wrapMs) % wrapMs;
+export const ageOf = (now: number, stamp: number): number =>
+  (((now - stamp) % wrapMs) + wrapMs) % wrapMs;
 
 /** A stamp of a clock's reading. */
 export const stampOf = (nowMs: number): number => ((Math.floor(nowMs) % wrapMs) + wrapMs) % wrapMs;
@@ -65,7 +66,8 @@
       const level = this.level(at);
       for (let end = level[0]; end !== undefined; end = level[0]) {
         if (ageOf(now, end) < this.windowMs) {
-          if (typeof this.floor === "number" && ageOf(now, this.floor) >= this.windowMs) this.floor = "before";
+          if (typeof this.floor === "number" && ageOf(now, this.floor) >= this.windowMs)
+            this.floor = "before";
           return;
         }
         level.shift();
@@ -110,12 +112,21 @@
   /** The histogram with ages in place of stamps. */
   aged(now: number): AgedHistogram {
     this.expire(now);
-    const floorAge = typeof this.floor === "number" ? Math.min(ageOf(now, this.floor), beforeWindow) : beforeWindow;
+    const floorAge =
+      typeof this.floor === "number"
+        ? Math.min(ageOf(now, this.floor), beforeWindow)
+        : beforeWindow;
     return { floorAge, levels: this.levels.map((level) => level.map((end) => ageOf(now, end))) };
   }
 
   /** A histogram from its aged form. */
-  static ofAged(aged: AgedHistogram, epsilon: number, windowMs: number, now: number, olderMs: number): ExponentialHistogram {
+  static ofAged(
+    aged: AgedHistogram,
+    epsilon: number,
+    windowMs: number,
+    now: number,
+    olderMs: number,
+  ): ExponentialHistogram {
     const histogram = new ExponentialHistogram(epsilon, windowMs);
     const rebased = (age: number): number => stampOf(now - Math.min(age + olderMs, wrapMs / 2 - 1));
     aged.levels.forEach((level, at) => histogram.level(at).push(...level.map(rebased)));
@@ -127,7 +138,12 @@
   }
 
   /** Replays the buckets of many histograms into a fresh one: half of each at its start, half at its end. */
-  static merge(inputs: ExponentialHistogram[], epsilon: number, windowMs: number, now: number): ExponentialHistogram {
+  static merge(
+    inputs: ExponentialHistogram[],
+    epsilon: number,
+    windowMs: number,
+    now: number,
+  ): ExponentialHistogram {
     const events: Array<{ age: number; count: number }> = [];
     for (const input of inputs) {
       for (const { size, startAge, endAge } of input.buckets(now)) {
@@ -139,7 +155,8 @@
     events.sort((a, b) => b.age - a.age);
     const merged = new ExponentialHistogram(epsilon, windowMs);
     for (const { age, count } of events) if (age < windowMs) merged.add(stampOf(now - age), count);
-    if (merged.floor !== undefined && inputs.some((input) => input.floor === "before")) merged.floor = "before";
+    if (merged.floor !== undefined && inputs.some((input) => input.floor === "before"))
+      merged.floor = "before";
     return merged;
   }
 
--- a/src/zone/shares.ts
+++ b/src/zone/shares.ts
@@ -67,8 +67,17 @@
   }
 
   /** Chooses a back end: of two drawn by share, the one that should be done sooner. */
-  pick(contracts: readonly Contract[], tried: ReadonlySet<string>, inHandLimit: number, nowMs: number, route = ""): Contract | undefined {
-    const open = contracts.filter((contract) => !tried.has(contract.address) && this.sight(contract, nowMs).inHand < inHandLimit);
+  pick(
+    contracts: readonly Contract[],
+    tried: ReadonlySet<string>,
+    inHandLimit: number,
+    nowMs: number,
+    route = "",
+  ): Contract | undefined {
+    const open = contracts.filter(
+      (contract) =>
+        !tried.has(contract.address) && this.sight(contract, nowMs).inHand < inHandLimit,
+    );
     const well = open.filter((contract) => this.isWell(this.sight(contract, nowMs), nowMs));
     const from = well.length > 0 ? well : open;
     const weights = from.map((contract) => this.weight(contract, nowMs));
@@ -81,7 +90,8 @@
 
   began(contract: Contract, nowMs: number, route = ""): void {
     const sight = this.sight(contract, nowMs);
-    const patientMs = patience.times * (this.usuals.get(route)?.tookMs ?? patience.unseenMs) + patience.spareMs;
+    const patientMs =
+      patience.times * (this.usuals.get(route)?.tookMs ?? patience.unseenMs) + patience.spareMs;
     sight.patientMs = sight.inHand === 0 ? patientMs : Math.max(sight.patientMs, patientMs);
     if (sight.inHand === 0) sight.quietSinceMs = nowMs;
     sight.inHand += 1;
@@ -95,25 +105,37 @@
   }
 
   /** Learns from how a try ended: whole within some time, or not. */
-  ended(contract: Contract, { tookMs, isWhole: whole, goalMs, route = "", bytes }: Ended, nowMs: number): void {
+  ended(
+    contract: Contract,
+    { tookMs, isWhole: whole, goalMs, route = "", bytes }: Ended,
+    nowMs: number,
+  ): void {
     const sight = this.sight(contract, nowMs);
     sight.inHand = Math.max(0, sight.inHand - 1);
     sight.quietSinceMs = nowMs;
     const usual = this.usualOf(route, tookMs);
     if (whole) {
       usual.tookMs += (tookMs - usual.tookMs) * routeRate;
-      if (bytes !== undefined) usual.bytes += (bytes - usual.bytes) * (usual.bytes === unseenBytes ? 1 : routeRate);
+      if (bytes !== undefined)
+        usual.bytes += (bytes - usual.bytes) * (usual.bytes === unseenBytes ? 1 : routeRate);
     }
     sight.pace += (tookMs / Math.max(1, usual.tookMs) - sight.pace) * paceRate;
     sight.latencyMs += (tookMs - sight.latencyMs) * 0.2;
     sight.breakdownRate += ((whole ? 0 : 1) - sight.breakdownRate) * 0.1;
     sight.streak = whole ? 0 : sight.streak + 1;
-    if (!whole && sight.streak >= 2) sight.avoidUntilMs = nowMs + Math.min(5000, 250 * 2 ** Math.min(sight.streak, 6)) * (0.75 + this.random() * 0.5);
+    if (!whole && sight.streak >= 2)
+      sight.avoidUntilMs =
+        nowMs + Math.min(5000, 250 * 2 ** Math.min(sight.streak, 6)) * (0.75 + this.random() * 0.5);
     if (nowMs - sight.steeredMs < steerMs) return;
     sight.steeredMs = nowMs;
     const misses = sight.latencyMs > goalMs || sight.breakdownRate > 0.2;
     const share = Math.min(1, Math.max(leastShare, sight.share * (misses ? 0.85 : 1.05)));
-    if (share !== sight.share) sight.why = misses ? (sight.latencyMs > goalMs ? `slower (${Math.round(sight.latencyMs)} ms) than the goal of ${goalMs} ms` : `${Math.round(sight.breakdownRate * 100)}% of its tries break down`) : "meets its goal again";
+    if (share !== sight.share)
+      sight.why = misses
+        ? sight.latencyMs > goalMs
+          ? `slower (${Math.round(sight.latencyMs)} ms) than the goal of ${goalMs} ms`
+          : `${Math.round(sight.breakdownRate * 100)}% of its tries break down`
+        : "meets its goal again";
     sight.share = share;
   }
 
@@ -128,15 +150,35 @@
   }
 
   /** Why each back end has its share, a line each. */
-  explain(contracts: readonly Contract[], nowMs: number): Array<{ address: string; zone: string; share: number; latencyMs: number; inHand: number; tries: number; why: string }> {
+  explain(
+    contracts: readonly Contract[],
+    nowMs: number,
+  ): Array<{
+    address: string;
+    zone: string;
+    share: number;
+    latencyMs: number;
+    inHand: number;
+    tries: number;
+    why: string;
+  }> {
     return contracts.map((contract) => {
       const sight = this.sight(contract, nowMs);
       const reasons = [sight.why];
       if (contract.zone !== this.zone) reasons.push("in another zone");
       if (this.warmth(contract, sight, nowMs) < 1) reasons.push("still warming up");
-      if (sight.avoidUntilMs > nowMs) reasons.push(`avoided after ${sight.streak} breakdowns in a row`);
+      if (sight.avoidUntilMs > nowMs)
+        reasons.push(`avoided after ${sight.streak} breakdowns in a row`);
       const why = reasons.filter(Boolean).join("; ") || "meets its goal";
-      return { address: contract.address, zone: contract.zone, share: Number(this.weight(contract, nowMs).toFixed(3)), latencyMs: Math.round(sight.latencyMs), inHand: sight.inHand, tries: sight.tries, why };
+      return {
+        address: contract.address,
+        zone: contract.zone,
+        share: Number(this.weight(contract, nowMs).toFixed(3)),
+        latencyMs: Math.round(sight.latencyMs),
+        inHand: sight.inHand,
+        tries: sight.tries,
+        why,
+      };
     });
   }
 
@@ -161,7 +203,21 @@
     const seen = this.known.get(contract);
     if (seen) return seen;
     const key = this.key(contract);
-    const sight = this.sights.get(key) ?? { latencyMs: 20, pace: 1, breakdownRate: 0, inHand: 0, quietSinceMs: 0, patientMs: 0, avoidUntilMs: 0, streak: 0, share: 1, sinceMs: nowMs, tries: 0, steeredMs: nowMs, why: "" };
+    const sight = this.sights.get(key) ?? {
+      latencyMs: 20,
+      pace: 1,
+      breakdownRate: 0,
+      inHand: 0,
+      quietSinceMs: 0,
+      patientMs: 0,
+      avoidUntilMs: 0,
+      streak: 0,
+      share: 1,
+      sinceMs: nowMs,
+      tries: 0,
+      steeredMs: nowMs,
+      why: "",
+    };
     this.sights.set(key, sight);
     this.known.set(contract, sight);
     return sight;
@@ -178,7 +234,8 @@
 
   private warmth(contract: Contract, sight: Sight, nowMs: number): number {
     const sinceMs = nowMs - sight.sinceMs;
-    if (contract.instance === "") return Math.min(1, Math.max(leastWarmth, contract.warmth, sinceMs / warmUpMs));
+    if (contract.instance === "")
+      return Math.min(1, Math.max(leastWarmth, contract.warmth, sinceMs / warmUpMs));
     return contract.warmMs <= 0 ? 1 : Math.min(1, Math.max(leastWarmth, sinceMs / contract.warmMs));
   }
 
@@ -191,12 +248,20 @@
   private costMs(contract: Contract, usual: Usual | undefined, nowMs: number): number {
     const sight = this.sight(contract, nowMs);
     const queued = 1 + sight.inHand / Math.max(1, contract.capacity);
-    const farMs = contract.zone === this.zone ? 0 : ((usual?.bytes ?? unseenBytes) / 1024) * farKibMs;
-    return ((usual?.tookMs ?? sight.latencyMs) * sight.pace * queued) / this.weight(contract, nowMs) + farMs;
+    const farMs =
+      contract.zone === this.zone ? 0 : ((usual?.bytes ?? unseenBytes) / 1024) * farKibMs;
+    return (
+      ((usual?.tookMs ?? sight.latencyMs) * sight.pace * queued) / this.weight(contract, nowMs) +
+      farMs
+    );
   }
 
   /** One by its weight, another than `but`. */
-  private draw(contracts: readonly Contract[], weights: readonly number[], but: Contract | undefined): Contract | undefined {
+  private draw(
+    contracts: readonly Contract[],
+    weights: readonly number[],
+    but: Contract | undefined,
+  ): Contract | undefined {
     let sum = 0;
     for (const [at, weight] of weights.entries()) if (contracts[at] !== but) sum += weight;
     let left = this.random() * sum;
--- a/test/contract/directory.test.ts
+++ b/test/contract/directory.test.ts
@@ -63,7 +63,8 @@
   const { daemons, post, contract, wait } = stage();
   const [one, two] = daemons(2);
   const said = { service, address, zone: "x", instance: "life-1", capacity: 2 };
-  const announce = (at: typeof one, more: Record<string, unknown>): string => post(at, "/backends/announce", { ...said, ...more }).text;
+  const announce = (at: typeof one, more: Record<string, unknown>): string =>
+    post(at, "/backends/announce", { ...said, ...more }).text;
   expect(announce(one, { order: 5 })).toContain('"taken"');
   wait(1000);
   expect(announce(two, { order: 3, zone: "y" })).toContain('"overtaken"');
@@ -82,13 +83,18 @@
     const [one, two] = daemons(2);
     const said = { service, address, zone: "x", instance: "life-1" };
     post(one, "/backends/announce", said);
-    expect(post(one, "/backends/announce", { ...said, order: 2, draining: true }, 60)).toMatchObject({ code: 200 });
+    expect(
+      post(one, "/backends/announce", { ...said, order: 2, draining: true }, 60),
+    ).toMatchObject({ code: 200 });
     expect(post(one, "/backends/leave", { instance: "life-2" }, 60)).toMatchObject({ code: 200 });
     const former = leader();
     simulation.kill(former, true);
     wait(4000);
     simulation.boot(former);
-    for (const instance of ["life-1", "life-2"]) expect(post(two, "/backends/announce", { ...said, instance, order: 9 }).text).toContain('"gone"');
+    for (const instance of ["life-1", "life-2"])
+      expect(post(two, "/backends/announce", { ...said, instance, order: 9 }).text).toContain(
+        '"gone"',
+      );
     expect(contract()?.leaving ?? true).toBe(true);
   }
 });
@@ -101,7 +107,10 @@
   wait(700);
   const number = contract()?.number;
   const asked = vi.spyOn(Registry.prototype, "command");
-  for (let order = 2; order < 22; order += 1) expect(post(order % 2 === 0 ? one : two, "/backends/announce", { ...said, order }, 1000).text).toContain('"known"');
+  for (let order = 2; order < 22; order += 1)
+    expect(
+      post(order % 2 === 0 ? one : two, "/backends/announce", { ...said, order }, 1000).text,
+    ).toContain('"known"');
   expect(asked.mock.calls.filter(([text]) => text.includes("announce"))).toEqual([]);
   asked.mockRestore();
   expect(contract()).toMatchObject({ number, leaving: false });
@@ -133,11 +142,16 @@
   const [one] = daemons(1);
   const said = { service, address, zone: "x", instance: "life-1" };
   const faults = (told: { code: number; text: string }): string => `${told.code} ${told.text}`;
-  expect(faults(post(one, "/backends/announce", { ...said, capacity: -1, draining: "yes" }))).toMatch(/^400 .*capacity.*draining/);
-  expect(faults(post(one, "/backends/announce", { ...said, instance: "" }))).toMatch(/^400 .*instance/);
+  expect(
+    faults(post(one, "/backends/announce", { ...said, capacity: -1, draining: "yes" })),
+  ).toMatch(/^400 .*capacity.*draining/);
+  expect(faults(post(one, "/backends/announce", { ...said, instance: "" }))).toMatch(
+    /^400 .*instance/,
+  );
   expect(faults(post(one, "/backends/leave", { instance: 7 }))).toMatch(/^400 .*instance/);
   expect(faults(post(one, "/backends/leave", { service }))).toMatch(/^400 .*address/);
-  for (const machine of simulation.machines) if (machine.settings.callers === undefined) simulation.kill(machine);
+  for (const machine of simulation.machines)
+    if (machine.settings.callers === undefined) simulation.kill(machine);
   expect(post(one, "/backends/announce", said, 990).code).toBe(503);
 });
 
@@ -191,7 +205,19 @@
   announce("one");
   announce("two", { address: "10.9.0.2:80" });
   const ferry = new Ferry(world, link, () => [leader().settings.peers]);
-  const view = new View(world, ferry, () => ({ name: "stranger", zone: "x", roles: [], peer: "stranger", incarnation: "two", draining: false }), new Budget());
+  const view = new View(
+    world,
+    ferry,
+    () => ({
+      name: "stranger",
+      zone: "x",
+      roles: [],
+      peer: "stranger",
+      incarnation: "two",
+      draining: false,
+    }),
+    new Budget(),
+  );
   Task.start(view.own(200), fail);
   wait(500);
   const [one, two] = ["one", "two"].map((instance) => view.contractOf(instance));
--- a/test/contract/directoryStage.ts
+++ b/test/contract/directoryStage.ts
@@ -32,7 +32,11 @@
   for (const standIn of simulation.standIns) standIn.isAnnouncing = false;
   simulation.begin();
   simulation.time.runUntil(5000);
-  const world = virtualWorld({ clock: simulation.clock, wire: simulation.network.wire("stranger", new Gate()), random: simulation.random });
+  const world = virtualWorld({
+    clock: simulation.clock,
+    wire: simulation.network.wire("stranger", new Gate()),
+    random: simulation.random,
+  });
   const link = new Link(world, "stranger");
   const wait = (forMs: number): void => simulation.time.runUntil(simulation.time.nowMs() + forMs);
   const leader = (): SimMachine => {
@@ -42,16 +46,39 @@
   };
   const exchange = (kind: typeof Kind.command | typeof Kind.poll, text: string, within = 300) => {
     const returns: Array<{ text: string; atMs: number }> = [];
-    Task.start(link.ask(leader().settings.peers, kind, { ferried: true, text }, 2000), fail, (ret) => returns.push({ text: ret?.text ?? "", atMs: simulation.time.nowMs() }));
+    Task.start(
+      link.ask(leader().settings.peers, kind, { ferried: true, text }, 2000),
+      fail,
+      (ret) => returns.push({ text: ret?.text ?? "", atMs: simulation.time.nowMs() }),
+    );
     wait(within);
     return returns;
   };
   const order = (sent: Order): string => exchange(Kind.command, Order.text(sent))[0]?.text ?? "";
-  const announce = (instance: string, more: Partial<Extract<Order, { kind: "announce" }>> = {}): string =>
-    order({ kind: "announce", address, service, zone: "zone-x", warmth: 1, seen: 1_000_000, instance, ...more });
+  const announce = (
+    instance: string,
+    more: Partial<Extract<Order, { kind: "announce" }>> = {},
+  ): string =>
+    order({
+      kind: "announce",
+      address,
+      service,
+      zone: "zone-x",
+      warmth: 1,
+      seen: 1_000_000,
+      instance,
+      ...more,
+    });
   const pollText = (more: Partial<Poll> = {}): string =>
     JSON.stringify({
-      machine: { name: "stranger", zone: "zone-x", roles: [], peer: "stranger", incarnation: "one", draining: false },
+      machine: {
+        name: "stranger",
+        zone: "zone-x",
+        roles: [],
+        peer: "stranger",
+        incarnation: "one",
+        draining: false,
+      },
       configSequence: 0,
       directorySequence: -1,
       grantNumber: "",
@@ -65,13 +92,37 @@
     if (!view.granted) throw new Error(view.why);
     return view;
   };
-  const contract = (at = address): Contract | undefined => poll().directory?.find((one) => one.address === at);
-  const daemons = (count: number): SimMachine[] => simulation.machines.filter(({ settings }) => settings.callers !== undefined).slice(0, count);
-  const post = (machine: SimMachine | undefined, path: string, body: unknown, within = 300): Told => {
+  const contract = (at = address): Contract | undefined =>
+    poll().directory?.find((one) => one.address === at);
+  const daemons = (count: number): SimMachine[] =>
+    simulation.machines.filter(({ settings }) => settings.callers !== undefined).slice(0, count);
+  const post = (
+    machine: SimMachine | undefined,
+    path: string,
+    body: unknown,
+    within = 300,
+  ): Told => {
     const told: Told[] = [];
-    machine?.daemon?.operators.put({ job: { method: "POST", target: path, headers: {}, body: Buffer.from(JSON.stringify(body)) }, give: ({ code, body: bytes }) => told.push({ code, text: Buffer.from(bytes).toString() }) });
+    machine?.daemon?.operators.put({
+      job: { method: "POST", target: path, headers: {}, body: Buffer.from(JSON.stringify(body)) },
+      give: ({ code, body: bytes }) => told.push({ code, text: Buffer.from(bytes).toString() }),
+    });
     wait(within);
     return told[0] ?? { code: 0, text: "" };
   };
-  return { simulation, world, link, wait, leader, order, announce, exchange, poll, pollText, contract, daemons, post };
+  return {
+    simulation,
+    world,
+    link,
+    wait,
+    leader,
+    order,
+    announce,
+    exchange,
+    poll,
+    pollText,
+    contract,
+    daemons,
+    post,
+  };
 };
--- a/test/contract/ferry.test.ts
+++ b/test/contract/ferry.test.ts
@@ -7,7 +7,9 @@
 const edgesSeen = (stage: FleetStage): boolean => {
   const at = stage.lines.findLastIndex((line) => line.includes("Leads the record."));
   const since = stage.lines.slice(at).filter((line) => line.includes("A machine shows itself."));
-  return stage.machines.filter(({ disk }) => !disk).every(({ settings }) => since.some((line) => line.includes(`"${settings.machine}"`)));
+  return stage.machines
+    .filter(({ disk }) => !disk)
+    .every(({ settings }) => since.some((line) => line.includes(`"${settings.machine}"`)));
 };
 
 test("a daemon whose seeds are all edges finds the leader, also after it changed", () => {
@@ -19,7 +21,8 @@
   expect(stage.until(() => late.daemon?.standing.isGranted === true, 2000)).toBeLessThan(300);
   const former = stage.leader;
   stage.kill(former);
-  const isLed = (): boolean => stage.disks.some(({ daemon }) => daemon?.recorder?.hasGrant === true);
+  const isLed = (): boolean =>
+    stage.disks.some(({ daemon }) => daemon?.recorder?.hasGrant === true);
   stage.until(isLed, 3000);
   expect(stage.until(() => edgesSeen(stage), 2000)).toBeLessThan(200);
 });
@@ -32,7 +35,10 @@
     stage.wait(4000 + restMs);
     const former = stage.leader;
     for (const machine of stage.machines) if (machine !== former) stage.cut(former, machine);
-    const next = (): boolean => stage.disks.some((machine) => machine !== former && machine.daemon?.recorder?.hasGrant === true);
+    const next = (): boolean =>
+      stage.disks.some(
+        (machine) => machine !== former && machine.daemon?.recorder?.hasGrant === true,
+      );
     const ledMs = stage.until(next, 3000);
     worst.push(ledMs + stage.until(() => edgesSeen(stage), 2000));
   }
--- a/test/contract/mapping.test.ts
+++ b/test/contract/mapping.test.ts
@@ -4,11 +4,21 @@
 import { Mappings } from "../../src/contract/mappings.js";
 import { Draw } from "../../src/rehearsal/draw.js";
 
-const find = (all: readonly Mapping[], method: string, path: string, host: string): Mapping | undefined => {
+const find = (
+  all: readonly Mapping[],
+  method: string,
+  path: string,
+  host: string,
+): Mapping | undefined => {
   const own = host.toLowerCase().split(":")[0];
-  const rank = (mapping: Mapping): number => (mapping.host === undefined ? 0 : 1e6) + (mapping.isPrefix ? mapping.path.length : 1e5);
+  const rank = (mapping: Mapping): number =>
+    (mapping.host === undefined ? 0 : 1e6) + (mapping.isPrefix ? mapping.path.length : 1e5);
   return all
-    .filter((mapping) => (mapping.host === undefined || mapping.host === own) && (mapping.methods?.has(method) ?? true))
+    .filter(
+      (mapping) =>
+        (mapping.host === undefined || mapping.host === own) &&
+        (mapping.methods?.has(method) ?? true),
+    )
     .filter((mapping) => (mapping.isPrefix ? path.startsWith(mapping.path) : path === mapping.path))
     .sort((a, b) => rank(b) - rank(a))[0];
 };
@@ -17,30 +27,48 @@
   const random = Draw.of(7);
   const pick = <T>(from: readonly T[]): T | undefined => from[Math.floor(random() * from.length)];
   const words = ["a", "ab", "b", "c1", "lepu270", "d.e"];
-  const path = (): string => `/${Array.from({ length: Math.floor(random() * 6) }, () => pick(words)).join("/")}`;
+  const path = (): string =>
+    `/${Array.from({ length: Math.floor(random() * 6) }, () => pick(words)).join("/")}`;
   const hosts = [undefined, "One.example", "two.example", "three.example", "four.example"];
   const routes: Config["routes"] = {};
   const taken = new Set<string>();
   for (let at = 0; taken.size < 3000; at += 1) {
     const host = pick(hosts);
     const own = path();
-    const ends = random() < 0.7 ? `${own.endsWith("/") ? own : `${own}/`}*` : random() < 0.5 ? `${own}*` : own;
+    const ends =
+      random() < 0.7 ? `${own.endsWith("/") ? own : `${own}/`}*` : random() < 0.5 ? `${own}*` : own;
     const methods = random() < 0.2 ? { methods: ["GET" as const] } : {};
     const key = `${host} ${ends}`;
     if (taken.has(key)) continue;
     taken.add(key);
-    routes[`r-${at}`] = { match: { path: ends, ...(host === undefined ? {} : { host }), ...methods }, service: "s" };
+    routes[`r-${at}`] = {
+      match: { path: ends, ...(host === undefined ? {} : { host }), ...methods },
+      service: "s",
+    };
   }
   const mappings = new Mappings({ services: { s: {} }, routes });
   let found = 0;
   for (let round = 0; round < 3000; round += 1) {
-    const asked = [random() < 0.5 ? "GET" : "POST", `${path()}${random() < 0.3 ? "/" : ""}`, pick(["one.EXAMPLE:8080", "two.example", "three.example:80", "four.example", "none.example", ""]) ?? ""] as const;
+    const asked = [
+      random() < 0.5 ? "GET" : "POST",
+      `${path()}${random() < 0.3 ? "/" : ""}`,
+      pick([
+        "one.EXAMPLE:8080",
+        "two.example",
+        "three.example:80",
+        "four.example",
+        "none.example",
+        "",
+      ]) ?? "",
+    ] as const;
     const expected = find(mappings.all, ...asked);
     expect(mappings.find(...asked)?.name, asked.join(" ")).toBe(expected?.name);
     found += expected ? 1 : 0;
   }
   expect(found).toBeGreaterThan(1000);
-  expect(mappings.find("GET", "/".repeat(100_000), "two.example")?.name).toBe(find(mappings.all, "GET", "/".repeat(100_000), "two.example")?.name);
+  expect(mappings.find("GET", "/".repeat(100_000), "two.example")?.name).toBe(
+    find(mappings.all, "GET", "/".repeat(100_000), "two.example")?.name,
+  );
 });
 
 test("a host goes before none, a longer prefix before a shorter one, and a host's own prefix must match", () => {
@@ -52,14 +80,30 @@
       deep: { match: { host: "a.example", path: "/x/y/z/*" }, service: "s" },
     },
   });
-  const name = (path: string, host?: string): string | undefined => mappings.find("GET", path, host)?.name;
-  expect([name("/x/y/", "a.EXAMPLE:81"), name("/x/y/z/1", "a.example"), name("/x/y/z/1"), name("/x/y/z/1", "b.example"), name("/x/q", "b.example"), name("/x", "a.example")]).toEqual(["own", "deep", "any", "any", undefined, undefined]);
+  const name = (path: string, host?: string): string | undefined =>
+    mappings.find("GET", path, host)?.name;
+  expect([
+    name("/x/y/", "a.EXAMPLE:81"),
+    name("/x/y/z/1", "a.example"),
+    name("/x/y/z/1"),
+    name("/x/y/z/1", "b.example"),
+    name("/x/q", "b.example"),
+    name("/x", "a.example"),
+  ]).toEqual(["own", "deep", "any", "any", undefined, undefined]);
 });
 
 test("a split is drawn by weight, and a weight of 0 is never drawn", () => {
-  const split = [{ service: "none", weight: 0 }, { service: "much", weight: 90 }, { service: "few", weight: 9.5 }, { service: "rare", weight: 0.5 }, { service: "last", weight: 0 }];
+  const split = [
+    { service: "none", weight: 0 },
+    { service: "much", weight: 90 },
+    { service: "few", weight: 9.5 },
+    { service: "rare", weight: 0.5 },
+    { service: "last", weight: 0 },
+  ];
   const services = Object.fromEntries(split.map(({ service }) => [service, {}]));
-  const mapping = new Mappings({ services, routes: { r: { match: { path: "/*" }, split } } }).named("r");
+  const mapping = new Mappings({ services, routes: { r: { match: { path: "/*" }, split } } }).named(
+    "r",
+  );
   const counts = new Map<string, number>();
   for (let at = 0; at < 10_000; at += 1) {
     const service = mapping?.choose(at / 10_000) ?? "";
@@ -67,12 +111,22 @@
   }
   expect(Object.fromEntries(counts)).toEqual({ much: 9000, few: 950, rare: 50 });
   expect(mapping?.choose(1 - Number.EPSILON / 2)).toBe("rare");
-  expect(split.map(({ service }) => mapping?.takes(service))).toEqual([false, true, true, true, false]);
+  expect(split.map(({ service }) => mapping?.takes(service))).toEqual([
+    false,
+    true,
+    true,
+    true,
+    false,
+  ]);
   expect([mapping?.service, mapping?.splits]).toEqual(["none", split]);
 });
 
 test("a kind decides what is repeatable and keyed, whatever the methods and the older fields say", () => {
-  const route = (more: Partial<Config["routes"][string]>): Config["routes"][string] => ({ match: { path: "/*", methods: ["POST"] }, service: "s", ...more });
+  const route = (more: Partial<Config["routes"][string]>): Config["routes"][string] => ({
+    match: { path: "/*", methods: ["POST"] },
+    service: "s",
+    ...more,
+  });
   const { all } = new Mappings({
     services: { s: {} },
     routes: {
@@ -83,7 +137,9 @@
       older: route({ keyed: true }),
     },
   });
-  expect(all.map(({ kind, repeatable, keyed, isDownload }) => [kind, repeatable, keyed, isDownload])).toEqual([
+  expect(
+    all.map(({ kind, repeatable, keyed, isDownload }) => [kind, repeatable, keyed, isDownload]),
+  ).toEqual([
     ["safe", true, false, false],
     ["download", true, false, true],
     ["unsafe", false, false, false],
@@ -95,12 +151,32 @@
 test("attempts count the first try too, and limits and services are at hand", () => {
   const mappings = new Mappings({
     services: { s: { keepsKeys: true } },
-    routes: { given: { match: { path: "/a" }, service: "s", attempts: 4, priority: 0 }, usual: { match: { path: "/b" }, service: "s" }, goal: { match: { path: "/c" }, service: "s" } },
+    routes: {
+      given: { match: { path: "/a" }, service: "s", attempts: 4, priority: 0 },
+      usual: { match: { path: "/b" }, service: "s" },
+      goal: { match: { path: "/c" }, service: "s" },
+    },
     goals: { given: { latencyMs: 70, furtherTries: 0 }, goal: { latencyMs: 5, furtherTries: 2 } },
     limits: { idleMs: 9 },
   });
-  expect(mappings.all.map(({ attempts, furtherTries, goalMs, priority }) => [attempts, furtherTries, goalMs, priority])).toEqual([[4, 3, 70, 0], [2, 1, 1000, 5], [3, 2, 5, 5]]);
-  expect([mappings.limits, mappings.service("s"), mappings.service("toString"), mappings.named("toString")]).toEqual([{ idleMs: 9 }, { keepsKeys: true }, undefined, undefined]);
+  expect(
+    mappings.all.map(({ attempts, furtherTries, goalMs, priority }) => [
+      attempts,
+      furtherTries,
+      goalMs,
+      priority,
+    ]),
+  ).toEqual([
+    [4, 3, 70, 0],
+    [2, 1, 1000, 5],
+    [3, 2, 5, 5],
+  ]);
+  expect([
+    mappings.limits,
+    mappings.service("s"),
+    mappings.service("toString"),
+    mappings.named("toString"),
+  ]).toEqual([{ idleMs: 9 }, { keepsKeys: true }, undefined, undefined]);
 });
 
 test("the most exact mapping that takes the method is found", () => {
@@ -113,6 +189,11 @@
     },
   });
   const found = (method: string, path: string) => mappings.find(method, path)?.name;
-  expect([found("GET", "/x/y/z"), found("PUT", "/x/y/z"), found("POST", "/x/y/q"), found("GET", "/")]).toEqual(["deep", "one", "all", undefined]);
+  expect([
+    found("GET", "/x/y/z"),
+    found("PUT", "/x/y/z"),
+    found("POST", "/x/y/q"),
+    found("GET", "/"),
+  ]).toEqual(["deep", "one", "all", undefined]);
   expect(mappings.all.map((mapping) => mapping.repeatable)).toEqual([false, true, false]);
 });
--- a/test/contract/registry.test.ts
+++ b/test/contract/registry.test.ts
@@ -15,12 +15,21 @@
   const fail = (error: unknown): void => {
     throw error;
   };
-  const world = virtualWorld({ clock: simulation.clock, wire: simulation.network.wire("late", new Gate()), random: simulation.random });
+  const world = virtualWorld({
+    clock: simulation.clock,
+    wire: simulation.network.wire("late", new Gate()),
+    random: simulation.random,
+  });
   const link = new Link(world, "late");
-  const leader = simulation.machines.find(({ daemon }) => daemon?.recorder?.hasGrant)?.settings.peers ?? "";
+  const leader =
+    simulation.machines.find(({ daemon }) => daemon?.recorder?.hasGrant)?.settings.peers ?? "";
   const order = (sent: Order): string => {
     const returns: string[] = [];
-    Task.start(link.ask(leader, Kind.command, { ferried: true, text: Order.text(sent) }, 2000), fail, (ret) => returns.push(ret?.text ?? ""));
+    Task.start(
+      link.ask(leader, Kind.command, { ferried: true, text: Order.text(sent) }, 2000),
+      fail,
+      (ret) => returns.push(ret?.text ?? ""),
+    );
     simulation.time.runUntil(simulation.time.nowMs() + 200);
     return returns[0] ?? "";
   };
@@ -28,7 +37,14 @@
   if (!one) throw new Error("There is no back end.");
   one.isAnnouncing = false;
   const { address, service, zone } = one;
-  const late: Order = { kind: "announce", address, service, zone, warmth: 1, seen: Number(/"directorySequence":(\d+)/.exec(order({ kind: "fleet" }))?.[1] ?? "0") };
+  const late: Order = {
+    kind: "announce",
+    address,
+    service,
+    zone,
+    warmth: 1,
+    seen: Number(/"directorySequence":(\d+)/.exec(order({ kind: "fleet" }))?.[1] ?? "0"),
+  };
   expect(order({ kind: "leave", address, service })).toBe('{"known":true}');
   simulation.time.runUntil(simulation.time.nowMs() + 4000);
   expect(order(late)).toContain('"overtaken"');
--- a/test/door/backEnds.test.ts
+++ b/test/door/backEnds.test.ts
@@ -23,7 +23,10 @@
     const bound = server.address();
     return { server, port: bound !== null && typeof bound === "object" ? bound.port : 0 };
   };
-  const ended = (server: { close: (done: () => void) => unknown; closeAllConnections: () => void }) =>
+  const ended = (server: {
+    close: (done: () => void) => unknown;
+    closeAllConnections: () => void;
+  }) =>
     new Promise<void>((done) => {
       server.close(() => done());
       server.closeAllConnections();
@@ -36,7 +39,14 @@
     new Promise((done, fail) =>
       Task.start(
         (function* () {
-          const opened = yield* backEnds.send({ address, service: "issues", pool: "one", job: { method: "GET", path, headers: {}, body: new Uint8Array() }, untilMs: clock.nowMs() + 5000, mayStill });
+          const opened = yield* backEnds.send({
+            address,
+            service: "issues",
+            pool: "one",
+            job: { method: "GET", path, headers: {}, body: new Uint8Array() },
+            untilMs: clock.nowMs() + 5000,
+            mayStill,
+          });
           if (typeof opened === "string") return opened;
           let text = "";
           for (;;) {
--- a/test/door/keys.test.ts
+++ b/test/door/keys.test.ts
@@ -10,11 +10,22 @@
   simulation.start(simulation.day.putConfig());
   const wait = (forMs: number): void => simulation.time.runUntil(simulation.time.nowMs() + forMs);
   wait(6000);
-  const [first, second] = simulation.machines.filter(({ settings }) => settings.callers !== undefined);
+  const [first, second] = simulation.machines.filter(
+    ({ settings }) => settings.callers !== undefined,
+  );
   if (!first || !second) throw new Error("There are too few edges.");
-  const send = (through: typeof first, key: string, body = "{}"): { code: number | undefined; text: string } => {
+  const send = (
+    through: typeof first,
+    key: string,
+    body = "{}",
+  ): { code: number | undefined; text: string } => {
     const seen: { code: number | undefined; text: string } = { code: undefined, text: "" };
-    const job: Job = { method: "POST", target: "/issues/5/resolve", headers: { "idempotency-key": key, "x-caller": `${through.settings.machine} ${key}` }, body: Buffer.from(body) };
+    const job: Job = {
+      method: "POST",
+      target: "/issues/5/resolve",
+      headers: { "idempotency-key": key, "x-caller": `${through.settings.machine} ${key}` },
+      body: Buffer.from(body),
+    };
     Task.start(
       simulation.call(through.settings.machine, job, 9000),
       (error) => {
@@ -27,8 +38,10 @@
     );
     return seen;
   };
-  const runs = (key: string): number => simulation.ledger.runs.filter((run) => run.key === key).length;
-  const committed = (): number => Math.max(...simulation.machines.map(({ daemon }) => daemon?.recorder?.status.committed ?? 0));
+  const runs = (key: string): number =>
+    simulation.ledger.runs.filter((run) => run.key === key).length;
+  const committed = (): number =>
+    Math.max(...simulation.machines.map(({ daemon }) => daemon?.recorder?.status.committed ?? 0));
   return { simulation, wait, first, second, send, runs, committed };
 };
 let staged: ReturnType<typeof stage>;
@@ -66,7 +79,15 @@
   expect(one.code).toBe(201);
   simulation.kill(first);
   const patched: number[] = [];
-  simulation.machines[0]?.daemon?.operators.put({ job: { method: "POST", target: "/ask", headers: {}, body: Buffer.from("move route resolves to issues") }, give: ({ code }) => patched.push(code) });
+  simulation.machines[0]?.daemon?.operators.put({
+    job: {
+      method: "POST",
+      target: "/ask",
+      headers: {},
+      body: Buffer.from("move route resolves to issues"),
+    },
+    give: ({ code }) => patched.push(code),
+  });
   wait(3000);
   expect(patched).toEqual([200]);
   const again = send(second, "k");
@@ -83,7 +104,8 @@
   const { simulation, wait, first, second, send, runs } = staged;
   send(first, "k");
   wait(300);
-  for (const machine of simulation.machines) if (machine.daemon?.recorder?.status.role === "leader") simulation.kill(machine, true);
+  for (const machine of simulation.machines)
+    if (machine.daemon?.recorder?.status.role === "leader") simulation.kill(machine, true);
   wait(3000);
   const again = send(second, "k");
   wait(60_000);
--- a/test/link/frame.test.ts
+++ b/test/link/frame.test.ts
@@ -3,14 +3,31 @@
 import { Kind } from "../../src/link/kind.js";
 import { Draw } from "../../src/rehearsal/draw.js";
 
-const reader = (coder: { fromBuffer(bytes: Uint8Array): unknown; size(value: never): number }) => (bytes: Uint8Array) => exactly({ fromBuffer: (read) => coder.fromBuffer(read), size: () => bytes.length, toBuffer: () => bytes }, bytes);
-const sample: Frame = { sequence: frameSequence - 1, kind: 3, isReturn: true, job: 70000, body: new Uint8Array([1, 2, 3]) };
+const reader =
+  (coder: { fromBuffer(bytes: Uint8Array): unknown; size(value: never): number }) =>
+  (bytes: Uint8Array) =>
+    exactly(
+      {
+        fromBuffer: (read) => coder.fromBuffer(read),
+        size: () => bytes.length,
+        toBuffer: () => bytes,
+      },
+      bytes,
+    );
+const sample: Frame = {
+  sequence: frameSequence - 1,
+  kind: 3,
+  isReturn: true,
+  job: 70000,
+  body: new Uint8Array([1, 2, 3]),
+};
 test("frames come whole out of pieces of any size", () => {
   const bytes = Buffer.concat([Frame.encode(sample), Frame.encode({ ...sample, job: 2 })]);
   for (let size = 1; size <= bytes.length; size += 1) {
     const reader = new FrameReader();
     const frames: Frame[] = [];
-    for (let at = 0; at < bytes.length; at += size) frames.push(...reader.read(bytes.subarray(at, at + size)));
+    for (let at = 0; at < bytes.length; at += size)
+      frames.push(...reader.read(bytes.subarray(at, at + size)));
     expect(frames.map((one) => one.job)).toEqual([70000, 2]);
     expect([...(frames[0]?.body ?? [])]).toEqual([1, 2, 3]);
   }
@@ -20,8 +37,15 @@
   const coders = Object.values(Kind).flatMap((kind) => [reader(kind.ask), reader(kind.return)]);
   let refused = 0;
   for (let round = 0; round < 3000; round += 1) {
-    const bytes = Buffer.from(Array.from({ length: Math.floor(random() * 60) }, () => Math.floor(random() < 0.5 ? random() * 4 : random() * 256)));
-    const readers = [() => new FrameReader().read(bytes), ...coders.map((read) => () => read(bytes))];
+    const bytes = Buffer.from(
+      Array.from({ length: Math.floor(random() * 60) }, () =>
+        Math.floor(random() < 0.5 ? random() * 4 : random() * 256),
+      ),
+    );
+    const readers = [
+      () => new FrameReader().read(bytes),
+      ...coders.map((read) => () => read(bytes)),
+    ];
     for (const read of readers) {
       try {
         read();
--- a/test/link/link.test.ts
+++ b/test/link/link.test.ts
@@ -16,7 +16,15 @@
     throw error;
   };
   const linkAt = (address: string, newest: number): Link => {
-    const link = new Link(virtualWorld({ clock: time.clock(), wire: network.wire(address, new Gate()), random: Draw.of(2) }), address, newest);
+    const link = new Link(
+      virtualWorld({
+        clock: time.clock(),
+        wire: network.wire(address, new Gate()),
+        random: Draw.of(2),
+      }),
+      address,
+      newest,
+    );
     link.serve(Kind.handOver, function* ({ term }) {
       return { taken: term === 7 };
     });
@@ -25,7 +33,9 @@
   };
   const ask = (from: Link, to: Link): boolean | undefined => {
     const returns: Array<boolean | undefined> = [];
-    Task.start(from.ask(to.self, Kind.handOver, { term: 7 }, 500), fail, (ret) => returns.push(ret?.taken));
+    Task.start(from.ask(to.self, Kind.handOver, { term: 7 }, 500), fail, (ret) =>
+      returns.push(ret?.taken),
+    );
     time.runUntil(time.nowMs() + 600);
     return returns[0];
   };
@@ -34,7 +44,11 @@
 
 test("neighbouring frame sequences understand one another, after one turned-down try at most", () => {
   const { linkAt, ask } = stage();
-  const [older, newer, far] = [linkAt("10.0.0.1:1", 3), linkAt("10.0.0.2:1", 4), linkAt("10.0.0.3:1", 6)];
+  const [older, newer, far] = [
+    linkAt("10.0.0.1:1", 3),
+    linkAt("10.0.0.2:1", 4),
+    linkAt("10.0.0.3:1", 6),
+  ];
   expect(ask(older, newer)).toBe(true);
   ask(newer, older);
   expect(ask(newer, older)).toBe(true);
--- a/test/machine/bounds.test.ts
+++ b/test/machine/bounds.test.ts
@@ -12,11 +12,20 @@
   expect(bounds.waits).toEqual(Waits.usual);
   expect(bounds.counts).toEqual(CountsForm.usual);
   expect([bounds.leaseMs, bounds.pollMs, bounds.orderMs]).toEqual([1600, 400, 4000]);
-  expect([bounds.budget.rule, bounds.budget.sketch, bounds.budget.guard]).toEqual([repeatRule, sketchRule, guardRule]);
+  expect([bounds.budget.rule, bounds.budget.sketch, bounds.budget.guard]).toEqual([
+    repeatRule,
+    sketchRule,
+    guardRule,
+  ]);
 });
 
 test("a lease ends before the shorter of the bounds for configs and for leaves, with room for polls in between", () => {
-  for (const [applyMs, drainMs] of [[2000, 2500], [2500, 2000], [600, 9000], [9000, 9000]] as const) {
+  for (const [applyMs, drainMs] of [
+    [2000, 2500],
+    [2500, 2000],
+    [600, 9000],
+    [9000, 9000],
+  ] as const) {
     const { leaseMs, pollMs, terms } = Bounds.of({ bounds: { applyMs, drainMs } });
     expect(leaseMs).toBeLessThan(Math.min(applyMs, drainMs));
     expect(terms.grantMs).toBe(leaseMs);
@@ -36,7 +45,9 @@
 });
 
 test("sketch and guard stay below the rule", () => {
-  const { budget } = Bounds.of({ bounds: { retryRatio: 0.1, retryExtra: 20, retryWindowMs: 5000 } });
+  const { budget } = Bounds.of({
+    bounds: { retryRatio: 0.1, retryExtra: 20, retryWindowMs: 5000 },
+  });
   expect(budget.rule).toEqual({ earned: 0.1, pool: 20 });
   expect(budget.sketch.earned).toBeLessThan(budget.guard.earned);
   expect(budget.sketch.pool).toBeLessThan(budget.guard.pool);
@@ -46,7 +57,9 @@
 });
 
 test("a key is kept for longer than its window, and a stop ends within its grace", () => {
-  const { terms, serveOnMs, abandonMs } = Bounds.of({ bounds: { keyWindowMs: 60_000, graceMs: 6000 } });
+  const { terms, serveOnMs, abandonMs } = Bounds.of({
+    bounds: { keyWindowMs: 60_000, graceMs: 6000 },
+  });
   expect(terms.keyMs).toBe(70_000);
   expect([serveOnMs, abandonMs]).toEqual([2600, 5600]);
   const short = Bounds.of({ bounds: { graceMs: 1000 } });
@@ -63,14 +76,26 @@
 });
 
 test("a bound that can't be kept is refused at start, with its path", () => {
-  const settings = { machine: "m", zone: "a", callers: "127.0.0.1:1", operators: "127.0.0.1:2", peers: "127.0.0.1:3", seeds: ["127.0.0.1:3"] };
+  const settings = {
+    machine: "m",
+    zone: "a",
+    callers: "127.0.0.1:1",
+    operators: "127.0.0.1:2",
+    peers: "127.0.0.1:3",
+    seeds: ["127.0.0.1:3"],
+  };
   const paths = (bounds: Record<string, number>): string[] => {
     const checked = Settings.check({ ...settings, bounds });
     return "faults" in checked ? checked.faults.map(({ path }) => path) : [];
   };
   expect(paths({ applyMs: 2000, retryRatio: 0 })).toEqual([]);
   expect(paths({ applyMs: 500 })).toEqual(["bounds.applyMs"]);
-  expect(paths({ drainMs: 100, graceMs: 900, retryRatio: -0.1, retryExtra: -1 })).toEqual(["bounds.drainMs", "bounds.graceMs", "bounds.retryRatio", "bounds.retryExtra"]);
+  expect(paths({ drainMs: 100, graceMs: 900, retryRatio: -0.1, retryExtra: -1 })).toEqual([
+    "bounds.drainMs",
+    "bounds.graceMs",
+    "bounds.retryRatio",
+    "bounds.retryExtra",
+  ]);
   expect(paths({ colour: 1 })).toEqual(["bounds.colour"]);
   const bad = Settings.check({ ...settings, heartbeatMs: 1 });
   expect("faults" in bad && bad.faults[0]?.path).toBe("heartbeatMs");
--- a/test/machine/daemon.test.ts
+++ b/test/machine/daemon.test.ts
@@ -12,20 +12,36 @@
   simulation.begin();
   simulation.start(simulation.day.putConfig());
   wait(6000);
-  const patch = Buffer.from(JSON.stringify({ routes: { issues: { giveUpMs: 30_000 }, crashes: { giveUpMs: 30_000 } } }));
-  simulation.machines[0]?.daemon?.operators.put({ job: { method: "PATCH", target: "/config", headers: {}, body: patch }, give: () => undefined });
+  const patch = Buffer.from(
+    JSON.stringify({ routes: { issues: { giveUpMs: 30_000 }, crashes: { giveUpMs: 30_000 } } }),
+  );
+  simulation.machines[0]?.daemon?.operators.put({
+    job: { method: "PATCH", target: "/config", headers: {}, body: patch },
+    give: () => undefined,
+  });
   wait(2000);
   const edge = simulation.machines.find(({ settings }) => settings.callers !== undefined);
   if (!edge) throw new Error("There is no edge.");
-  for (const standIn of simulation.standIns) standIn.behave({ slowFactor: standIn.service === "issues" ? 4000 : 150 });
+  for (const standIn of simulation.standIns)
+    standIn.behave({ slowFactor: standIn.service === "issues" ? 4000 : 150 });
   const codes: string[] = [];
   const call = (path: string): void =>
-    Task.start(simulation.call(edge.settings.machine, { method: "GET", target: path, headers: { "x-caller": path }, body: Buffer.alloc(0) }, 20_000), fail, ({ code, broke }) => codes.push(`${path} ${code} ${broke}`));
+    Task.start(
+      simulation.call(
+        edge.settings.machine,
+        { method: "GET", target: path, headers: { "x-caller": path }, body: Buffer.alloc(0) },
+        20_000,
+      ),
+      fail,
+      ({ code, broke }) => codes.push(`${path} ${code} ${broke}`),
+    );
   call("/issues/1");
   call("/crashes/1");
   wait(100);
   simulation.start(simulation.stop(edge));
   wait(9000);
   expect(codes).toEqual(["/crashes/1 200 ", "/issues/1 504 "]);
-  expect(simulation.ledger.of("stopped").map(({ atMs, endedMs }) => endedMs - atMs < 7000)).toEqual([true]);
+  expect(simulation.ledger.of("stopped").map(({ atMs, endedMs }) => endedMs - atMs < 7000)).toEqual(
+    [true],
+  );
 });
--- a/test/machine/httpServer.test.ts
+++ b/test/machine/httpServer.test.ts
@@ -5,7 +5,9 @@
 import { Task } from "../../src/runtime/task.js";
 
 test("a request that was sent over a kept connection right before the server began to part with its callers is answered", async () => {
-  const server = new HttpServer((job, caller) => caller.whole({ code: 200, headers: {}, body: Buffer.from(job.target) }));
+  const server = new HttpServer((job, caller) =>
+    caller.whole({ code: 200, headers: {}, body: Buffer.from(job.target) }),
+  );
   const port = await new Promise<number>((done, fail) => {
     const probe = createServer().listen(0, "127.0.0.1", () => {
       const bound = probe.address();
@@ -13,7 +15,9 @@
     });
     probe.once("error", fail);
   });
-  await new Promise<void>((done, fail) => Task.start(server.listen(`127.0.0.1:${port}`), fail, done));
+  await new Promise<void>((done, fail) =>
+    Task.start(server.listen(`127.0.0.1:${port}`), fail, done),
+  );
   const heard: string[] = [];
   const socket = connect(port, "127.0.0.1");
   socket.on("data", (bytes: Buffer) => heard.push(bytes.toString()));
--- a/test/machine/limits.test.ts
+++ b/test/machine/limits.test.ts
@@ -20,7 +20,9 @@
   });
 
 const listening = freePort().then(async (port) => {
-  await new Promise<void>((done, fail) => Task.start(server.listen(`127.0.0.1:${port}`), fail, done));
+  await new Promise<void>((done, fail) =>
+    Task.start(server.listen(`127.0.0.1:${port}`), fail, done),
+  );
   return port;
 });
 
@@ -35,7 +37,8 @@
     socket.once("close", () => done(heard.join("")));
   });
 };
-const codes = (text: string): string[] => [...text.matchAll(/HTTP\/1\.1 (\d+)/g)].map(([, code]) => code ?? "");
+const codes = (text: string): string[] =>
+  [...text.matchAll(/HTTP\/1\.1 (\d+)/g)].map(([, code]) => code ?? "");
 
 afterAll(() => {
   server.close();
@@ -45,10 +48,19 @@
 test("callers are held to limits, also when they change while the server runs", async () => {
   server.bound({ headerBytes: 2000, bodyBytes: 100 });
   const long = `GET /long HTTP/1.1\r\nhost: a\r\nx-long: ${"x".repeat(3000)}\r\nconnection: close\r\n\r\n`;
-  const body = (bytes: number): string => `POST /body HTTP/1.1\r\nhost: a\r\ncontent-length: ${bytes}\r\nconnection: close\r\n\r\n${"x".repeat(bytes)}`;
+  const body = (bytes: number): string =>
+    `POST /body HTTP/1.1\r\nhost: a\r\ncontent-length: ${bytes}\r\nconnection: close\r\n\r\n${"x".repeat(bytes)}`;
   expect(codes(await said(long))).toEqual(["431"]);
   expect(codes(await said(body(101)))).toEqual(["413"]);
-  expect(codes(await said("POST /body HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n80\r\n" + "x".repeat(128) + "\r\n0\r\n\r\n"))).toEqual(["413"]);
+  expect(
+    codes(
+      await said(
+        "POST /body HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n80\r\n" +
+          "x".repeat(128) +
+          "\r\n0\r\n\r\n",
+      ),
+    ),
+  ).toEqual(["413"]);
   server.bound({ headerBytes: 16_000, bodyBytes: 1000 });
   expect(codes(await said(long))).toEqual(["200"]);
   expect(codes(await said(body(101)))).toEqual(["200"]);
@@ -60,8 +72,20 @@
   const text = await said(one("/1") + one("/2") + one("/3", "connection: close\r\n"));
   expect([...text.matchAll(/\r\n\r\n(\/\d)/g)].map(([, path]) => path)).toEqual(["/1", "/2", "/3"]);
   const before = taken.length;
-  expect(codes(await said("POST /two HTTP/1.1\r\nhost: a\r\ncontent-length: 3\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\nGET /smuggled HTTP/1.1\r\nhost: a\r\n\r\n"))).toEqual(["400"]);
-  expect(codes(await said("POST /bad HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\nzz\r\nx\r\n0\r\n\r\n"))).toEqual(["400"]);
+  expect(
+    codes(
+      await said(
+        "POST /two HTTP/1.1\r\nhost: a\r\ncontent-length: 3\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\nGET /smuggled HTTP/1.1\r\nhost: a\r\n\r\n",
+      ),
+    ),
+  ).toEqual(["400"]);
+  expect(
+    codes(
+      await said(
+        "POST /bad HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\nzz\r\nx\r\n0\r\n\r\n",
+      ),
+    ),
+  ).toEqual(["400"]);
   expect(codes(await said("GET /none HTTP/1.1\r\n\r\n"))).toEqual(["400"]);
   expect(taken.slice(before)).toEqual([]);
 });
--- a/test/machine/settings.test.ts
+++ b/test/machine/settings.test.ts
@@ -1,14 +1,37 @@
 import { expect, test } from "vitest";
 import { Settings } from "../../src/machine/settings.js";
 
-const good = { machine: "m1", zone: "a", callers: "127.0.0.1:1", operators: "127.0.0.1:2", peers: "127.0.0.1:3", seeds: ["127.0.0.1:3", "127.0.0.1:4", "127.0.0.1:5"] };
+const good = {
+  machine: "m1",
+  zone: "a",
+  callers: "127.0.0.1:1",
+  operators: "127.0.0.1:2",
+  peers: "127.0.0.1:3",
+  seeds: ["127.0.0.1:3", "127.0.0.1:4", "127.0.0.1:5"],
+};
 test("every fault of the settings is told at once, with its path", () => {
   expect(Settings.check(good)).toEqual({ settings: good });
-  const bad = Settings.check({ ...good, machine: "", operators: "localhost:9", seeds: [], colour: "red" });
-  expect("faults" in bad && bad.faults.map(({ path }) => path)).toEqual(["machine", "operators", "seeds", "colour"]);
+  const bad = Settings.check({
+    ...good,
+    machine: "",
+    operators: "localhost:9",
+    seeds: [],
+    colour: "red",
+  });
+  expect("faults" in bad && bad.faults.map(({ path }) => path)).toEqual([
+    "machine",
+    "operators",
+    "seeds",
+    "colour",
+  ]);
   const roles = Settings.check({ ...good, callers: undefined, roles: ["edge", "recorder"] });
-  expect("faults" in roles && roles.faults.map(({ path }) => path)).toEqual(["dataFolder", "callers"]);
+  expect("faults" in roles && roles.faults.map(({ path }) => path)).toEqual([
+    "dataFolder",
+    "callers",
+  ]);
 });
 test("what can change while running is told from what needs a restart", () => {
-  expect(Settings.difference(good, { ...good, zone: "b", logLevel: "warn", seeds: ["127.0.0.1:4"] })).toEqual({ applied: ["logLevel", "seeds"], needRestart: ["zone"] });
+  expect(
+    Settings.difference(good, { ...good, zone: "b", logLevel: "warn", seeds: ["127.0.0.1:4"] }),
+  ).toEqual({ applied: ["logLevel", "seeds"], needRestart: ["zone"] });
 });
--- a/test/machine/settingsFile.test.ts
+++ b/test/machine/settingsFile.test.ts
@@ -5,7 +5,14 @@
 import { SettingsError } from "../../src/machine/settingsError.js";
 import { SettingsFile } from "../../src/machine/settingsFile.js";
 
-const good = { machine: "m1", zone: "a", callers: "127.0.0.1:1", operators: "127.0.0.1:2", peers: "127.0.0.1:3", seeds: ["127.0.0.1:3"] };
+const good = {
+  machine: "m1",
+  zone: "a",
+  callers: "127.0.0.1:1",
+  operators: "127.0.0.1:2",
+  peers: "127.0.0.1:3",
+  seeds: ["127.0.0.1:3"],
+};
 
 test("a settings file is read with flags laid over it, and tells when it holds something else", () => {
   const folder = mkdtempSync(join(tmpdir(), "daledoor-settings-"));
--- a/test/operator/archive.test.ts
+++ b/test/operator/archive.test.ts
@@ -12,8 +12,17 @@
 test("configs are kept one commit each, and once only after a restart", async () => {
   const folder = await mkdtemp(join(tmpdir(), "daledoor-archive-"));
   const log = Logbook.into(() => undefined).part("operator");
-  const config = (sequence: number): AcceptedConfig => ({ sequence, index: sequence, changeId: `c${sequence}`, acceptedAt: "", text: `{"n":${sequence}}` });
-  const messages = async (): Promise<string[]> => (await git.log({ fs: { promises: files }, dir: join(folder, "configs") }).catch(() => [])).map(({ commit }) => commit.message.split("\n")[0] ?? "");
+  const config = (sequence: number): AcceptedConfig => ({
+    sequence,
+    index: sequence,
+    changeId: `c${sequence}`,
+    acceptedAt: "",
+    text: `{"n":${sequence}}`,
+  });
+  const messages = async (): Promise<string[]> =>
+    (await git.log({ fs: { promises: files }, dir: join(folder, "configs") }).catch(() => [])).map(
+      ({ commit }) => commit.message.split("\n")[0] ?? "",
+    );
   const run = async (sequences: number[], expected: number): Promise<void> => {
     const archive = new Archive(folder, log);
     for (const sequence of sequences) archive.keep(config(sequence));
--- a/test/platform/control.test.ts
+++ b/test/platform/control.test.ts
@@ -8,13 +8,58 @@
 const route = (name: string, more: Record<string, unknown> = {}) => ({
   type: "routes",
   meta: { name },
-  spec: { host: "a.example", pfx: `/${name}/`, kind: "safe", deadline: "1000ms", target_time: "0.25s", prio: 2, svc: "one", tries: 2, note: "kept as it is", ...more },
+  spec: {
+    host: "a.example",
+    pfx: `/${name}/`,
+    kind: "safe",
+    deadline: "1000ms",
+    target_time: "0.25s",
+    prio: 2,
+    svc: "one",
+    tries: 2,
+    note: "kept as it is",
+    ...more,
+  },
 });
-const service = (name: string) => ({ type: "services", meta: { name }, spec: { healthPath: "/healthz", maxConns: 150, protocol: "h1", tls: false, idempotent: false } });
-const limits = { type: "limits", meta: {}, spec: { hdrMaxBytes: 16_384, bodyMaxBytes: 67_108_864, hdrRead: "3000ms", idle: "15000ms" } };
-const whole = { ver: "r7", objs: [route("x"), route("y", { kind: "idempotent", svc: undefined, split: [{ svc: "one", wt: 90 }, { svc: "two", wt: 10 }] }), service("one"), service("two"), limits] };
+const service = (name: string) => ({
+  type: "services",
+  meta: { name },
+  spec: { healthPath: "/healthz", maxConns: 150, protocol: "h1", tls: false, idempotent: false },
+});
+const limits = {
+  type: "limits",
+  meta: {},
+  spec: { hdrMaxBytes: 16_384, bodyMaxBytes: 67_108_864, hdrRead: "3000ms", idle: "15000ms" },
+};
+const whole = {
+  ver: "r7",
+  objs: [
+    route("x"),
+    route("y", {
+      kind: "idempotent",
+      svc: undefined,
+      split: [
+        { svc: "one", wt: 90 },
+        { svc: "two", wt: 10 },
+      ],
+    }),
+    service("one"),
+    service("two"),
+    limits,
+  ],
+};
 
-const job = (method: string, target: string, body?: unknown, headers: Record<string, string> = {}): Job => ({ method, target: `/daledoor/${target}`, headers, body: Buffer.from(typeof body === "string" ? body : JSON.stringify(body ?? {})) });
+const job = (
+  method: string,
+  target: string,
+  body?: unknown,
+  headers: Record<string, string> = {},
+): Job => ({
+  method,
+  target: `/daledoor/${target}`,
+  headers,
+  body: Buffer.from(typeof body === "string" ? body : JSON.stringify(body ?? {})),
+});
 
 const into = (sent: Job): Translated => {
   const read = control.into(sent);
@@ -25,7 +70,8 @@
   const read = control.into(sent);
   return "code" in read ? read.code : undefined;
 };
-const bodyOf = ({ body }: { body: Uint8Array }): unknown => JSON.parse(Buffer.from(body).toString());
+const bodyOf = ({ body }: { body: Uint8Array }): unknown =>
+  JSON.parse(Buffer.from(body).toString());
 const productOf = (value: unknown): Config => {
   const checked = Config.check(value);
   if ("faults" in checked) throw new Error(JSON.stringify(checked.faults));
@@ -34,13 +80,38 @@
 
 test("readiness, heartbeats and leaves become the product's own calls", () => {
   expect(into(job("GET", "readyz")).job).toMatchObject({ method: "GET", target: "/ready" });
-  const beat = into(job("POST", "backends/i-7/heartbeat", { svc: "one", addr: "10.1.0.9:8080", zone: "a", ver: "v1", capacity: 3, state: "draining", warmLeft: "1.5s", calls: 4 }));
+  const beat = into(
+    job("POST", "backends/i-7/heartbeat", {
+      svc: "one",
+      addr: "10.1.0.9:8080",
+      zone: "a",
+      ver: "v1",
+      capacity: 3,
+      state: "draining",
+      warmLeft: "1.5s",
+      calls: 4,
+    }),
+  );
   expect(beat.job).toMatchObject({ method: "POST", target: "/backends/announce" });
-  expect(bodyOf(beat.job)).toEqual({ service: "one", address: "10.1.0.9:8080", zone: "a", warmth: 1, instance: "i-7", capacity: 3, order: 4, draining: true, warmMs: 1500 });
+  expect(bodyOf(beat.job)).toEqual({
+    service: "one",
+    address: "10.1.0.9:8080",
+    zone: "a",
+    warmth: 1,
+    instance: "i-7",
+    capacity: 3,
+    order: 4,
+    draining: true,
+    warmMs: 1500,
+  });
   expect(bodyOf(beat.back(Return.json(200, { contract: 9, state: "taken" })))).toEqual({});
   expect(beat.back(Return.json(503, { error: "No leader could be asked." })).code).toBe(503);
   const leave = into(job("POST", "backends/i-7/deregister", ""));
-  expect([leave.job.method, leave.job.target, bodyOf(leave.job)]).toEqual(["POST", "/backends/leave", { instance: "i-7" }]);
+  expect([leave.job.method, leave.job.target, bodyOf(leave.job)]).toEqual([
+    "POST",
+    "/backends/leave",
+    { instance: "i-7" },
+  ]);
 });
 
 test("what can't be read is refused with the reason, and what isn't the platform's goes to the product as it is", () => {
@@ -53,15 +124,42 @@
 
 test("a whole configuration becomes the product's, and comes back as it was sent", () => {
   const put = into(job("POST", "config/put", whole, { "base-version": "r5" }));
-  expect(put.job).toMatchObject({ method: "PUT", target: "/config", headers: { "if-match": '"5"', "config-version": "7" } });
+  expect(put.job).toMatchObject({
+    method: "PUT",
+    target: "/config",
+    headers: { "if-match": '"5"', "config-version": "7" },
+  });
   const config = productOf(bodyOf(put.job));
-  expect(config.routes["x"]).toMatchObject({ match: { host: "a.example", path: "/x/*" }, service: "one", kind: "safe", attempts: 2, giveUpMs: 1000, priority: 2 });
-  expect(config.routes["y"]?.split).toEqual([{ service: "one", weight: 90 }, { service: "two", weight: 10 }]);
+  expect(config.routes["x"]).toMatchObject({
+    match: { host: "a.example", path: "/x/*" },
+    service: "one",
+    kind: "safe",
+    attempts: 2,
+    giveUpMs: 1000,
+    priority: 2,
+  });
+  expect(config.routes["y"]?.split).toEqual([
+    { service: "one", weight: 90 },
+    { service: "two", weight: 10 },
+  ]);
   expect(config.goals).toEqual({ x: { latencyMs: 250 }, y: { latencyMs: 250 } });
-  expect(config.services["one"]).toMatchObject({ healthPath: "/healthz", maxConnections: 150, protocol: "h1", tls: false, keepsKeys: false });
-  expect(config.limits).toMatchObject({ headerBytes: 16_384, bodyBytes: 67_108_864, headerMs: 3000, idleMs: 15_000 });
+  expect(config.services["one"]).toMatchObject({
+    healthPath: "/healthz",
+    maxConnections: 150,
+    protocol: "h1",
+    tls: false,
+    keepsKeys: false,
+  });
+  expect(config.limits).toMatchObject({
+    headerBytes: 16_384,
+    bodyBytes: 67_108_864,
+    headerMs: 3000,
+    idleMs: 15_000,
+  });
   const got = into(job("GET", "config/get"));
-  expect(bodyOf(got.back(Return.json(200, { version: 7, sequence: 7, config })))).toEqual(JSON.parse(JSON.stringify(whole)));
+  expect(bodyOf(got.back(Return.json(200, { version: 7, sequence: 7, config })))).toEqual(
+    JSON.parse(JSON.stringify(whole)),
+  );
   expect(got.back(Return.json(503, {})).code).toBe(503);
 });
 
@@ -70,26 +168,64 @@
   const id = idOf(job("POST", "config/put", whole, { "base-version": "r5" }));
   expect(idOf(job("POST", "config/put", whole, { "base-version": "r5" }))).toBe(id);
   expect(idOf(job("POST", "config/put", whole, { "base-version": "r6" }))).not.toBe(id);
-  expect(idOf(job("POST", "config/put", { ...whole, ver: "r8" }, { "base-version": "r5" }))).not.toBe(id);
-  expect(into(job("POST", "config/put", whole, { "base-version": "0" })).job.headers["if-match"]).toBe('"0"');
+  expect(
+    idOf(job("POST", "config/put", { ...whole, ver: "r8" }, { "base-version": "r5" })),
+  ).not.toBe(id);
+  expect(
+    into(job("POST", "config/put", whole, { "base-version": "0" })).job.headers["if-match"],
+  ).toBe('"0"');
 });
 
 test("a change of items replaces by name, adds and removes, and reads back whole", () => {
   const before = productOf(bodyOf(into(job("POST", "config/put", whole)).job));
   const replaced = route("x", { tries: 3, target_time: undefined });
-  const patch = into(job("POST", "config/patch", { ver: "r9", upsert: { objs: [replaced, route("z")] }, remove: { routes: ["y"], services: ["two"] } }, { "base-version": "r7" }));
-  expect(patch.job).toMatchObject({ method: "POST", target: "/config/items", headers: { "if-match": '"7"', "config-version": "9" } });
+  const patch = into(
+    job(
+      "POST",
+      "config/patch",
+      {
+        ver: "r9",
+        upsert: { objs: [replaced, route("z")] },
+        remove: { routes: ["y"], services: ["two"] },
+      },
+      { "base-version": "r7" },
+    ),
+  );
+  expect(patch.job).toMatchObject({
+    method: "POST",
+    target: "/config/items",
+    headers: { "if-match": '"7"', "config-version": "9" },
+  });
   const body = bodyOf(patch.job);
-  expect(body).toMatchObject({ put: { goals: { x: null, z: { latencyMs: 250 } } }, remove: { routes: ["y"], services: ["two"] } });
-  const items: Parameters<typeof amend>[1] = { routes: { x: productRoute(body, "x"), z: productRoute(body, "z") }, goals: { x: null, z: { latencyMs: 250 } } };
-  const after = new ConfigChecker().check(amend(before, items, { routes: ["y"], services: ["two"], goals: [] }));
+  expect(body).toMatchObject({
+    put: { goals: { x: null, z: { latencyMs: 250 } } },
+    remove: { routes: ["y"], services: ["two"] },
+  });
+  const items: Parameters<typeof amend>[1] = {
+    routes: { x: productRoute(body, "x"), z: productRoute(body, "z") },
+    goals: { x: null, z: { latencyMs: 250 } },
+  };
+  const after = new ConfigChecker().check(
+    amend(before, items, { routes: ["y"], services: ["two"], goals: [] }),
+  );
   if ("faults" in after) throw new Error(JSON.stringify(after.faults));
-  const got = into(job("GET", "config/get")).back(Return.json(200, { version: 9, config: after.config }));
-  expect(bodyOf(got)).toEqual(JSON.parse(JSON.stringify({ ver: "r9", objs: [replaced, route("z"), service("one"), limits] })));
+  const got = into(job("GET", "config/get")).back(
+    Return.json(200, { version: 9, config: after.config }),
+  );
+  expect(bodyOf(got)).toEqual(
+    JSON.parse(JSON.stringify({ ver: "r9", objs: [replaced, route("z"), service("one"), limits] })),
+  );
 });
 
 const productRoute = (body: unknown, name: string): object => {
-  if (typeof body === "object" && body !== null && "put" in body && typeof body.put === "object" && body.put !== null && "routes" in body.put) {
+  if (
+    typeof body === "object" &&
+    body !== null &&
+    "put" in body &&
+    typeof body.put === "object" &&
+    body.put !== null &&
+    "routes" in body.put
+  ) {
     const route: unknown = new Map(Object.entries(body.put.routes ?? {})).get(name);
     if (typeof route === "object" && route !== null) return route;
   }
@@ -97,12 +233,36 @@
 };
 
 test("what an operator changed in the product's own words is written in the platform's", () => {
-  const config = productOf({ services: { one: { maxConnections: 5 } }, routes: { x: { match: { host: "a.example", path: "/x/*" }, service: "one", kind: "safe", attempts: 2, giveUpMs: 700 } }, goals: { x: { latencyMs: 90 } } });
+  const config = productOf({
+    services: { one: { maxConnections: 5 } },
+    routes: {
+      x: {
+        match: { host: "a.example", path: "/x/*" },
+        service: "one",
+        kind: "safe",
+        attempts: 2,
+        giveUpMs: 700,
+      },
+    },
+    goals: { x: { latencyMs: 90 } },
+  });
   const got = into(job("GET", "config/get")).back(Return.json(200, { version: 3, config }));
   expect(bodyOf(got)).toEqual({
     ver: "r3",
     objs: [
-      { type: "routes", meta: { name: "x" }, spec: { host: "a.example", pfx: "/x/", kind: "safe", deadline: "700ms", target_time: "90ms", svc: "one", tries: 2 } },
+      {
+        type: "routes",
+        meta: { name: "x" },
+        spec: {
+          host: "a.example",
+          pfx: "/x/",
+          kind: "safe",
+          deadline: "700ms",
+          target_time: "90ms",
+          svc: "one",
+          tries: 2,
+        },
+      },
       { type: "services", meta: { name: "one" }, spec: { maxConns: 5 } },
     ],
   });
@@ -113,7 +273,10 @@
     const read = control.into(job("POST", "config/put", value, { "base-version": "r5" }));
     return "code" in read ? read.code === 400 : "faults" in Config.check(bodyOf(read.job));
   };
-  const withRoute = (more: Record<string, unknown>) => ({ ver: "r7", objs: [route("x", more), service("one")] });
+  const withRoute = (more: Record<string, unknown>) => ({
+    ver: "r7",
+    objs: [route("x", more), service("one")],
+  });
   expect(refused(withRoute({}))).toBe(false);
   for (const more of [
     { svc: "nobody" },
@@ -135,10 +298,12 @@
   expect(refused({ ver: "r7" })).toBe(true);
   expect(refused({ ...whole, ver: "7" })).toBe(true);
   expect(refused({ ...whole, ver: "r" })).toBe(true);
-  expect(refused({ ver: "r7", objs: [{ type: "others", meta: { name: "x" }, spec: {} }] })).toBe(true);
+  expect(refused({ ver: "r7", objs: [{ type: "others", meta: { name: "x" }, spec: {} }] })).toBe(
+    true,
+  );
   expect(refused({ ver: "r7", objs: [route("x"), route("x"), service("one")] })).toBe(true);
   expect(refused({ ver: "r7", objs: [route("__proto__"), service("one")] })).toBe(true);
-  expect(refused("{\"ver\":\"r7\",\"objs\":[")).toBe(true);
+  expect(refused('{"ver":"r7","objs":[')).toBe(true);
   expect(refused("null")).toBe(true);
   expect(codeOf(job("POST", "config/put", whole, { "base-version": "new" }))).toBe(400);
 });
--- a/test/platform/door.test.ts
+++ b/test/platform/door.test.ts
@@ -3,13 +3,28 @@
 
 const fraction = /^\d+\.\d+$/;
 const addresses = (stage: DoorStage): string[] => stage.sent.map(({ address }) => address);
-const declines = (tryId: string, code = 503): Act => ({ code, headers: { "try-id": tryId, "not-run": "full", "content-length": "4" }, pieces: [Buffer.from("full")] });
-const other = (tryId: string): Act => ({ code: 421, headers: { "try-id": tryId, "content-length": "0" }, pieces: [] });
+const declines = (tryId: string, code = 503): Act => ({
+  code,
+  headers: { "try-id": tryId, "not-run": "full", "content-length": "4" },
+  pieces: [Buffer.from("full")],
+});
+const other = (tryId: string): Act => ({
+  code: 421,
+  headers: { "try-id": tryId, "content-length": "0" },
+  pieces: [],
+});
 
 test("a back end gets method, path, body and headers as they were sent, the caller's id, what is left of the deadline and the instance expected", () => {
   const stage = DoorStage.ready(1);
   const body = Buffer.from([0, 255, 10, 13, 195, 40]);
-  const kept = { host: "shop.example", "try-id": "9c41d07be2a35f68", "content-type": "application/x-any", "accept-language": "de;q=0.5", cookie: "a=b; c=d", "x-own": "kept" };
+  const kept = {
+    host: "shop.example",
+    "try-id": "9c41d07be2a35f68",
+    "content-type": "application/x-any",
+    "accept-language": "de;q=0.5",
+    cookie: "a=b; c=d",
+    "x-own": "kept",
+  };
   const hop = {
     connection: "keep-alive, X-Named",
     "keep-alive": "timeout=5",
@@ -36,7 +51,8 @@
 
 test("what is left of the deadline shrinks with each try, the route's own holds where it is shorter, and each try names its own back end's instance", () => {
   const stage = DoorStage.ready(2);
-  stage.act = ({ tryId }, place) => (place === 0 ? { ...success(tryId, "none"), headers: {}, waitMs: 300 } : success(tryId, "fine"));
+  stage.act = ({ tryId }, place) =>
+    place === 0 ? { ...success(tryId, "none"), headers: {}, waitMs: 300 } : success(tryId, "fine");
   expect(stage.ask("GET", "/safe/x", { "try-id": "one", "deadline-ms": "5000" }).code).toBe(200);
   const [first, second] = stage.sent.map(({ headers }) => Number(headers["deadline-ms"]));
   expect(first).toBeGreaterThan(900);
@@ -44,30 +60,64 @@
   expect(second).toBeLessThanOrEqual(700);
   expect(second).toBeGreaterThan(600);
   expect(stage.sent.map(({ headers }) => headers["want-backend"]).sort()).toEqual(["i-1", "i-2"]);
-  for (const { address, headers } of stage.sent) expect(headers["want-backend"]).toBe(stage.announcing.get(address));
+  for (const { address, headers } of stage.sent)
+    expect(headers["want-backend"]).toBe(stage.announcing.get(address));
   expect(stage.sent.map(({ tryId }) => tryId)).toEqual(["one", "one"]);
 });
 
 test("a back end's whole response reaches the caller with status, body and seal unchanged, also a failure of its own", () => {
   const stage = DoorStage.ready(1);
-  stage.act = ({ tryId }) => success(tryId, "made", { code: 201, headers: { "x-own": "kept", connection: "close, x-hop", "x-hop": "gone", "keep-alive": "timeout=5" } });
+  stage.act = ({ tryId }) =>
+    success(tryId, "made", {
+      code: 201,
+      headers: {
+        "x-own": "kept",
+        connection: "close, x-hop",
+        "x-hop": "gone",
+        "keep-alive": "timeout=5",
+      },
+    });
   const made = stage.ask("POST", "/unsafe/x");
-  expect([made.code, made.body.toString(), made.headers["seal"], made.headers["x-own"]]).toEqual([201, "made", "seal-of-made", "kept"]);
-  for (const name of ["connection", "keep-alive", "x-hop"]) expect(made.headers).not.toHaveProperty(name);
+  expect([made.code, made.body.toString(), made.headers["seal"], made.headers["x-own"]]).toEqual([
+    201,
+    "made",
+    "seal-of-made",
+    "kept",
+  ]);
+  for (const name of ["connection", "keep-alive", "x-hop"])
+    expect(made.headers).not.toHaveProperty(name);
   for (const code of [302, 400, 404, 500, 504]) {
-    stage.act = ({ tryId }) => ({ code, headers: { "try-id": tryId, "content-length": "3" }, pieces: [Buffer.from("own")] });
+    stage.act = ({ tryId }) => ({
+      code,
+      headers: { "try-id": tryId, "content-length": "3" },
+      pieces: [Buffer.from("own")],
+    });
     const seen = stage.ask("POST", "/unsafe/x");
     expect([seen.code, seen.body.toString()]).toEqual([code, "own"]);
   }
   expect(stage.sent.length).toBe(6);
 });
 
-const whole = (tryId: string, headers: Record<string, string | undefined>, pieces: ReadonlyArray<Uint8Array | "cut"> = [Buffer.from("wrong")]): Act => {
+const whole = (
+  tryId: string,
+  headers: Record<string, string | undefined>,
+  pieces: ReadonlyArray<Uint8Array | "cut"> = [Buffer.from("wrong")],
+): Act => {
   const held: Record<string, string> = {};
-  for (const [name, value] of Object.entries({ "try-id": tryId, seal: "s", "content-length": "5", ...headers })) if (value !== undefined) held[name] = value;
+  for (const [name, value] of Object.entries({
+    "try-id": tryId,
+    seal: "s",
+    "content-length": "5",
+    ...headers,
+  }))
+    if (value !== undefined) held[name] = value;
   return { code: 200, headers: held, pieces };
 };
-const plain = (tryId: string, code: number): Act => ({ code, headers: { "try-id": tryId, "retry-after": "0.1", "content-length": "0" }, pieces: [] });
+const plain = (tryId: string, code: number): Act => ({
+  code,
+  headers: { "try-id": tryId, "retry-after": "0.1", "content-length": "0" },
+  pieces: [],
+});
 const faulty: Array<[what: string, act: (sent: Sent) => Act]> = [
   ["with another request's id", () => whole("another", {})],
   ["without an id", ({ tryId }) => whole(tryId, { "try-id": undefined })],
@@ -80,30 +130,55 @@
   ["that breaks off", ({ tryId }) => whole(tryId, {}, [Buffer.from("wro"), "cut"])],
   ["that breaks off before its first byte", ({ tryId }) => whole(tryId, {}, ["cut"])],
   ["that ends before the length it states", ({ tryId }) => whole(tryId, {}, [Buffer.from("wro")])],
-  ["that is longer than it states", ({ tryId }) => whole(tryId, {}, [Buffer.from("wrong"), Buffer.from("more")])],
-  ["in chunks that break off", ({ tryId }) => whole(tryId, { "content-length": undefined, "transfer-encoding": "chunked" }, [Buffer.from("wrong"), "cut"])],
+  [
+    "that is longer than it states",
+    ({ tryId }) => whole(tryId, {}, [Buffer.from("wrong"), Buffer.from("more")]),
+  ],
+  [
+    "in chunks that break off",
+    ({ tryId }) =>
+      whole(tryId, { "content-length": undefined, "transfer-encoding": "chunked" }, [
+        Buffer.from("wrong"),
+        "cut",
+      ]),
+  ],
   ["whose end can't be known", ({ tryId }) => whole(tryId, { "content-length": undefined })],
 ];
 
-test.each(faulty)("a response %s never reaches a caller: what may not be repeated is sent once and ends 502", (_what, act) => {
-  const stage = DoorStage.ready(2);
-  stage.act = act;
-  const seen = stage.ask("POST", "/unsafe/x");
-  expect([seen.code, seen.begun, seen.ending, stage.sent.length]).toEqual([502, false, "whole", 1]);
-  expect(seen.headers).not.toHaveProperty("seal");
-  expect(seen.body.toString()).not.toContain("wro");
-});
-
-test.each(faulty)("a response %s never reaches a caller: what is safe goes to a second back end", (_what, act) => {
-  const stage = DoorStage.ready(2);
-  stage.act = (sent, place) => (place === 0 ? act(sent) : success(sent.tryId, "right"));
-  const seen = stage.ask("GET", "/safe/x");
-  expect([seen.code, seen.body.toString(), seen.headers["seal"]]).toEqual([200, "right", "seal-of-right"]);
-  expect(addresses(stage).sort()).toEqual(["10.9.0.1:80", "10.9.0.2:80"]);
-  stage.act = act;
-  const failed = stage.ask("GET", "/safe/x");
-  expect([failed.code, failed.begun, stage.sent.length]).toEqual([502, false, 4]);
-});
+test.each(faulty)(
+  "a response %s never reaches a caller: what may not be repeated is sent once and ends 502",
+  (_what, act) => {
+    const stage = DoorStage.ready(2);
+    stage.act = act;
+    const seen = stage.ask("POST", "/unsafe/x");
+    expect([seen.code, seen.begun, seen.ending, stage.sent.length]).toEqual([
+      502,
+      false,
+      "whole",
+      1,
+    ]);
+    expect(seen.headers).not.toHaveProperty("seal");
+    expect(seen.body.toString()).not.toContain("wro");
+  },
+);
+
+test.each(faulty)(
+  "a response %s never reaches a caller: what is safe goes to a second back end",
+  (_what, act) => {
+    const stage = DoorStage.ready(2);
+    stage.act = (sent, place) => (place === 0 ? act(sent) : success(sent.tryId, "right"));
+    const seen = stage.ask("GET", "/safe/x");
+    expect([seen.code, seen.body.toString(), seen.headers["seal"]]).toEqual([
+      200,
+      "right",
+      "seal-of-right",
+    ]);
+    expect(addresses(stage).sort()).toEqual(["10.9.0.1:80", "10.9.0.2:80"]);
+    stage.act = act;
+    const failed = stage.ask("GET", "/safe/x");
+    expect([failed.code, failed.begun, stage.sent.length]).toEqual([502, false, 4]);
+  },
+);
 
 const declining: Array<[what: string, act: (sent: Sent) => Act]> = [
   ["503 with Not-Run", ({ tryId }) => declines(tryId)],
@@ -112,27 +187,42 @@
   ["421 alone", ({ tryId }) => other(tryId)],
 ];
 
-test.each(declining)("a request that a back end declines (%s) goes to another one, also an unsafe or keyed one", (_what, act) => {
-  for (const [method, target] of [["POST", "/unsafe/x"], ["GET", "/safe/x"], ["POST", "/keyed/x"]] as const) {
-    const stage = DoorStage.ready(2);
-    stage.act = (sent, place) => (place === 0 ? act(sent) : success(sent.tryId, "taken"));
-    const seen = stage.ask(method, target, { "op-key": "k-1" });
-    expect([target, seen.code, seen.body.toString()]).toEqual([target, 200, "taken"]);
-    expect(addresses(stage).sort()).toEqual(["10.9.0.1:80", "10.9.0.2:80"]);
-  }
-});
-
-test.each(declining)("where all back ends decline (%s), the caller is told 503 and when to come back, in fractions of a second", (_what, act) => {
-  for (const [method, target] of [["POST", "/unsafe/x"], ["GET", "/safe/x"], ["POST", "/thriceUnsafe/x"], ["POST", "/keyed/x"]] as const) {
-    const stage = DoorStage.ready(2);
-    stage.act = act;
-    const seen = stage.ask(method, target, { "op-key": "k-1" });
-    expect([target, seen.code, stage.sent.length]).toEqual([target, 503, 2]);
-    expect(seen.headers["retry-after"]).toMatch(fraction);
-    expect(Number(seen.headers["retry-after"])).toBeGreaterThan(0);
-    expect(Number(seen.headers["retry-after"])).toBeLessThan(0.5);
-  }
-});
+test.each(declining)(
+  "a request that a back end declines (%s) goes to another one, also an unsafe or keyed one",
+  (_what, act) => {
+    for (const [method, target] of [
+      ["POST", "/unsafe/x"],
+      ["GET", "/safe/x"],
+      ["POST", "/keyed/x"],
+    ] as const) {
+      const stage = DoorStage.ready(2);
+      stage.act = (sent, place) => (place === 0 ? act(sent) : success(sent.tryId, "taken"));
+      const seen = stage.ask(method, target, { "op-key": "k-1" });
+      expect([target, seen.code, seen.body.toString()]).toEqual([target, 200, "taken"]);
+      expect(addresses(stage).sort()).toEqual(["10.9.0.1:80", "10.9.0.2:80"]);
+    }
+  },
+);
+
+test.each(declining)(
+  "where all back ends decline (%s), the caller is told 503 and when to come back, in fractions of a second",
+  (_what, act) => {
+    for (const [method, target] of [
+      ["POST", "/unsafe/x"],
+      ["GET", "/safe/x"],
+      ["POST", "/thriceUnsafe/x"],
+      ["POST", "/keyed/x"],
+    ] as const) {
+      const stage = DoorStage.ready(2);
+      stage.act = act;
+      const seen = stage.ask(method, target, { "op-key": "k-1" });
+      expect([target, seen.code, stage.sent.length]).toEqual([target, 503, 2]);
+      expect(seen.headers["retry-after"]).toMatch(fraction);
+      expect(Number(seen.headers["retry-after"])).toBeGreaterThan(0);
+      expect(Number(seen.headers["retry-after"])).toBeLessThan(0.5);
+    }
+  },
+);
 
 test("an unsafe request that one back end declines and another loses ends 502", () => {
   const stage = DoorStage.ready(3);
@@ -193,7 +283,8 @@
   for (const why of ["refused", "foreign", "unreached"] as const) {
     const stage = DoorStage.ready(2);
     stage.before = (address) => (address === "10.9.0.1:80" ? why : undefined);
-    for (let round = 0; round < 5; round += 1) expect([why, stage.ask("POST", "/unsafe/x").code]).toEqual([why, 200]);
+    for (let round = 0; round < 5; round += 1)
+      expect([why, stage.ask("POST", "/unsafe/x").code]).toEqual([why, 200]);
     expect(new Set(addresses(stage))).toEqual(new Set(["10.9.0.2:80"]));
     stage.before = () => why;
     const seen = stage.ask("POST", "/unsafe/x");
@@ -203,12 +294,25 @@
 });
 
 test("no request is sent to more back ends than its route's attempts, each at most once", () => {
-  for (const [target, attempts] of [["/once/x", 1], ["/safe/x", 2], ["/thrice/x", 3]] as const) {
-    for (const act of [(): Act => "lost", ({ tryId }: Sent) => declines(tryId), ({ tryId }: Sent) => other(tryId), ({ tryId }: Sent) => plain(tryId, 503)]) {
+  for (const [target, attempts] of [
+    ["/once/x", 1],
+    ["/safe/x", 2],
+    ["/thrice/x", 3],
+  ] as const) {
+    for (const act of [
+      (): Act => "lost",
+      ({ tryId }: Sent) => declines(tryId),
+      ({ tryId }: Sent) => other(tryId),
+      ({ tryId }: Sent) => plain(tryId, 503),
+    ]) {
       const stage = DoorStage.ready(5);
       stage.act = act;
       const seen = stage.ask("GET", target);
-      expect([target, stage.sent.length, new Set(addresses(stage)).size]).toEqual([target, attempts, attempts]);
+      expect([target, stage.sent.length, new Set(addresses(stage)).size]).toEqual([
+        target,
+        attempts,
+        attempts,
+      ]);
       expect([502, 503]).toContain(seen.code);
     }
   }
@@ -220,13 +324,22 @@
 test("a keyed request is run once: a repeat gets the first's status, body and seal", () => {
   const stage = DoorStage.ready(2);
   stage.act = ({ tryId }, place) => success(tryId, `run ${place}`, { code: 201 });
-  const ask = (key: string, body = "buy") => stage.ask("POST", "/keyed/x", { "op-key": key }, Buffer.from(body));
+  const ask = (key: string, body = "buy") =>
+    stage.ask("POST", "/keyed/x", { "op-key": key }, Buffer.from(body));
   const first = ask("k-1");
-  expect([first.code, first.body.toString(), first.headers["seal"]]).toEqual([201, "run 0", "seal-of-run 0"]);
+  expect([first.code, first.body.toString(), first.headers["seal"]]).toEqual([
+    201,
+    "run 0",
+    "seal-of-run 0",
+  ]);
   for (let round = 0; round < 3; round += 1) {
     stage.wait(round * 3000);
     const repeat = ask("k-1");
-    expect([repeat.code, repeat.body.toString(), repeat.headers["seal"]]).toEqual([201, "run 0", "seal-of-run 0"]);
+    expect([repeat.code, repeat.body.toString(), repeat.headers["seal"]]).toEqual([
+      201,
+      "run 0",
+      "seal-of-run 0",
+    ]);
   }
   expect(stage.sent.length).toBe(1);
   expect(ask("k-1", "buy more").code).toBe(422);
@@ -236,7 +349,11 @@
 
 test("the first's answer is repeated also where it was a failure of the back end's own that counts as run", () => {
   const stage = DoorStage.ready(2);
-  stage.act = ({ tryId }) => ({ code: 500, headers: { "try-id": tryId, "content-length": "3" }, pieces: [Buffer.from("own")] });
+  stage.act = ({ tryId }) => ({
+    code: 500,
+    headers: { "try-id": tryId, "content-length": "3" },
+    pieces: [Buffer.from("own")],
+  });
   for (let round = 0; round < 2; round += 1) {
     const seen = stage.ask("POST", "/keyed/x", { "op-key": "k-1" });
     expect([seen.code, seen.body.toString(), stage.sent.length]).toEqual([500, "own", 1]);
@@ -255,7 +372,11 @@
   stage.until(() => stage.time.nowMs() - first.sinceMs >= 2700, 5000);
   const late = stage.ask("POST", "/slow/x", { "op-key": "k-1" });
   expect([first.code, first.ending]).toEqual([200, "whole"]);
-  expect([late.code, late.body.toString(), late.headers["seal"]]).toEqual([200, "run", "seal-of-run"]);
+  expect([late.code, late.body.toString(), late.headers["seal"]]).toEqual([
+    200,
+    "run",
+    "seal-of-run",
+  ]);
   expect(stage.sent.length).toBe(1);
 });
 
@@ -269,14 +390,21 @@
 });
 
 test("a repeat after the first's response was lost gets 502 and does not run", () => {
-  for (const act of [(): Act => "lost", (): Act => "late", (): Act => whole("another", {}), ({ tryId }: Sent) => plain(tryId, 503)]) {
+  for (const act of [
+    (): Act => "lost",
+    (): Act => "late",
+    (): Act => whole("another", {}),
+    ({ tryId }: Sent) => plain(tryId, 503),
+  ]) {
     const stage = DoorStage.ready(2);
     stage.act = act;
     expect([502, 504]).toContain(stage.ask("POST", "/keyed/x", { "op-key": "k-1" }).code);
     stage.act = ({ tryId }) => success(tryId, "run twice");
     for (let round = 0; round < 2; round += 1) {
       stage.wait(500);
-      expect([stage.ask("POST", "/keyed/x", { "op-key": "k-1" }).code, stage.sent.length]).toEqual([502, 1]);
+      expect([stage.ask("POST", "/keyed/x", { "op-key": "k-1" }).code, stage.sent.length]).toEqual([
+        502, 1,
+      ]);
     }
   }
 });
@@ -284,10 +412,14 @@
 test("a key whose first request was declined by all is free: a repeat runs", () => {
   const stage = DoorStage.ready(2);
   stage.act = ({ tryId }) => declines(tryId);
-  expect([stage.ask("POST", "/keyed/x", { "op-key": "k-1" }).code, stage.sent.length]).toEqual([503, 2]);
+  expect([stage.ask("POST", "/keyed/x", { "op-key": "k-1" }).code, stage.sent.length]).toEqual([
+    503, 2,
+  ]);
   stage.act = ({ tryId }) => success(tryId, "run");
   stage.wait(100);
-  expect([stage.ask("POST", "/keyed/x", { "op-key": "k-1" }).code, stage.sent.length]).toEqual([200, 3]);
+  expect([stage.ask("POST", "/keyed/x", { "op-key": "k-1" }).code, stage.sent.length]).toEqual([
+    200, 3,
+  ]);
 });
 
 test("while the record can't be reached, a first try's claim is refused within a quarter of the goal, and told when to come back", () => {
@@ -300,7 +432,9 @@
   expect(seen.headers["retry-after"]).toMatch(fraction);
   expect(Number(seen.headers["retry-after"])).toBeLessThan(1);
   stage.wait(3000);
-  expect([stage.ask("POST", "/keyed/x", { "op-key": "k-1" }).code, stage.sent.length]).toEqual([200, 1]);
+  expect([stage.ask("POST", "/keyed/x", { "op-key": "k-1" }).code, stage.sent.length]).toEqual([
+    200, 1,
+  ]);
 });
 
 test("a claim with little of its time left waits for the record", () => {
@@ -358,7 +492,10 @@
   const seen = stage.send("GET", "/safe/x", { "deadline-ms": "3000" });
   stage.wait(30);
   expect([seen.ending, stage.sent.length]).toEqual(["open", 0]);
-  stage.order("PUT", "/config", { services: { shop: {} }, routes: { safe: { match: { path: "/safe/*" }, service: "shop", kind: "safe" } } });
+  stage.order("PUT", "/config", {
+    services: { shop: {} },
+    routes: { safe: { match: { path: "/safe/*" }, service: "shop", kind: "safe" } },
+  });
   stage.until(() => seen.ending !== "open", 1000);
   expect([seen.code, stage.sent.length]).toEqual([200, 1]);
   expect(seen.tookMs).toBeLessThan(1000);
@@ -368,13 +505,30 @@
 const bigBytes = big.reduce((sum, { length }) => sum + length, 0);
 const length = { "content-length": String(bigBytes) };
 const chunked = { "transfer-encoding": "chunked" };
-const large = (tryId: string, headers: Record<string, string>, pieces: ReadonlyArray<Uint8Array | "cut"> = big): Act => ({ code: 200, headers: { "try-id": tryId, seal: "s-large", ...headers }, pieces, pieceMs: 20 });
+const large = (
+  tryId: string,
+  headers: Record<string, string>,
+  pieces: ReadonlyArray<Uint8Array | "cut"> = big,
+): Act => ({
+  code: 200,
+  headers: { "try-id": tryId, seal: "s-large", ...headers },
+  pieces,
+  pieceMs: 20,
+});
 
-test.each([["with a length", length], ["in chunks", chunked]] as const)("a large response %s is passed on while it comes, whole", (_what, headers) => {
+test.each([
+  ["with a length", length],
+  ["in chunks", chunked],
+] as const)("a large response %s is passed on while it comes, whole", (_what, headers) => {
   const stage = DoorStage.ready(2);
   stage.act = ({ tryId }) => large(tryId, headers);
   const seen = stage.ask("GET", "/download/x");
-  expect([seen.begun, seen.code, seen.ending, seen.headers["seal"]]).toEqual([true, 200, "whole", "s-large"]);
+  expect([seen.begun, seen.code, seen.ending, seen.headers["seal"]]).toEqual([
+    true,
+    200,
+    "whole",
+    "s-large",
+  ]);
   expect(seen.body.equals(Buffer.concat(big))).toBe(true);
   expect(seen.headMs).toBeLessThan(seen.endMs - 100);
   expect(seen.headers["content-length"]).toBe(headers === length ? String(bigBytes) : undefined);
@@ -386,10 +540,13 @@
   ["ends before its length", length, big.slice(0, 8)],
   ["is longer than it states", length, [...big, Buffer.from("more")]],
   ["breaks off in chunks", chunked, [...big.slice(0, 8), "cut" as const]],
-] as const)("a large response that %s while it is passed on cuts the caller's connection, and the request is not sent again", (_what, headers, pieces) => {
-  const stage = DoorStage.ready(2);
-  stage.act = ({ tryId }) => large(tryId, headers, pieces);
-  const seen = stage.ask("GET", "/download/x");
-  expect([seen.begun, seen.code, seen.ending, stage.sent.length]).toEqual([true, 200, "cut", 1]);
-  expect(seen.body.length).toBeLessThanOrEqual(bigBytes);
-});
+] as const)(
+  "a large response that %s while it is passed on cuts the caller's connection, and the request is not sent again",
+  (_what, headers, pieces) => {
+    const stage = DoorStage.ready(2);
+    stage.act = ({ tryId }) => large(tryId, headers, pieces);
+    const seen = stage.ask("GET", "/download/x");
+    expect([seen.begun, seen.code, seen.ending, stage.sent.length]).toEqual([true, 200, "cut", 1]);
+    expect(seen.body.length).toBeLessThanOrEqual(bigBytes);
+  },
+);
--- a/test/platform/doorStage.ts
+++ b/test/platform/doorStage.ts
@@ -28,18 +28,34 @@
 export type Act =
   | "lost"
   | "late"
-  | { readonly code: number; readonly headers: Record<string, string>; readonly pieces: ReadonlyArray<Uint8Array | "cut">; readonly waitMs?: number; readonly pieceMs?: number };
+  | {
+      readonly code: number;
+      readonly headers: Record<string, string>;
+      readonly pieces: ReadonlyArray<Uint8Array | "cut">;
+      readonly waitMs?: number;
+      readonly pieceMs?: number;
+    };
 
 const fail = (error: unknown): void => {
   throw error;
 };
 
 /** A whole success, as a back end sends it. */
-export const success = (tryId: string, text: string, more: { code?: number; headers?: Record<string, string>; waitMs?: number } = {}): Exclude<Act, string> => {
+export const success = (
+  tryId: string,
+  text: string,
+  more: { code?: number; headers?: Record<string, string>; waitMs?: number } = {},
+): Exclude<Act, string> => {
   const body = Buffer.from(text);
   return {
     code: more.code ?? 200,
-    headers: { "try-id": tryId, seal: `seal-of-${text}`, "content-type": "text/plain", "content-length": String(body.length), ...more.headers },
+    headers: {
+      "try-id": tryId,
+      seal: `seal-of-${text}`,
+      "content-type": "text/plain",
+      "content-length": String(body.length),
+      ...more.headers,
+    },
     pieces: [body],
     ...(more.waitMs === undefined ? {} : { waitMs: more.waitMs }),
   };
@@ -143,7 +159,13 @@
       dataFolder: "data",
       tolerate: { machines: 0, zones: 0 },
     };
-    const world = virtualWorld({ clock: this.clock, wire: network.wire("disk-1", new Gate()), disk: this.disk, random, lines: (line) => this.lines.push(`${this.time.nowMs().toFixed(0)} ${line}`) });
+    const world = virtualWorld({
+      clock: this.clock,
+      wire: network.wire("disk-1", new Gate()),
+      disk: this.disk,
+      random,
+      lines: (line) => this.lines.push(`${this.time.nowMs().toFixed(0)} ${line}`),
+    });
     this.daemon = new Daemon(world, settings, { dialect, backEnds: this.backEnds() });
     Task.start(this.daemon.start(), fail);
     this.until(() => this.daemon.standing.isGranted, 10_000);
@@ -153,7 +175,13 @@
   /** A daemon with a config of all kinds of routes, before so many back ends, ready for further tries. */
   static ready(backEnds = 2): DoorStage {
     const stage = new DoorStage();
-    const route = (name: string, more: Record<string, unknown>) => ({ match: { host: "shop.example", path: `/${name}/*` }, service: "shop", attempts: 2, giveUpMs: 1000, ...more });
+    const route = (name: string, more: Record<string, unknown>) => ({
+      match: { host: "shop.example", path: `/${name}/*` },
+      service: "shop",
+      attempts: 2,
+      giveUpMs: 1000,
+      ...more,
+    });
     const put = stage.order("PUT", "/config", {
       services: { shop: {} },
       routes: {
@@ -168,8 +196,10 @@
       },
       goals: { keyed: { latencyMs: 400 } },
     });
-    if (put.code !== 200) throw new Error(`The config was refused: ${Buffer.from(put.body).toString()}`);
-    for (let place = 1; place <= backEnds; place += 1) stage.announcing.set(`10.9.0.${place}:80`, `i-${place}`);
+    if (put.code !== 200)
+      throw new Error(`The config was refused: ${Buffer.from(put.body).toString()}`);
+    for (let place = 1; place <= backEnds; place += 1)
+      stage.announcing.set(`10.9.0.${place}:80`, `i-${place}`);
     stage.wait(4000);
     return stage;
   }
@@ -177,7 +207,10 @@
   /** Has the operators' port answer. */
   order(method: string, target: string, body: unknown): Return {
     const told: Return[] = [];
-    this.daemon.operators.put({ job: { method, target, headers: {}, body: Buffer.from(JSON.stringify(body)) }, give: (ret) => told.push(ret) });
+    this.daemon.operators.put({
+      job: { method, target, headers: {}, body: Buffer.from(JSON.stringify(body)) },
+      give: (ret) => told.push(ret),
+    });
     this.until(() => told.length > 0, 5000);
     const [ret] = told;
     if (!ret) throw new Error("The operators' port didn't answer.");
@@ -185,10 +218,20 @@
   }
 
   /** Sends a request and doesn't wait. Each has an id of its own and a deadline, unless a test says otherwise. */
-  send(method: string, target: string, headers: Record<string, string | undefined> = {}, body: Uint8Array = new Uint8Array()): Seen {
+  send(
+    method: string,
+    target: string,
+    headers: Record<string, string | undefined> = {},
+    body: Uint8Array = new Uint8Array(),
+  ): Seen {
     this.ids += 1;
     const held: Record<string, string> = {};
-    for (const [name, value] of Object.entries({ host: "shop.example", "try-id": `try-${this.ids}`, ...headers })) if (value !== undefined) held[name] = value;
+    for (const [name, value] of Object.entries({
+      host: "shop.example",
+      "try-id": `try-${this.ids}`,
+      ...headers,
+    }))
+      if (value !== undefined) held[name] = value;
     const job: Job = { method, target, headers: held, body };
     const caller = new Seen(() => this.time.nowMs());
     this.daemon.callers.put({ job, caller });
@@ -196,7 +239,12 @@
   }
 
   /** Sends a request and waits until it has ended. */
-  ask(method: string, target: string, headers: Record<string, string | undefined> = {}, body: Uint8Array = new Uint8Array()): Seen {
+  ask(
+    method: string,
+    target: string,
+    headers: Record<string, string | undefined> = {},
+    body: Uint8Array = new Uint8Array(),
+  ): Seen {
     const caller = this.send(method, target, headers, body);
     this.until(() => caller.ending !== "open", 12_000);
     return caller;
@@ -209,7 +257,10 @@
   until(holds: () => boolean, atMostMs: number): void {
     const sinceMs = this.time.nowMs();
     while (!holds()) {
-      if (this.time.nowMs() - sinceMs >= atMostMs) throw new Error(`It doesn't hold after ${atMostMs} ms.\n${this.lines.slice(-20).join("\n")}`);
+      if (this.time.nowMs() - sinceMs >= atMostMs)
+        throw new Error(
+          `It doesn't hold after ${atMostMs} ms.\n${this.lines.slice(-20).join("\n")}`,
+        );
       this.wait(1);
     }
   }
@@ -217,8 +268,23 @@
   private announceOn(): void {
     for (const [address, instance] of this.announcing) {
       this.orders += 1;
-      const body = { service: "shop", address, zone: "a", instance, capacity: 10, order: this.orders };
-      this.daemon.operators.put({ job: { method: "POST", target: "/backends/announce", headers: {}, body: Buffer.from(JSON.stringify(body)) }, give: () => undefined });
+      const body = {
+        service: "shop",
+        address,
+        zone: "a",
+        instance,
+        capacity: 10,
+        order: this.orders,
+      };
+      this.daemon.operators.put({
+        job: {
+          method: "POST",
+          target: "/backends/announce",
+          headers: {},
+          body: Buffer.from(JSON.stringify(body)),
+        },
+        give: () => undefined,
+      });
     }
     this.clock.after(500, () => this.announceOn());
   }
@@ -237,7 +303,15 @@
     const why = this.before(address);
     if (why !== undefined) return why;
     if (!mayStill()) return "withdrawn";
-    const sent: Sent = { address, atMs: clock.nowMs(), method: job.method, path: job.path, headers: job.headers, body: Buffer.from(job.body), tryId: job.headers["try-id"] ?? "" };
+    const sent: Sent = {
+      address,
+      atMs: clock.nowMs(),
+      method: job.method,
+      path: job.path,
+      headers: job.headers,
+      body: Buffer.from(job.body),
+      tryId: job.headers["try-id"] ?? "",
+    };
     this.sent.push(sent);
     const act = this.act(sent, this.sent.length - 1);
     if (act === "late") {
--- a/test/platform/settings.test.ts
+++ b/test/platform/settings.test.ts
@@ -86,9 +86,20 @@
     tolerate: { machines: 1, zones: 0 },
     heartbeatMs: 1300,
     limits: { memoryMb: 350, descriptors: 4100, diskMb: 64, cpu: 1, linkMbps: 1000 },
-    bounds: { applyMs: 2500, drainMs: 2000, graceMs: 6000, retryRatio: 0.2, retryExtra: 68, retryWindowMs: 10_000, keyWindowMs: 60_000 },
+    bounds: {
+      applyMs: 2500,
+      drainMs: 2000,
+      graceMs: 6000,
+      retryRatio: 0.2,
+      retryExtra: 68,
+      retryWindowMs: 10_000,
+      keyWindowMs: 60_000,
+    },
+  });
+  expect(Bounds.of(settings)).toMatchObject({
+    leaseMs: 1600,
+    terms: { announceMs: 1300, keyMs: 70_000 },
   });
-  expect(Bounds.of(settings)).toMatchObject({ leaseMs: 1600, terms: { announceMs: 1300, keyMs: 70_000 } });
 });
 
 test("a machine without a disk, or whose disk doesn't count, is an edge alone", () => {
@@ -98,12 +109,18 @@
 });
 
 test("fewer seeds are taken as they come, and without any a daemon is its own", () => {
-  expect(checked(boot.replace(/seeds = .*/, 'seeds = ["10.9.0.1:8382"]')).seeds).toEqual(["10.9.0.1:7200"]);
+  expect(checked(boot.replace(/seeds = .*/, 'seeds = ["10.9.0.1:8382"]')).seeds).toEqual([
+    "10.9.0.1:7200",
+  ]);
   expect(checked(boot.replace(/seeds = .*/, "seeds = []")).seeds).toEqual(["10.1.0.18:7200"]);
 });
 
 test("what is missing, malformed or can't be kept is told with its path", () => {
-  expect(pathsOf(boot.replace(/^ip = .*$/m, "").replace("portRange = [7200,7215]", "portRange = [7200]"))).toEqual(["self.ip", "network.portRange"]);
+  expect(
+    pathsOf(
+      boot.replace(/^ip = .*$/m, "").replace("portRange = [7200,7215]", "portRange = [7200]"),
+    ),
+  ).toEqual(["self.ip", "network.portRange"]);
   expect(pathsOf(boot.replace('"1300ms"', '"soon"'))).toEqual(["infra.heartbeat"]);
   expect(pathsOf("[self")).toEqual(["boot"]);
   expect(pathsOf(boot.replace('drain = "2000ms"', 'drain = "20ms"'))).toEqual(["bounds.drainMs"]);
--- a/test/record/fleetStage.ts
+++ b/test/record/fleetStage.ts
@@ -15,7 +15,8 @@
 };
 
 /** The text of the config that has a sequence in a staged fleet. */
-export const configText = (sequence: number): string => `{"services":{"service-${sequence}":{}},"routes":{}}`;
+export const configText = (sequence: number): string =>
+  `{"services":{"service-${sequence}":{}},"routes":{}}`;
 
 /** One machine of a staged fleet. */
 export class StageMachine {
@@ -60,7 +61,10 @@
         ...(kind === "d" ? { dataFolder: "data" } : { callers: `10.0.0.${at + 1}:8080` }),
         ...more,
       };
-      return new StageMachine(settings, kind === "d" ? new VirtualDisk(this.time.clock(), this.random) : undefined);
+      return new StageMachine(
+        settings,
+        kind === "d" ? new VirtualDisk(this.time.clock(), this.random) : undefined,
+      );
     });
   }
 
@@ -119,7 +123,10 @@
 
   /** Cuts two machines from each other, or joins them again. */
   cut(one: StageMachine, other: StageMachine, mends = false): void {
-    for (const [from, to] of [[one, other], [other, one]] as const) {
+    for (const [from, to] of [
+      [one, other],
+      [other, one],
+    ] as const) {
       if (mends) this.network.mend(from.settings.machine, to.settings.machine);
       else this.network.cut(from.settings.machine, to.settings.machine);
     }
@@ -133,7 +140,10 @@
   until(holds: () => boolean, atMostMs: number): number {
     const sinceMs = this.time.nowMs();
     while (!holds()) {
-      if (this.time.nowMs() - sinceMs >= atMostMs) throw new Error(`It doesn't hold after ${atMostMs} ms.\n${this.lines.slice(-30).join("\n")}`);
+      if (this.time.nowMs() - sinceMs >= atMostMs)
+        throw new Error(
+          `It doesn't hold after ${atMostMs} ms.\n${this.lines.slice(-30).join("\n")}`,
+        );
       this.wait(5);
     }
     return this.time.nowMs() - sinceMs;
@@ -144,7 +154,15 @@
     const outcomes: boolean[] = [];
     const recorder = this.leader.daemon?.recorder;
     if (!recorder) return false;
-    const text = Deed.text({ kind: "config", expected: sequence - 1, changeId: `c${sequence}`, acceptedAt: "", text: configText(sequence), services: [], routes: [] });
+    const text = Deed.text({
+      kind: "config",
+      expected: sequence - 1,
+      changeId: `c${sequence}`,
+      acceptedAt: "",
+      text: configText(sequence),
+      services: [],
+      routes: [],
+    });
     this.start(
       (function* () {
         const outcome = yield* recorder.propose(text);
--- a/test/record/formation.test.ts
+++ b/test/record/formation.test.ts
@@ -1,9 +1,16 @@
 import { expect, test } from "vitest";
 import { configText, FleetStage } from "./fleetStage.js";
 
-const isLed = (stage: FleetStage) => (): boolean => stage.disks.some(({ daemon }) => daemon?.recorder?.hasGrant === true);
-const fleets = (stage: FleetStage): string[] => [...new Set(stage.disks.map((machine) => stage.fleetOf(machine)))];
-const zonesOf = (stage: FleetStage, peers: readonly string[] = []): string => peers.map((peer) => stage.machines.find((one) => one.peer === peer)?.settings.zone ?? "?").sort().join("");
+const isLed = (stage: FleetStage) => (): boolean =>
+  stage.disks.some(({ daemon }) => daemon?.recorder?.hasGrant === true);
+const fleets = (stage: FleetStage): string[] => [
+  ...new Set(stage.disks.map((machine) => stage.fleetOf(machine))),
+];
+const zonesOf = (stage: FleetStage, peers: readonly string[] = []): string =>
+  peers
+    .map((peer) => stage.machines.find((one) => one.peer === peer)?.settings.zone ?? "?")
+    .sort()
+    .join("");
 
 /** When the first recorder of a fleet has formed; the same stage does the same at the same moment. */
 const firstFormedMs = (stage: FleetStage): number => {
@@ -15,24 +22,44 @@
 const later = { bootstrap: false };
 
 test("a first seed without a disk forms the record: three voters of four, the fourth learns", () => {
-  const stage = new FleetStage(["e:a", "e:b", "e:c", "d:a", "d:b", "d:c", "d:d"], [0, 1, 2], { tolerate: { machines: 1, zones: 0 } });
+  const stage = new FleetStage(["e:a", "e:b", "e:c", "d:a", "d:b", "d:c", "d:d"], [0, 1, 2], {
+    tolerate: { machines: 1, zones: 0 },
+  });
   stage.bootAll();
   expect(stage.until(isLed(stage), 5000)).toBeLessThan(3000);
   stage.wait(1000);
   const record = stage.leader.record;
-  expect([record?.voters.length, zonesOf(stage, record?.voters), zonesOf(stage, record?.learners)]).toEqual([3, "abc", "d"]);
+  expect([
+    record?.voters.length,
+    zonesOf(stage, record?.voters),
+    zonesOf(stage, record?.learners),
+  ]).toEqual([3, "abc", "d"]);
   expect(fleets(stage)).toHaveLength(1);
-  expect(stage.disks.map((machine) => machine.record?.state)).toEqual(["formed", "formed", "formed", "formed"]);
-  expect(stage.machines.map(({ daemon }) => daemon?.standing.isGranted)).toEqual(stage.machines.map(() => true));
+  expect(stage.disks.map((machine) => machine.record?.state)).toEqual([
+    "formed",
+    "formed",
+    "formed",
+    "formed",
+  ]);
+  expect(stage.machines.map(({ daemon }) => daemon?.standing.isGranted)).toEqual(
+    stage.machines.map(() => true),
+  );
 });
 
 test("five voters of six in three zones, where two losses are tolerated", () => {
-  const stage = new FleetStage(["d:a", "e:b", "e:c", "d:a", "d:b", "d:b", "d:c", "d:c"], [1, 0, 2], { tolerate: { machines: 2, zones: 0 } });
+  const stage = new FleetStage(
+    ["d:a", "e:b", "e:c", "d:a", "d:b", "d:b", "d:c", "d:c"],
+    [1, 0, 2],
+    { tolerate: { machines: 2, zones: 0 } },
+  );
   stage.bootAll();
   stage.until(isLed(stage), 5000);
   stage.wait(1000);
   const record = stage.leader.record;
-  expect([zonesOf(stage, record?.voters), zonesOf(stage, record?.learners)]).toEqual(["aabbc", "c"]);
+  expect([zonesOf(stage, record?.voters), zonesOf(stage, record?.learners)]).toEqual([
+    "aabbc",
+    "c",
+  ]);
   expect(fleets(stage)).toHaveLength(1);
 });
 
@@ -68,7 +95,8 @@
 });
 
 test("a founder killed in the middle of forming: none stands before all have formed, and another takes over what was formed", () => {
-  const build = (): FleetStage => new FleetStage(["e:a", "e:b", "d:a", "d:b", "d:c", "d:d"], [0, 1]);
+  const build = (): FleetStage =>
+    new FleetStage(["e:a", "e:b", "d:a", "d:b", "d:c", "d:d"], [0, 1]);
   const formsMs = firstFormedMs(build());
   let midway = 0;
   for (let cutMs = formsMs - 8; cutMs < formsMs + 4; cutMs += 0.5) {
@@ -79,7 +107,10 @@
     const others = stage.machines.filter((machine) => machine !== missed);
     for (const machine of others) stage.cut(missed, machine);
     stage.until(() => others.some((machine) => stage.fleetOf(machine) !== ""), 3000);
-    const chosen = others.map((machine) => machine.daemon?.recorder?.attendance.voters ?? []).find((voters) => voters.length > 0) ?? [];
+    const chosen =
+      others
+        .map((machine) => machine.daemon?.recorder?.attendance.voters ?? [])
+        .find((voters) => voters.length > 0) ?? [];
     if (!chosen.includes(missed.peer) || stage.fleetOf(missed) !== "") continue;
     stage.kill(stage.at(0));
     stage.wait(4000);
@@ -88,7 +119,8 @@
     expect(stage.disks.map((machine) => machine.record?.term)).toEqual([0, 0, 0, 0]);
     const formed = others.map((machine) => stage.fleetOf(machine)).filter((fleet) => fleet !== "");
     for (const machine of others) stage.cut(missed, machine, true);
-    for (const machine of stage.machines) machine.daemon?.setSeeds([stage.at(1).peer, stage.at(0).peer]);
+    for (const machine of stage.machines)
+      machine.daemon?.setSeeds([stage.at(1).peer, stage.at(0).peer]);
     stage.until(isLed(stage), 8000);
     stage.wait(3000);
     expect(fleets(stage)).toEqual([...new Set(formed)]);
@@ -127,7 +159,12 @@
   stage.boot(first);
   stage.wait(6000);
   expect(fleets(stage)).toHaveLength(1);
-  expect(stage.disks.map((machine) => machine.record?.state)).toEqual(["formed", "formed", "formed", "formed"]);
+  expect(stage.disks.map((machine) => machine.record?.state)).toEqual([
+    "formed",
+    "formed",
+    "formed",
+    "formed",
+  ]);
 });
 
 test("a fleet that was formed comes back by what its recorders keep, also when no seed is up", () => {
@@ -146,7 +183,9 @@
   const [founder, emptied, kept, late] = [0, 1, 2, 3].map((at) => stage.at(at));
   if (!founder || !emptied || !kept || !late) throw new Error("There are too few machines.");
   stage.until(() => late.record?.state === "unborn", 3000);
-  const files = ["slot-a", "slot-b", "log-1"].map((name) => [name, late.disk?.peek(name) ?? Buffer.alloc(0)] as const).filter(([name, bytes]) => bytes.length > 0 || name === "log-1");
+  const files = ["slot-a", "slot-b", "log-1"]
+    .map((name) => [name, late.disk?.peek(name) ?? Buffer.alloc(0)] as const)
+    .filter(([name, bytes]) => bytes.length > 0 || name === "log-1");
   stage.until(isLed(stage), 5000);
   stage.kill(late, true);
   for (const [name, bytes] of files) late.disk?.poke(name, bytes);
@@ -159,7 +198,10 @@
   stage.bootAll();
   stage.until(() => late.record?.state === "unborn", 1000);
   stage.wait(8000);
-  expect([emptied, late].map((machine) => [machine.record?.state, machine.record?.term])).toEqual([["empty", 0], ["unborn", 0]]);
+  expect([emptied, late].map((machine) => [machine.record?.state, machine.record?.term])).toEqual([
+    ["empty", 0],
+    ["unborn", 0],
+  ]);
   for (const machine of [founder, emptied, late]) stage.cut(kept, machine, true);
   stage.until(isLed(stage), 8000);
   stage.until(() => emptied.record?.state === "formed", 5000);
--- a/test/record/gone.test.ts
+++ b/test/record/gone.test.ts
@@ -1,13 +1,31 @@
 import { expect, test } from "vitest";
 import { Book, Deed, keptGone } from "../../src/record/book.js";
 
-const contract = (instance: string, more: Partial<Extract<Deed, { kind: "contract" }>> = {}): Deed => ({ kind: "contract", address: "a:1", service: "s", zone: "z", warmth: 1, instance, ...more });
-const leave = (instance: string): Deed => ({ kind: "leave", address: "", service: "", drained: false, instance });
+const contract = (
+  instance: string,
+  more: Partial<Extract<Deed, { kind: "contract" }>> = {},
+): Deed => ({
+  kind: "contract",
+  address: "a:1",
+  service: "s",
+  zone: "z",
+  warmth: 1,
+  instance,
+  ...more,
+});
+const leave = (instance: string): Deed => ({
+  kind: "leave",
+  address: "",
+  service: "",
+  drained: false,
+  instance,
+});
 const members = { voters: ["a"], learners: [] };
 
 test("a contract that is entered after its instance's leave changes nothing, on a restored copy too", () => {
   const book = new Book();
-  const apply = (on: Book, index: number, deed: Deed): unknown => JSON.parse(on.apply(index, Deed.text(deed)));
+  const apply = (on: Book, index: number, deed: Deed): unknown =>
+    JSON.parse(on.apply(index, Deed.text(deed)));
   expect(apply(book, 1, contract("one"))).toEqual({ number: 1 });
   expect(apply(book, 2, leave("one"))).toEqual({ known: true });
   expect(apply(book, 3, leave("never-seen"))).toEqual({ known: false });
@@ -31,12 +49,30 @@
   book.apply(1, Deed.text(contract("one")));
   book.apply(2, Deed.text({ kind: "leave", address: "a:1", service: "s", drained: true }));
   expect(book.gone.has("one")).toBe(true);
-  const before = { address: "a:1", service: "s", zone: "z", warmth: 1, number: 1, leaving: false, leftAt: 0, drained: false };
-  const text = new Book().checkpoint(members).replace('"gone":[],', "").replace('"contracts":[]', `"contracts":${JSON.stringify([before])}`);
+  const before = {
+    address: "a:1",
+    service: "s",
+    zone: "z",
+    warmth: 1,
+    number: 1,
+    leaving: false,
+    leftAt: 0,
+    drained: false,
+  };
+  const text = new Book()
+    .checkpoint(members)
+    .replace('"gone":[],', "")
+    .replace('"contracts":[]', `"contracts":${JSON.stringify([before])}`);
   expect(text).not.toContain("gone");
   const copy = new Book();
   copy.restore(text);
-  expect(copy.contracts.get("a:1")).toEqual({ ...before, instance: "", capacity: 0, warmMs: 0, order: 0 });
+  expect(copy.contracts.get("a:1")).toEqual({
+    ...before,
+    instance: "",
+    capacity: 0,
+    warmMs: 0,
+    order: 0,
+  });
 });
 
 test("instances that are gone are bounded: the oldest are forgotten", () => {
--- a/test/record/history.test.ts
+++ b/test/record/history.test.ts
@@ -9,7 +9,14 @@
 import { VirtualClock } from "../../src/rehearsal/virtualClock.js";
 import { VirtualDisk } from "../../src/rehearsal/virtualDisk.js";
 
-const config = (sequence: number, version?: number): AcceptedConfig => ({ sequence, index: sequence, changeId: `c${sequence}`, acceptedAt: "", text: `{"n":${sequence}}`, ...(version === undefined ? {} : { version }) });
+const config = (sequence: number, version?: number): AcceptedConfig => ({
+  sequence,
+  index: sequence,
+  changeId: `c${sequence}`,
+  acceptedAt: "",
+  text: `{"n":${sequence}}`,
+  ...(version === undefined ? {} : { version }),
+});
 
 test("what a broken addition left behind is cut before more is added, and versions are kept", () => {
   const time = new VirtualClock();
@@ -17,7 +24,11 @@
   const errors: unknown[] = [];
   const run = <T>(task: Task<T>): T | undefined => {
     const values: T[] = [];
-    Task.start(task, (error) => errors.push(error), (value) => values.push(value));
+    Task.start(
+      task,
+      (error) => errors.push(error),
+      (value) => values.push(value),
+    );
     time.runUntil(time.nowMs() + 5000);
     return values[0];
   };
@@ -34,7 +45,12 @@
   const again = new History(disk);
   run(again.load(["history-0"]));
   expect(again.newest).toBe(4);
-  expect([1, 2, 3, 4].map((sequence) => run(again.read(sequence)))).toEqual([config(1), config(2, 9), config(3, 12), config(4, 13)]);
+  expect([1, 2, 3, 4].map((sequence) => run(again.read(sequence)))).toEqual([
+    config(1),
+    config(2, 9),
+    config(3, 12),
+    config(4, 13),
+  ]);
   expect(errors).toHaveLength(1);
 });
 
@@ -79,8 +95,13 @@
   two.disk.poke("history-0", bent);
   simulation.boot(two);
   wait(8000);
-  expect([one, two].map(({ daemon }) => daemon?.recorder?.status.state)).toEqual(["formed", "formed"]);
-  expect(simulation.lines.filter((line) => line.includes("damaged file of the history is whole again"))).toHaveLength(1);
+  expect([one, two].map(({ daemon }) => daemon?.recorder?.status.state)).toEqual([
+    "formed",
+    "formed",
+  ]);
+  expect(
+    simulation.lines.filter((line) => line.includes("damaged file of the history is whole again")),
+  ).toHaveLength(1);
   simulation.kill(three, true);
   three.disk.wipe();
   wait(4000);
@@ -103,9 +124,12 @@
   const again = reopened();
   expect(again.newest).toBe(150);
   run(again.append([config(151), config(152)]));
-  for (const sequence of [1, 64, 65, 128, 129, 152]) expect(run(reopened().read(sequence))).toEqual(config(sequence));
+  for (const sequence of [1, 64, 65, 128, 129, 152])
+    expect(run(reopened().read(sequence))).toEqual(config(sequence));
   expect(run(again.read(153))).toBeUndefined();
-  expect(History.unpack(run(again.piece(100)), 100).map(({ sequence }) => sequence)).toEqual(Array.from({ length: 29 }, (_, at) => at + 100));
+  expect(History.unpack(run(again.piece(100)), 100).map(({ sequence }) => sequence)).toEqual(
+    Array.from({ length: 29 }, (_, at) => at + 100),
+  );
 });
 
 test("whatever bytes stand in its files, a history returns a config as it was kept or none, and takes more", () => {
@@ -133,5 +157,7 @@
     expect(run(reopened().read(newest + 1))).toEqual(config(newest + 1));
   }
   expect(missing).toBeGreaterThan(20);
-  expect(History.unpack(Buffer.from(Array.from({ length: 300 }, () => Math.floor(random() * 256))), 1)).toEqual([]);
+  expect(
+    History.unpack(Buffer.from(Array.from({ length: 300 }, () => Math.floor(random() * 256))), 1),
+  ).toEqual([]);
 });
--- a/test/record/numbering.test.ts
+++ b/test/record/numbering.test.ts
@@ -7,11 +7,16 @@
   const restingSince = new Map<number, number>();
   const rest = 60;
   for (let at = 0; at < 3000; at += 1) {
-    const names = Array.from({ length: at % 500 === 0 ? 10_000 : 40 }, (_, one) => (one < 30 ? `kept-${one}` : `r-${at}-${one}`));
-    const rested = [...numbering.resting].filter((number) => (restingSince.get(number) ?? at) < at - rest);
+    const names = Array.from({ length: at % 500 === 0 ? 10_000 : 40 }, (_, one) =>
+      one < 30 ? `kept-${one}` : `r-${at}-${one}`,
+    );
+    const rested = [...numbering.resting].filter(
+      (number) => (restingSince.get(number) ?? at) < at - rest,
+    );
     numbering.adopt(names, rested);
     for (const number of rested) restingSince.delete(number);
-    for (const number of numbering.resting) if (!restingSince.has(number)) restingSince.set(number, at);
+    for (const number of numbering.resting)
+      if (!restingSince.has(number)) restingSince.set(number, at);
     expect(numbering.inForce.size).toBe(names.length);
     if (at % 100 === 0) {
       const copy = new Numbering();
--- a/test/record/place.test.ts
+++ b/test/record/place.test.ts
@@ -1,14 +1,28 @@
 import { expect, test } from "vitest";
 import { Place, type Candidate } from "../../src/record/place.js";
 
-const place = (machines: number, zones: number): Place => ({ self: "p", machine: "m", zone: "a", founds: true, tolerate: { machines, zones }, seeds: () => [] });
-const inZones = (zones: string): Candidate[] => [...zones].map((zone, at) => ({ peer: `${zone}${at}`, machine: `m${at}`, zone }));
+const place = (machines: number, zones: number): Place => ({
+  self: "p",
+  machine: "m",
+  zone: "a",
+  founds: true,
+  tolerate: { machines, zones },
+  seeds: () => [],
+});
+const inZones = (zones: string): Candidate[] =>
+  [...zones].map((zone, at) => ({ peer: `${zone}${at}`, machine: `m${at}`, zone }));
 
 test("voters are spread over the zones in turn, whatever the order in which candidates were met", () => {
   const all = inZones("aabbcc");
-  expect(Place.choose(place(2, 0), all)).toEqual({ voters: ["a0", "b2", "c4", "a1", "b3"], learners: ["c5"] });
+  expect(Place.choose(place(2, 0), all)).toEqual({
+    voters: ["a0", "b2", "c4", "a1", "b3"],
+    learners: ["c5"],
+  });
   expect(Place.choose(place(2, 0), [...all].reverse())).toEqual(Place.choose(place(2, 0), all));
-  expect(Place.choose(place(1, 0), inZones("abcd"))).toEqual({ voters: ["a0", "b1", "c2"], learners: ["d3"] });
+  expect(Place.choose(place(1, 0), inZones("abcd"))).toEqual({
+    voters: ["a0", "b1", "c2"],
+    learners: ["d3"],
+  });
 });
 
 test("too few candidates form nothing, nor those of too few zones where losses of zones are tolerated", () => {
--- a/test/record/recorder.test.ts
+++ b/test/record/recorder.test.ts
@@ -17,7 +17,11 @@
 type VoteAsk = Held<typeof Kind.vote.ask>;
 
 const [own, second, third] = ["10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"];
-const note = (index: number, term: number): Entry => ({ index, term, text: '{"kind":"note","text":"n"}' });
+const note = (index: number, term: number): Entry => ({
+  index,
+  term,
+  text: '{"kind":"note","text":"n"}',
+});
 
 /** One recorder under test, and the wire by which a recorded trace is played to it. */
 const stage = (formed: boolean) => {
@@ -27,9 +31,22 @@
   const fail = (error: unknown): void => {
     throw error;
   };
-  const worldOf = (place: string): World => virtualWorld({ clock: time.clock(), wire: network.wire(place, new Gate()), disk, random: Draw.of(2) });
+  const worldOf = (place: string): World =>
+    virtualWorld({
+      clock: time.clock(),
+      wire: network.wire(place, new Gate()),
+      disk,
+      random: Draw.of(2),
+    });
   const seeds = [own, second, third];
-  const place = { self: own, machine: "own", zone: "a", founds: true, tolerate: { machines: 1, zones: 0 }, seeds: () => seeds };
+  const place = {
+    self: own,
+    machine: "own",
+    zone: "a",
+    founds: true,
+    tolerate: { machines: 1, zones: 0 },
+    seeds: () => seeds,
+  };
   const begin = (): Recorder => {
     const world = worldOf("own");
     const link = new Link(world, own);
@@ -40,7 +57,18 @@
   };
   const player = new Link(worldOf("player"), second);
   player.serve(Kind.meet, function* () {
-    return { machine: second, zone: "b", state: "formed", fleet: "f", leader: second, founds: true, incarnation: "i", voters: seeds, learners: [], recorders: seeds };
+    return {
+      machine: second,
+      zone: "b",
+      state: "formed",
+      fleet: "f",
+      leader: second,
+      founds: true,
+      incarnation: "i",
+      voters: seeds,
+      learners: [],
+      recorders: seeds,
+    };
   });
   Task.start(player.listen(), fail);
   const ask = <A, R>(kind: Kind<A, R>, asked: A, waitMs = 200): R | undefined => {
@@ -50,21 +78,47 @@
     return returns[0];
   };
   if (formed) {
-    const standing: Standing = { fleet: "f", rejoining: "", term: 1, votedFor: "", lastIndex: 0, lastTerm: 0, book: new Book().checkpoint({ voters: seeds, learners: [] }), entries: [note(1, 1)] };
+    const standing: Standing = {
+      fleet: "f",
+      rejoining: "",
+      term: 1,
+      votedFor: "",
+      lastIndex: 0,
+      lastTerm: 0,
+      book: new Book().checkpoint({ voters: seeds, learners: [] }),
+      entries: [note(1, 1)],
+    };
     Task.start(new Store(disk).checkpoint(standing), fail);
     time.runUntil(100);
   }
   return { time, disk, begin, ask };
 };
-const append = (term: number, previousIndex: number, previousTerm: number, entries: Entry[], committed = 0): AppendAsk => ({ term, leader: second, previousIndex, previousTerm, committed, entries });
-const vote = (term: number, lastIndex: number, lastTerm: number, isPreVote = false): VoteAsk => ({ isPreVote, term, candidate: third, lastIndex, lastTerm, handOver: false });
+const append = (
+  term: number,
+  previousIndex: number,
+  previousTerm: number,
+  entries: Entry[],
+  committed = 0,
+): AppendAsk => ({ term, leader: second, previousIndex, previousTerm, committed, entries });
+const vote = (term: number, lastIndex: number, lastTerm: number, isPreVote = false): VoteAsk => ({
+  isPreVote,
+  term,
+  candidate: third,
+  lastIndex,
+  lastTerm,
+  handOver: false,
+});
 
 test("trace: no vote while a leader is heard, none for a shorter log, one in a term and kept over a restart", () => {
   const { time, begin, ask } = stage(true);
   begin();
   time.runUntil(150);
   expect(ask(Kind.vote, vote(2, 9, 9))?.granted).toBe(false);
-  expect(ask(Kind.append, append(2, 1, 1, []))).toMatchObject({ fits: true, counts: true, matched: 1 });
+  expect(ask(Kind.append, append(2, 1, 1, []))).toMatchObject({
+    fits: true,
+    counts: true,
+    matched: 1,
+  });
   expect(ask(Kind.vote, vote(3, 9, 9, true))?.granted).toBe(false);
   time.runUntil(time.nowMs() + 450);
   expect(ask(Kind.vote, vote(9, 0, 0))?.granted).toBe(false);
@@ -81,7 +135,11 @@
   time.runUntil(150);
   disk.stall(600);
   expect(ask(Kind.append, append(2, 1, 1, [note(2, 2)]), 100)).toBeUndefined();
-  expect(ask(Kind.append, append(3, 1, 1, [note(2, 3)]), 1500)).toMatchObject({ term: 3, fits: true, matched: 2 });
+  expect(ask(Kind.append, append(3, 1, 1, [note(2, 3)]), 1500)).toMatchObject({
+    term: 3,
+    fits: true,
+    matched: 2,
+  });
   expect(ask(Kind.append, append(2, 2, 2, [note(3, 2)]))).toMatchObject({ term: 3, fits: false });
 });
 
@@ -91,16 +149,34 @@
   time.runUntil(400);
   expect(recorder.status.state).toBe("rejoining");
   expect(ask(Kind.vote, { ...vote(5, 9, 9), handOver: true })?.granted).toBe(false);
-  expect(ask(Kind.append, append(5, 0, 0, [note(1, 5), note(2, 5)], 2))).toMatchObject({ fits: true, counts: false, matched: 2 });
-  const foreign = { index: 3, term: 5, text: JSON.stringify({ kind: "rejoined", machine: own, nonce: "another" }) };
+  expect(ask(Kind.append, append(5, 0, 0, [note(1, 5), note(2, 5)], 2))).toMatchObject({
+    fits: true,
+    counts: false,
+    matched: 2,
+  });
+  const foreign = {
+    index: 3,
+    term: 5,
+    text: JSON.stringify({ kind: "rejoined", machine: own, nonce: "another" }),
+  };
   expect(ask(Kind.append, append(5, 2, 5, [foreign], 3))).toMatchObject({ counts: false });
   expect(ask(Kind.append, append(5, 3, 5, []))).toMatchObject({ counts: false });
-  const mark = { index: 4, term: 5, text: JSON.stringify({ kind: "rejoined", machine: own, nonce: recorder.nonce }) };
+  const mark = {
+    index: 4,
+    term: 5,
+    text: JSON.stringify({ kind: "rejoined", machine: own, nonce: recorder.nonce }),
+  };
   ask(Kind.append, append(5, 3, 5, [mark], 4));
   expect(ask(Kind.append, append(5, 4, 5, []))).toMatchObject({ counts: true, matched: 4 });
 });
 
 test("entries go and stay in bounded numbers and bytes, a large one alone", () => {
-  const entries = (bytes: number, count: number): Entry[] => Array.from({ length: count }, (_, at) => ({ index: at + 1, term: 1, text: "x".repeat(bytes) }));
-  expect([within(entries(10, 900), batch), within(entries(1024 * 1024, 300), batch), within(entries(9 * 1024 * 1024, 3), batch), within([], batch)]).toEqual([256, 4, 1, 0]);
+  const entries = (bytes: number, count: number): Entry[] =>
+    Array.from({ length: count }, (_, at) => ({ index: at + 1, term: 1, text: "x".repeat(bytes) }));
+  expect([
+    within(entries(10, 900), batch),
+    within(entries(1024 * 1024, 300), batch),
+    within(entries(9 * 1024 * 1024, 3), batch),
+    within([], batch),
+  ]).toEqual([256, 4, 1, 0]);
 });
--- a/test/record/rejoin.test.ts
+++ b/test/record/rejoin.test.ts
@@ -1,7 +1,8 @@
 import { expect, test } from "vitest";
 import { configText, FleetStage } from "./fleetStage.js";
 
-const isLed = (stage: FleetStage) => (): boolean => stage.disks.some(({ daemon }) => daemon?.recorder?.hasGrant === true);
+const isLed = (stage: FleetStage) => (): boolean =>
+  stage.disks.some(({ daemon }) => daemon?.recorder?.hasGrant === true);
 const later = { bootstrap: false };
 
 test("an emptied recorder whose seeds are all edges rejoins, and counts again", () => {
@@ -39,7 +40,9 @@
 test("five voters of whom two are emptied right after an acknowledgment keep the entry, whichever two", () => {
   for (let one = 0; one < 5; one += 1)
     for (let two = one + 1; two < 5; two += 1) {
-      const stage = new FleetStage(["d:a", "d:b", "d:c", "d:a", "d:b", "e:c"], [0, 1, 5], { tolerate: { machines: 2, zones: 0 } });
+      const stage = new FleetStage(["d:a", "d:b", "d:c", "d:a", "d:b", "e:c"], [0, 1, 5], {
+        tolerate: { machines: 2, zones: 0 },
+      });
       stage.bootAll();
       stage.until(isLed(stage), 5000);
       expect(stage.leader.record?.voters).toHaveLength(5);
@@ -49,7 +52,8 @@
       for (const machine of stage.disks) stage.boot(machine, later);
       stage.until(isLed(stage), 6000);
       stage.until(() => emptied.every((machine) => machine.record?.state === "formed"), 6000);
-      for (const machine of stage.disks.filter((machine) => !emptied.includes(machine)).slice(0, 2)) stage.kill(machine);
+      for (const machine of stage.disks.filter((machine) => !emptied.includes(machine)).slice(0, 2))
+        stage.kill(machine);
       stage.until(isLed(stage), 6000);
       expect(stage.config(stage.leader, 1)).toBe(configText(1));
       expect(stage.commit(2)).toBe(true);
@@ -57,7 +61,9 @@
 });
 
 test("emptied voters don't count until they have learned: three of five with two of them empty commit nothing", () => {
-  const stage = new FleetStage(["d:a", "d:b", "d:c", "d:a", "d:b", "e:c"], [0, 1, 5], { tolerate: { machines: 2, zones: 0 } });
+  const stage = new FleetStage(["d:a", "d:b", "d:c", "d:a", "d:b", "e:c"], [0, 1, 5], {
+    tolerate: { machines: 2, zones: 0 },
+  });
   stage.bootAll();
   stage.until(isLed(stage), 5000);
   expect(stage.commit(1)).toBe(true);
@@ -73,17 +79,25 @@
 });
 
 test("of five voters two are lost for good; learners take their places, one after the other", () => {
-  const stage = new FleetStage(["d:a", "d:b", "d:c", "d:a", "d:b", "d:c", "d:a"], [0, 1, 2], { tolerate: { machines: 2, zones: 0 } });
+  const stage = new FleetStage(["d:a", "d:b", "d:c", "d:a", "d:b", "d:c", "d:a"], [0, 1, 2], {
+    tolerate: { machines: 2, zones: 0 },
+  });
   stage.bootAll();
   stage.until(isLed(stage), 5000);
   stage.wait(1000);
   const { voters = [], learners = [] } = stage.leader.record ?? {};
   expect([voters.length, learners.length]).toEqual([5, 2]);
   const { leader } = stage;
-  const lost = stage.disks.filter((machine) => machine !== leader && voters.includes(machine.peer)).slice(0, 2);
+  const lost = stage.disks
+    .filter((machine) => machine !== leader && voters.includes(machine.peer))
+    .slice(0, 2);
   for (const machine of lost) stage.kill(machine, true);
   stage.wait(20_000);
-  expect([...(stage.leader.record?.voters ?? [])].sort()).toEqual([...voters, ...learners].filter((peer) => !lost.some((machine) => machine.peer === peer)).sort());
+  expect([...(stage.leader.record?.voters ?? [])].sort()).toEqual(
+    [...voters, ...learners]
+      .filter((peer) => !lost.some((machine) => machine.peer === peer))
+      .sort(),
+  );
   expect(stage.commit(1)).toBe(true);
 });
 
--- a/test/record/restore.test.ts
+++ b/test/record/restore.test.ts
@@ -25,7 +25,10 @@
   for (const machine of lost) machine.disk?.wipe();
   simulation.boot(kept);
   wait(3000);
-  expect(kept.daemon?.recorder?.status).toMatchObject({ role: "leader", voters: [kept.settings.peers] });
+  expect(kept.daemon?.recorder?.status).toMatchObject({
+    role: "leader",
+    voters: [kept.settings.peers],
+  });
   for (const machine of lost) simulation.boot(machine);
   wait(12_000);
   expect(kept.daemon?.recorder?.status.voters).toHaveLength(3);
@@ -35,5 +38,7 @@
   expect(lost.some(({ daemon }) => daemon?.recorder?.hasGrant)).toBe(true);
   simulation.start(simulation.day.readBack());
   wait(3000);
-  expect(simulation.ledger.of("readBack").map(({ text }) => text)).toEqual(simulation.ledger.of("accepted").map(({ text }) => text));
+  expect(simulation.ledger.of("readBack").map(({ text }) => text)).toEqual(
+    simulation.ledger.of("accepted").map(({ text }) => text),
+  );
 });
--- a/test/record/store.test.ts
+++ b/test/record/store.test.ts
@@ -5,7 +5,16 @@
 import { VirtualClock } from "../../src/rehearsal/virtualClock.js";
 import { VirtualDisk } from "../../src/rehearsal/virtualDisk.js";
 
-const standing: Standing = { fleet: "f", rejoining: "", term: 1, votedFor: "", lastIndex: 0, lastTerm: 0, book: "{}", entries: [] };
+const standing: Standing = {
+  fleet: "f",
+  rejoining: "",
+  term: 1,
+  votedFor: "",
+  lastIndex: 0,
+  lastTerm: 0,
+  book: "{}",
+  entries: [],
+};
 const setUp = () => {
   const time = new VirtualClock();
   const disk = new VirtualDisk(time.clock(), () => 0.5);
@@ -30,8 +39,14 @@
   const store = new Store(disk);
   expect(run(store.load())).toEqual({ kind: "empty" });
   run(store.checkpoint(standing));
-  for (let index = 1; index <= 3; index += 1) run(store.append([{ kind: "entry", index, term: 1, text: `e${index}` }]));
-  run(store.append([{ kind: "cut", index: 3 }, { kind: "vote", term: 4, text: "x" }]));
+  for (let index = 1; index <= 3; index += 1)
+    run(store.append([{ kind: "entry", index, term: 1, text: `e${index}` }]));
+  run(
+    store.append([
+      { kind: "cut", index: 3 },
+      { kind: "vote", term: 4, text: "x" },
+    ]),
+  );
   const name = "log-1";
   const bytes = disk.peek(name);
   for (let size = bytes.length; size >= 0; size -= 1) {
@@ -39,7 +54,10 @@
     const loaded = run(new Store(disk).load());
     expect(loaded.kind).toBe("whole");
     if (loaded.kind === "whole" && size === bytes.length)
-      expect([loaded.standing.entries.map((entry) => entry.text), loaded.standing.term]).toEqual([["e1", "e2"], 4]);
+      expect([loaded.standing.entries.map((entry) => entry.text), loaded.standing.term]).toEqual([
+        ["e1", "e2"],
+        4,
+      ]);
   }
   const bent = Buffer.from(bytes);
   bent[12] = (bent[12] ?? 0) ^ 255;
@@ -53,9 +71,16 @@
   run(store.load());
   const entries = [1, 2].map((index) => ({ index, term: 1, text: `e${index}` }));
   run(store.checkpoint({ ...standing, entries }));
-  run(store.append([{ kind: "entry", index: 2, term: 1, text: "e2" }, { kind: "entry", index: 3, term: 1, text: "e3" }]));
+  run(
+    store.append([
+      { kind: "entry", index: 2, term: 1, text: "e2" },
+      { kind: "entry", index: 3, term: 1, text: "e3" },
+    ]),
+  );
   const loaded = run(new Store(disk).load());
-  expect(loaded.kind === "whole" && loaded.standing.entries.map((entry) => entry.index)).toEqual([1, 2, 3]);
+  expect(loaded.kind === "whole" && loaded.standing.entries.map((entry) => entry.index)).toEqual([
+    1, 2, 3,
+  ]);
   run(store.append([{ kind: "entry", index: 5, term: 1, text: "e5" }]));
   expect(run(new Store(disk).load()).kind).toBe("damaged");
 });
@@ -69,13 +94,22 @@
     run(store.load());
     run(store.checkpoint(standing));
     run(store.append([{ kind: "entry", index: 1, term: 1, text: "a" }]));
-    if (round % 2 === 0) run(store.checkpoint({ ...standing, entries: [{ index: 1, term: 1, text: "a" }] }));
+    if (round % 2 === 0)
+      run(store.checkpoint({ ...standing, entries: [{ index: 1, term: 1, text: "a" }] }));
     for (const name of run(disk.list())) {
       if (random() < 0.5) continue;
       const bytes = disk.peek(name);
       const at = Math.floor(random() * bytes.length);
       if (random() < 0.5) disk.poke(name, bytes.subarray(0, at));
-      else disk.poke(name, Buffer.concat([bytes.subarray(0, at), Buffer.from([Math.floor(random() * 256), 7]), bytes.subarray(at + 2)]));
+      else
+        disk.poke(
+          name,
+          Buffer.concat([
+            bytes.subarray(0, at),
+            Buffer.from([Math.floor(random() * 256), 7]),
+            bytes.subarray(at + 2),
+          ]),
+        );
     }
     const again = new Store(disk);
     const loaded = run(again.load());
@@ -98,5 +132,7 @@
   run(store.append([{ kind: "entry", index: 1, term: 1, text: "kept" }]));
   disk.poke("slot-a", Buffer.from("half a slo"));
   const loaded = run(new Store(disk).load());
-  expect(loaded.kind === "whole" && loaded.standing.entries.map((entry) => entry.text)).toEqual(["kept"]);
+  expect(loaded.kind === "whole" && loaded.standing.entries.map((entry) => entry.text)).toEqual([
+    "kept",
+  ]);
 });
--- a/test/rehearsal/fleet.test.ts
+++ b/test/rehearsal/fleet.test.ts
@@ -12,30 +12,59 @@
   smallMachines: 2,
   backEnds: { issues: 3, triage: 2 },
   traffic: [
-    { route: "issues", service: "issues", method: "GET", path: (at) => `/issues/${at % 9}`, keyed: false, perSecond: 30, bodyBytes: 300_000 },
-    { route: "resolves", service: "triage", method: "POST", path: (at) => `/issues/${at % 9}/resolve`, keyed: true, perSecond: 30, bodyBytes: 80 },
+    {
+      route: "issues",
+      service: "issues",
+      method: "GET",
+      path: (at) => `/issues/${at % 9}`,
+      keyed: false,
+      perSecond: 30,
+      bodyBytes: 300_000,
+    },
+    {
+      route: "resolves",
+      service: "triage",
+      method: "POST",
+      path: (at) => `/issues/${at % 9}/resolve`,
+      keyed: true,
+      perSecond: 30,
+      bodyBytes: 80,
+    },
   ],
   moves: {},
 };
 const diskShape = type({ record: type({ disk: string() }) });
-const recorderShape = type({ record: type({ committed: number(), role: string(), state: string() }) });
+const recorderShape = type({
+  record: type({ committed: number(), role: string(), state: string() }),
+});
 
 test("real processes: all recorders killed at once come back with every config, a stop drains, no rule is broken", async () => {
   const fleet = await Fleet.lay(small, 1, 1);
   try {
     await fleet.begin();
-    expect(await fleet.perform(fleet.until(() => fleet.machines.every(({ isReady }) => isReady), 30_000))).toBe(true);
+    expect(
+      await fleet.perform(
+        fleet.until(() => fleet.machines.every(({ isReady }) => isReady), 30_000),
+      ),
+    ).toBe(true);
     expect(await fleet.perform(fleet.day.putConfig())).toBe(true);
-    await fleet.perform(fleet.until(() => fleet.ledger.of("announced").length >= fleet.standIns.length, 10_000));
+    await fleet.perform(
+      fleet.until(() => fleet.ledger.of("announced").length >= fleet.standIns.length, 10_000),
+    );
     fleet.beginCalls();
-    const served = (): number => fleet.ledger.callers.filter(({ code }) => code === 200 || code === 201).length;
+    const served = (): number =>
+      fleet.ledger.callers.filter(({ code }) => code === 200 || code === 201).length;
     expect(await fleet.perform(fleet.until(() => served() > 60, 20_000))).toBe(true);
 
     const recorders = fleet.machines.filter(({ settings }) => settings.dataFolder !== undefined);
     const edges = fleet.machines.filter(({ settings }) => settings.callers !== undefined);
     for (const machine of recorders) await fleet.perform(fleet.kill(machine));
     for (const machine of recorders) fleet.boot(machine);
-    expect(await fleet.perform(fleet.until(() => fleet.machines.every(({ isReady }) => isReady), 30_000))).toBe(true);
+    expect(
+      await fleet.perform(
+        fleet.until(() => fleet.machines.every(({ isReady }) => isReady), 30_000),
+      ),
+    ).toBe(true);
     const before = served();
     expect(await fleet.perform(fleet.day.putConfig())).toBe(true);
     expect(await fleet.perform(fleet.until(() => served() > before + 60, 20_000))).toBe(true);
@@ -50,7 +79,8 @@
     expect(judge(fleet.ledger)).toEqual([]);
     expect(fleet.failures).toEqual([]);
     const statuses = [];
-    for (const machine of recorders) statuses.push(create(await fleet.perform(fleet.status(machine)), recorderShape).record);
+    for (const machine of recorders)
+      statuses.push(create(await fleet.perform(fleet.status(machine)), recorderShape).record);
     expect(statuses.filter(({ role }) => role === "leader")).toHaveLength(1);
     expect(statuses.every(({ state }) => state === "formed")).toBe(true);
   } finally {
@@ -68,15 +98,21 @@
     }
     return undefined;
   };
-  const diskOf = async (machine: FleetMachine): Promise<string> => create(await fleet.perform(fleet.status(machine)), diskShape).record.disk;
+  const diskOf = async (machine: FleetMachine): Promise<string> =>
+    create(await fleet.perform(fleet.status(machine)), diskShape).record.disk;
   try {
     await fleet.begin();
-    expect(await fleet.perform(fleet.until(() => fleet.machines.every(({ isReady }) => isReady), 30_000))).toBe(true);
+    expect(
+      await fleet.perform(
+        fleet.until(() => fleet.machines.every(({ isReady }) => isReady), 30_000),
+      ),
+    ).toBe(true);
     expect(await fleet.perform(fleet.day.putConfig())).toBe(true);
     const leader = await leaderOf();
     if (!leader) throw new Error("Nobody leads.");
     await fleet.perform(fleet.fillDisk(leader, true));
-    for (let count = 0; count < 5; count += 1) expect(await fleet.perform(fleet.day.putConfig())).toBe(true);
+    for (let count = 0; count < 5; count += 1)
+      expect(await fleet.perform(fleet.day.putConfig())).toBe(true);
     expect(await leaderOf()).not.toBe(leader);
     await expect.poll(() => diskOf(leader), { timeout: 20_000 }).not.toBe("well");
     await fleet.perform(fleet.fillDisk(leader, false));
@@ -94,10 +130,15 @@
 });
 
 test("real processes: faults in the settings end with code 2, each named", async () => {
-  const child = spawn(process.execPath, [daemonProgram, "run", "--machine", "x", "--peers", "nowhere"], { stdio: ["ignore", "ignore", "pipe"] });
+  const child = spawn(
+    process.execPath,
+    [daemonProgram, "run", "--machine", "x", "--peers", "nowhere"],
+    { stdio: ["ignore", "ignore", "pipe"] },
+  );
   const pieces: Buffer[] = [];
   child.stderr.on("data", (piece: Buffer) => pieces.push(piece));
   const code = await new Promise((done) => child.once("close", done));
   expect(code).toBe(2);
-  for (const path of ["zone", "operators", "peers", "seeds"]) expect(Buffer.concat(pieces).toString()).toContain(`daledoor: ${path}: `);
+  for (const path of ["zone", "operators", "peers", "seeds"])
+    expect(Buffer.concat(pieces).toString()).toContain(`daledoor: ${path}: `);
 });
--- a/test/rehearsal/judge.test.ts
+++ b/test/rehearsal/judge.test.ts
@@ -3,16 +3,52 @@
 import { type CallerRecord, Ledger, type RunRecord } from "../../src/rehearsal/ledger.js";
 
 const call = (record: Partial<CallerRecord>): CallerRecord => ({
-  id: "c1", daemon: "e1", service: "s", method: "GET", path: "/x/1", key: undefined, sentMs: 5000, endedMs: 5050, code: 200, broke: "",
-  bodyOf: record.id ?? "c1", isWhole: true, isGarbage: false, retryAfterS: undefined, verdict: "", ...record,
+  id: "c1",
+  daemon: "e1",
+  service: "s",
+  method: "GET",
+  path: "/x/1",
+  key: undefined,
+  sentMs: 5000,
+  endedMs: 5050,
+  code: 200,
+  broke: "",
+  bodyOf: record.id ?? "c1",
+  isWhole: true,
+  isGarbage: false,
+  retryAfterS: undefined,
+  verdict: "",
+  ...record,
 });
-const ran = (record: Partial<RunRecord>): RunRecord => ({ atMs: 5020, heldMs: 0, address: "b1", service: "s", incarnation: 1, caller: "c1", path: "/x/1", method: "GET", key: undefined, meant: "s", ...record });
-const configText = (number: number): string => JSON.stringify({ services: { s: {} }, routes: { x: { match: { path: "/x/*" }, service: "s" }, [`probe-${number}`]: { match: { path: `/probe/${number}` }, service: "s" } } });
+const ran = (record: Partial<RunRecord>): RunRecord => ({
+  atMs: 5020,
+  heldMs: 0,
+  address: "b1",
+  service: "s",
+  incarnation: 1,
+  caller: "c1",
+  path: "/x/1",
+  method: "GET",
+  key: undefined,
+  meant: "s",
+  ...record,
+});
+const configText = (number: number): string =>
+  JSON.stringify({
+    services: { s: {} },
+    routes: {
+      x: { match: { path: "/x/*" }, service: "s" },
+      [`probe-${number}`]: { match: { path: `/probe/${number}` }, service: "s" },
+    },
+  });
 const clean = (): Ledger => {
   const ledger = new Ledger();
   for (const number of [1, 2]) {
     const [atMs, text] = [(number - 1) * 1000, configText(number)];
-    ledger.world.push({ kind: "sent", atMs, probe: number, text }, { kind: "accepted", atMs, sequence: number, probe: number, text });
+    ledger.world.push(
+      { kind: "sent", atMs, probe: number, text },
+      { kind: "accepted", atMs, sequence: number, probe: number, text },
+    );
   }
   ledger.callers.push(call({}));
   ledger.runs.push(ran({}));
@@ -20,18 +56,35 @@
   return ledger;
 };
 const planted: Record<string, (ledger: Ledger) => void> = {
-  "a key runs once in a minute": (ledger) => ledger.runs.push(ran({ caller: "a", method: "POST", key: "k" }), ran({ caller: "b", method: "POST", key: "k", atMs: 60_000 })),
-  "a return is the caller's own, whole and stamped": (ledger) => ledger.callers.push(call({ id: "c2", bodyOf: "c1" })),
+  "a key runs once in a minute": (ledger) =>
+    ledger.runs.push(
+      ran({ caller: "a", method: "POST", key: "k" }),
+      ran({ caller: "b", method: "POST", key: "k", atMs: 60_000 }),
+    ),
+  "a return is the caller's own, whole and stamped": (ledger) =>
+    ledger.callers.push(call({ id: "c2", bodyOf: "c1" })),
   "what is told to try later never runs": (ledger) => ledger.callers.push(call({ code: 503 })),
-  "what may not be repeated runs once": (ledger) => ledger.runs.push(ran({ caller: "c3", method: "POST" }), ran({ caller: "c3", method: "POST", atMs: 9000 })),
+  "what may not be repeated runs once": (ledger) =>
+    ledger.runs.push(
+      ran({ caller: "c3", method: "POST" }),
+      ran({ caller: "c3", method: "POST", atMs: 9000 }),
+    ),
   "repeats stay under a fifth plus seventy in ten seconds": (ledger) => {
     for (let at = 0; at < 72; at += 1) ledger.runs.push(ran({ atMs: 5021 + at }));
   },
-  "a leaving back end gets no work two seconds on": (ledger) => ledger.world.push({ kind: "left", atMs: 3000, address: "b1", service: "s", incarnation: 1 }),
-  "no request meets a config older than two seconds": (ledger) => ledger.callers.push(call({ path: "/probe/1" })),
-  "a daemon never slips back to an older config": (ledger) => ledger.callers.push(call({ path: "/probe/2", sentMs: 1500, endedMs: 1600 }), call({ path: "/probe/1", sentMs: 1900 })),
-  "no request reaches a service that was never allowed": (ledger) => ledger.runs.push(ran({ service: "other" })),
-  "only accepted configs are in force, and none is lost": (ledger) => ledger.world.push({ kind: "readBack", atMs: 9000, sequence: 2, text: undefined }),
+  "a leaving back end gets no work two seconds on": (ledger) =>
+    ledger.world.push({ kind: "left", atMs: 3000, address: "b1", service: "s", incarnation: 1 }),
+  "no request meets a config older than two seconds": (ledger) =>
+    ledger.callers.push(call({ path: "/probe/1" })),
+  "a daemon never slips back to an older config": (ledger) =>
+    ledger.callers.push(
+      call({ path: "/probe/2", sentMs: 1500, endedMs: 1600 }),
+      call({ path: "/probe/1", sentMs: 1900 }),
+    ),
+  "no request reaches a service that was never allowed": (ledger) =>
+    ledger.runs.push(ran({ service: "other" })),
+  "only accepted configs are in force, and none is lost": (ledger) =>
+    ledger.world.push({ kind: "readBack", atMs: 9000, sequence: 2, text: undefined }),
   "a stop finishes the work in hand": (ledger) => {
     ledger.world.push({ kind: "stopped", atMs: 5010, daemon: "e1", endedMs: 5200 });
     ledger.callers.push(call({ code: 0, broke: "broken" }));
@@ -41,9 +94,12 @@
     ledger.callers.push(call({ sentMs: 30_000, code: 503, id: "c9" }));
   },
 };
-test.each(Object.keys(rules))("the judge of '%s' catches a planted breach and passes a clean run", (rule) => {
-  expect(judge(clean())).toEqual([]);
-  const ledger = clean();
-  planted[rule]?.(ledger);
-  expect(judge(ledger).map((breach) => breach.rule)).toEqual([rule]);
-});
+test.each(Object.keys(rules))(
+  "the judge of '%s' catches a planted breach and passes a clean run",
+  (rule) => {
+    expect(judge(clean())).toEqual([]);
+    const ledger = clean();
+    planted[rule]?.(ledger);
+    expect(judge(ledger).map((breach) => breach.rule)).toEqual([rule]);
+  },
+);
--- a/test/rehearsal/rehearsal.test.ts
+++ b/test/rehearsal/rehearsal.test.ts
@@ -2,33 +2,88 @@
 import { Profile } from "../../src/rehearsal/profile.js";
 import { rehearse } from "../../src/rehearsal/rehearsal.js";
 
-const days = Object.values(Profile.all).flatMap((profile) => [1, 2, 3].map((seed) => ({ profile, seed, name: `${profile.name}, seed ${seed}` })));
+const days = Object.values(Profile.all).flatMap((profile) =>
+  [1, 2, 3].map((seed) => ({ profile, seed, name: `${profile.name}, seed ${seed}` })),
+);
 test.each(days)("a day of all kinds of failures breaks no rule: $name", ({ profile, seed }) => {
-  const day = rehearse({ profile, seed, dayMs: 12_000, rateFactor: profile.name === "rastro" ? 0.08 : 0.2 });
+  const day = rehearse({
+    profile,
+    seed,
+    dayMs: 12_000,
+    rateFactor: profile.name === "rastro" ? 0.08 : 0.2,
+  });
   expect(day.breaches).toEqual([]);
   expect(day.requests).toBeGreaterThan(500);
   expect(day.elections).toBeGreaterThan(0);
 });
 const points: Record<string, string[]> = {
   "addresses handed over": ["reuseAddress", "reuseManyAddresses"],
-  "cuts, slow connections and loss toward callers and back ends": ["cutFromCallers", "cutFromBackEnds", "cutBackEndsOff", "slowConnects", "slowNetwork", "lossySeconds"],
-  "services breaking down while edges and leaders die and callers stop": ["breakDownService", "restartEdgesInBreakdown", "stopCallersAfterPeak", "killLeader"],
-  "disks lost, filled and stalled at the worst moments": ["loseDiskAfterYes", "killWhileRejoining", "fillAndStallDisk", "loseDisk"],
-  "whole services, zones and all machines gone": ["emptyService", "crashMostBackEnds", "killAll", "loseZoneWithLeader"],
+  "cuts, slow connections and loss toward callers and back ends": [
+    "cutFromCallers",
+    "cutFromBackEnds",
+    "cutBackEndsOff",
+    "slowConnects",
+    "slowNetwork",
+    "lossySeconds",
+  ],
+  "services breaking down while edges and leaders die and callers stop": [
+    "breakDownService",
+    "restartEdgesInBreakdown",
+    "stopCallersAfterPeak",
+    "killLeader",
+  ],
+  "disks lost, filled and stalled at the worst moments": [
+    "loseDiskAfterYes",
+    "killWhileRejoining",
+    "fillAndStallDisk",
+    "loseDisk",
+  ],
+  "whole services, zones and all machines gone": [
+    "emptyService",
+    "crashMostBackEnds",
+    "killAll",
+    "loseZoneWithLeader",
+  ],
 };
 test.each(Object.keys(points))("a day of one point breaks no rule: %s", (point) => {
-  const day = rehearse({ profile: Profile.all.rastro, seed: 11, dayMs: 9000, rateFactor: 0.08, ...(points[point] ? { only: points[point] } : {}) });
+  const day = rehearse({
+    profile: Profile.all.rastro,
+    seed: 11,
+    dayMs: 9000,
+    rateFactor: 0.08,
+    ...(points[point] ? { only: points[point] } : {}),
+  });
   expect(day.breaches).toEqual([]);
   expect(day.faults.length).toBeGreaterThan(1);
 });
 test("edges leave a leader that is cut from its core, and go on serving", () => {
-  const day = rehearse({ profile: Profile.all.kovacic, seed: 1, dayMs: 10_000, rateFactor: 0.03, only: ["cutLeaderFromCore"], atOnce: 1 });
+  const day = rehearse({
+    profile: Profile.all.kovacic,
+    seed: 1,
+    dayMs: 10_000,
+    rateFactor: 0.03,
+    only: ["cutLeaderFromCore"],
+    atOnce: 1,
+  });
   expect(day.breaches).toEqual([]);
-  const asked = day.simulation.ledger.callers.filter(({ sentMs, path, broke }) => sentMs >= 8000 && sentMs < day.simulation.ledger.endMs && !path.startsWith("/probe/") && broke !== "hungUp");
+  const asked = day.simulation.ledger.callers.filter(
+    ({ sentMs, path, broke }) =>
+      sentMs >= 8000 &&
+      sentMs < day.simulation.ledger.endMs &&
+      !path.startsWith("/probe/") &&
+      broke !== "hungUp",
+  );
   expect(asked.length).toBeGreaterThan(150);
   expect(asked.filter(({ code, isWhole }) => code < 200 || code > 299 || !isWhole)).toEqual([]);
 });
 test("the same seed makes the same day", () => {
-  const lines = (): string[] => rehearse({ profile: Profile.all.kovacic, seed: 5, dayMs: 3000, rateFactor: 0.1, only: ["killLeader", "cutOffLeader"] }).simulation.lines;
+  const lines = (): string[] =>
+    rehearse({
+      profile: Profile.all.kovacic,
+      seed: 5,
+      dayMs: 3000,
+      rateFactor: 0.1,
+      only: ["killLeader", "cutOffLeader"],
+    }).simulation.lines;
   expect(lines()).toEqual(lines());
 });
--- a/test/rehearsal/scale.test.ts
+++ b/test/rehearsal/scale.test.ts
@@ -26,9 +26,16 @@
     const gate = new Gate();
     const clock = gate.clock(stage.time.clock());
     const name = `hollow-${at}`;
-    const wire = new ScaleWire(stage.network.wire(name, gate), clock, () => ScaleSpec.oneWayMs(zone, "zone-1", spread));
+    const wire = new ScaleWire(stage.network.wire(name, gate), clock, () =>
+      ScaleSpec.oneWayMs(zone, "zone-1", spread),
+    );
     const world = virtualWorld({ clock, wire, random: stage.random });
-    const daemon = new HollowDaemon(world, { machine: name, zone, peer: `10.9.0.${at + 1}:7000` }, [stage.at(0).peer], Bounds.of({}));
+    const daemon = new HollowDaemon(
+      world,
+      { machine: name, zone, peer: `10.9.0.${at + 1}:7000` },
+      [stage.at(0).peer],
+      Bounds.of({}),
+    );
     daemon.start();
     return { daemon, gate, wire, name };
   });
@@ -38,7 +45,8 @@
     throw error;
   });
 
-const sumOf = (all: readonly Hollow[], of: (one: Hollow) => number): number => all.reduce((sum, one) => sum + of(one), 0);
+const sumOf = (all: readonly Hollow[], of: (one: Hollow) => number): number =>
+  all.reduce((sum, one) => sum + of(one), 0);
 
 test("hollow daemons beside real recorders poll, push and take views as counted", () => {
   const stage = new FleetStage(["d:zone-1", "d:zone-2", "d:zone-3"], [0, 1, 2]);
@@ -49,7 +57,12 @@
   expect(all.filter(({ daemon }) => daemon.view.isGranted)).toHaveLength(many);
   stage.wait(6000);
 
-  const before = { polls: sumOf(all, ({ daemon }) => daemon.view.polls), grants: sumOf(all, ({ daemon }) => daemon.view.grants), out: sumOf(all, ({ wire }) => wire.tally.messagesOut), back: sumOf(all, ({ wire }) => wire.tally.messagesIn) };
+  const before = {
+    polls: sumOf(all, ({ daemon }) => daemon.view.polls),
+    grants: sumOf(all, ({ daemon }) => daemon.view.grants),
+    out: sumOf(all, ({ wire }) => wire.tally.messagesOut),
+    back: sumOf(all, ({ wire }) => wire.tally.messagesIn),
+  };
   stage.wait(4000);
   const polls = sumOf(all, ({ daemon }) => daemon.view.polls) - before.polls;
   const out = sumOf(all, ({ wire }) => wire.tally.messagesOut) - before.out;
@@ -57,11 +70,15 @@
   const farMs = 2 * ScaleSpec.oneWayMs("zone-1", "zone-8", spread);
   expect(polls).toBeGreaterThan(many * Math.floor(4000 / (pollMs + terms.holdMs + farMs + 50)));
   expect(polls).toBeLessThanOrEqual(many * Math.ceil(4000 / pollMs + 1));
-  expect(Math.abs(polls - (sumOf(all, ({ daemon }) => daemon.view.grants) - before.grants))).toBeLessThanOrEqual(many);
+  expect(
+    Math.abs(polls - (sumOf(all, ({ daemon }) => daemon.view.grants) - before.grants)),
+  ).toBeLessThanOrEqual(many);
   // Nothing goes out but polls and one push every two seconds.
   expect(out - polls).toBeGreaterThanOrEqual(many);
   expect(out - polls).toBeLessThanOrEqual(many * 3);
-  expect(Math.abs(out - (sumOf(all, ({ wire }) => wire.tally.messagesIn) - before.back))).toBeLessThanOrEqual(2 * many);
+  expect(
+    Math.abs(out - (sumOf(all, ({ wire }) => wire.tally.messagesIn) - before.back)),
+  ).toBeLessThanOrEqual(2 * many);
   expect(Math.max(...all.map(({ daemon }) => daemon.coverage))).toBe(many);
 });
 
@@ -72,7 +89,11 @@
   const all = hollows(stage, many);
   stage.until(() => all.every(({ daemon }) => daemon.view.isGranted), 5000);
 
-  const backEnds = Array.from({ length: 30 }, (_, at) => ({ address: `10.8.0.${at + 1}:80`, service: ScaleSpec.service(at, { services }), zone: ScaleSpec.zone(at, spread) }));
+  const backEnds = Array.from({ length: 30 }, (_, at) => ({
+    address: `10.8.0.${at + 1}:80`,
+    service: ScaleSpec.service(at, { services }),
+    zone: ScaleSpec.zone(at, spread),
+  }));
   const announcing = new Set(backEnds);
   const heard = { known: 0, unknown: 0 };
   const announce = function* (at: number): Task {
@@ -86,14 +107,22 @@
     }
   };
   for (const at of backEnds.keys()) run(announce(at));
-  const known = ({ daemon }: Hollow): number => daemon.view.services.reduce((sum, service) => sum + daemon.view.backEnds(service).length, 0);
+  const known = ({ daemon }: Hollow): number =>
+    daemon.view.services.reduce((sum, service) => sum + daemon.view.backEnds(service).length, 0);
   stage.until(() => all.every((one) => known(one) === backEnds.length), 8000);
   expect(all.map(known)).toEqual(all.map(() => backEnds.length));
 
   const seen = new Map(all.map(({ name }) => [name, [0]]));
   for (let sequence = 1; sequence <= 3; sequence += 1) {
     const first = all[sequence];
-    if (first) run(first.daemon.order({ kind: "put", changeId: `change-${sequence}`, value: ScaleSpec.config({ services, routes: 9 }, sequence) }));
+    if (first)
+      run(
+        first.daemon.order({
+          kind: "put",
+          changeId: `change-${sequence}`,
+          value: ScaleSpec.config({ services, routes: 9 }, sequence),
+        }),
+      );
     stage.until(() => {
       for (const { name, daemon } of all) {
         const one = seen.get(name);
@@ -109,7 +138,9 @@
   for (const gone of backEnds.slice(0, 4)) announcing.delete(gone);
   stage.wait(9000);
   const silent = stage.lines.filter((line) => line.includes("A machine fell silent."));
-  expect(lost.filter(({ name }) => silent.some((line) => line.includes(`"${name}"`)))).toHaveLength(lost.length);
+  expect(lost.filter(({ name }) => silent.some((line) => line.includes(`"${name}"`)))).toHaveLength(
+    lost.length,
+  );
   expect(silent).toHaveLength(lost.length);
   const left = all.slice(0, -6);
   expect(left.map(known)).toEqual(left.map(() => backEnds.length - 4));
@@ -157,8 +188,18 @@
 });
 
 test("a line through points has their slope, and the error of what lies off it", () => {
-  expect(ScaleLine.fit([[1, 5], [2, 7], [4, 11]])).toEqual({ slope: 2, start: 3, error: 0 });
-  const { slope, error } = ScaleLine.fit([[0, 0], [1, 2], [2, 1]]);
+  expect(
+    ScaleLine.fit([
+      [1, 5],
+      [2, 7],
+      [4, 11],
+    ]),
+  ).toEqual({ slope: 2, start: 3, error: 0 });
+  const { slope, error } = ScaleLine.fit([
+    [0, 0],
+    [1, 2],
+    [2, 1],
+  ]);
   expect(slope).toBeCloseTo(0.5);
   expect(error).toBeCloseTo(0.866, 2);
 });
--- a/test/rehearsal/virtualBackEnds.test.ts
+++ b/test/rehearsal/virtualBackEnds.test.ts
@@ -19,7 +19,9 @@
     simulation.begin();
     simulation.start(simulation.day.putConfig());
     wait(6000);
-    const edge = simulation.machines.find(({ settings }) => settings.callers !== undefined)?.settings.machine ?? "";
+    const edge =
+      simulation.machines.find(({ settings }) => settings.callers !== undefined)?.settings
+        .machine ?? "";
     const leavers = simulation.standIns.filter(({ service }) => service === "issues");
     for (const leaver of leavers) simulation.start(simulation.day.leave(leaver));
     for (const { settings } of simulation.machines) {
@@ -28,14 +30,30 @@
     }
     simulation.network.weather = { ...simulation.network.weather, slowConnectMs: 1000 };
     for (let count = 0; count < 200; count += 1) {
-      for (const half of ["a", "b"]) simulation.start(simulation.call(edge, { method: "GET", target: `/issues/${count}`, headers: { "x-caller": `late-${count}-${half}` }, body: Buffer.alloc(0) }, 9000));
+      for (const half of ["a", "b"])
+        simulation.start(
+          simulation.call(
+            edge,
+            {
+              method: "GET",
+              target: `/issues/${count}`,
+              headers: { "x-caller": `late-${count}-${half}` },
+              body: Buffer.alloc(0),
+            },
+            9000,
+          ),
+        );
       wait(10);
     }
     wait(4000);
     expect(simulation.ledger.of("left")).toHaveLength(leavers.length);
-    expect(simulation.ledger.runs.filter(({ caller }) => caller.startsWith("late-")).length).toBeGreaterThan(50);
+    expect(
+      simulation.ledger.runs.filter(({ caller }) => caller.startsWith("late-")).length,
+    ).toBeGreaterThan(50);
     expect(judge(simulation.ledger)).toEqual([]);
-    withdrawn += simulation.machines.find(({ settings }) => settings.machine === edge)?.daemon?.door.tally.byCode[503] ?? 0;
+    withdrawn +=
+      simulation.machines.find(({ settings }) => settings.machine === edge)?.daemon?.door.tally
+        .byCode[503] ?? 0;
   }
   expect(withdrawn).toBeGreaterThan(10);
 });
@@ -46,12 +64,27 @@
   const network = new VirtualNetwork(clock, Draw.of(1));
   const ledger = new Ledger();
   const standIn = new StandIn("b:1", "a", "s", ledger, Draw.of(2), new Map());
-  const backEnds = virtualBackEnds({ place: "edge", gate: new Gate(), own: clock, clock, network, random: Draw.of(3), standInAt: () => standIn });
+  const backEnds = virtualBackEnds({
+    place: "edge",
+    gate: new Gate(),
+    own: clock,
+    clock,
+    network,
+    random: Draw.of(3),
+    standInAt: () => standIn,
+  });
   const ends: string[] = [];
   const send = (untilMs: number): void =>
     Task.start(
       (function* () {
-        const opened = yield* backEnds.send({ address: "b:1", service: "s", pool: "p", job: { method: "GET", path: "/x", headers: {}, body: new Uint8Array() }, untilMs, mayStill: () => true });
+        const opened = yield* backEnds.send({
+          address: "b:1",
+          service: "s",
+          pool: "p",
+          job: { method: "GET", path: "/x", headers: {}, body: new Uint8Array() },
+          untilMs,
+          mayStill: () => true,
+        });
         if (typeof opened === "string") return opened;
         while (typeof (yield* opened.next()) !== "string");
         return "returned";
--- a/test/runtime/quick.test.ts
+++ b/test/runtime/quick.test.ts
@@ -1,4 +1,17 @@
-import { array, boolean, literal, number, object, optional, record, string, type, union, unknown, create } from "superstruct";
+import {
+  array,
+  boolean,
+  literal,
+  number,
+  object,
+  optional,
+  record,
+  string,
+  type,
+  union,
+  unknown,
+  create,
+} from "superstruct";
 import { expect, test } from "vitest";
 import { quick } from "../../src/runtime/quick.js";
 
@@ -12,16 +25,38 @@
   named: record(string(), number()),
 });
 
-const good = { kind: "one", text: "", many: [{ at: 1, any: null }], open: { inner: 2, more: [] }, either: true, named: { a: 1 } };
+const good = {
+  kind: "one",
+  text: "",
+  many: [{ at: 1, any: null }],
+  open: { inner: 2, more: [] },
+  either: true,
+  named: { a: 1 },
+};
 
 test("what the shape takes, the quick reader takes as it is; what it refuses, both refuse with the same words", () => {
   const read = quick(shape);
   expect(read(good)).toBe(good);
   expect(read({ ...good, flag: true, either: { no: "x" } })).toMatchObject({ flag: true });
   const bad: unknown[] = [
-    undefined, null, 7, [], {}, { ...good, kind: "two" }, { ...good, text: 1 }, { ...good, flag: 1 }, { ...good, flag: null }, { ...good, many: {} },
-    { ...good, many: [{ at: "1", any: 1 }] }, { ...good, many: [{ at: 1, any: 1, more: 1 }] }, { ...good, open: { inner: "2" } }, { ...good, either: false },
-    { ...good, named: { a: "1" } }, { ...good, more: 1 }, { ...good, text: undefined }, Object.fromEntries(Object.entries(good).filter(([name]) => name !== "named")),
+    undefined,
+    null,
+    7,
+    [],
+    {},
+    { ...good, kind: "two" },
+    { ...good, text: 1 },
+    { ...good, flag: 1 },
+    { ...good, flag: null },
+    { ...good, many: {} },
+    { ...good, many: [{ at: "1", any: 1 }] },
+    { ...good, many: [{ at: 1, any: 1, more: 1 }] },
+    { ...good, open: { inner: "2" } },
+    { ...good, either: false },
+    { ...good, named: { a: "1" } },
+    { ...good, more: 1 },
+    { ...good, text: undefined },
+    Object.fromEntries(Object.entries(good).filter(([name]) => name !== "named")),
   ];
   for (const value of bad) {
     const said = (take: () => unknown): string => {
--- a/test/zone/budget.test.ts
+++ b/test/zone/budget.test.ts
@@ -12,15 +12,23 @@
     const holders = new Set<string>();
     allowance.lead(0, `l${seed}`, holders);
     let born = 0;
-    const bear = () => ({ name: `e${(born += 1)}`, number: "", budget: new Budget(), diesMs: random() * (seed % 4 === 0 ? 6000 : 120_000), grantedUntilMs: -Infinity });
+    const bear = () => ({
+      name: `e${(born += 1)}`,
+      number: "",
+      budget: new Budget(),
+      diesMs: random() * (seed % 4 === 0 ? 6000 : 120_000),
+      grantedUntilMs: -Infinity,
+    });
     const edges = Array.from({ length: 6 }, bear);
     const requests: number[] = [];
     const furthers: number[] = [];
     const late: Array<{ atMs: number; run: () => void }> = [];
     const stopsMs = seed % 3 === 0 ? 20_000 : Infinity;
     for (let nowMs = 0; nowMs < 50_000; nowMs += 20) {
-      if (nowMs % (seed % 2 === 0 ? 7000 : 25_000) === 6980) allowance.lead(nowMs, `l${seed}-${nowMs}`, new Set(holders));
-      for (const one of late.splice(0).filter((item) => item.atMs > nowMs || (item.run(), false))) late.push(one);
+      if (nowMs % (seed % 2 === 0 ? 7000 : 25_000) === 6980)
+        allowance.lead(nowMs, `l${seed}-${nowMs}`, new Set(holders));
+      for (const one of late.splice(0).filter((item) => item.atMs > nowMs || (item.run(), false)))
+        late.push(one);
       edges.forEach((edge, at) => {
         if (nowMs > edge.diesMs) edges[at] = bear();
         if (nowMs % 200 === 0 && random() < 0.9) {
@@ -30,7 +38,8 @@
             holders.add(edge.name);
             return allowance.grant(edge.name, report, wished, ["s"], nowMs);
           };
-          if (random() < 0.1) late.push({ atMs: nowMs + random() * 3000, run: () => void polled() });
+          if (random() < 0.1)
+            late.push({ atMs: nowMs + random() * 3000, run: () => void polled() });
           else {
             const granted = polled();
             if (random() < 0.9) {
@@ -46,15 +55,22 @@
           edge.budget.countFirst("s", nowMs);
           requests.push(nowMs);
         }
-        if (nowMs < edge.grantedUntilMs && random() < (nowMs < stopsMs ? 0.3 : 0.8) && edge.budget.take("s", undefined, nowMs) === "granted") {
+        if (
+          nowMs < edge.grantedUntilMs &&
+          random() < (nowMs < stopsMs ? 0.3 : 0.8) &&
+          edge.budget.take("s", undefined, nowMs) === "granted"
+        ) {
           if (random() < 0.1) edge.budget.giveBack("s", nowMs);
           else furthers.push(nowMs);
         }
       });
     }
     for (let from = 0; from < 50_000; from += 100) {
-      const inWindow = (times: number[]): number => times.filter((atMs) => atMs >= from && atMs < from + retryWindowMs).length;
-      expect(inWindow(furthers)).toBeLessThanOrEqual(repeatRule.earned * inWindow(requests) + repeatRule.pool);
+      const inWindow = (times: number[]): number =>
+        times.filter((atMs) => atMs >= from && atMs < from + retryWindowMs).length;
+      expect(inWindow(furthers)).toBeLessThanOrEqual(
+        repeatRule.earned * inWindow(requests) + repeatRule.pool,
+      );
     }
     taken += furthers.length;
   }
@@ -67,7 +83,8 @@
   budget.onShort = () => (short += 1);
   budget.setCapacities(new Map([["s", 3]]), 0);
   expect(budget.take("s", { part: 0.5, taken: 0 }, 0)).toBe("sketch");
-  for (const expected of ["granted", "granted", "granted", "guard"]) expect(budget.take("s", { part: 9, taken: 1 }, 5000)).toBe(expected);
+  for (const expected of ["granted", "granted", "granted", "guard"])
+    expect(budget.take("s", { part: 9, taken: 1 }, 5000)).toBe(expected);
   expect(short).toBeGreaterThan(0);
   budget.giveBack("s", 5000);
   expect(budget.take("s", undefined, 5050)).toBe("granted");
--- a/test/zone/budgetRules.test.ts
+++ b/test/zone/budgetRules.test.ts
@@ -5,18 +5,33 @@
 import { BudgetRules } from "../../src/zone/budgetRules.js";
 
 test("with other figures than the usual ones the guard keeps the rule in every window", () => {
-  for (const [ratio, extra, windowMs] of [[0.1, 20, 4000], [0, 30, 10_000], [0.5, 8, 2000], [0.3, 100, 20_000]] as const) {
+  for (const [ratio, extra, windowMs] of [
+    [0.1, 20, 4000],
+    [0, 30, 10_000],
+    [0.5, 8, 2000],
+    [0.3, 100, 20_000],
+  ] as const) {
     const rules = BudgetRules.of(ratio, extra, windowMs);
     const random = Draw.of(extra + 1);
     const allowance = new Allowance(rules, 800);
     allowance.lead(0, "l", new Set());
-    const edges = [1, 2, 3].map((at) => ({ name: `e${at}`, number: "", budget: new Budget(rules) }));
+    const edges = [1, 2, 3].map((at) => ({
+      name: `e${at}`,
+      number: "",
+      budget: new Budget(rules),
+    }));
     const requests: number[] = [];
     const furthers: number[] = [];
     for (let nowMs = 0; nowMs < 60_000; nowMs += 20) {
       for (const edge of edges) {
         if (nowMs % 200 === 0) {
-          const granted = allowance.grant(edge.name, { number: edge.number, capacities: edge.budget.capacities }, new Map([["s", edge.budget.wished("s", nowMs)]]), ["s"], nowMs);
+          const granted = allowance.grant(
+            edge.name,
+            { number: edge.number, capacities: edge.budget.capacities },
+            new Map([["s", edge.budget.wished("s", nowMs)]]),
+            ["s"],
+            nowMs,
+          );
           edge.number = granted.number;
           edge.budget.setCapacities(granted.capacities, nowMs);
         }
@@ -24,11 +39,13 @@
           edge.budget.countFirst("s", nowMs);
           requests.push(nowMs);
         }
-        if (random() < 0.6 && edge.budget.take("s", undefined, nowMs) === "granted") furthers.push(nowMs);
+        if (random() < 0.6 && edge.budget.take("s", undefined, nowMs) === "granted")
+          furthers.push(nowMs);
       }
     }
     for (let from = 0; from < 60_000; from += 100) {
-      const inWindow = (times: number[]): number => times.filter((atMs) => atMs >= from && atMs < from + windowMs).length;
+      const inWindow = (times: number[]): number =>
+        times.filter((atMs) => atMs >= from && atMs < from + windowMs).length;
       expect(inWindow(furthers)).toBeLessThanOrEqual(ratio * inWindow(requests) + extra);
     }
     expect(furthers.length).toBeGreaterThan(extra);
--- a/test/zone/collector.test.ts
+++ b/test/zone/collector.test.ts
@@ -21,14 +21,25 @@
   const linkAt = (address: string): { world: World; link: Link } => {
     const gate = new Gate();
     gates.set(address, gate);
-    const world = virtualWorld({ clock: gate.clock(time.clock()), wire: network.wire(address, gate), random: Draw.of(4) });
+    const world = virtualWorld({
+      clock: gate.clock(time.clock()),
+      wire: network.wire(address, gate),
+      random: Draw.of(4),
+    });
     const link = new Link(world, address);
     Task.start(link.listen(), fail);
     return { world, link };
   };
   const [root, ...others] = ["10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"].map((address) => {
     const { world, link } = linkAt(address);
-    const collector = new Collector(world, link, CountsForm.usual, address, `i-${address}`, () => "10.0.0.1:1");
+    const collector = new Collector(
+      world,
+      link,
+      CountsForm.usual,
+      address,
+      `i-${address}`,
+      () => "10.0.0.1:1",
+    );
     Task.start(collector.own(2000), fail);
     return { address, collector };
   });
@@ -55,8 +66,21 @@
     }
     if (atMs % 2000 === 0) {
       push += 1;
-      const text = JSON.stringify({ from: "edge", incarnation: "one", tier: "edge", push, parentSequence, halfTripMs: 1, includes: [], wants: [], isHurried: false });
-      Task.start(link.ask(parent, Kind.push, { text, sketches: counts.encode(world.clock.nowMs()) }, 1500), fail);
+      const text = JSON.stringify({
+        from: "edge",
+        incarnation: "one",
+        tier: "edge",
+        push,
+        parentSequence,
+        halfTripMs: 1,
+        includes: [],
+        wants: [],
+        isHurried: false,
+      });
+      Task.start(
+        link.ask(parent, Kind.push, { text, sketches: counts.encode(world.clock.nowMs()) }, 1500),
+        fail,
+      );
     }
     const latest = root.collector.latest;
     if (!latest || atMs < 12_000) continue;
@@ -66,5 +90,7 @@
   expect(counted).toBe(3000);
   expect(most).toBeGreaterThan(250);
   expect(most).toBeLessThan(450);
-  expect(root.collector.latest?.counts.ofService(1, time.nowMs(), 10_000).first).toBeGreaterThan(250);
+  expect(root.collector.latest?.counts.ofService(1, time.nowMs(), 10_000).first).toBeGreaterThan(
+    250,
+  );
 });
--- a/test/zone/counts.test.ts
+++ b/test/zone/counts.test.ts
@@ -11,7 +11,10 @@
   const merged = Counts.merge([far, far], CountsForm.usual, 999_999_123);
   expect(far.ofService(3, 999_999_123, 10_000).first).toBeGreaterThan(850);
   expect(merged.ofService(3, 999_999_123, 10_000).further).toBeGreaterThan(170);
-  for (const size of [0, 10, bytes.length - 1]) expect(() => Counts.decode(bytes.subarray(0, size), CountsForm.usual, 0, 0)).toThrow(FrameError);
+  for (const size of [0, 10, bytes.length - 1])
+    expect(() => Counts.decode(bytes.subarray(0, size), CountsForm.usual, 0, 0)).toThrow(
+      FrameError,
+    );
 });
 test("among ten thousand routes the heavy ones are told, and none that is lighter than the paper's bound allows", async () => {
   const random = Draw.of(4);
@@ -20,13 +23,18 @@
   const truth = new Map<number, number>();
   let all = 0;
   for (let at = 0; at < 12_000; at += 2) {
-    const route = random() < 0.64 ? heavy[Math.floor(random() * 4)] ?? 0 : 1 + Math.floor(random() * 10_000);
+    const route =
+      random() < 0.64 ? (heavy[Math.floor(random() * 4)] ?? 0) : 1 + Math.floor(random() * 10_000);
     edges[at % 3]?.countRoute(route, at);
     if (at < 2000) continue;
     truth.set(route, (truth.get(route) ?? 0) + 1);
     all += 1;
   }
-  const merged = Counts.merge(edges.map((edge) => Counts.decode(edge.encode(12_000), CountsForm.usual, 12_000, 0)), CountsForm.usual, 12_000);
+  const merged = Counts.merge(
+    edges.map((edge) => Counts.decode(edge.encode(12_000), CountsForm.usual, 12_000, 0)),
+    CountsForm.usual,
+    12_000,
+  );
   const found = merged.heavyRoutes(0.1, 12_000, 10_000);
   for (const route of heavy) expect(found.map(({ item }) => item)).toContain(route);
   const cell = Math.sqrt(1 + CountsForm.usual.routes.epsilon) - 1;
--- a/test/zone/dyadicSketch.test.ts
+++ b/test/zone/dyadicSketch.test.ts
@@ -10,7 +10,10 @@
   const sketch = new DyadicSketch(form, 10);
   const counts = new Map<number, number>();
   for (let at = 0; at < 9000; at += 2) {
-    const item = random() < 0.5 ? [17, 400, 1023][Math.floor(random() * 3)] ?? 0 : Math.floor(random() * 1024);
+    const item =
+      random() < 0.5
+        ? ([17, 400, 1023][Math.floor(random() * 3)] ?? 0)
+        : Math.floor(random() * 1024);
     sketch.add(item, stampOf(at));
     counts.set(item, (counts.get(item) ?? 0) + 1);
   }
--- a/test/zone/ecmSketch.test.ts
+++ b/test/zone/ecmSketch.test.ts
@@ -11,10 +11,18 @@
     const random = Draw.of(seed);
     const leaves = Array.from({ length: 4 }, () => new EcmSketch(form));
     const arrivals: Array<{ leaf: number; item: number; at: number }> = [];
-    for (let at = 0; at < 30_000; at += random() * 8) arrivals.push({ leaf: Math.floor(random() * 4), item: Math.floor(300 * random() ** 3), at: Math.floor(at) });
+    for (let at = 0; at < 30_000; at += random() * 8)
+      arrivals.push({
+        leaf: Math.floor(random() * 4),
+        item: Math.floor(300 * random() ** 3),
+        at: Math.floor(at),
+      });
     for (const { leaf, item, at } of arrivals) leaves[leaf]?.add(item, stampOf(at));
     const now = stampOf(30_000);
-    const pairs = [EcmSketch.merge(leaves.slice(0, 2), form, now), EcmSketch.merge(leaves.slice(2), form, now)];
+    const pairs = [
+      EcmSketch.merge(leaves.slice(0, 2), form, now),
+      EcmSketch.merge(leaves.slice(2), form, now),
+    ];
     const root = EcmSketch.merge(pairs, form, now);
     const cell = root.cellEpsilon;
     const mergedEpsilon = 2 * cell * (1 + cell) + cell;
@@ -25,8 +33,16 @@
         const truth = inRange.filter((one) => one.item === item).length;
         const ownTruth = own.filter((one) => one.item === item).length;
         misses.asked += 1;
-        if (Math.abs((leaves[0]?.estimate(item, now, rangeMs) ?? 0) - ownTruth) > form.epsilon * own.length) misses.single += 1;
-        if (Math.abs(root.estimate(item, now, rangeMs) - truth) > (mergedEpsilon + cell + mergedEpsilon * cell) * inRange.length) misses.merged += 1;
+        if (
+          Math.abs((leaves[0]?.estimate(item, now, rangeMs) ?? 0) - ownTruth) >
+          form.epsilon * own.length
+        )
+          misses.single += 1;
+        if (
+          Math.abs(root.estimate(item, now, rangeMs) - truth) >
+          (mergedEpsilon + cell + mergedEpsilon * cell) * inRange.length
+        )
+          misses.merged += 1;
       }
     }
   }
