--- a/test/zone/exponentialHistogram.test.ts
+++ b/test/zone/exponentialHistogram.test.ts
@@ -7,10 +7,12 @@
 const stream = (seed: number, count: number): number[] => {
   const random = Draw.of(seed);
   const times: number[] = [];
-  for (let at = 0; times.length < count; at += random() < 0.1 ? random() * 400 : random() * 6) times.push(Math.floor(at));
+  for (let at = 0; times.length < count; at += random() < 0.1 ? random() * 400 : random() * 6)
+    times.push(Math.floor(at));
   return times;
 };
-const exact = (times: number[], now: number, rangeMs: number): number => times.filter((time) => time <= now && time > now - rangeMs).length;
+const exact = (times: number[], now: number, rangeMs: number): number =>
+  times.filter((time) => time <= now && time > now - rangeMs).length;
 
 test("invariant 1 holds and every query stays within epsilon, across wrap-around", () => {
   for (const epsilon of [0.05, 0.1, 0.3]) {
@@ -22,7 +24,9 @@
       expect(histogram.holdsInvariant(stampOf(time))).toBe(true);
       for (const rangeMs of [500, 3000, 10_000, 19_999]) {
         const truth = exact(times.slice(0, at + 1), time, rangeMs);
-        expect(Math.abs(histogram.estimate(stampOf(time), rangeMs) - truth)).toBeLessThanOrEqual(epsilon * truth + 1);
+        expect(Math.abs(histogram.estimate(stampOf(time), rangeMs) - truth)).toBeLessThanOrEqual(
+          epsilon * truth + 1,
+        );
       }
     });
   }
@@ -41,13 +45,18 @@
     });
     for (let level = 1; layer.length > 1; level += 1) {
       const next: ExponentialHistogram[] = [];
-      for (let at = 0; at < layer.length; at += 2) next.push(ExponentialHistogram.merge(layer.slice(at, at + 2), epsilon, windowMs, stampOf(now)));
+      for (let at = 0; at < layer.length; at += 2)
+        next.push(
+          ExponentialHistogram.merge(layer.slice(at, at + 2), epsilon, windowMs, stampOf(now)),
+        );
       layer = next;
       if (layer.length > 1) continue;
       for (const rangeMs of [1000, 4000, 10_000, 15_000]) {
         const truth = exact(all, now, rangeMs);
         const bound = level * epsilon * (1 + epsilon) + epsilon;
-        expect(Math.abs((layer[0]?.estimate(stampOf(now), rangeMs) ?? 0) - truth)).toBeLessThanOrEqual(bound * truth + 1);
+        expect(
+          Math.abs((layer[0]?.estimate(stampOf(now), rangeMs) ?? 0) - truth),
+        ).toBeLessThanOrEqual(bound * truth + 1);
       }
     }
   }
@@ -56,8 +65,15 @@
 test("an aged copy counts as the original does, and an idle one empties", () => {
   const histogram = new ExponentialHistogram(0.1, windowMs);
   for (let at = 0; at < 30_000; at += 7) histogram.add(stampOf(at));
-  const copy = ExponentialHistogram.ofAged(histogram.aged(stampOf(30_000)), 0.1, windowMs, stampOf(512), 0);
-  for (const rangeMs of [100, 5000, 12_000]) expect(copy.estimate(512, rangeMs)).toBe(histogram.estimate(stampOf(30_000), rangeMs));
+  const copy = ExponentialHistogram.ofAged(
+    histogram.aged(stampOf(30_000)),
+    0.1,
+    windowMs,
+    stampOf(512),
+    0,
+  );
+  for (const rangeMs of [100, 5000, 12_000])
+    expect(copy.estimate(512, rangeMs)).toBe(histogram.estimate(stampOf(30_000), rangeMs));
   histogram.expire(stampOf(51_000));
   expect(histogram.isEmpty).toBe(true);
 });
--- a/test/zone/shares.test.ts
+++ b/test/zone/shares.test.ts
@@ -5,7 +5,20 @@
 
 test("a slow back end, a failing one and a far one take less, and the reason is told", () => {
   const shares = new Shares("a", Draw.of(4));
-  const contract = (address: string, zone = "a"): Contract => ({ address, service: "s", zone, warmth: 1, number: 1, leaving: false, leftAt: 0, drained: false, instance: "", capacity: 0, warmMs: 0, order: 0 });
+  const contract = (address: string, zone = "a"): Contract => ({
+    address,
+    service: "s",
+    zone,
+    warmth: 1,
+    number: 1,
+    leaving: false,
+    leftAt: 0,
+    drained: false,
+    instance: "",
+    capacity: 0,
+    warmMs: 0,
+    order: 0,
+  });
   const contracts = [contract("well"), contract("slow"), contract("failing"), contract("far", "b")];
   const taken = new Map<string, number>();
   for (let nowMs = 0; nowMs < 20_000; nowMs += 10) {
@@ -13,10 +26,19 @@
     if (!one) throw new Error("nothing was picked");
     taken.set(one.address, (taken.get(one.address) ?? 0) + 1);
     shares.began(one, nowMs);
-    shares.ended(one, { tookMs: one.address === "slow" ? 400 : 20, isWhole: one.address !== "failing", goalMs: 100 }, nowMs);
+    shares.ended(
+      one,
+      {
+        tookMs: one.address === "slow" ? 400 : 20,
+        isWhole: one.address !== "failing",
+        goalMs: 100,
+      },
+      nowMs,
+    );
   }
   const well = taken.get("well") ?? 0;
-  for (const other of ["slow", "failing", "far"]) expect(well).toBeGreaterThan(2 * (taken.get(other) ?? 0));
+  for (const other of ["slow", "failing", "far"])
+    expect(well).toBeGreaterThan(2 * (taken.get(other) ?? 0));
   const whys = shares.explain(contracts, 20_000).map(({ why }) => why);
   expect(whys[1]).toContain("slower");
   expect(whys[3]).toContain("another zone");
--- a/test/zone/silence.test.ts
+++ b/test/zone/silence.test.ts
@@ -3,7 +3,20 @@
 import { Draw } from "../../src/rehearsal/draw.js";
 import { Shares } from "../../src/zone/shares.js";
 
-const contract = (address: string, number: number, zone = "a"): Contract => ({ address, service: "s", zone, warmth: 1, number, leaving: false, leftAt: 0, drained: false, instance: address, capacity: 2, warmMs: 0, order: 0 });
+const contract = (address: string, number: number, zone = "a"): Contract => ({
+  address,
+  service: "s",
+  zone,
+  warmth: 1,
+  number,
+  leaving: false,
+  leftAt: 0,
+  drained: false,
+  instance: address,
+  capacity: 2,
+  warmMs: 0,
+  order: 0,
+});
 
 test("a back end that is silent with work in hand gets no more, until something ends there", () => {
   const shares = new Shares("a", Draw.of(3));
@@ -14,7 +27,13 @@
     shares.ended(one, ended, 50);
   }
   shares.began(dark, 100, "r");
-  const picked = (nowMs: number): Set<string> => new Set(Array.from({ length: 200 }, () => shares.pick([dark, well], new Set(), 100, nowMs, "r")?.address ?? ""));
+  const picked = (nowMs: number): Set<string> =>
+    new Set(
+      Array.from(
+        { length: 200 },
+        () => shares.pick([dark, well], new Set(), 100, nowMs, "r")?.address ?? "",
+      ),
+    );
   expect(picked(150)).toEqual(new Set(["dark", "well"]));
   expect(picked(600)).toEqual(new Set(["well"]));
   shares.ended(dark, { ...ended, tookMs: 520 }, 620);
@@ -26,11 +45,21 @@
   const [near, far] = [contract("near", 1), contract("far", 2, "b")];
   for (let at = 0; at < 40; at += 1)
     for (const one of [near, far])
-      for (const [route, bytes] of [["large", 200_000], ["small", 400]] as const) {
+      for (const [route, bytes] of [
+        ["large", 200_000],
+        ["small", 400],
+      ] as const) {
         shares.began(one, at * 100, route);
-        shares.ended(one, { tookMs: one === near ? 70 : 50, isWhole: true, goalMs: 500, route, bytes }, at * 100 + 50);
+        shares.ended(
+          one,
+          { tookMs: one === near ? 70 : 50, isWhole: true, goalMs: 500, route, bytes },
+          at * 100 + 50,
+        );
       }
-  const farPart = (route: string): number => Array.from({ length: 400 }, () => shares.pick([near, far], new Set(), 100, 5000, route)).filter((one) => one === far).length / 400;
+  const farPart = (route: string): number =>
+    Array.from({ length: 400 }, () => shares.pick([near, far], new Set(), 100, 5000, route)).filter(
+      (one) => one === far,
+    ).length / 400;
   expect(farPart("large")).toBeLessThan(0.1);
   expect(farPart("small")).toBeGreaterThan(0.9);
 });
--- a/test/zone/warmth.test.ts
+++ b/test/zone/warmth.test.ts
@@ -5,9 +5,28 @@
 
 test("an instance warms up for as long as it said from when it was learned; one that said nothing is warm; without an instance it takes ten seconds", () => {
   const shares = new Shares("a", Draw.of(1));
-  const contract = (address: string, more: Partial<Contract>): Contract => ({ address, service: "s", zone: "a", warmth: 0, number: 1, leaving: false, leftAt: 0, drained: false, instance: "", capacity: 0, warmMs: 0, order: 0, ...more });
-  const contracts = [contract("own", {}), contract("warm", { instance: "w" }), contract("cold", { instance: "c", warmMs: 4000 })];
-  const sharesAt = (nowMs: number): number[] => shares.explain(contracts, nowMs).map(({ share }) => share);
+  const contract = (address: string, more: Partial<Contract>): Contract => ({
+    address,
+    service: "s",
+    zone: "a",
+    warmth: 0,
+    number: 1,
+    leaving: false,
+    leftAt: 0,
+    drained: false,
+    instance: "",
+    capacity: 0,
+    warmMs: 0,
+    order: 0,
+    ...more,
+  });
+  const contracts = [
+    contract("own", {}),
+    contract("warm", { instance: "w" }),
+    contract("cold", { instance: "c", warmMs: 4000 }),
+  ];
+  const sharesAt = (nowMs: number): number[] =>
+    shares.explain(contracts, nowMs).map(({ share }) => share);
   shares.know(contracts, 1000);
   expect(sharesAt(1000)).toEqual([0.05, 1, 0.05]);
   expect(sharesAt(3000)).toEqual([0.2, 1, 0.5]);
