What a member may do while it isn't whole: one function decides, with a test for each row

The conditions for voting, standing, counting, leading and answering stood at nine places of the recorder, each with its own choice of flags. memberRights takes a member's state and tells all of them; the recorder asks it. No behaviour changes but two: a hand-over is refused by a member whose disk stalls (it was refused only where the disk takes no writes at all), and forming, voting and counting share one notion of a member that is formed.

--- a/src/record/recorder.ts
+++ b/src/record/recorder.ts
@@ -9,6 +9,7 @@
 import type { AcceptedConfig, Book } from "./book.js";
 import { History } from "./history.js";
 import { Meeting, type Attendance } from "./meeting.js";
+import { memberRights, type MemberRights, type MemberStage } from "./memberRights.js";
 import { Members } from "./members.js";
 import { Place } from "./place.js";
 import { Store, type LogRecord, type Standing } from "./store.js";
@@ -108,7 +109,7 @@
   private readonly writer: Writer;
   private readonly holding = new Holding<Command>();
 
-  private state: "loading" | "empty" | "damaged" | "formed" = "loading";
+  private state: Exclude<MemberStage, "unborn"> = "loading";
   private fleet = "";
   /** Whether all voters are known to have formed the record. */
   private isOpen = false;
@@ -173,11 +174,24 @@
 
   /** Whether this recorder may answer for the fleet now. */
   get hasGrant(): boolean {
-    return (
-      this.role === "leader" &&
-      this.applied >= this.leadingSinceIndex &&
-      this.world.clock.nowMs() < this.grantUntilMs()
-    );
+    return this.rights.answer;
+  }
+
+  /** What this recorder may do now, by how whole it is. */
+  get rights(): MemberRights {
+    const nowMs = this.world.clock.nowMs();
+    const isLeader = this.role === "leader";
+    return memberRights({
+      stage: this.isUnborn ? "unborn" : this.state,
+      isRejoining: this.rejoining !== "",
+      hasHistory: this.hasHistory,
+      isNamedVoter: this.members.voters.includes(this.self),
+      isLeader,
+      isDiskWell:
+        this.writer.breakdown === undefined && this.writer.waitingMs <= this.waits.stallMs,
+      isBoundToLeader: isLeader || nowMs - this.heardLeaderMs < this.waits.electionMinMs,
+      hasLease: isLeader && this.applied >= this.leadingSinceIndex && nowMs < this.grantUntilMs(),
+    });
   }
 
   /** How this recorder stands, for status and tests. */
@@ -286,7 +300,7 @@
   private serve(): void {
     const { holding } = this;
     this.meeting.serve();
-    const closed = (): boolean => this.state !== "formed" || this.isUnborn;
+    const closed = (): boolean => !this.rights.takePart;
     this.link.serve(Kind.vote, function* (ask) {
       if (closed()) return { term: 0, granted: false };
       return yield* Task.wait<VoteReturn>((done) => holding.put({ kind: "vote", ask, done }));
@@ -312,7 +326,7 @@
 
   /** Writes on an empty disk which fleet's record this is and who its members are. */
   *form(fleet: string, { voters, learners }: Members): Task {
-    if (this.state !== "empty" || this.isTurning) return;
+    if (!this.rights.form || this.isTurning) return;
     this.isTurning = true;
     const standing: Standing = {
       fleet,
@@ -497,10 +511,6 @@
     this.membersIndex = entry.index;
   }
 
-  private get isVoter(): boolean {
-    return !this.rejoining && this.members.voters.includes(this.self);
-  }
-
   private get majority(): number {
     return Math.floor(this.members.voters.length / 2) + 1;
   }
@@ -528,12 +538,7 @@
       if (this.heardLeaderMs !== heardMs) untilMs = this.heardLeaderMs + this.electionWaitMs();
       else if (this.world.clock.nowMs() >= untilMs) {
         this.knownLeader = "";
-        if (
-          this.isVoter &&
-          this.writer.breakdown === undefined &&
-          this.writer.waitingMs < this.waits.stallMs
-        )
-          this.role = "preCandidate";
+        if (this.rights.stand) this.role = "preCandidate";
         else untilMs = this.world.clock.nowMs() + this.electionWaitMs();
       }
     }
@@ -615,8 +620,7 @@
       if (command) this.handle(command);
       if (!this.isLeading(term)) break;
       const nowMs = this.world.clock.nowMs();
-      if (this.writer.breakdown !== undefined || this.writer.waitingMs > this.waits.stallMs)
-        this.handOver("The disk doesn't keep up.");
+      if (!this.rights.lead) this.handOver("The disk doesn't keep up.");
       else if (!this.members.voters.includes(this.self) && this.committed >= this.membersIndex)
         this.handOver("No longer a voter.");
       else if (nowMs > Math.max(this.grantUntilMs(), startedMs) + 2 * this.waits.electionMaxMs)
@@ -809,11 +813,7 @@
       case "checkpoint":
         return this.handleCheckpoint(command.ask, command.done);
       case "handOver": {
-        const taken =
-          command.term === this.term &&
-          this.isVoter &&
-          this.role === "follower" &&
-          this.writer.breakdown === undefined;
+        const taken = command.term === this.term && this.role === "follower" && this.rights.stand;
         if (taken) {
           this.handedOver = true;
           this.role = "candidate";
@@ -871,14 +871,13 @@
   }
 
   private handleVote(ask: VoteAsk, done: (ret: VoteReturn) => void): void {
-    const hears =
-      this.role === "leader" ||
-      this.world.clock.nowMs() - this.heardLeaderMs < this.waits.electionMinMs;
+    const { rights } = this;
+    const voluntary = ask.isPreVote ? rights.preVote : rights.vote;
+    const mayVote = ask.handOver ? rights.voteOnHandOver : voluntary;
     const upToDate =
       ask.lastTerm > this.lastTerm ||
       (ask.lastTerm === this.lastTerm && ask.lastIndex >= this.lastIndex);
-    if ((hears && !ask.handOver) || this.rejoining || ask.term < this.term)
-      return done({ term: this.term, granted: false });
+    if (!mayVote || ask.term < this.term) return done({ term: this.term, granted: false });
     if (ask.isPreVote) return done({ term: this.term, granted: upToDate && ask.term > this.term });
     if (ask.term > this.term) this.follow(ask.term, "");
     const granted = upToDate && (this.votedFor === "" || this.votedFor === ask.candidate);
@@ -919,7 +918,7 @@
       ask.term > this.term ? [{ kind: "vote", term: ask.term, text: "" }] : [];
     this.follow(ask.term, ask.leader);
     const { term } = this;
-    const counts = !this.rejoining && this.hasHistory;
+    const counts = this.rights.countForCommit;
     const before = this.termAt(ask.previousIndex);
     if (ask.previousIndex >= this.baseIndex && before !== ask.previousTerm) {
       return done({
@@ -961,7 +960,7 @@
     if (ask.term < this.term) return done({ term: this.term, counts: false, matched: 0 });
     this.follow(ask.term, ask.leader);
     const { term } = this;
-    const counts = !this.rejoining && this.hasHistory;
+    const counts = this.rights.countForCommit;
     if (ask.lastIndex <= this.committed) return done({ term, counts, matched: this.committed });
     const standing: Standing = {
       fleet: this.fleet,
