A request cut off by our own closing of its connection is not sent again

Cause: the door took undici's ClientDestroyedError for proof that nothing of a request had left. It is also the error of a request under way when we end its connection ourselves (BackEnds.close). A request on a reused connection was then written a second time to a new one, whatever its kind; one on a new connection was called "unreached", which is answered 503, a promise that it never ran.

Ruled out: other library errors on a request under way that carry the same class, and undici's own re-dispatch after an informational error: its connect step never gives a second connection, and no such error was found while a request runs.

Change: what proves that nothing left is that the library never began to write the request (onRequestStart), not the class of an error. A set of back ends that was closed opens nothing any more.

--- a/src/door/backEnds.ts
+++ b/src/door/backEnds.ts
@@ -78,6 +78,8 @@
 
 /** One response as it arrives. */
 class Receiving implements Dispatcher.DispatchHandler {
+  /** Whether the library has begun to write the request: before that, and only before that, nothing of it can have left. */
+  hasBegun = false;
   private readonly pieces: Uint8Array[] = [];
   private heldBytes = 0;
   private last: "end" | "cut" | undefined;
@@ -97,6 +99,7 @@
   }
 
   onRequestStart(controller: Dispatcher.DispatchController): void {
+    this.hasBegun = true;
     this.controller = controller;
   }
 
@@ -213,6 +216,7 @@
     const idle = new Map<string, Line[]>();
     const lines = new Set<Line>();
     let wanted: ReadonlySet<string> | undefined;
+    let isClosed = false;
 
     const over = (line: Line): void => {
       if (!lines.delete(line)) return;
@@ -288,15 +292,9 @@
         const receiving = new Receiving(
           (outcome) => {
             if ("error" in outcome) {
-              const { error } = outcome;
-              done(
-                isLate
-                  ? "late"
-                  : error instanceof ConnectionOverError ||
-                      error instanceof errors.ClientDestroyedError
-                    ? "over"
-                    : "lost",
-              );
+              const isRefusedByLibrary = outcome.error instanceof errors.InvalidArgumentError;
+              if (receiving.hasBegun) done(isLate ? "late" : "lost");
+              else done(isRefusedByLibrary ? "unreached" : "over");
               return;
             }
             done({ ...outcome, next: () => receiving.next(), cancel: drop });
@@ -336,6 +334,7 @@
     return {
       *send(one) {
         for (;;) {
+          if (isClosed) return "unreached";
           const known = idle.get(one.pool)?.pop();
           if (known && !lines.has(known)) continue;
           const line = known ?? (yield* opened(one));
@@ -359,6 +358,7 @@
         }
       },
       close() {
+        isClosed = true;
         for (const line of [...lines]) over(line);
         idle.clear();
       },
--- a/test/platform/doorStage.ts
+++ b/test/platform/doorStage.ts
@@ -143,7 +143,8 @@
   private orders = 0;
   private ids = 0;
 
-  constructor() {
+  /** `backEnds` replaces the played back ends, by real connections for example. */
+  constructor(backEnds?: (clock: Clock) => BackEnds) {
     this.clock = this.time.clock();
     const random = Draw.of(11);
     const network = new VirtualNetwork(this.clock, random);
@@ -166,15 +167,18 @@
       random,
       lines: (line) => this.lines.push(`${this.time.nowMs().toFixed(0)} ${line}`),
     });
-    this.daemon = new Daemon(world, settings, { dialect, backEnds: this.backEnds() });
+    this.daemon = new Daemon(world, settings, {
+      dialect,
+      backEnds: backEnds ? backEnds(this.clock) : this.backEnds(),
+    });
     Task.start(this.daemon.start(), fail);
     this.until(() => this.daemon.standing.isGranted, 10_000);
     this.announceOn();
   }
 
   /** A daemon with a config of all kinds of routes, before so many back ends, ready for further tries. */
-  static ready(backEnds = 2): DoorStage {
-    const stage = new DoorStage();
+  static ready(backEnds = 2, real?: (clock: Clock) => BackEnds): DoorStage {
+    const stage = new DoorStage(real);
     const route = (name: string, more: Record<string, unknown>) => ({
       match: { host: "shop.example", path: `/${name}/*` },
       service: "shop",
