src/zone becomes src/traffic: load balancer, retry budget and quotas by the field's names

Moves and renames only: Shares is LoadBalancer, Budget RetryBudget, BudgetRules RetryRules, Allowance RetryQuotas; their tests follow. The folder was named for where its data comes from, not for what it does. The log part is called traffic too.

--- a/.dependency-cruiser.cjs
+++ b/.dependency-cruiser.cjs
@@ -4,7 +4,7 @@
   ["link", "^src/link/"],
   ["record", "^src/record/"],
   ["contract", "^src/contract/"],
-  ["zone", "^src/zone/"],
+  ["traffic", "^src/traffic/"],
   ["door", "^src/door/"],
   ["operator", "^src/operator/"],
   ["daemon", "^src/machine/"],
--- a/src/door/door.ts
+++ b/src/door/door.ts
@@ -6,9 +6,9 @@
 import type { Task } from "../runtime/task.js";
 import { World } from "../runtime/world.js";
 import type { Contract } from "../record/book.js";
-import type { Budget } from "../zone/budget.js";
-import type { Shares } from "../zone/shares.js";
-import type { EdgeCounts } from "../zone/edgeCounts.js";
+import type { RetryBudget } from "../traffic/retryBudget.js";
+import type { LoadBalancer } from "../traffic/loadBalancer.js";
+import type { EdgeCounts } from "../traffic/edgeCounts.js";
 import { safeMethods } from "../contract/config.js";
 import { serviceHeader, type BackEnds, type BackReturn, type Opened } from "./backEnds.js";
 import type { Dialect } from "./dialect.js";
@@ -123,9 +123,9 @@
   readonly view: View;
   readonly backEnds: BackEnds;
   readonly ferry: Ferry;
-  readonly budget: Budget;
+  readonly budget: RetryBudget;
   readonly counts: EdgeCounts;
-  readonly shares: Shares;
+  readonly shares: LoadBalancer;
   readonly incarnation: string;
   readonly dialect: Dialect;
   /** How long requests that may be repeated are still served by a view whose lease is over. */
@@ -137,9 +137,9 @@
   private readonly world: World;
   private readonly view: View;
   private readonly backEnds: BackEnds;
-  private readonly budget: Budget;
+  private readonly budget: RetryBudget;
   private readonly counts: EdgeCounts;
-  private readonly shares: Shares;
+  private readonly shares: LoadBalancer;
   private readonly keys: Keys;
   private readonly incarnation: string;
   private readonly dialect: Dialect;
--- a/src/machine/bounds.ts
+++ b/src/machine/bounds.ts
@@ -1,8 +1,8 @@
 import type { Fault } from "../contract/config.js";
 import { Terms } from "../contract/registry.js";
 import { Waits } from "../record/recorder.js";
-import { BudgetRules } from "../zone/budgetRules.js";
-import { CountsForm } from "../zone/counts.js";
+import { RetryRules } from "../traffic/retryRules.js";
+import { CountsForm } from "../traffic/counts.js";
 import type { BoundSettings } from "./boundSettings.js";
 
 type Figures = Required<{ [name in keyof NonNullable<BoundSettings["bounds"]>]: number }>;
@@ -47,7 +47,7 @@
   readonly pollMs: number;
   readonly terms: Terms;
   readonly waits: Waits;
-  readonly budget: BudgetRules;
+  readonly budget: RetryRules;
   readonly counts: CountsForm;
   /** How long an operator's order may take until its fate is called unknown. */
   readonly orderMs: number;
@@ -135,7 +135,7 @@
         leaderGrantMs: paced(Waits.usual.leaderGrantMs),
         stallMs: paced(Waits.usual.stallMs),
       },
-      budget: BudgetRules.of(retryRatio, retryExtra, retryWindowMs),
+      budget: RetryRules.of(retryRatio, retryExtra, retryWindowMs),
       counts: CountsForm.forWindow(retryWindowMs),
       orderMs: 0.8 * ackMs,
       serveOnMs: Math.min(2600, (graceMs * 13) / 30),
--- a/src/machine/daemon.ts
+++ b/src/machine/daemon.ts
@@ -17,11 +17,11 @@
 import type { Place } from "../record/place.js";
 import { Recorder, type Waits } from "../record/recorder.js";
 import { Store } from "../record/store.js";
-import { Allowance } from "../zone/allowance.js";
-import { Budget } from "../zone/budget.js";
-import { Collector } from "../zone/collector.js";
-import { EdgeCounts } from "../zone/edgeCounts.js";
-import { Shares } from "../zone/shares.js";
+import { RetryQuotas } from "../traffic/retryQuotas.js";
+import { RetryBudget } from "../traffic/retryBudget.js";
+import { Collector } from "../traffic/collector.js";
+import { EdgeCounts } from "../traffic/edgeCounts.js";
+import { LoadBalancer } from "../traffic/loadBalancer.js";
 import { Bounds } from "./bounds.js";
 import { Clock } from "../runtime/clock.js";
 import type { PartLog } from "../runtime/logbook.js";
@@ -71,9 +71,9 @@
   private readonly ferry: Ferry;
   private readonly meeting: Meeting;
   private seeds: readonly string[];
-  private readonly budget: Budget;
+  private readonly budget: RetryBudget;
   private readonly view: View;
-  private readonly shares: Shares;
+  private readonly shares: LoadBalancer;
   private readonly edgeCounts: EdgeCounts;
   private readonly desk: Operators;
   readonly door: Door;
@@ -90,7 +90,7 @@
     this.settings = settings;
     this.archive = options.archive;
     this.bounds = bounds;
-    this.budget = new Budget(bounds.budget);
+    this.budget = new RetryBudget(bounds.budget);
     this.roles = Settings.roles(settings);
     this.log = world.logbook.part("machine");
     this.incarnation = World.nonce(world);
@@ -110,7 +110,7 @@
       recorders: () => this.ferry.recorders,
     });
     this.view = new View(world, this.ferry, () => this.machine(), this.budget);
-    this.shares = new Shares(settings.zone, () => world.random());
+    this.shares = new LoadBalancer(settings.zone, () => world.random());
     this.view.onLease = () => this.door.leased();
     this.view.onConfig = ({ limits }) => this.onLimits(limits);
     this.view.onDirectory = (contracts) => {
@@ -153,7 +153,7 @@
         this.recorder,
         book,
         bounds.terms,
-        new Allowance(bounds.budget, bounds.leaseMs),
+        new RetryQuotas(bounds.budget, bounds.leaseMs),
       );
       book.onApplied((deed) => {
         if (deed.kind === "config" && book.inForce) this.archive?.keep(book.inForce);
--- a/src/operator/operators.ts
+++ b/src/operator/operators.ts
@@ -26,10 +26,10 @@
 import { Return } from "../door/verdict.js";
 import type { Task } from "../runtime/task.js";
 import { World } from "../runtime/world.js";
-import type { BudgetRules } from "../zone/budgetRules.js";
-import type { Counts } from "../zone/counts.js";
-import type { Shares } from "../zone/shares.js";
-import { usualRules } from "../zone/budget.js";
+import type { RetryRules } from "../traffic/retryRules.js";
+import type { Counts } from "../traffic/counts.js";
+import type { LoadBalancer } from "../traffic/loadBalancer.js";
+import { defaultRules } from "../traffic/retryBudget.js";
 import { Query } from "./language.js";
 
 /** Back ends that announce themselves turn to another daemon after a second. */
@@ -123,20 +123,20 @@
   private readonly world: World;
   private readonly ferry: Ferry;
   private readonly view: View;
-  private readonly shares: Shares;
+  private readonly shares: LoadBalancer;
   private readonly desk: Desk;
   private readonly orderMs: number;
-  private readonly rules: BudgetRules;
+  private readonly rules: RetryRules;
 
   constructor(
     world: World,
     ferry: Ferry,
     view: View,
-    shares: Shares,
+    shares: LoadBalancer,
     desk: Desk,
-    bounds: { readonly orderMs: number; readonly budget: BudgetRules } = {
+    bounds: { readonly orderMs: number; readonly budget: RetryRules } = {
       orderMs: 4000,
-      budget: usualRules,
+      budget: defaultRules,
     },
   ) {
     this.world = world;
--- a/src/rehearsal/budgetMeasure.ts
+++ b/src/rehearsal/budgetMeasure.ts
@@ -1,5 +1,5 @@
-import { sketchRule } from "../zone/budget.js";
-import { retryWindowMs } from "../zone/counts.js";
+import { sketchRule } from "../traffic/retryBudget.js";
+import { retryWindowMs } from "../traffic/counts.js";
 import type { Profile } from "./profile.js";
 import { Simulation, type SimMachine } from "./simulation.js";
 
--- a/src/rehearsal/scaleHollow.ts
+++ b/src/rehearsal/scaleHollow.ts
@@ -6,9 +6,9 @@
 import { Clock } from "../runtime/clock.js";
 import type { Task } from "../runtime/task.js";
 import { World } from "../runtime/world.js";
-import { Budget } from "../zone/budget.js";
-import { EdgeCounts } from "../zone/edgeCounts.js";
-import { Shares } from "../zone/shares.js";
+import { RetryBudget } from "../traffic/retryBudget.js";
+import { EdgeCounts } from "../traffic/edgeCounts.js";
+import { LoadBalancer } from "../traffic/loadBalancer.js";
 
 /** Where a hollow daemon stands. */
 export interface HollowPlace {
@@ -46,8 +46,8 @@
   constructor(world: World, place: HollowPlace, seeds: readonly string[], bounds: Bounds) {
     const incarnation = World.nonce(world);
     const link = new Link(world, place.peer);
-    const budget = new Budget(bounds.budget);
-    const shares = new Shares(place.zone, () => world.random());
+    const budget = new RetryBudget(bounds.budget);
+    const shares = new LoadBalancer(place.zone, () => world.random());
     this.world = world;
     this.pollMs = bounds.pollMs;
     this.ferry = new Ferry(world, link, () => seeds);
--- a/src/zone/collector.ts
+++ b/src/traffic/collector.ts
@@ -127,7 +127,7 @@
     this.self = self;
     this.incarnation = incarnation;
     this.leader = leader;
-    this.log = world.logbook.part("zone");
+    this.log = world.logbook.part("traffic");
     link.serve(Kind.push, (ask) => this.taking(ask));
   }
 
--- a/src/zone/edgeCounts.ts
+++ b/src/traffic/edgeCounts.ts
@@ -6,8 +6,8 @@
 import type { PartLog } from "../runtime/logbook.js";
 import type { Task } from "../runtime/task.js";
 import type { World } from "../runtime/world.js";
-import { usualRules, type SketchLeave } from "./budget.js";
-import type { BudgetRules } from "./budgetRules.js";
+import { defaultRules, type SketchQuota } from "./retryBudget.js";
+import type { RetryRules } from "./retryRules.js";
 import { Down, hurriedMs, routesEveryMs, type Push } from "./collector.js";
 import { Counts, type CountsForm } from "./counts.js";
 
@@ -24,7 +24,7 @@
   private readonly form: CountsForm;
   private readonly view: View;
   private readonly self: { machine: string; incarnation: string; zone: string };
-  private readonly rules: BudgetRules;
+  private readonly rules: RetryRules;
   private readonly log: PartLog;
   private readonly own: Counts;
   private fleet: { counts: Counts; atMs: number; coverage: Down["coverage"] } | undefined;
@@ -43,7 +43,7 @@
     form: CountsForm,
     view: View,
     self: { machine: string; incarnation: string; zone: string },
-    rules: BudgetRules = usualRules,
+    rules: RetryRules = defaultRules,
   ) {
     this.world = world;
     this.link = link;
@@ -51,7 +51,7 @@
     this.view = view;
     this.self = self;
     this.rules = rules;
-    this.log = world.logbook.part("zone");
+    this.log = world.logbook.part("traffic");
     this.own = new Counts(form);
   }
 
@@ -80,7 +80,7 @@
    * window that is looked at, the fleet may take the pool and what its first tries earned; of what is left, each daemon has the part
    * that it took of the fleet's further tries lately, and what its own first tries earned since.
    */
-  leave(service: string): SketchLeave | undefined {
+  leave(service: string): SketchQuota | undefined {
     const number = this.view.numberOf("service", service);
     if (number === undefined || !this.fleet) return undefined;
     const { counts, coverage } = this.fleet;
--- a/src/zone/shares.ts
+++ b/src/traffic/loadBalancer.ts
@@ -1,17 +1,17 @@
 import type { Contract } from "../record/book.js";
 
 /** What one daemon sees of one back end. */
-interface Sight {
+interface BackendStats {
   latencyMs: number;
   /** How long it takes against what its requests' routes usually take; 1 where it is as fast as the others. */
   pace: number;
-  breakdownRate: number;
+  failureRate: number;
   inHand: number;
   /** Since when nothing has ended there though something is in hand, and how long that is nothing unusual. */
   quietSinceMs: number;
   patientMs: number;
   avoidUntilMs: number;
-  streak: number;
+  failuresInARow: number;
   share: number;
   sinceMs: number;
   tries: number;
@@ -38,13 +38,13 @@
 const lookAgain = 0.05;
 
 /** What one daemon sees of one route's requests, whichever back end has them. */
-interface Usual {
+interface RouteStats {
   tookMs: number;
   bytes: number;
 }
 
 /** One try that has ended, as shares learn from it. */
-export interface Ended {
+export interface TryOutcome {
   readonly tookMs: number;
   readonly isWhole: boolean;
   readonly goalMs: number;
@@ -54,12 +54,12 @@
 }
 
 /** How much of a service's traffic each back end takes from this daemon, steered toward the goals. */
-export class Shares {
+export class LoadBalancer {
   private readonly zone: string;
   private readonly random: () => number;
-  private readonly sights = new Map<string, Sight>();
-  private known = new WeakMap<Contract, Sight>();
-  private readonly usuals = new Map<string, Usual>();
+  private readonly backendStats = new Map<string, BackendStats>();
+  private known = new WeakMap<Contract, BackendStats>();
+  private readonly routeStats = new Map<string, RouteStats>();
 
   constructor(zone: string, random: () => number) {
     this.zone = zone;
@@ -84,18 +84,18 @@
     const first = this.draw(from, weights, undefined);
     const second = this.draw(from, weights, first);
     if (!first || !second || this.random() < lookAgain) return first;
-    const usual = this.usuals.get(route);
+    const usual = this.routeStats.get(route);
     return this.costMs(first, usual, nowMs) <= this.costMs(second, usual, nowMs) ? first : second;
   }
 
   began(contract: Contract, nowMs: number, route = ""): void {
-    const sight = this.sight(contract, nowMs);
+    const statsOf = this.sight(contract, nowMs);
     const patientMs =
-      patience.times * (this.usuals.get(route)?.tookMs ?? patience.unseenMs) + patience.spareMs;
-    sight.patientMs = sight.inHand === 0 ? patientMs : Math.max(sight.patientMs, patientMs);
-    if (sight.inHand === 0) sight.quietSinceMs = nowMs;
-    sight.inHand += 1;
-    sight.tries += 1;
+      patience.times * (this.routeStats.get(route)?.tookMs ?? patience.unseenMs) + patience.spareMs;
+    statsOf.patientMs = statsOf.inHand === 0 ? patientMs : Math.max(statsOf.patientMs, patientMs);
+    if (statsOf.inHand === 0) statsOf.quietSinceMs = nowMs;
+    statsOf.inHand += 1;
+    statsOf.tries += 1;
   }
 
   /** A try was not sent after all, for reasons that aren't the back end's. */
@@ -107,13 +107,13 @@
   /** Learns from how a try ended: whole within some time, or not. */
   ended(
     contract: Contract,
-    { tookMs, isWhole: whole, goalMs, route = "", bytes }: Ended,
+    { tookMs, isWhole: whole, goalMs, route = "", bytes }: TryOutcome,
     nowMs: number,
   ): void {
     const sight = this.sight(contract, nowMs);
     sight.inHand = Math.max(0, sight.inHand - 1);
     sight.quietSinceMs = nowMs;
-    const usual = this.usualOf(route, tookMs);
+    const usual = this.routeStatsOf(route, tookMs);
     if (whole) {
       usual.tookMs += (tookMs - usual.tookMs) * routeRate;
       if (bytes !== undefined)
@@ -121,32 +121,36 @@
     }
     sight.pace += (tookMs / Math.max(1, usual.tookMs) - sight.pace) * paceRate;
     sight.latencyMs += (tookMs - sight.latencyMs) * 0.2;
-    sight.breakdownRate += ((whole ? 0 : 1) - sight.breakdownRate) * 0.1;
-    sight.streak = whole ? 0 : sight.streak + 1;
-    if (!whole && sight.streak >= 2)
+    sight.failureRate += ((whole ? 0 : 1) - sight.failureRate) * 0.1;
+    sight.failuresInARow = whole ? 0 : sight.failuresInARow + 1;
+    if (!whole && sight.failuresInARow >= 2)
       sight.avoidUntilMs =
-        nowMs + Math.min(5000, 250 * 2 ** Math.min(sight.streak, 6)) * (0.75 + this.random() * 0.5);
+        nowMs +
+        Math.min(5000, 250 * 2 ** Math.min(sight.failuresInARow, 6)) * (0.75 + this.random() * 0.5);
     if (nowMs - sight.steeredMs < steerMs) return;
     sight.steeredMs = nowMs;
-    const misses = sight.latencyMs > goalMs || sight.breakdownRate > 0.2;
+    const misses = sight.latencyMs > goalMs || sight.failureRate > 0.2;
     const share = Math.min(1, Math.max(leastShare, sight.share * (misses ? 0.85 : 1.05)));
     if (share !== sight.share)
       sight.why = misses
         ? sight.latencyMs > goalMs
           ? `slower (${Math.round(sight.latencyMs)} ms) than the goal of ${goalMs} ms`
-          : `${Math.round(sight.breakdownRate * 100)}% of its tries break down`
+          : `${Math.round(sight.failureRate * 100)}% of its tries break down`
         : "meets its goal again";
     sight.share = share;
   }
 
   /** Whether nothing speaks against a back end: no failures in a row, and no silence that is longer than its requests usually take. */
-  private isWell({ avoidUntilMs, inHand, quietSinceMs, patientMs }: Sight, nowMs: number): boolean {
+  private isWell(
+    { avoidUntilMs, inHand, quietSinceMs, patientMs }: BackendStats,
+    nowMs: number,
+  ): boolean {
     return avoidUntilMs <= nowMs && (inHand === 0 || nowMs - quietSinceMs <= patientMs);
   }
 
   /** Whether a back end fails so often that its failures are its own rather than its requests'. */
   isFailing(contract: Contract): boolean {
-    return (this.sights.get(this.key(contract))?.breakdownRate ?? 0) > failingRate;
+    return (this.backendStats.get(this.key(contract))?.failureRate ?? 0) > failingRate;
   }
 
   /** Why each back end has its share, a line each. */
@@ -168,7 +172,7 @@
       if (contract.zone !== this.zone) reasons.push("in another zone");
       if (this.warmth(contract, sight, nowMs) < 1) reasons.push("still warming up");
       if (sight.avoidUntilMs > nowMs)
-        reasons.push(`avoided after ${sight.streak} breakdowns in a row`);
+        reasons.push(`avoided after ${sight.failuresInARow} breakdowns in a row`);
       const why = reasons.filter(Boolean).join("; ") || "meets its goal";
       return {
         address: contract.address,
@@ -191,7 +195,7 @@
   /** Lets go of back ends that are no longer known. */
   keepOnly(contracts: Iterable<Contract>): void {
     const known = new Set([...contracts].map((contract) => this.key(contract)));
-    for (const key of this.sights.keys()) if (!known.has(key)) this.sights.delete(key);
+    for (const key of this.backendStats.keys()) if (!known.has(key)) this.backendStats.delete(key);
     this.known = new WeakMap();
   }
 
@@ -199,40 +203,40 @@
     return `${contract.address} ${contract.number}`;
   }
 
-  private sight(contract: Contract, nowMs: number): Sight {
+  private sight(contract: Contract, nowMs: number): BackendStats {
     const seen = this.known.get(contract);
     if (seen) return seen;
     const key = this.key(contract);
-    const sight = this.sights.get(key) ?? {
+    const sight = this.backendStats.get(key) ?? {
       latencyMs: 20,
       pace: 1,
-      breakdownRate: 0,
+      failureRate: 0,
       inHand: 0,
       quietSinceMs: 0,
       patientMs: 0,
       avoidUntilMs: 0,
-      streak: 0,
+      failuresInARow: 0,
       share: 1,
       sinceMs: nowMs,
       tries: 0,
       steeredMs: nowMs,
       why: "",
     };
-    this.sights.set(key, sight);
+    this.backendStats.set(key, sight);
     this.known.set(contract, sight);
     return sight;
   }
 
-  private usualOf(route: string, tookMs: number): Usual {
-    const seen = this.usuals.get(route);
+  private routeStatsOf(route: string, tookMs: number): RouteStats {
+    const seen = this.routeStats.get(route);
     if (seen) return seen;
-    if (this.usuals.size >= knownRoutes) this.usuals.clear();
+    if (this.routeStats.size >= knownRoutes) this.routeStats.clear();
     const usual = { tookMs, bytes: unseenBytes };
-    this.usuals.set(route, usual);
+    this.routeStats.set(route, usual);
     return usual;
   }
 
-  private warmth(contract: Contract, sight: Sight, nowMs: number): number {
+  private warmth(contract: Contract, sight: BackendStats, nowMs: number): number {
     const sinceMs = nowMs - sight.sinceMs;
     if (contract.instance === "")
       return Math.min(1, Math.max(leastWarmth, contract.warmth, sinceMs / warmUpMs));
@@ -245,7 +249,7 @@
   }
 
   /** When a request would be done there, as far as is seen here; a far one costs what its response's way costs. */
-  private costMs(contract: Contract, usual: Usual | undefined, nowMs: number): number {
+  private costMs(contract: Contract, usual: RouteStats | undefined, nowMs: number): number {
     const sight = this.sight(contract, nowMs);
     const queued = 1 + sight.inHand / Math.max(1, contract.capacity);
     const farMs =
--- a/src/zone/budget.ts
+++ b/src/traffic/retryBudget.ts
@@ -1,10 +1,10 @@
-import { BudgetRules } from "./budgetRules.js";
+import { RetryRules } from "./retryRules.js";
 import { retryWindowMs } from "./counts.js";
 
 /** The rules unless settings say otherwise: a fifth of a service's requests and seventy more in any ten seconds. */
-export const usualRules: BudgetRules = BudgetRules.of(0.2, 70, retryWindowMs);
+export const defaultRules: RetryRules = RetryRules.of(0.2, 70, retryWindowMs);
 
-export const { rule: repeatRule, sketch: sketchRule, guard: guardRule } = usualRules;
+export const { rule: repeatRule, sketch: sketchRule, guard: guardRule } = defaultRules;
 
 const slotMs = 100;
 
@@ -21,7 +21,7 @@
 }
 
 /** What the sketch leaves this daemon of a service's further tries, and what it took since. */
-export interface SketchLeave {
+export interface SketchQuota {
   readonly part: number;
   readonly taken: number;
 }
@@ -30,15 +30,15 @@
  * Decides on further tries: by the fleet's sketch, with an exact guard behind it. The guard is a capacity that the leader
  * granted, and what this daemon's own requests earned: in no stretch of the window may more be taken than both together.
  */
-export class Budget {
-  readonly rules: BudgetRules;
+export class RetryBudget {
+  readonly rules: RetryRules;
   private readonly accounts = new Map<string, Account>();
   /** Longer than the window, since clocks run at their own pace and a lossy network brings tries closer together than they were sent. */
   private readonly heldSlots: number;
   /** Hears that a capacity is nearly spent. */
   onShort: () => void = () => undefined;
 
-  constructor(rules: BudgetRules = usualRules) {
+  constructor(rules: RetryRules = defaultRules) {
     this.rules = rules;
     this.heldSlots = Math.ceil((rules.windowMs + 1000) / slotMs);
   }
@@ -51,7 +51,7 @@
   /** Takes leave for one further try, or tells who refused it. */
   take(
     service: string,
-    sketch: SketchLeave | undefined,
+    sketch: SketchQuota | undefined,
     nowMs: number,
   ): "granted" | "sketch" | "guard" {
     const account = this.account(service);
--- a/src/zone/allowance.ts
+++ b/src/traffic/retryQuotas.ts
@@ -1,5 +1,5 @@
-import { usualRules, type Budget } from "./budget.js";
-import type { BudgetRules } from "./budgetRules.js";
+import { defaultRules, type RetryBudget } from "./retryBudget.js";
+import type { RetryRules } from "./retryRules.js";
 
 /** How much longer than a grant to serve and the window what an edge held is taken to count. */
 const marginMs = 400;
@@ -8,9 +8,9 @@
 const fewWishes = 3;
 
 /** What an edge says that it holds, and under which grant. */
-export interface CapacityReport {
+export interface QuotaReport {
   readonly number: string;
-  readonly capacities: Budget["capacities"];
+  readonly capacities: RetryBudget["capacities"];
 }
 
 interface Holder {
@@ -24,7 +24,7 @@
 }
 
 /** The leader's table of which edge holds how much of each service's pool of further tries. */
-export class Allowance {
+export class RetryQuotas {
   private readonly pool: number;
   /** How long after an edge was last heard what it holds may still count in some window. */
   private readonly keepMs: number;
@@ -34,7 +34,7 @@
   private expected = new Set<string>();
   private settledMs = 0;
 
-  constructor(rules: BudgetRules = usualRules, leaseMs = 1600) {
+  constructor(rules: RetryRules = defaultRules, leaseMs = 1600) {
     this.pool = rules.guard.pool;
     this.keepMs = leaseMs + rules.windowMs + marginMs;
   }
@@ -63,7 +63,7 @@
   /** The capacities of one edge, given what it holds and how many further tries it wished for lately. */
   grant(
     edge: string,
-    report: CapacityReport,
+    report: QuotaReport,
     wished: ReadonlyMap<string, number>,
     services: readonly string[],
     nowMs: number,
@@ -95,7 +95,7 @@
     return { number: holder.number, capacities: new Map(holder.told) };
   }
 
-  private adopt(edge: string, report: CapacityReport, nowMs: number): Holder {
+  private adopt(edge: string, report: QuotaReport, nowMs: number): Holder {
     const held =
       nowMs < this.settledMs && this.expected.has(edge)
         ? new Map(report.capacities)
--- a/src/zone/budgetRules.ts
+++ b/src/traffic/retryRules.ts
@@ -5,7 +5,7 @@
 }
 
 /** The rule for further tries, and the stricter ones by which it is kept. */
-export interface BudgetRules {
+export interface RetryRules {
   readonly rule: RepeatRule;
   /** What the sketch decides by on the ordinary path. */
   readonly sketch: RepeatRule;
@@ -15,9 +15,9 @@
   readonly windowMs: number;
 }
 
-export const BudgetRules = {
+export const RetryRules = {
   /** The rules that keep a ratio and a number of extra tries in every window. */
-  of(ratio: number, extra: number, windowMs: number): BudgetRules {
+  of(ratio: number, extra: number, windowMs: number): RetryRules {
     return {
       rule: { earned: ratio, pool: extra },
       sketch: { earned: ratio * 0.825, pool: (extra * 45) / 70 },
--- a/test/contract/directory.test.ts
+++ b/test/contract/directory.test.ts
@@ -4,7 +4,7 @@
 import { View } from "../../src/contract/view.js";
 import { Kind } from "../../src/link/kind.js";
 import { Task } from "../../src/runtime/task.js";
-import { Budget } from "../../src/zone/budget.js";
+import { RetryBudget } from "../../src/traffic/retryBudget.js";
 import { address, fail, service, stage } from "./directoryStage.js";
 
 test("an instance that left, was replaced or is draining never comes back, however late its announcements are", () => {
@@ -216,7 +216,7 @@
       incarnation: "two",
       draining: false,
     }),
-    new Budget(),
+    new RetryBudget(),
   );
   Task.start(view.own(200), fail);
   wait(500);
--- a/test/machine/bounds.test.ts
+++ b/test/machine/bounds.test.ts
@@ -3,8 +3,8 @@
 import { Bounds } from "../../src/machine/bounds.js";
 import { Settings } from "../../src/machine/settings.js";
 import { Waits } from "../../src/record/recorder.js";
-import { guardRule, repeatRule, sketchRule } from "../../src/zone/budget.js";
-import { CountsForm } from "../../src/zone/counts.js";
+import { guardRule, repeatRule, sketchRule } from "../../src/traffic/retryBudget.js";
+import { CountsForm } from "../../src/traffic/counts.js";
 
 test("without bounds in the settings all waits are the usual ones", () => {
   const bounds = Bounds.of({});
--- a/test/zone/collector.test.ts
+++ b/test/traffic/collector.test.ts
@@ -8,8 +8,8 @@
 import { VirtualClock } from "../../src/rehearsal/virtualClock.js";
 import { VirtualNetwork } from "../../src/rehearsal/virtualNetwork.js";
 import { virtualWorld } from "../../src/rehearsal/virtualWorld.js";
-import { Collector } from "../../src/zone/collector.js";
-import { Counts, CountsForm } from "../../src/zone/counts.js";
+import { Collector } from "../../src/traffic/collector.js";
+import { Counts, CountsForm } from "../../src/traffic/counts.js";
 
 test("an edge that moves to another collector, or whose collector dies, is never counted twice", () => {
   const time = new VirtualClock();
--- a/test/zone/ecmSketch.test.ts
+++ b/test/traffic/ecmSketch.test.ts
@@ -1,7 +1,7 @@
 import { expect, test } from "vitest";
 import { Draw } from "../../src/rehearsal/draw.js";
-import { EcmSketch, type SketchForm, SketchMismatchError } from "../../src/zone/ecmSketch.js";
-import { stampOf } from "../../src/zone/exponentialHistogram.js";
+import { EcmSketch, type SketchForm, SketchMismatchError } from "../../src/traffic/ecmSketch.js";
+import { stampOf } from "../../src/traffic/exponentialHistogram.js";
 
 const form: SketchForm = { epsilon: 0.1, delta: 0.05, windowMs: 20_000, seed: 11 };
 
--- a/test/zone/exponentialHistogram.test.ts
+++ b/test/traffic/exponentialHistogram.test.ts
@@ -1,6 +1,6 @@
 import { expect, test } from "vitest";
 import { Draw } from "../../src/rehearsal/draw.js";
-import { ExponentialHistogram, stampOf } from "../../src/zone/exponentialHistogram.js";
+import { ExponentialHistogram, stampOf } from "../../src/traffic/exponentialHistogram.js";
 
 const windowMs = 20_000;
 
--- a/test/zone/shares.test.ts
+++ b/test/traffic/loadBalancer.test.ts
@@ -1,10 +1,10 @@
 import { expect, test } from "vitest";
 import type { Contract } from "../../src/record/book.js";
 import { Draw } from "../../src/rehearsal/draw.js";
-import { Shares } from "../../src/zone/shares.js";
+import { LoadBalancer } from "../../src/traffic/loadBalancer.js";
 
 test("a slow back end, a failing one and a far one take less, and the reason is told", () => {
-  const shares = new Shares("a", Draw.of(4));
+  const shares = new LoadBalancer("a", Draw.of(4));
   const contract = (address: string, zone = "a"): Contract => ({
     address,
     service: "s",
--- a/test/zone/budget.test.ts
+++ b/test/traffic/retryBudget.test.ts
@@ -1,21 +1,21 @@
 import { expect, test } from "vitest";
 import { Draw } from "../../src/rehearsal/draw.js";
-import { Allowance } from "../../src/zone/allowance.js";
-import { Budget, repeatRule } from "../../src/zone/budget.js";
-import { retryWindowMs } from "../../src/zone/counts.js";
+import { RetryQuotas } from "../../src/traffic/retryQuotas.js";
+import { RetryBudget, repeatRule } from "../../src/traffic/retryBudget.js";
+import { retryWindowMs } from "../../src/traffic/counts.js";
 
 test("in any window the guard alone keeps the rule, whatever edges come and die, leaders change, callers stop and reports are late", () => {
   let taken = 0;
   for (let seed = 1; seed <= 40; seed += 1) {
     const random = Draw.of(seed);
-    const allowance = new Allowance();
+    const allowance = new RetryQuotas();
     const holders = new Set<string>();
     allowance.lead(0, `l${seed}`, holders);
     let born = 0;
     const bear = () => ({
       name: `e${(born += 1)}`,
       number: "",
-      budget: new Budget(),
+      budget: new RetryBudget(),
       diesMs: random() * (seed % 4 === 0 ? 6000 : 120_000),
       grantedUntilMs: -Infinity,
     });
@@ -78,7 +78,7 @@
 });
 
 test("the sketch decides before the guard does, and what is spent comes back once the window is over", () => {
-  const budget = new Budget();
+  const budget = new RetryBudget();
   let short = 0;
   budget.onShort = () => (short += 1);
   budget.setCapacities(new Map([["s", 3]]), 0);
--- a/test/zone/allowance.test.ts
+++ b/test/traffic/retryQuotas.test.ts
@@ -1,12 +1,12 @@
 import { expect, test } from "vitest";
-import { Allowance } from "../../src/zone/allowance.js";
-import { guardRule } from "../../src/zone/budget.js";
+import { RetryQuotas } from "../../src/traffic/retryQuotas.js";
+import { guardRule } from "../../src/traffic/retryBudget.js";
 
 const services = ["s"];
 const none = new Map<string, number>();
 
 test("an edge that alone wishes gets most of the pool at once; what others give up is moved as soon as they say so", () => {
-  const allowance = new Allowance();
+  const allowance = new RetryQuotas();
   allowance.lead(0, "a", new Set());
   const ask = (edge: string, number: string, held: number, wished: number, nowMs: number) =>
     allowance.grant(
@@ -28,7 +28,7 @@
 });
 
 test("a new leader goes on as soon as all holders have shown themselves, and waits for one that hasn't", () => {
-  const allowance = new Allowance();
+  const allowance = new RetryQuotas();
   allowance.lead(1000, "b", new Set(["one", "two"]));
   const report = { number: "a/7", capacities: new Map([["s", 20]]) };
   expect(
@@ -63,7 +63,7 @@
 });
 
 test("a late report of an older grant frees nothing", () => {
-  const allowance = new Allowance();
+  const allowance = new RetryQuotas();
   allowance.lead(0, "a", new Set());
   const first = allowance.grant("one", { number: "", capacities: none }, none, services, 0);
   const raised = allowance.grant(
--- a/test/zone/budgetRules.test.ts
+++ b/test/traffic/retryRules.test.ts
@@ -1,8 +1,8 @@
 import { expect, test } from "vitest";
 import { Draw } from "../../src/rehearsal/draw.js";
-import { Allowance } from "../../src/zone/allowance.js";
-import { Budget } from "../../src/zone/budget.js";
-import { BudgetRules } from "../../src/zone/budgetRules.js";
+import { RetryQuotas } from "../../src/traffic/retryQuotas.js";
+import { RetryBudget } from "../../src/traffic/retryBudget.js";
+import { RetryRules } from "../../src/traffic/retryRules.js";
 
 test("with other figures than the usual ones the guard keeps the rule in every window", () => {
   for (const [ratio, extra, windowMs] of [
@@ -11,14 +11,14 @@
     [0.5, 8, 2000],
     [0.3, 100, 20_000],
   ] as const) {
-    const rules = BudgetRules.of(ratio, extra, windowMs);
+    const rules = RetryRules.of(ratio, extra, windowMs);
     const random = Draw.of(extra + 1);
-    const allowance = new Allowance(rules, 800);
+    const allowance = new RetryQuotas(rules, 800);
     allowance.lead(0, "l", new Set());
     const edges = [1, 2, 3].map((at) => ({
       name: `e${at}`,
       number: "",
-      budget: new Budget(rules),
+      budget: new RetryBudget(rules),
     }));
     const requests: number[] = [];
     const furthers: number[] = [];
--- a/test/zone/silence.test.ts
+++ b/test/traffic/silence.test.ts
@@ -1,7 +1,7 @@
 import { expect, test } from "vitest";
 import type { Contract } from "../../src/record/book.js";
 import { Draw } from "../../src/rehearsal/draw.js";
-import { Shares } from "../../src/zone/shares.js";
+import { LoadBalancer } from "../../src/traffic/loadBalancer.js";
 
 const contract = (address: string, number: number, zone = "a"): Contract => ({
   address,
@@ -19,7 +19,7 @@
 });
 
 test("a back end that is silent with work in hand gets no more, until something ends there", () => {
-  const shares = new Shares("a", Draw.of(3));
+  const shares = new LoadBalancer("a", Draw.of(3));
   const [dark, well] = [contract("dark", 1), contract("well", 2)];
   const ended = { tookMs: 50, isWhole: true, goalMs: 100, route: "r" };
   for (const one of [dark, well]) {
@@ -41,7 +41,7 @@
 });
 
 test("what comes from another zone is dear where responses are large, and nearly free where they are small", () => {
-  const shares = new Shares("a", Draw.of(5));
+  const shares = new LoadBalancer("a", Draw.of(5));
   const [near, far] = [contract("near", 1), contract("far", 2, "b")];
   for (let at = 0; at < 40; at += 1)
     for (const one of [near, far])
--- a/test/zone/warmth.test.ts
+++ b/test/traffic/warmth.test.ts
@@ -1,10 +1,10 @@
 import { expect, test } from "vitest";
 import type { Contract } from "../../src/record/book.js";
 import { Draw } from "../../src/rehearsal/draw.js";
-import { Shares } from "../../src/zone/shares.js";
+import { LoadBalancer } from "../../src/traffic/loadBalancer.js";
 
 test("an instance warms up for as long as it said from when it was learned; one that said nothing is warm; without an instance it takes ten seconds", () => {
-  const shares = new Shares("a", Draw.of(1));
+  const shares = new LoadBalancer("a", Draw.of(1));
   const contract = (address: string, more: Partial<Contract>): Contract => ({
     address,
     service: "s",
