One table decides what follows from the way a try at a back end ended

Cause: whether a request may have run, may be sent on, what becomes of its connection and what the client is told stood in some twenty places of the door.

Change: door/outcomeTable (cause to verdict, whether bytes left, connection, answer, and the rule for sending on) and door/answerCheck (what keeps a response from being taken for this request's answer, and how its body's end is known) are pure and are what the door calls.

Tests: door/outcomeTable pins each row; platform/door is unchanged.

--- a/src/door/door.ts
+++ b/src/door/door.ts
@@ -10,10 +10,12 @@
 import type { LoadBalancer } from "../traffic/loadBalancer.js";
 import type { EdgeCounts } from "../traffic/edgeCounts.js";
 import { safeMethods } from "../contract/config.js";
+import { bodyEnd, headFault } from "./answerCheck.js";
 import { serviceHeader, type BackEnds, type BackReturn, type Opened } from "./backEnds.js";
 import type { Dialect } from "./dialect.js";
 import { Job, type Caller } from "./job.js";
 import { Keys, type Claim } from "./keys.js";
+import { endingOf, maySendOn, outcomeOf, type FailureCause } from "./outcomeTable.js";
 import { Ending, Return, type Verdict } from "./verdict.js";
 
 /** One request on its way through the chain. */
@@ -104,9 +106,6 @@
   return passed;
 };
 
-/** Codes that promise that a request has not run; a back end's own stands only with its word that it hasn't. */
-const promises: ReadonlySet<number> = new Set([408, 421, 429, 503]);
-
 /** What the door has done, by ending. */
 export interface Tally {
   taken: number;
@@ -402,7 +401,7 @@
       const isFurther = sends > 0;
       if (isFurther) {
         further += 1;
-        const mayRepeat = worst === undefined || mapping.repeatable;
+        const mayRepeat = maySendOn(worst?.verdict ?? "neverRan", mapping);
         if (
           !mayRepeat ||
           passage.isSpent ||
@@ -514,15 +513,9 @@
     if (opened === "refused" || opened === "foreign") this.view.noteRefused(contract);
     if (opened === "withdrawn") {
       this.shares.withdrew(contract, clock.nowMs());
-      return {
-        ending: Ending.drop(
-          "This daemon's view changed before the request could be sent.",
-          after.soon,
-        ),
-        isSent: false,
-      };
+      return { ending: endingOf("withdrawn", after.soon), isSent: false };
     }
-    const isSent = opened !== "refused" && opened !== "foreign" && opened !== "unreached";
+    const isSent = typeof opened !== "string" || outcomeOf(opened).isSent;
     const ending = yield* this.receive(passage, mapping, contract, opened, id);
     const nowMs = clock.nowMs();
     const whole =
@@ -551,39 +544,20 @@
     opened: Opened,
     id: string,
   ): Task<Ending> {
-    if (
-      opened === "refused" ||
-      opened === "foreign" ||
-      opened === "unreached" ||
-      opened === "withdrawn"
-    )
-      return Ending.drop("The back end took no connection.", after.soon);
-    if (opened === "late") return this.mayHaveRun(504, "The back end did not return in time.");
-    if (opened === "lost") return this.mayHaveRun(502, "The connection to the back end broke.");
+    if (typeof opened === "string") return endingOf(opened, after.soon);
     const { code, headers } = opened;
-    const { echo, seal, notRun, expected, proof } = this.dialect;
-    const echoed = headers[proof === "connection" ? mapping.stampHeader : echo];
-    const isOther = expected !== undefined && code === 421;
-    if (
-      (echoed === undefined || echoed === id) &&
-      (isOther || (notRun !== undefined && headers[notRun] !== undefined))
-    )
-      return yield* this.declined(contract, opened, isOther);
-    if (echoed !== id) return this.discard(opened, "The return carries no stamp of this request.");
-    if (promises.has(code)) return this.discard(opened, "The back end itself says try later.");
-    if (seal !== undefined && code < 300 && headers[seal] === undefined)
-      return this.discard(opened, "The return carries no seal.");
-    const encoding = headers["content-encoding"];
-    if (proof === "request" && encoding !== undefined && encoding !== "identity")
-      return this.discard(opened, "The return's body is encoded.");
-    const bodiless = passage.job.method === "HEAD" || code === 204 || code === 304;
+    const { dialect } = this;
+    const { echo, proof } = dialect;
+    const echoHeader = proof === "connection" ? mapping.stampHeader : echo;
+    const fault = headFault(opened, { dialect, id, echoHeader });
+    if (fault !== undefined) return yield* this.refuse(contract, opened, fault);
+    const end = bodyEnd(passage.job.method, opened);
+    if (end === "unknown") return yield* this.refuse(contract, opened, "noLength");
+    const bodiless = end === "bodiless";
     const stated = headers["content-length"];
-    const isChunked = headers["transfer-encoding"]?.toLowerCase() === "chunked";
-    if (!bodiless && !isChunked && (stated === undefined || !/^\d{1,15}$/.test(stated)))
-      return this.discard(opened, "The return states no length.");
     const ret = passedOn(headers);
     if (proof === "connection") delete ret[mapping.stampHeader];
-    const lengthBytes = bodiless ? 0 : isChunked ? undefined : Number(stated);
+    const lengthBytes = bodiless ? 0 : end === "chunked" ? undefined : end.lengthBytes;
     if (lengthBytes !== undefined && lengthBytes > wholeBytes)
       return yield* this.stream(passage, opened, ret, [], lengthBytes);
     const pieces: Uint8Array[] = [];
@@ -594,11 +568,11 @@
         piece === "cut" ||
         (piece === "end" && lengthBytes !== undefined && heldBytes !== lengthBytes)
       )
-        return this.mayHaveRun(502, "The back end's body was cut short.");
+        return endingOf("bodyCut", after.soon);
       if (piece === "end") break;
       heldBytes += piece.length;
       if (lengthBytes !== undefined && heldBytes > lengthBytes)
-        return this.discard(opened, "The back end's body is longer than stated.");
+        return this.discard(opened, "bodyTooLong");
       pieces.push(piece);
       if (heldBytes > wholeBytes)
         return yield* this.stream(passage, opened, ret, pieces, lengthBytes);
@@ -611,14 +585,12 @@
     });
   }
 
-  /** The back end says that it did not run the request; its connection can be used again once the rest has come. */
-  private *declined(contract: Contract, opened: BackReturn, isOther: boolean): Task<Ending> {
-    if (isOther) this.view.noteRefused(contract);
+  /** A response that is not passed on. Its connection can be used again once the rest has come, where the outcome lets it. */
+  private *refuse(contract: Contract, opened: BackReturn, cause: FailureCause): Task<Ending> {
+    if (cause === "otherInstance") this.view.noteRefused(contract);
+    if (outcomeOf(cause).connection !== "keep") return this.discard(opened, cause);
     for (let piece = yield* opened.next(); typeof piece !== "string";) piece = yield* opened.next();
-    return Ending.drop(
-      isOther ? "Another instance has the address." : "The back end did not take the request.",
-      after.soon,
-    );
+    return endingOf(cause, after.soon);
   }
 
   private *stream(
@@ -629,7 +601,7 @@
     lengthBytes: number | undefined,
   ): Task<Ending> {
     const { caller } = passage;
-    if (passage.isAbandoned) return this.discard(opened, "The caller has its answer already.");
+    if (passage.isAbandoned) return this.discard(opened, "answered");
     passage.isStreaming = true;
     caller.begin(
       opened.code,
@@ -641,7 +613,7 @@
       const piece = early.shift() ?? (yield* opened.next());
       if (piece === "end" && (lengthBytes === undefined || sentBytes === lengthBytes)) {
         caller.end();
-        return { verdict: "ran", ret: "streamed", why: "" };
+        return { verdict: outcomeOf("streamed").verdict, ret: "streamed", why: "" };
       }
       if (
         piece !== "cut" &&
@@ -657,16 +629,12 @@
       this.log.warn("A return was cut short, and the caller's connection with it.", {
         route: passage.mapping?.name,
       });
-      return { verdict: "mayHaveRun", ret: "cut", why: "" };
+      return { verdict: outcomeOf("streamCut").verdict, ret: "cut", why: "" };
     }
   }
 
-  private discard(opened: BackReturn, why: string): Ending {
+  private discard(opened: BackReturn, cause: FailureCause): Ending {
     opened.cancel();
-    return this.mayHaveRun(502, why);
-  }
-
-  private mayHaveRun(code: 502 | 504, why: string): Ending {
-    return Ending.breakdown(code, why, "mayHaveRun", after.soon);
+    return endingOf(cause, after.soon);
   }
 }
--- /dev/null
+++ b/test/door/outcomeTable.test.ts
@@ -0,0 +1,75 @@
+import { expect, test } from "vitest";
+import { headFault } from "../../src/door/answerCheck.js";
+import { Dialect } from "../../src/door/dialect.js";
+import { endingOf, maySendOn, tryCauses } from "../../src/door/outcomeTable.js";
+
+test("the table of how a try can end: may it have run, did bytes leave, the connection, the client's answer", () => {
+  const rows = [...tryCauses].map(
+    ([cause, { verdict, isSent, connection, answer }]) =>
+      `${cause} ${verdict} ${isSent ? "sent" : "unsent"} ${connection} ${answer}`,
+  );
+  expect(rows).toEqual([
+    "refused neverRan unsent none 503",
+    "foreign neverRan unsent none 503",
+    "unreached neverRan unsent none 503",
+    "withdrawn neverRan unsent keep 503",
+    "lost mayHaveRun sent close 502",
+    "late mayHaveRun sent close 504",
+    "otherInstance neverRan sent keep 503",
+    "notRun neverRan sent keep 503",
+    "otherRequest mayHaveRun sent close 502",
+    "bareRefusal mayHaveRun sent close 502",
+    "noSeal mayHaveRun sent close 502",
+    "encoded mayHaveRun sent close 502",
+    "noLength mayHaveRun sent close 502",
+    "bodyCut mayHaveRun sent close 502",
+    "bodyTooLong mayHaveRun sent close 502",
+    "answered mayHaveRun sent close 502",
+    "whole ran sent keep backEnd",
+    "streamed ran sent keep backEnd",
+    "streamCut mayHaveRun sent close cut",
+  ]);
+});
+
+test("only a request that never ran is told a status that promises so, and only that may be sent on whatever its route", () => {
+  for (const [cause, { verdict, isSent, answer }] of tryCauses) {
+    expect([cause, answer === 503]).toEqual([cause, verdict === "neverRan"]);
+    if (!isSent) expect([cause, verdict]).toEqual([cause, "neverRan"]);
+  }
+  for (const repeatable of [true, false]) {
+    expect(maySendOn("neverRan", { repeatable })).toBe(true);
+    expect(maySendOn("mayHaveRun", { repeatable })).toBe(repeatable);
+    expect(maySendOn("ran", { repeatable })).toBe(repeatable);
+  }
+  expect(endingOf("late", 100)).toMatchObject({ verdict: "mayHaveRun", ret: { code: 504 } });
+  expect(endingOf("notRun", 100)).toMatchObject({ verdict: "neverRan", ret: { code: 503 } });
+});
+
+const strict: Dialect = {
+  ...Dialect.own,
+  requestId: "name",
+  echo: "name",
+  seal: "stamp",
+  expected: "want",
+  notRun: "unrun",
+  proof: "request",
+};
+
+test.each([
+  ["its own success", 200, { name: "me", stamp: "s" }, undefined],
+  ["its own failure needs no seal", 500, { name: "me" }, undefined],
+  ["a success without the seal", 200, { name: "me" }, "noSeal"],
+  ["another's success", 200, { name: "you", stamp: "s" }, "otherRequest"],
+  ["nobody's success", 200, { stamp: "s" }, "otherRequest"],
+  ["its own 421", 421, { name: "me" }, "otherInstance"],
+  ["another's 421", 421, { name: "you" }, "otherRequest"],
+  ["its own word that it didn't run", 503, { name: "me", unrun: "1" }, "notRun"],
+  ["another's word that it didn't run", 503, { name: "you", unrun: "1" }, "otherRequest"],
+  ["a 503 without that word", 503, { name: "me" }, "bareRefusal"],
+  ["a 429 without that word", 429, { name: "me" }, "bareRefusal"],
+  ["a 408 without that word", 408, { name: "me" }, "bareRefusal"],
+  ["an encoded body", 200, { name: "me", stamp: "s", "content-encoding": "br" }, "encoded"],
+] as const)("a response's head: %s", (_what, code, headers, fault) => {
+  const expected = { dialect: strict, id: "me", echoHeader: "name" };
+  expect(headFault({ code, headers }, expected)).toBe(fault);
+});
