--- a/src/traffic/counts.ts
+++ b/src/traffic/counts.ts
@@ -72,7 +72,7 @@
       : new Counts(this.form, this.tries, former.routes, former.hasRoutes);
   }
 
-  /** Counts a try sent to a back end of a service. */
+  /** Counts a try sent to a backend of a service. */
   countTry(service: number, isFurther: boolean, nowMs: number): void {
     this.tries.add(service * 2 + (isFurther ? 1 : 0), stampOf(nowMs));
   }
--- a/src/traffic/loadBalancer.ts
+++ b/src/traffic/loadBalancer.ts
@@ -1,278 +1,180 @@
-import type { Contract } from "../record/book.js";
-
-/** What one daemon sees of one back end. */
-interface BackendStats {
-  latencyMs: number;
-  /** How long it takes against what its requests' routes usually take; 1 where it is as fast as the others. */
-  pace: number;
-  failureRate: number;
-  inHand: number;
-  /** Since when nothing has ended there though something is in hand, and how long that is nothing unusual. */
-  quietSinceMs: number;
-  patientMs: number;
-  avoidUntilMs: number;
-  failuresInARow: number;
-  share: number;
-  sinceMs: number;
-  tries: number;
-  steeredMs: number;
-  why: string;
-}
+import type { Backend } from "./backend.js";
+import { BackendStats } from "./backendStats.js";
+import { RouteStatsTable, unseenBytes, type RouteStats } from "./routeStats.js";
+import type { TryOutcome } from "./tryOutcome.js";
 
 const warmUpMs = 10_000;
 const leastWarmth = 0.05;
-const steerMs = 500;
-const leastShare = 0.1;
 /** More than one failure in ten, one after the other. */
 const failingRate = 0.15;
 /** What a KiB of a response costs on its way from another zone, as if it came later. */
 const farKibMs = 2;
-/** How large a route's responses are taken to be until one was seen. */
-const unseenBytes = 32 * 1024;
-const knownRoutes = 4096;
-/** How much longer than usual a back end may be silent with work in hand. */
+/** How much longer than usual a backend may be silent with work in hand. */
 const patience = { times: 3, spareMs: 150, unseenMs: 500 };
-const paceRate = 0.2;
-const routeRate = 0.05;
-/** How often the share alone decides, so that a back end that got better is seen again. */
+/** How often the share alone decides, so that a backend that got better is seen again. */
 const lookAgain = 0.05;
 
-/** What one daemon sees of one route's requests, whichever back end has them. */
-interface RouteStats {
-  tookMs: number;
-  bytes: number;
+/** Why a backend has its share, for operators. */
+export interface ShareExplanation {
+  readonly address: string;
+  readonly zone: string;
+  readonly share: number;
+  readonly latencyMs: number;
+  readonly inHand: number;
+  readonly tries: number;
+  readonly why: string;
 }
 
-/** One try that has ended, as shares learn from it. */
-export interface TryOutcome {
-  readonly tookMs: number;
-  readonly isWhole: boolean;
-  readonly goalMs: number;
-  readonly route?: string;
-  /** How large the response was, where there was a whole one. */
-  readonly bytes?: number | undefined;
-}
-
-/** How much of a service's traffic each back end takes from this daemon, steered toward the goals. */
+/** Chooses among a service's backends by what this daemon has seen of them, steered toward the goals. */
 export class LoadBalancer {
   private readonly zone: string;
   private readonly random: () => number;
-  private readonly backendStats = new Map<string, BackendStats>();
-  private known = new WeakMap<Contract, BackendStats>();
-  private readonly routeStats = new Map<string, RouteStats>();
+  private readonly statsByKey = new Map<string, BackendStats>();
+  private known = new WeakMap<Backend, BackendStats>();
+  private readonly routes = new RouteStatsTable();
 
+  /** `random` gives 0 to 1. */
   constructor(zone: string, random: () => number) {
     this.zone = zone;
     this.random = random;
   }
 
-  /** Chooses a back end: of two drawn by share, the one that should be done sooner. */
-  pick(
-    contracts: readonly Contract[],
+  /** Chooses a backend: of two drawn by share, the one that should be done sooner. */
+  pick<B extends Backend>(
+    backends: readonly B[],
     tried: ReadonlySet<string>,
     inHandLimit: number,
     nowMs: number,
     route = "",
-  ): Contract | undefined {
-    const open = contracts.filter(
-      (contract) =>
-        !tried.has(contract.address) && this.sight(contract, nowMs).inHand < inHandLimit,
+  ): B | undefined {
+    const open = backends.filter(
+      (backend) => !tried.has(backend.address) && this.stats(backend, nowMs).inHand < inHandLimit,
     );
-    const well = open.filter((contract) => this.isWell(this.sight(contract, nowMs), nowMs));
+    const well = open.filter((backend) => BackendStats.isWell(this.stats(backend, nowMs), nowMs));
     const from = well.length > 0 ? well : open;
-    const weights = from.map((contract) => this.weight(contract, nowMs));
+    const weights = from.map((backend) => this.weight(backend, nowMs));
     const first = this.draw(from, weights, undefined);
     const second = this.draw(from, weights, first);
     if (!first || !second || this.random() < lookAgain) return first;
-    const usual = this.routeStats.get(route);
+    const usual = this.routes.find(route);
     return this.costMs(first, usual, nowMs) <= this.costMs(second, usual, nowMs) ? first : second;
   }
 
-  began(contract: Contract, nowMs: number, route = ""): void {
-    const statsOf = this.sight(contract, nowMs);
-    const patientMs =
-      patience.times * (this.routeStats.get(route)?.tookMs ?? patience.unseenMs) + patience.spareMs;
-    statsOf.patientMs = statsOf.inHand === 0 ? patientMs : Math.max(statsOf.patientMs, patientMs);
-    if (statsOf.inHand === 0) statsOf.quietSinceMs = nowMs;
-    statsOf.inHand += 1;
-    statsOf.tries += 1;
+  /** Counts a try that begins. */
+  began(backend: Backend, nowMs: number, route = ""): void {
+    const stats = this.stats(backend, nowMs);
+    const usualMs = this.routes.find(route)?.tookMs ?? patience.unseenMs;
+    const patientMs = patience.times * usualMs + patience.spareMs;
+    stats.patientMs = stats.inHand === 0 ? patientMs : Math.max(stats.patientMs, patientMs);
+    if (stats.inHand === 0) stats.quietSinceMs = nowMs;
+    stats.inHand += 1;
+    stats.tries += 1;
   }
 
-  /** A try was not sent after all, for reasons that aren't the back end's. */
-  withdrew(contract: Contract, nowMs: number): void {
-    const sight = this.sight(contract, nowMs);
-    sight.inHand = Math.max(0, sight.inHand - 1);
+  /** A try was not sent after all, for reasons that aren't the backend's. */
+  withdrew(backend: Backend, nowMs: number): void {
+    const stats = this.stats(backend, nowMs);
+    stats.inHand = Math.max(0, stats.inHand - 1);
   }
 
   /** Learns from how a try ended: whole within some time, or not. */
-  ended(
-    contract: Contract,
-    { tookMs, isWhole: whole, goalMs, route = "", bytes }: TryOutcome,
-    nowMs: number,
-  ): void {
-    const sight = this.sight(contract, nowMs);
-    sight.inHand = Math.max(0, sight.inHand - 1);
-    sight.quietSinceMs = nowMs;
-    const usual = this.routeStatsOf(route, tookMs);
-    if (whole) {
-      usual.tookMs += (tookMs - usual.tookMs) * routeRate;
-      if (bytes !== undefined)
-        usual.bytes += (bytes - usual.bytes) * (usual.bytes === unseenBytes ? 1 : routeRate);
-    }
-    sight.pace += (tookMs / Math.max(1, usual.tookMs) - sight.pace) * paceRate;
-    sight.latencyMs += (tookMs - sight.latencyMs) * 0.2;
-    sight.failureRate += ((whole ? 0 : 1) - sight.failureRate) * 0.1;
-    sight.failuresInARow = whole ? 0 : sight.failuresInARow + 1;
-    if (!whole && sight.failuresInARow >= 2)
-      sight.avoidUntilMs =
-        nowMs +
-        Math.min(5000, 250 * 2 ** Math.min(sight.failuresInARow, 6)) * (0.75 + this.random() * 0.5);
-    if (nowMs - sight.steeredMs < steerMs) return;
-    sight.steeredMs = nowMs;
-    const misses = sight.latencyMs > goalMs || sight.failureRate > 0.2;
-    const share = Math.min(1, Math.max(leastShare, sight.share * (misses ? 0.85 : 1.05)));
-    if (share !== sight.share)
-      sight.why = misses
-        ? sight.latencyMs > goalMs
-          ? `slower (${Math.round(sight.latencyMs)} ms) than the goal of ${goalMs} ms`
-          : `${Math.round(sight.failureRate * 100)}% of its tries break down`
-        : "meets its goal again";
-    sight.share = share;
-  }
-
-  /** Whether nothing speaks against a back end: no failures in a row, and no silence that is longer than its requests usually take. */
-  private isWell(
-    { avoidUntilMs, inHand, quietSinceMs, patientMs }: BackendStats,
-    nowMs: number,
-  ): boolean {
-    return avoidUntilMs <= nowMs && (inHand === 0 || nowMs - quietSinceMs <= patientMs);
-  }
-
-  /** Whether a back end fails so often that its failures are its own rather than its requests'. */
-  isFailing(contract: Contract): boolean {
-    return (this.backendStats.get(this.key(contract))?.failureRate ?? 0) > failingRate;
-  }
-
-  /** Why each back end has its share, a line each. */
-  explain(
-    contracts: readonly Contract[],
-    nowMs: number,
-  ): Array<{
-    address: string;
-    zone: string;
-    share: number;
-    latencyMs: number;
-    inHand: number;
-    tries: number;
-    why: string;
-  }> {
-    return contracts.map((contract) => {
-      const sight = this.sight(contract, nowMs);
-      const reasons = [sight.why];
-      if (contract.zone !== this.zone) reasons.push("in another zone");
-      if (this.warmth(contract, sight, nowMs) < 1) reasons.push("still warming up");
-      if (sight.avoidUntilMs > nowMs)
-        reasons.push(`avoided after ${sight.failuresInARow} breakdowns in a row`);
-      const why = reasons.filter(Boolean).join("; ") || "meets its goal";
+  ended(backend: Backend, outcome: TryOutcome, nowMs: number): void {
+    const stats = this.stats(backend, nowMs);
+    stats.inHand = Math.max(0, stats.inHand - 1);
+    stats.quietSinceMs = nowMs;
+    const { tookMs: usualMs } = this.routes.learn(outcome);
+    BackendStats.learn(stats, outcome, usualMs, nowMs, this.random);
+    BackendStats.steer(stats, outcome.goalMs, nowMs);
+  }
+
+  /** Whether a backend fails so often that its failures are its own rather than its requests'. */
+  isFailing(backend: Backend): boolean {
+    return (this.statsByKey.get(this.key(backend))?.failureRate ?? 0) > failingRate;
+  }
+
+  /** Why each backend has its share. */
+  explain(backends: readonly Backend[], nowMs: number): ShareExplanation[] {
+    return backends.map((backend) => {
+      const stats = this.stats(backend, nowMs);
+      const reasons = [stats.why];
+      if (backend.zone !== this.zone) reasons.push("in another zone");
+      if (this.warmth(backend, stats, nowMs) < 1) reasons.push("still warming up");
+      if (stats.avoidUntilMs > nowMs)
+        reasons.push(`avoided after ${stats.failuresInARow} failures in a row`);
       return {
-        address: contract.address,
-        zone: contract.zone,
-        share: Number(this.weight(contract, nowMs).toFixed(3)),
-        latencyMs: Math.round(sight.latencyMs),
-        inHand: sight.inHand,
-        tries: sight.tries,
-        why,
+        address: backend.address,
+        zone: backend.zone,
+        share: Number(this.weight(backend, nowMs).toFixed(3)),
+        latencyMs: Math.round(stats.latencyMs),
+        inHand: stats.inHand,
+        tries: stats.tries,
+        why: reasons.filter(Boolean).join("; ") || "meets its goal",
       };
     });
   }
 
-  /** Learns which back ends there are: those that are new begin to warm up now. */
-  know(contracts: readonly Contract[], nowMs: number): void {
-    for (const contract of contracts) this.sight(contract, nowMs);
-    this.keepOnly(contracts);
+  /** Learns which backends there are: those that are new begin to warm up now. */
+  know(backends: readonly Backend[], nowMs: number): void {
+    for (const backend of backends) this.stats(backend, nowMs);
+    this.keepOnly(backends);
   }
 
-  /** Lets go of back ends that are no longer known. */
-  keepOnly(contracts: Iterable<Contract>): void {
-    const known = new Set([...contracts].map((contract) => this.key(contract)));
-    for (const key of this.backendStats.keys()) if (!known.has(key)) this.backendStats.delete(key);
+  /** Lets go of backends that are no longer known. */
+  keepOnly(backends: Iterable<Backend>): void {
+    const keys = new Set([...backends].map((backend) => this.key(backend)));
+    for (const key of this.statsByKey.keys()) if (!keys.has(key)) this.statsByKey.delete(key);
     this.known = new WeakMap();
   }
 
-  private key(contract: Contract): string {
-    return `${contract.address} ${contract.number}`;
-  }
-
-  private sight(contract: Contract, nowMs: number): BackendStats {
-    const seen = this.known.get(contract);
-    if (seen) return seen;
-    const key = this.key(contract);
-    const sight = this.backendStats.get(key) ?? {
-      latencyMs: 20,
-      pace: 1,
-      failureRate: 0,
-      inHand: 0,
-      quietSinceMs: 0,
-      patientMs: 0,
-      avoidUntilMs: 0,
-      failuresInARow: 0,
-      share: 1,
-      sinceMs: nowMs,
-      tries: 0,
-      steeredMs: nowMs,
-      why: "",
-    };
-    this.backendStats.set(key, sight);
-    this.known.set(contract, sight);
-    return sight;
+  private key(backend: Backend): string {
+    return `${backend.address} ${backend.number}`;
   }
 
-  private routeStatsOf(route: string, tookMs: number): RouteStats {
-    const seen = this.routeStats.get(route);
+  private stats(backend: Backend, nowMs: number): BackendStats {
+    const seen = this.known.get(backend);
     if (seen) return seen;
-    if (this.routeStats.size >= knownRoutes) this.routeStats.clear();
-    const usual = { tookMs, bytes: unseenBytes };
-    this.routeStats.set(route, usual);
-    return usual;
+    const key = this.key(backend);
+    const stats = this.statsByKey.get(key) ?? BackendStats.fresh(nowMs);
+    this.statsByKey.set(key, stats);
+    this.known.set(backend, stats);
+    return stats;
   }
 
-  private warmth(contract: Contract, sight: BackendStats, nowMs: number): number {
-    const sinceMs = nowMs - sight.sinceMs;
-    if (contract.instance === "")
-      return Math.min(1, Math.max(leastWarmth, contract.warmth, sinceMs / warmUpMs));
-    return contract.warmMs <= 0 ? 1 : Math.min(1, Math.max(leastWarmth, sinceMs / contract.warmMs));
+  private warmth(backend: Backend, stats: BackendStats, nowMs: number): number {
+    const sinceMs = nowMs - stats.sinceMs;
+    if (backend.instance === "")
+      return Math.min(1, Math.max(leastWarmth, backend.warmth, sinceMs / warmUpMs));
+    return backend.warmMs <= 0 ? 1 : Math.min(1, Math.max(leastWarmth, sinceMs / backend.warmMs));
   }
 
-  private weight(contract: Contract, nowMs: number): number {
-    const sight = this.sight(contract, nowMs);
-    return sight.share * this.warmth(contract, sight, nowMs);
+  private weight(backend: Backend, nowMs: number): number {
+    const stats = this.stats(backend, nowMs);
+    return stats.share * this.warmth(backend, stats, nowMs);
   }
 
   /** When a request would be done there, as far as is seen here; a far one costs what its response's way costs. */
-  private costMs(contract: Contract, usual: RouteStats | undefined, nowMs: number): number {
-    const sight = this.sight(contract, nowMs);
-    const queued = 1 + sight.inHand / Math.max(1, contract.capacity);
-    const farMs =
-      contract.zone === this.zone ? 0 : ((usual?.bytes ?? unseenBytes) / 1024) * farKibMs;
-    return (
-      ((usual?.tookMs ?? sight.latencyMs) * sight.pace * queued) / this.weight(contract, nowMs) +
-      farMs
-    );
-  }
-
-  /** One by its weight, another than `but`. */
-  private draw(
-    contracts: readonly Contract[],
+  private costMs(backend: Backend, usual: RouteStats | undefined, nowMs: number): number {
+    const stats = this.stats(backend, nowMs);
+    const queued = 1 + stats.inHand / Math.max(1, backend.capacity);
+    const isFar = backend.zone !== this.zone;
+    const farMs = isFar ? ((usual?.bytes ?? unseenBytes) / 1024) * farKibMs : 0;
+    const usualMs = usual?.tookMs ?? stats.latencyMs;
+    return (usualMs * stats.pace * queued) / this.weight(backend, nowMs) + farMs;
+  }
+
+  /** One by its weight, another than `except`. */
+  private draw<B extends Backend>(
+    backends: readonly B[],
     weights: readonly number[],
-    but: Contract | undefined,
-  ): Contract | undefined {
+    except: B | undefined,
+  ): B | undefined {
     let sum = 0;
-    for (const [at, weight] of weights.entries()) if (contracts[at] !== but) sum += weight;
+    for (const [at, weight] of weights.entries()) if (backends[at] !== except) sum += weight;
     let left = this.random() * sum;
-    let last: Contract | undefined;
-    for (const [at, contract] of contracts.entries()) {
-      if (contract === but) continue;
-      last = contract;
+    let last: B | undefined;
+    for (const [at, backend] of backends.entries()) {
+      if (backend === except) continue;
+      last = backend;
       left -= weights[at] ?? 0;
       if (left <= 0) break;
     }
--- /dev/null
+++ b/test/tools/checkWords.test.ts
@@ -0,0 +1,43 @@
+import { spawnSync } from "node:child_process";
+import { cpSync, mkdirSync, mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { expect, test } from "vitest";
+
+/** Runs the check over a folder of its own that holds one source file. */
+const checked = (source: string): { code: number | null; said: string } => {
+  const root = mkdtempSync(join(tmpdir(), "words-"));
+  try {
+    cpSync("tools", join(root, "tools"), { recursive: true });
+    for (const folder of foldersDone()) mkdirSync(join(root, folder), { recursive: true });
+    const [first] = foldersDone();
+    writeFileSync(join(root, first ?? "", "planted.ts"), source);
+    const ran = spawnSync(process.execPath, ["tools/checkWords.mjs"], {
+      cwd: root,
+      encoding: "utf8",
+    });
+    return { code: ran.status, said: ran.stderr };
+  } finally {
+    rmSync(root, { recursive: true });
+  }
+};
+
+const foldersDone = (): string[] => {
+  const list: { folders: string[] } = JSON.parse(readFileSync("tools/withdrawnWords.json", "utf8"));
+  return list.folders;
+};
+
+test("a withdrawn word in a folder that is done fails the check, in comments and inside names", () => {
+  expect(checked("/** Hands it to the ferry. */\n").code).toBe(1);
+  expect(checked("const newContract = 1;\n").said).toContain('1: "Contract", better: registration');
+  expect(checked("const checkpointBytes = 1;\n").code).toBe(1);
+});
+
+test("ordinary words pass, and so do names imported from folders that aren't done", () => {
+  expect(checked("/** A contractual matter; indoors. */\nconst backend = 1;\n").code).toBe(0);
+  expect(
+    checked(
+      'import type { Contract } from "../record/book.js";\nconst of = (one: Contract) => one;\n',
+    ).code,
+  ).toBe(0);
+});
--- a/test/traffic/loadBalancer.test.ts
+++ b/test/traffic/loadBalancer.test.ts
@@ -3,9 +3,9 @@
 import { Draw } from "../../src/rehearsal/draw.js";
 import { LoadBalancer } from "../../src/traffic/loadBalancer.js";
 
-test("a slow back end, a failing one and a far one take less, and the reason is told", () => {
+test("a slow backend, a failing one and a far one take less, and the reason is told", () => {
   const shares = new LoadBalancer("a", Draw.of(4));
-  const contract = (address: string, zone = "a"): Contract => ({
+  const backend = (address: string, zone = "a"): Contract => ({
     address,
     service: "s",
     zone,
@@ -19,10 +19,10 @@
     warmMs: 0,
     order: 0,
   });
-  const contracts = [contract("well"), contract("slow"), contract("failing"), contract("far", "b")];
+  const backends = [backend("well"), backend("slow"), backend("failing"), backend("far", "b")];
   const taken = new Map<string, number>();
   for (let nowMs = 0; nowMs < 20_000; nowMs += 10) {
-    const one = shares.pick(contracts, new Set(), 100, nowMs);
+    const one = shares.pick(backends, new Set(), 100, nowMs);
     if (!one) throw new Error("nothing was picked");
     taken.set(one.address, (taken.get(one.address) ?? 0) + 1);
     shares.began(one, nowMs);
@@ -39,7 +39,7 @@
   const well = taken.get("well") ?? 0;
   for (const other of ["slow", "failing", "far"])
     expect(well).toBeGreaterThan(2 * (taken.get(other) ?? 0));
-  const whys = shares.explain(contracts, 20_000).map(({ why }) => why);
+  const whys = shares.explain(backends, 20_000).map(({ why }) => why);
   expect(whys[1]).toContain("slower");
   expect(whys[3]).toContain("another zone");
 });
--- a/test/traffic/silence.test.ts
+++ b/test/traffic/silence.test.ts
@@ -3,7 +3,7 @@
 import { Draw } from "../../src/rehearsal/draw.js";
 import { LoadBalancer } from "../../src/traffic/loadBalancer.js";
 
-const contract = (address: string, number: number, zone = "a"): Contract => ({
+const backend = (address: string, number: number, zone = "a"): Contract => ({
   address,
   service: "s",
   zone,
@@ -18,9 +18,9 @@
   order: 0,
 });
 
-test("a back end that is silent with work in hand gets no more, until something ends there", () => {
+test("a backend that is silent with work in hand gets no more, until something ends there", () => {
   const shares = new LoadBalancer("a", Draw.of(3));
-  const [dark, well] = [contract("dark", 1), contract("well", 2)];
+  const [dark, well] = [backend("dark", 1), backend("well", 2)];
   const ended = { tookMs: 50, isWhole: true, goalMs: 100, route: "r" };
   for (const one of [dark, well]) {
     shares.began(one, 0, "r");
@@ -42,7 +42,7 @@
 
 test("what comes from another zone is dear where responses are large, and nearly free where they are small", () => {
   const shares = new LoadBalancer("a", Draw.of(5));
-  const [near, far] = [contract("near", 1), contract("far", 2, "b")];
+  const [near, far] = [backend("near", 1), backend("far", 2, "b")];
   for (let at = 0; at < 40; at += 1)
     for (const one of [near, far])
       for (const [route, bytes] of [
--- a/test/traffic/warmth.test.ts
+++ b/test/traffic/warmth.test.ts
@@ -5,7 +5,7 @@
 
 test("an instance warms up for as long as it said from when it was learned; one that said nothing is warm; without an instance it takes ten seconds", () => {
   const shares = new LoadBalancer("a", Draw.of(1));
-  const contract = (address: string, more: Partial<Contract>): Contract => ({
+  const backend = (address: string, more: Partial<Contract>): Contract => ({
     address,
     service: "s",
     zone: "a",
@@ -20,18 +20,18 @@
     order: 0,
     ...more,
   });
-  const contracts = [
-    contract("own", {}),
-    contract("warm", { instance: "w" }),
-    contract("cold", { instance: "c", warmMs: 4000 }),
+  const backends = [
+    backend("own", {}),
+    backend("warm", { instance: "w" }),
+    backend("cold", { instance: "c", warmMs: 4000 }),
   ];
   const sharesAt = (nowMs: number): number[] =>
-    shares.explain(contracts, nowMs).map(({ share }) => share);
-  shares.know(contracts, 1000);
+    shares.explain(backends, nowMs).map(({ share }) => share);
+  shares.know(backends, 1000);
   expect(sharesAt(1000)).toEqual([0.05, 1, 0.05]);
   expect(sharesAt(3000)).toEqual([0.2, 1, 0.5]);
   expect(sharesAt(5000)).toEqual([0.4, 1, 1]);
   shares.know([], 5000);
-  shares.know(contracts, 9000);
+  shares.know(backends, 9000);
   expect(sharesAt(9000)).toEqual([0.05, 1, 0.05]);
 });
