Operators' calls are judged as one register; spare machines and five voters in the simulator

A new rule of the judge, 'operators see one register of configs', checks that the accepted orders form one chain, that no call shows less than a call that ended before it began, that no version was shown before it was sent, and that no proper order is refused for good.

The simulator can add an empty machine at a new address, remove one for good, lose answers to operators and tell who acknowledged; a profile 'five' has five voters of which two may be lost.

--- /dev/null
+++ b/src/rehearsal/configOrders.ts
@@ -0,0 +1,192 @@
+import { create, number, optional, type, unknown } from "superstruct";
+import type { Job } from "../door/job.js";
+import { Clock } from "../runtime/clock.js";
+import type { Task } from "../runtime/task.js";
+import type { Outside } from "./day.js";
+import type { Ledger } from "./ledger.js";
+import { malformedConfigs } from "./malformedConfigs.js";
+import { Profile } from "./profile.js";
+
+/** A change of the configuration as an operator has drawn it up; sent again, it keeps its bytes. */
+export interface ConfigChange {
+  /** The version it builds on. */
+  readonly base: number;
+  /** The number it is to have; left to the fleet where undefined. */
+  readonly version: number | undefined;
+  /** Names a route that no other configuration has. */
+  readonly probe: number;
+  readonly text: string;
+  readonly changeId: string;
+}
+
+/** How an order is sent. */
+export interface OrderSending {
+  /** The daemon that the next attempt is sent to; any daemon where it names none. */
+  readonly via?: () => string | undefined;
+  /** How long one attempt may stay without an answer. */
+  readonly patienceMs?: number;
+}
+
+const sequenced = type({ sequence: number() });
+const foundConfig = type({ config: optional(unknown()) });
+const attemptsOfOrder = 60;
+const pauseMs = 150;
+const attemptsOfRead = 10;
+const readPauseMs = 200;
+
+const jsonIn = (body: Uint8Array): unknown => JSON.parse(Buffer.from(body).toString());
+
+const readJob = (target: string): Job => ({
+  method: "GET",
+  target,
+  headers: { "content-type": "application/json" },
+  body: Buffer.alloc(0),
+});
+
+const orderJob = ({ base, version, text, changeId }: ConfigChange): Job => ({
+  method: "PUT",
+  target: "/config",
+  headers: {
+    "content-type": "application/json",
+    "if-match": `"${base}"`,
+    ...(version === undefined ? {} : { "config-version": String(version) }),
+    "change-id": changeId,
+  },
+  body: Buffer.from(text),
+});
+
+/** What operators do in a day: they change the configuration, and read it back; all of it is recorded. */
+export class ConfigOrders {
+  private readonly outside: Outside;
+  private readonly profile: Profile;
+  private readonly ledger: Ledger;
+  private readonly isOver: () => boolean;
+  private changes = 0;
+  private extraRoutes = 0;
+  private moved: Record<string, string> = {};
+  /** The newest version that an operator knows to be accepted. */
+  sequence = 0;
+
+  constructor(outside: Outside, profile: Profile, ledger: Ledger, isOver: () => boolean) {
+    this.outside = outside;
+    this.profile = profile;
+    this.ledger = ledger;
+    this.isOver = isOver;
+  }
+
+  /** From now on configurations hold so many more routes. */
+  growRoutes(count: number): void {
+    this.extraRoutes += count;
+  }
+
+  /** Draws up a change of the newest configuration known, under a number of the operator's where one is given. */
+  prepare(version?: number): ConfigChange {
+    const base = this.sequence;
+    this.changes += 1;
+    const probe = (base + 1) * 1000 + (this.changes % 1000);
+    for (const [route, services] of Object.entries(this.profile.moves))
+      if (this.outside.random() < 0.3)
+        this.moved[route] = services[Math.floor(this.outside.random() * services.length)] ?? "";
+    const config = Profile.config(this.profile, probe, this.moved, this.extraRoutes);
+    return {
+      base,
+      version,
+      probe,
+      text: JSON.stringify(config),
+      changeId: `change-${this.changes}`,
+    };
+  }
+
+  /** Draws up a change upon the newest version known, sends it, and tells whether it was acknowledged. */
+  *put(sending: OrderSending = {}): Task<boolean> {
+    return yield* this.submit(this.prepare(), sending);
+  }
+
+  /** Sends a change, and the same again after each attempt without a clear answer. */
+  *submit(change: ConfigChange, { via, patienceMs }: OrderSending = {}): Task<boolean> {
+    const { base, probe, text } = change;
+    const { clock } = this.outside;
+    const record = this.ledger.order({ base, probe, startMs: clock.nowMs() });
+    this.ledger.world.push({ kind: "sent", atMs: clock.nowMs(), probe, text });
+    for (let attempt = 0; attempt < attemptsOfOrder && !this.isOver(); attempt += 1) {
+      const ret = yield* this.outside.desk(via?.(), orderJob(change), undefined, patienceMs);
+      const atMs = clock.nowMs();
+      if (ret?.code === 200) {
+        const { sequence } = create(jsonIn(ret.body), sequenced);
+        this.sequence = Math.max(this.sequence, sequence);
+        Object.assign(record, { outcome: "accepted", version: sequence, endMs: atMs });
+        this.ledger.world.push({ kind: "accepted", atMs, sequence, probe, text });
+        return true;
+      }
+      if (ret && ret.code >= 400 && ret.code < 500) {
+        const current = ret.code === 412 ? create(jsonIn(ret.body), sequenced).sequence : 0;
+        this.sequence = Math.max(this.sequence, current);
+        const outcome = ret.code === 412 ? "lost" : "refused";
+        Object.assign(record, { outcome, version: current, endMs: atMs });
+        this.ledger.world.push({ kind: "rejected", atMs, probe });
+        return false;
+      }
+      yield* Clock.rest(clock, pauseMs);
+    }
+    return false;
+  }
+
+  /** Asks one daemon once for the newest configuration. */
+  *read(via: string | undefined): Task {
+    const { clock } = this.outside;
+    const startMs = clock.nowMs();
+    const ret = yield* this.outside.desk(via, readJob("/config"));
+    if (ret?.code !== 200) return;
+    const { sequence } = create(jsonIn(ret.body), sequenced);
+    this.ledger.configReads.push({ startMs, endMs: clock.nowMs(), version: sequence });
+  }
+
+  /** An operator who reads the newest configuration now and then, from any daemon. */
+  *reading(everyMs: number): Task {
+    while (!this.isOver()) {
+      yield* Clock.rest(this.outside.clock, everyMs * (0.5 + this.outside.random()));
+      this.outside.start(this.read(undefined));
+    }
+  }
+
+  /** Sends what is no configuration; it must be refused. */
+  *putMalformed(): Task {
+    this.changes += 1;
+    const probe = (this.sequence + 1) * 1000 + (this.changes % 1000);
+    const bad = malformedConfigs(Profile.config(this.profile, probe), this.profile, probe);
+    const body = Buffer.from(bad[Math.floor(this.outside.random() * bad.length)] ?? "");
+    const ret = yield* this.outside.desk(undefined, {
+      method: "PUT",
+      target: "/config",
+      headers: { "if-match": `"${this.sequence}"` },
+      body,
+    });
+    const atMs = this.outside.clock.nowMs();
+    if (ret?.code === 400) this.ledger.world.push({ kind: "rejected", atMs, probe });
+    if (ret && ret.code < 300)
+      this.ledger.world.push({ kind: "tookMalformed", atMs, text: body.toString() });
+  }
+
+  /** Reads back every configuration that was accepted, at the end of a day; one that nobody returns reads as missing. */
+  *readBack(): Task {
+    for (const sequence of new Set(this.ledger.of("accepted").map((record) => record.sequence))) {
+      const text = yield* this.textOf(sequence);
+      this.ledger.world.push({
+        kind: "readBack",
+        atMs: this.outside.clock.nowMs(),
+        sequence,
+        text,
+      });
+    }
+  }
+
+  private *textOf(sequence: number): Task<string | undefined> {
+    for (let attempt = 0; attempt < attemptsOfRead; attempt += 1) {
+      const ret = yield* this.outside.desk(undefined, readJob(`/config/${sequence}`));
+      if (ret?.code === 200) return JSON.stringify(create(jsonIn(ret.body), foundConfig).config);
+      if (ret && ret.code !== 503) return undefined;
+      yield* Clock.rest(this.outside.clock, readPauseMs);
+    }
+    return undefined;
+  }
+}
--- a/src/rehearsal/day.ts
+++ b/src/rehearsal/day.ts
@@ -1,11 +1,12 @@
-import { create, number, optional, string, type, unknown, type Struct } from "superstruct";
+import { string, type, type Struct } from "superstruct";
 import type { Job } from "../door/job.js";
 import type { Return } from "../door/verdict.js";
 import { Clock } from "../runtime/clock.js";
 import { Task } from "../runtime/task.js";
 import type { Settings } from "../machine/settings.js";
+import { ConfigOrders } from "./configOrders.js";
 import type { CallerRecord, Ledger } from "./ledger.js";
-import { Profile, type Traffic } from "./profile.js";
+import type { Profile, Traffic } from "./profile.js";
 import type { StandIn } from "./standIn.js";
 
 /** How a caller's request ended, as the caller saw it. */
@@ -27,7 +28,12 @@
   isUp(daemon: string): boolean;
   call(daemon: string, job: Job, patienceMs: number): Task<CallerEnd>;
   /** Asks the operators' port of a daemon, any daemon where none is named, from a back end's place or the operators'. */
-  desk(daemon: string | undefined, job: Job, from?: string): Task<Return | undefined>;
+  desk(
+    daemon: string | undefined,
+    job: Job,
+    from?: string,
+    patienceMs?: number,
+  ): Task<Return | undefined>;
   start(task: Task<unknown>): void;
 }
 
@@ -38,8 +44,6 @@
 /** Which part of callers hangs up before long. */
 const hangUpPart = 0.06;
 
-const sequenced = type({ sequence: number() });
-const foundConfig = type({ config: optional(unknown()) });
 const ownBody = type({ of: string() });
 const verdictBody = type({ verdict: string() });
 
@@ -63,12 +67,9 @@
   private readonly ledger: Ledger;
   private readonly rateFactor: number;
   private calls = 0;
-  private changes = 0;
   private kept: string[] = [];
-  private moved: Record<string, string> = {};
-  /** The newest config that an operator knows to be accepted. */
-  sequence = 0;
-  private extraRoutes = 0;
+  /** The operators of the fleet. */
+  readonly operators: ConfigOrders;
   isOver = false;
   /** How many times the usual number of callers come now. */
   crowd = 1;
@@ -78,6 +79,7 @@
     this.profile = profile;
     this.ledger = ledger;
     this.rateFactor = rateFactor;
+    this.operators = new ConfigOrders(outside, profile, ledger, () => this.isOver);
   }
 
   /** Callers of one kind, each request at a time of its own. */
@@ -165,145 +167,27 @@
 
   /** An operator puts a new config in force, upon the newest that is known. */
   *putConfig(): Task<boolean> {
-    const base = this.sequence;
-    this.changes += 1;
-    const probe = (base + 1) * 1000 + (this.changes % 1000);
-    for (const [route, services] of Object.entries(this.profile.moves))
-      if (this.outside.random() < 0.3)
-        this.moved[route] = services[Math.floor(this.outside.random() * services.length)] ?? "";
-    const text = JSON.stringify(Profile.config(this.profile, probe, this.moved, this.extraRoutes));
-    const changeId = `change-${this.changes}`;
-    this.ledger.world.push({ kind: "sent", atMs: this.outside.clock.nowMs(), probe, text });
-    for (let round = 0; round < 60 && !this.isOver; round += 1) {
-      const ret = yield* this.outside.desk(undefined, {
-        method: "PUT",
-        target: "/config",
-        headers: {
-          "content-type": "application/json",
-          "if-match": `"${base}"`,
-          "change-id": changeId,
-        },
-        body: Buffer.from(text),
-      });
-      const atMs = this.outside.clock.nowMs();
-      if (ret?.code === 200) {
-        const { sequence } = create(JSON.parse(Buffer.from(ret.body).toString()), sequenced);
-        this.sequence = Math.max(this.sequence, sequence);
-        this.ledger.world.push({ kind: "accepted", atMs, sequence, probe, text });
-        return true;
-      }
-      if (ret && ret.code >= 400 && ret.code < 500) {
-        this.ledger.world.push({ kind: "rejected", atMs, probe });
-        if (ret.code === 412)
-          this.sequence = Math.max(
-            this.sequence,
-            create(JSON.parse(Buffer.from(ret.body).toString()), sequenced).sequence,
-          );
-        return false;
-      }
-      yield* Clock.rest(this.outside.clock, 150);
-    }
-    return false;
+    return yield* this.operators.put();
   }
 
   /** An operator sends what is no config; it must be refused. */
   *putMalformed(): Task {
-    this.changes += 1;
-    const probe = (this.sequence + 1) * 1000 + (this.changes % 1000);
-    const good = Profile.config(this.profile, probe);
-    const route = { match: { path: "/astray" }, service: Object.keys(this.profile.backEnds)[0] };
-    const routeWith = (more: Record<string, unknown>): unknown => ({
-      ...good,
-      routes: { ...good.routes, astray: { ...route, ...more } },
-    });
-    const bad = [
-      "{not json",
-      "null",
-      "[]",
-      '"{}"',
-      `${JSON.stringify(good).slice(0, -1)}`,
-      JSON.stringify({ ...good, surprise: true }),
-      ...[
-        { routes: good.routes },
-        { services: good.services },
-        { ...good, services: [] },
-        { ...good, routes: null },
-        { ...good, goals: 7 },
-        { ...good, services: { ...good.services, Loud: {} } },
-        { ...good, services: { ...good.services, odd: { stampHeader: "not a header" } } },
-        { ...good, services: { ...good.services, odd: { inHand: 0 } } },
-        { ...good, services: { ...good.services, odd: { inHand: 1.5 } } },
-        { ...good, services: { ...good.services, odd: { colour: "red" } } },
-        { ...good, goals: { checklists: { latencyMs: -1 }, issues: { latencyMs: -1 } } },
-        { ...good, goals: { "probe-1": { latencyMs: "fast" } } },
-        { ...good, goals: { nowhere: { latencyMs: 5 } } },
-        {
-          ...good,
-          goals: { ...good.goals, [`probe-${probe}`]: { latencyMs: 5, furtherTries: 6 } },
-        },
-        routeWith({ service: "nowhere" }),
-        routeWith({ service: 3 }),
-        routeWith({ match: {} }),
-        routeWith({ match: { path: "astray" } }),
-        routeWith({ match: { path: "/as tray" } }),
-        routeWith({ match: { path: "/a*b" } }),
-        routeWith({ match: { path: "/astray", methods: [] } }),
-        routeWith({ match: { path: "/astray", methods: ["FETCH"] } }),
-        routeWith({ match: { path: "/astray", methods: "GET" } }),
-        routeWith({ match: { path: "/astray", host: "x" } }),
-        routeWith({ repeat: "always" }),
-        routeWith({ repeat: "safe", match: { path: "/astray", methods: ["POST"] } }),
-        routeWith({ keyed: "yes" }),
-        routeWith({ giveUpMs: 49 }),
-        routeWith({ giveUpMs: 30_001 }),
-        routeWith({ giveUpMs: null }),
-        routeWith({ surprise: 1 }),
-      ].map((value) => JSON.stringify(value)),
-    ];
-    const body = Buffer.from(bad[Math.floor(this.outside.random() * bad.length)] ?? "");
-    const ret = yield* this.outside.desk(undefined, {
-      method: "PUT",
-      target: "/config",
-      headers: { "if-match": `"${this.sequence}"` },
-      body,
-    });
-    if (ret && ret.code === 400)
-      this.ledger.world.push({ kind: "rejected", atMs: this.outside.clock.nowMs(), probe });
-    if (ret && ret.code < 300)
-      this.ledger.world.push({
-        kind: "tookMalformed",
-        atMs: this.outside.clock.nowMs(),
-        text: body.toString(),
-      });
+    yield* this.operators.putMalformed();
   }
 
   /** From now on configs hold many more routes. */
   growRoutes(count: number): void {
-    this.extraRoutes += count;
+    this.operators.growRoutes(count);
   }
 
   /** Reads back every config that was accepted, at the end of a day; one that nobody returns reads as missing. */
   *readBack(): Task {
-    for (const sequence of new Set(this.ledger.of("accepted").map((record) => record.sequence))) {
-      let text: string | undefined;
-      for (let round = 0; round < 10; round += 1) {
-        const ret = yield* this.outside.desk(undefined, this.deskJob("GET", `/config/${sequence}`));
-        if (ret && ret.code !== 503) {
-          if (ret.code === 200)
-            text = JSON.stringify(
-              create(JSON.parse(Buffer.from(ret.body).toString()), foundConfig).config,
-            );
-          break;
-        }
-        yield* Clock.rest(this.outside.clock, 200);
-      }
-      this.ledger.world.push({
-        kind: "readBack",
-        atMs: this.outside.clock.nowMs(),
-        sequence,
-        text,
-      });
-    }
+    yield* this.operators.readBack();
+  }
+
+  /** The newest config that an operator knows to be accepted. */
+  get sequence(): number {
+    return this.operators.sequence;
   }
 
   private *person(traffic: Traffic): Task {
--- a/src/rehearsal/faults/targets.ts
+++ b/src/rehearsal/faults/targets.ts
@@ -34,10 +34,11 @@
 /** Where a machine is, as the network names it. */
 export const placeOf = ({ settings }: SimMachine): string => settings.machine;
 
-/** Whether all machines with a disk run as whole members of the log. */
+/** Whether all machines with a disk run as whole members of the log, and none is being replaced or emptied. */
 export const allFormed = (simulation: Simulation): boolean => {
   const whole = disks(simulation);
   return (
+    !simulation.isLosingDisk &&
     whole.length === simulation.profile.diskMachines &&
     whole.every(({ daemon }) => daemon?.recorder?.status.state === "formed")
   );
--- a/src/rehearsal/fleet.ts
+++ b/src/rehearsal/fleet.ts
@@ -38,6 +38,8 @@
   ),
 );
 const readyEveryMs = 200;
+/** How often an operator reads the configuration. */
+const readEveryMs = 1000;
 
 /** Ports that nobody listens on now. */
 export const freePorts = async (count: number): Promise<number[]> => {
@@ -179,6 +181,7 @@
   beginCalls(): void {
     for (const traffic of this.profile.traffic) this.start(this.day.callers(traffic));
     this.start(this.day.probers(8));
+    this.start(this.day.operators.reading(readEveryMs));
   }
 
   boot(machine: FleetMachine): void {
--- a/src/rehearsal/judge.ts
+++ b/src/rehearsal/judge.ts
@@ -1,5 +1,6 @@
 import { Config, safeMethods } from "../contract/config.js";
 import { Mappings } from "../contract/mappings.js";
+import { configHistoryFaults } from "./configHistory.js";
 import { Ledger, type CallerRecord, type RunRecord } from "./ledger.js";
 
 /** A rule that was broken, and by what. */
@@ -256,6 +257,9 @@
   }
 };
 
+const operatorsSeeOneRegister: Rule = (ledger) =>
+  configHistoryFaults(ledger.configOrders, ledger.configReads);
+
 /** The brief's rules, each judged by what callers, back ends and operators recorded. */
 export const rules: Record<string, Rule> = {
   "a key runs once in a minute": keyRanOnce,
@@ -268,6 +272,7 @@
   "a daemon never slips back to an older config": configsNeverSlipBack,
   "no request reaches a service that was never allowed": servicesWereAllowed,
   "only accepted configs are in force, and none is lost": configsAreKept,
+  "operators see one register of configs": operatorsSeeOneRegister,
   "a stop finishes the work in hand": stopsFinishWork,
   "most requests are served 15 s after a fault": recoversInTime,
 };
--- a/src/rehearsal/ledger.ts
+++ b/src/rehearsal/ledger.ts
@@ -38,6 +38,26 @@
   readonly meant: string;
 }
 
+/** One operator's change of the configuration, with all attempts at it. */
+export interface ConfigOrderRecord {
+  readonly startMs: number;
+  /** When its clear answer came; never, where none did. */
+  endMs: number;
+  readonly base: number;
+  readonly probe: number;
+  /** Lost: another version is current. Refused: told by another 4xx that it will never be taken. */
+  outcome: "accepted" | "lost" | "refused" | "unknown";
+  /** Its own version where accepted, the current one where lost. */
+  version: number;
+}
+
+/** One answered read of the newest configuration. */
+export interface ConfigReadRecord {
+  readonly startMs: number;
+  readonly endMs: number;
+  readonly version: number;
+}
+
 /** What operators and the world recorded. */
 export type WorldRecord =
   | { kind: "sent"; atMs: number; probe: number; text: string }
@@ -58,8 +78,22 @@
   readonly callers: CallerRecord[] = [];
   readonly runs: RunRecord[] = [];
   readonly world: WorldRecord[] = [];
+  readonly configOrders: ConfigOrderRecord[] = [];
+  readonly configReads: ConfigReadRecord[] = [];
   endMs = 0;
 
+  /** Begins the record of an order, whose outcome is unknown until it is told. */
+  order(begun: Pick<ConfigOrderRecord, "startMs" | "base" | "probe">): ConfigOrderRecord {
+    const record: ConfigOrderRecord = {
+      ...begun,
+      endMs: Infinity,
+      outcome: "unknown",
+      version: 0,
+    };
+    this.configOrders.push(record);
+    return record;
+  }
+
   /** The records of one kind. */
   of<K extends WorldRecord["kind"]>(kind: K): Array<Extract<WorldRecord, { kind: K }>> {
     const isKind = (record: WorldRecord): record is Extract<WorldRecord, { kind: K }> =>
--- a/src/rehearsal/profile.ts
+++ b/src/rehearsal/profile.ts
@@ -1,4 +1,5 @@
 import type { Config } from "../contract/config.js";
+import type { Settings } from "../machine/settings.js";
 
 /** One kind of request that callers send. */
 export interface Traffic {
@@ -19,6 +20,10 @@
   readonly smallMachines: number;
   readonly backEnds: Readonly<Record<string, number>>;
   readonly traffic: readonly Traffic[];
+  /** What may be lost at once; what the product takes for usual where it isn't set. */
+  readonly tolerate?: { readonly machines: number; readonly zones: number };
+  /** The bounds that the fleet is held to; the usual ones where they aren't set. */
+  readonly bounds?: NonNullable<Settings["bounds"]>;
   /** Services that a route may be moved to, by route. */
   readonly moves: Readonly<Record<string, readonly string[]>>;
 }
@@ -117,6 +122,15 @@
   moves: { resolves: ["triage", "issues"], syncs: ["crashes", "issues"] },
 };
 
+/** Five voters, two of which may be lost at once, and callers enough to see it. */
+const five: Profile = {
+  ...rastro,
+  name: "five",
+  diskMachines: 5,
+  smallMachines: 6,
+  tolerate: { machines: 2, zones: 0 },
+};
+
 const routePaths: Readonly<Record<string, string>> = {
   checklists: "/checklists/*",
   sightings: "/sightings",
@@ -130,6 +144,7 @@
 
 export const Profile = {
   all: { kovacic, rastro },
+  five,
 
   /** A config for a profile; `probe` names a route that no other config has. */
   config(
--- a/src/rehearsal/rehearsal.ts
+++ b/src/rehearsal/rehearsal.ts
@@ -1,4 +1,5 @@
 import { Clock } from "../runtime/clock.js";
+import type { Waits } from "../record/recorder.js";
 import type { Task } from "../runtime/task.js";
 import { Draw } from "./draw.js";
 import { faults } from "./faults.js";
@@ -30,6 +31,8 @@
   readonly only?: readonly string[];
   /** How many failures may strike at once; two where it isn't set. */
   readonly atOnce?: number;
+  /** Waits of the replicated log that differ from what the bounds make of them. */
+  readonly waits?: Partial<Waits>;
 }
 
 const settleMs = 8000;
@@ -43,8 +46,9 @@
   rateFactor,
   only,
   atOnce = 2,
+  waits = {},
 }: RehearsalOptions): Rehearsed => {
-  const simulation = new Simulation(profile, seed, rateFactor);
+  const simulation = new Simulation(profile, seed, rateFactor, waits);
   const random = Draw.of(seed + 7919);
   const struck: string[] = [];
   const names = only && only.length > 0 ? only : Object.keys(faults);
@@ -63,6 +67,7 @@
     yield* strike();
     simulation.network.heal();
     simulation.day.crowd = 1;
+    simulation.lostAnswerPart = 0;
     for (const machine of simulation.machines) {
       machine.gate.thaw();
       simulation.boot(machine);
--- a/src/rehearsal/rehearseMain.ts
+++ b/src/rehearsal/rehearseMain.ts
@@ -16,7 +16,9 @@
 const program = cac("rehearse");
 program
   .command("", "Rehearse days of a simulated fleet, one for each seed, and judge them")
-  .option("--profile <name>", "kovacic, rastro or both", { default: "both" })
+  .option("--profile <name>", "kovacic, rastro, five (voters) or both of the first two", {
+    default: "both",
+  })
   .option("--seeds <from-to>", "Seeds to run", { default: "1-10" })
   .option("--seconds <count>", "How long failures go on, in virtual seconds", { default: 60 })
   .option("--rate <part>", "Part of the profile's requests that are sent", { default: 0.25 })
@@ -24,9 +26,12 @@
   .option("--trace <file>", "Write the last day's log lines to a file")
   .action((options: Options) => {
     const [from = 1, to = from] = String(options.seeds).split("-").map(Number);
-    const profiles = Object.values(Profile.all).filter(
-      ({ name }) => options.profile === "both" || options.profile === name,
-    );
+    const profiles =
+      options.profile === "both"
+        ? Object.values(Profile.all)
+        : [...Object.values(Profile.all), Profile.five].filter(
+            ({ name }) => options.profile === name,
+          );
     let broken = 0;
     let days = 0;
     const startedMs = performance.now();
--- a/src/rehearsal/simulation.ts
+++ b/src/rehearsal/simulation.ts
@@ -4,6 +4,7 @@
 import { Clock } from "../runtime/clock.js";
 import { Daemon } from "../machine/daemon.js";
 import type { Settings } from "../machine/settings.js";
+import type { Waits } from "../record/recorder.js";
 import { Task } from "../runtime/task.js";
 import { callerWaitMs, Day, type CallerEnd, type Outside } from "./day.js";
 import { Draw } from "./draw.js";
@@ -28,12 +29,29 @@
   gate: Gate;
   daemon: Daemon | undefined;
   isStopping: boolean;
+  /** Whether it is gone for good, so that it never starts again. */
+  isRemoved: boolean;
   /** Hears that the process is gone: every connection to it breaks. */
   readonly gone: Set<() => void>;
 }
 
+/** What a machine is laid out by. */
+interface Laying {
+  readonly at: number;
+  readonly zone: string;
+  readonly hasDisk: boolean;
+  readonly isSpare?: boolean;
+}
+
 /** Where callers are, as the network names it. */
 export const callersPlace = "callers";
+/** Where operators are. */
+export const operatorsPlace = "operators";
+/** How long a call of an operator or a back end waits for its answer where it says nothing else. */
+const deskWaitMs = 5000;
+/** How often an operator reads the configuration. */
+const readEveryMs = 300;
+const peerPort = 7000;
 const outsideGate = new Gate();
 /** Small, so that a day sees many checkpoints. */
 const simCheckpointBytes = 60_000;
@@ -50,43 +68,24 @@
   readonly day: Day;
   readonly profile: Profile;
   readonly lines: string[] = [];
+  /** The part of answers to operators that is lost on the way. */
+  lostAnswerPart = 0;
+  /** Hears which machine has just sent an operator a 200 to an order. */
+  onAcknowledged: (machine: SimMachine) => void = () => undefined;
+  /** Whether a failure that takes a member's disk away is under way; only one may be at once. */
+  isLosingDisk = false;
+  private readonly waits: Partial<Waits>;
 
-  constructor(profile: Profile, seed: number, rateFactor: number) {
+  constructor(profile: Profile, seed: number, rateFactor: number, waits: Partial<Waits> = {}) {
     this.profile = profile;
+    this.waits = { checkpointBytes: simCheckpointBytes, ...waits };
     this.clock = this.time.clock();
     this.random = Draw.of(seed);
     this.network = new VirtualNetwork(this.clock, this.random);
-    const peers = (at: number): string => `10.0.0.${at + 1}:7000`;
     const count = profile.diskMachines + profile.smallMachines;
-    const seeds = [peers(0), peers(1), peers(2)];
     this.machines = Array.from({ length: count }, (_, at) => {
       const zone = profile.zones[at % profile.zones.length] ?? "";
-      const hasDisk = at < profile.diskMachines;
-      const settings: Settings = {
-        machine: `${hasDisk ? "disk" : "small"}-${at + 1}`,
-        zone,
-        operators: `10.0.0.${at + 1}:7070`,
-        peers: peers(at),
-        seeds,
-        ...(hasDisk ? { dataFolder: "data" } : { callers: `10.0.0.${at + 1}:8080` }),
-      };
-      const gate = new Gate();
-      const offsetMs = this.random() * 1e7;
-      const rate = 1 + (this.random() - 0.5) * 0.002;
-      const disk = hasDisk
-        ? new VirtualDisk(this.machineClock(gate, offsetMs, rate), this.random)
-        : undefined;
-      return {
-        settings,
-        disk,
-        offsetMs,
-        rate,
-        wallJumpMs: 0,
-        gate,
-        daemon: undefined,
-        isStopping: false,
-        gone: new Set(),
-      };
+      return this.laid({ at, zone, hasDisk: at < profile.diskMachines });
     });
     const bodyBytes = new Map(
       profile.traffic.map((one) => [
@@ -110,12 +109,71 @@
     this.day = new Day(this.outside(), profile, this.ledger, rateFactor);
   }
 
+  /** A machine as it is before its first start, at the address that its number gives it. */
+  private laid({ at, zone, hasDisk, isSpare = false }: Laying): SimMachine {
+    const address = (port: number): string => `10.0.0.${at + 1}:${port}`;
+    const { tolerate, bounds } = this.profile;
+    const settings: Settings = {
+      machine: `${hasDisk ? "disk" : "small"}-${at + 1}`,
+      zone,
+      operators: address(7070),
+      peers: address(peerPort),
+      seeds: isSpare ? this.seeds() : [0, 1, 2].map((seed) => `10.0.0.${seed + 1}:${peerPort}`),
+      ...(hasDisk ? { dataFolder: "data" } : { callers: address(8080) }),
+      ...(isSpare ? { bootstrap: false } : {}),
+      ...(tolerate === undefined ? {} : { tolerate }),
+      ...(bounds === undefined ? {} : { bounds }),
+    };
+    const gate = new Gate();
+    const offsetMs = this.random() * 1e7;
+    const rate = 1 + (this.random() - 0.5) * 0.002;
+    const disk = hasDisk
+      ? new VirtualDisk(this.machineClock(gate, offsetMs, rate), this.random)
+      : undefined;
+    return {
+      settings,
+      disk,
+      offsetMs,
+      rate,
+      wallJumpMs: 0,
+      gate,
+      daemon: undefined,
+      isStopping: false,
+      isRemoved: false,
+      gone: new Set(),
+    };
+  }
+
+  /** The peer addresses that a settings file written now would name. */
+  private seeds(): string[] {
+    return this.machines
+      .filter(({ isRemoved }) => !isRemoved)
+      .slice(0, 3)
+      .map(({ settings }) => settings.peers);
+  }
+
+  /** A new machine comes up in a zone, with an empty disk, at an address that none had before. */
+  addSpare(zone: string): SimMachine {
+    const machine = this.laid({ at: this.machines.length, zone, hasDisk: true, isSpare: true });
+    this.machines.push(machine);
+    this.boot(machine);
+    return machine;
+  }
+
+  /** A machine is gone for good, and its disk with it. */
+  remove(machine: SimMachine): void {
+    this.kill(machine, true);
+    machine.disk?.wipe();
+    machine.isRemoved = true;
+  }
+
   /** Starts all machines, back ends and callers. */
   begin(): void {
     for (const machine of this.machines) this.boot(machine);
     for (const standIn of this.standIns) this.start(this.day.announcing(standIn, 1000));
     for (const traffic of this.profile.traffic) this.start(this.day.callers(traffic));
     this.start(this.day.probers(5));
+    this.start(this.day.operators.reading(readEveryMs));
   }
 
   start(task: Task<unknown>): void {
@@ -126,7 +184,7 @@
 
   /** Starts a machine's process, unless it runs. */
   boot(machine: SimMachine): void {
-    if (machine.daemon) return;
+    if (machine.daemon || machine.isRemoved) return;
     const gate = new Gate();
     machine.gate = gate;
     machine.isStopping = false;
@@ -145,7 +203,7 @@
     });
     const daemon = new Daemon(world, machine.settings, {
       backEnds: this.backEnds(machine, gate, clock),
-      waits: { checkpointBytes: simCheckpointBytes },
+      waits: this.waits,
     });
     machine.daemon = daemon;
     this.start(daemon.start());
@@ -215,7 +273,7 @@
           .map(({ settings }) => settings),
       isUp: (daemon) => this.machine(daemon)?.daemon !== undefined,
       call: (daemon, job, patienceMs) => this.call(daemon, job, patienceMs),
-      desk: (daemon, job, from) => this.desk(daemon, job, from),
+      desk: (daemon, job, from, patienceMs) => this.desk(daemon, job, from, patienceMs),
     };
   }
 
@@ -307,15 +365,21 @@
     return broken(patienceMs < callerWaitMs ? "hungUp" : "silent");
   }
 
-  private *desk(name: string | undefined, job: Job, from = "operators"): Task<Return | undefined> {
+  private *desk(
+    name: string | undefined,
+    job: Job,
+    from = operatorsPlace,
+    patienceMs = deskWaitMs,
+  ): Task<Return | undefined> {
     const open = this.machines.filter((one) => one.daemon !== undefined);
     const machine =
       name === undefined ? open[Math.floor(this.random() * open.length)] : this.machine(name);
     if (!machine) return undefined;
     const { network } = this;
     const place = machine.settings.machine;
-    return yield* Clock.within<Return | undefined>(this.clock, 5000, (done) => {
-      const back = (ret: Return | undefined): void =>
+    return yield* Clock.within<Return | undefined>(this.clock, patienceMs, (done) => {
+      const back = (ret: Return | undefined): void => {
+        if (from === operatorsPlace && ret && this.random() < this.lostAnswerPart) return;
         network.deliver(
           place,
           from,
@@ -323,11 +387,16 @@
           () => done(ret),
           () => done(undefined),
         );
+      };
+      const give = (ret: Return): void => {
+        back(ret);
+        if (ret.code === 200 && job.method === "PUT") this.onAcknowledged(machine);
+      };
       const arrive = (): void => {
         if (!machine.daemon || !machine.gate.isAlive) return back(undefined);
         const { daemon, gate } = machine;
         machine.gone.add(() => done(undefined));
-        gate.pass(() => daemon.operators.put({ job, give: back }));
+        gate.pass(() => daemon.operators.put({ job, give }));
       };
       network.deliver(from, place, outsideGate, arrive, () => done(undefined));
     });
--- a/test/rehearsal/judge.test.ts
+++ b/test/rehearsal/judge.test.ts
@@ -50,6 +50,12 @@
       { kind: "accepted", atMs, sequence: number, probe: number, text },
     );
   }
+  for (const base of [0, 1])
+    Object.assign(ledger.order({ startMs: base * 1000, base, probe: base + 1 }), {
+      outcome: "accepted",
+      version: base + 1,
+      endMs: base * 1000 + 50,
+    });
   ledger.callers.push(call({}));
   ledger.runs.push(ran({}));
   ledger.endMs = 60_000;
@@ -85,6 +91,8 @@
     ledger.runs.push(ran({ service: "other" })),
   "only accepted configs are in force, and none is lost": (ledger) =>
     ledger.world.push({ kind: "readBack", atMs: 9000, sequence: 2, text: undefined }),
+  "operators see one register of configs": (ledger) =>
+    ledger.configReads.push({ startMs: 2000, endMs: 2010, version: 1 }),
   "a stop finishes the work in hand": (ledger) => {
     ledger.world.push({ kind: "stopped", atMs: 5010, daemon: "e1", endedMs: 5200 });
     ledger.callers.push(call({ code: 0, broke: "broken" }));
