A lost voter is replaced within sync_time: waits from the settings, demote first

Cause: a silent voter was replaced after a fixed 10 s whatever the settings said, while a removed machine stops counting as lost once its successor has had sync_time (4 s, 6 s). A successor also took 2.5 s to be taken in, since contacts were asked one after the other, a second each, the lost ones too; and a new member was turned away while another change of members was under way.

Change: record/membership.ts decides the next change of members, as a pure function. A lost voter is demoted before a learner is promoted: the majority stays f + 1 throughout, so that neither the lost member nor the new one is needed. replaceAfterMs is a third of catchUpMs, forgetAfterMs 15 times; the pace of elections follows catchUpMs too, and check refuses less than 1 s. record/joining.ts asks all contacts at once, and the leader that they name; requests to learn wait for the change before them. A learner that is silent for long is removed; a member that no leader writes to asks to be taken in again ('join', refused for another fleet's record; a restored record gets another fleet name for that reason).

Ruled out: add first, then remove (as before), since with 4 voters, one dead, 3 must answer, the new one too: the test in which the successor is lost with its disk in the middle ends the service. Joint consensus needs no more and no fewer members here.

--- a/src/contract/order.ts
+++ b/src/contract/order.ts
@@ -62,6 +62,7 @@
   }),
   release: object({ kind: literal("release"), scope: string(), job: string() }),
   rejoin: object({ kind: literal("rejoin"), machine: string(), nonce: string() }),
+  join: object({ kind: literal("join"), machine: string(), fleet: string() }),
   fleet: object({ kind: literal("fleet") }),
   drainBackEnd: object({ kind: literal("drainBackEnd"), address: string() }),
 };
--- a/src/contract/registry.ts
+++ b/src/contract/registry.ts
@@ -173,6 +173,8 @@
         return yield* this.enterText(JSON.stringify(order));
       case "rejoin":
         return yield* this.rejoin(order.machine, order.nonce);
+      case "join":
+        return yield* this.join(order.machine, order.fleet);
       case "fleet":
         return this.granted(() => this.fleetView());
     }
@@ -689,6 +691,14 @@
     return undefined;
   }
 
+  /** Takes a member in that holds this fleet's record, and was removed while it was away. */
+  private *join(machine: string, fleet: string): Task<string> {
+    if (!this.recorder.hasGrant) return breakdownReturn("noGrant");
+    if (fleet !== this.recorder.attendance.fleet) return JSON.stringify({ foreign: true });
+    const taken = yield* this.recorder.addLearner(machine);
+    return taken ? JSON.stringify({ taken }) : breakdownReturn("busy");
+  }
+
   private *rejoin(machine: string, nonce: string): Task<string> {
     if (!this.recorder.hasGrant) return breakdownReturn("noGrant");
     if (!(yield* this.recorder.addLearner(machine))) return breakdownReturn("busy");
--- a/src/machine/bounds.ts
+++ b/src/machine/bounds.ts
@@ -35,6 +35,16 @@
 const leastContactMs = 1000;
 const leastGraceMs = 1000;
 const leastWindowMs = 1000;
+/** The shortest time in which a successor starts, learns the record and takes its predecessor's place. */
+const leastCatchUpMs = 1000;
+/** How many of the longest election waits fit into `catchUpMs` at least; shorter bounds make elections quicker. */
+const electionsInCatchUp = 6;
+/** Which part of `catchUpMs` a voter is silent until it is replaced; the rest is for elections and for the change itself. */
+const replacePart = 1 / 3;
+/** No voter is waited for longer than this, however long a returning member may take. */
+const mostReplaceMs = 10_000;
+/** How many times `catchUpMs` a learner is silent until it is removed. */
+const forgetTimes = 15;
 /** How much of its grace a stopping daemon leaves to the process's end. */
 const endMs = 400;
 
@@ -66,6 +76,13 @@
   return figures;
 };
 
+/** How quick elections are against the usual ones, so that they fit into each bound that waits for one. */
+const paceOf = (leaseMs: number, { contactMs, catchUpMs }: Figures): number => {
+  const usualElectionsMs = electionsInCatchUp * Waits.usual.electionMaxMs;
+  const fitting = Math.min(leaseMs / 1600, contactMs / 3000, catchUpMs / usualElectionsMs);
+  return Math.min(1, Math.max(0.3, fitting));
+};
+
 const isFigure = (name: string): name is keyof Figures => name in usual;
 
 export const Bounds = {
@@ -77,6 +94,7 @@
       ["drainMs", leastBoundMs, "a lease has to outlast a poll and an election"],
       ["contactMs", leastContactMs, "an election has to fit in"],
       ["graceMs", leastGraceMs, "work in hand has to end in it"],
+      ["catchUpMs", leastCatchUpMs, "a successor has to take a lost member's place in it"],
       ["retryWindowMs", leastWindowMs, "counts have to travel in it"],
       ["retryRatio", 0, "it is a part of the requests"],
       ["retryExtra", 0, "it is a number of tries"],
@@ -102,6 +120,7 @@
       graceMs,
       ackMs,
       keyWindowMs,
+      catchUpMs,
       retryRatio,
       retryExtra,
       retryWindowMs,
@@ -109,7 +128,7 @@
     const leaseMs = leasePart * Math.min(applyMs, drainMs);
     const pollMs = leaseMs / 4;
     const heartbeatMs = settings.heartbeatMs ?? usualHeartbeatMs;
-    const pace = Math.min(1, Math.max(0.3, Math.min(leaseMs / 1600, contactMs / 3000)));
+    const pace = paceOf(leaseMs, figures);
     const paced = (ms: number): number => Math.round(ms * pace);
     return {
       figures,
@@ -134,6 +153,8 @@
         electionMaxMs: paced(Waits.usual.electionMaxMs),
         leaderGrantMs: paced(Waits.usual.leaderGrantMs),
         stallMs: paced(Waits.usual.stallMs),
+        replaceAfterMs: Math.ceil(Math.min(mostReplaceMs, catchUpMs * replacePart)),
+        forgetAfterMs: forgetTimes * catchUpMs,
       },
       budget: RetryRules.of(retryRatio, retryExtra, retryWindowMs),
       counts: CountsForm.forWindow(retryWindowMs),
--- a/src/record/recorder.ts
+++ b/src/record/recorder.ts
@@ -8,9 +8,11 @@
 import type { Held, Link } from "../link/link.js";
 import type { AcceptedConfig, Book } from "./book.js";
 import { History } from "./history.js";
+import { Joining } from "./joining.js";
 import { Meeting, type Attendance } from "./meeting.js";
 import { memberRights, type MemberRights, type MemberStage } from "./memberRights.js";
 import { Members } from "./members.js";
+import { Membership, type MembershipView } from "./membership.js";
 import { Place } from "./place.js";
 import { Store, type LogRecord, type Standing } from "./store.js";
 import { Writer } from "./writer.js";
@@ -24,7 +26,9 @@
   leaderGrantMs: number;
   stallMs: number;
   /** How long a voter is silent before a learner takes its place. */
-  lostMs: number;
+  replaceAfterMs: number;
+  /** How long a learner is silent before it is removed from the members. */
+  forgetAfterMs: number;
   /** How long the log grows until a checkpoint is written. */
   checkpointBytes: number;
 }
@@ -36,7 +40,8 @@
     electionMaxMs: 500,
     leaderGrantMs: 240,
     stallMs: 700,
-    lostMs: 10_000,
+    replaceAfterMs: 1334,
+    forgetAfterMs: 60_000,
     checkpointBytes: 4 * 1024 * 1024,
   },
 };
@@ -131,11 +136,15 @@
   private synced = 0;
   private knownLeader = "";
   private heardLeaderMs: number;
+  /** When a leader last sent this recorder entries, a heartbeat or a snapshot, or this one led. */
+  private heardAppendMs: number;
   private leadingSinceIndex = 0;
   private matched = new Map<string, number>();
   private ackedSentMs = new Map<string, number>();
   private votes = new Set<string>();
   private nudges = new Map<string, Holding<true>>();
+  /** Machines that asked to learn, until a change of membership may be made. */
+  private readonly newLearners: Array<{ machine: string; done: (known: boolean) => void }> = [];
   private promises = new Map<number, { term: number; done: (proposed: Proposed) => void }>();
   private checkpointing = false;
   private handedOver = false;
@@ -164,6 +173,7 @@
     this.members = { voters: [], learners: [] };
     this.baseMembers = this.members;
     this.heardLeaderMs = world.clock.nowMs();
+    this.heardAppendMs = this.heardLeaderMs;
     meeting.attend(this);
   }
 
@@ -250,7 +260,7 @@
     return outcomes[0] ?? "unknown";
   }
 
-  /** Has a recorder learn the record, unless it already does or votes; false while another change is under way. */
+  /** Has a recorder learn the record, unless it already does or votes; false where this one ceases to lead. */
   *addLearner(machine: string): Task<boolean> {
     return yield* Task.wait<boolean>((done) => this.holding.put({ kind: "learn", machine, done }));
   }
@@ -276,7 +286,8 @@
     }
     World.start(this.world, "record", this.meeting.own());
     if (this.state !== "formed" || this.isUnborn) yield* this.opening.take();
-    if (this.rejoining) World.start(this.world, "record", this.rejoinTask());
+    this.heardAppendMs = this.world.clock.nowMs();
+    World.start(this.world, "record", this.joining().own());
     World.start(this.world, "record", this.learning());
     this.heardLeaderMs = this.world.clock.nowMs();
     for (;;) {
@@ -449,24 +460,32 @@
     this.opening.putOnce(true);
   }
 
-  private *rejoinTask(): Task {
-    while (this.rejoining) {
-      const asked = new Set([this.self, ""]);
-      const contacts = [this.knownLeader, ...this.meeting.recorders, ...this.place.seeds()];
-      for (
-        let address = contacts.shift();
-        address !== undefined && this.rejoining;
-        address = contacts.shift()
-      ) {
-        if (asked.has(address)) continue;
-        asked.add(address);
-        const text = JSON.stringify({ kind: "rejoin", machine: this.self, nonce: this.rejoining });
-        const ret = yield* this.link.ask(address, Kind.command, { ferried: false, text }, 1000);
-        if (ret?.text.includes('"taken"') === true) break;
-        if (ret) contacts.unshift(ret.leader);
-      }
-      yield* Clock.rest(this.world.clock, 500);
-    }
+  /** What the leader has to do so that this recorder is a member that counts, or nothing. */
+  private get membershipRequest(): string | undefined {
+    if (this.rejoining)
+      return JSON.stringify({ kind: "rejoin", machine: this.self, nonce: this.rejoining });
+    const unheardMs = this.world.clock.nowMs() - this.heardAppendMs;
+    const isForgotten = this.role !== "leader" && unheardMs > this.waits.replaceAfterMs;
+    if (!isForgotten) return undefined;
+    return JSON.stringify({ kind: "join", machine: this.self, fleet: this.fleet });
+  }
+
+  private joining(): Joining {
+    const contacts = (): string[] => [
+      this.knownLeader,
+      ...this.meeting.recorders,
+      ...this.place.seeds(),
+    ];
+    const request = (): string | undefined => this.membershipRequest;
+    return new Joining(this.world, this.link, {
+      self: this.self,
+      get request() {
+        return request();
+      },
+      get contacts() {
+        return contacts();
+      },
+    });
   }
 
   private adopt(standing: Standing): void {
@@ -599,6 +618,25 @@
       this.holding.put({ kind: "voted", peer, isPreVote: ask.isPreVote, term: ask.term, ret });
   }
 
+  /** Whether the change of membership before, and an entry of this term, are committed, so that the next one may be made. */
+  private get mayChangeMembers(): boolean {
+    return this.membersIndex <= this.committed && this.committed >= this.leadingSinceIndex;
+  }
+
+  /** Adds the machines that asked to learn, each once the change of membership before it is committed. */
+  private takeNewLearners(): void {
+    for (let next = this.newLearners[0]; next; next = this.newLearners[0]) {
+      const { voters, learners } = this.members;
+      const { machine, done } = next;
+      if (![...voters, ...learners].includes(machine)) {
+        if (!this.mayChangeMembers) return;
+        this.changeMembers({ voters, learners: [...learners, machine] });
+      }
+      this.newLearners.shift();
+      done(true);
+    }
+  }
+
   private *leading(): Task {
     const { term } = this;
     this.knownLeader = this.self;
@@ -625,8 +663,12 @@
         this.handOver("No longer a voter.");
       else if (nowMs > Math.max(this.grantUntilMs(), startedMs) + 2 * this.waits.electionMaxMs)
         this.follow(this.term, "");
-      else this.replaceLost(startedMs);
+      else {
+        this.takeNewLearners();
+        this.reviewMembership(startedMs);
+      }
     }
+    for (const { done } of this.newLearners.splice(0)) done(false);
     for (const promise of this.promises.values()) promise.done("unknown");
     this.promises = new Map();
     for (const nudge of this.nudges.values()) nudge.put(true);
@@ -656,39 +698,41 @@
       );
   }
 
-  private replaceLost(startedMs: number): void {
-    if (this.committed < this.leadingSinceIndex || this.membersIndex > this.committed) return;
+  /** What this leader knows of the members, for a decision about them. */
+  private membershipView(startedMs: number): MembershipView {
     const nowMs = this.world.clock.nowMs();
-    const silentMs = (peer: string): number =>
-      nowMs - Math.max(startedMs, this.ackedSentMs.get(peer) ?? startedMs);
     const { voters, learners } = this.members;
-    const wanted = Place.voters(this.place);
-    const lost = voters.find((voter) => voter !== this.self && silentMs(voter) > this.waits.lostMs);
-    const ready = learners.find(
-      (learner) =>
-        this.ackedSentMs.has(learner) &&
-        silentMs(learner) < this.waits.electionMaxMs &&
-        (this.matched.get(learner) ?? 0) + 64 >= this.committed,
-    );
-    if (voters.length > wanted && lost !== undefined) {
-      this.log.warn("A lost voter is taken off.", { voter: lost });
-      this.changeMembers({
-        voters: voters.filter((voter) => voter !== lost),
-        learners: [...learners, lost],
-      });
-    } else if (voters.length < wanted && ready !== undefined) {
-      this.log.warn("A learner becomes a voter, since there are too few.", { learner: ready });
-      this.changeMembers({
-        voters: [...voters, ready],
-        learners: learners.filter((learner) => learner !== ready),
-      });
-    } else if (lost !== undefined && ready !== undefined) {
-      this.log.warn("A learner takes a lost voter's place.", { learner: ready, lost });
-      this.changeMembers({
-        voters: [...voters, ready],
-        learners: learners.filter((learner) => learner !== ready),
-      });
-    }
+    return {
+      self: this.self,
+      voters,
+      learners,
+      leaving: new Set(),
+      wantedVoters: Place.voters(this.place),
+      committedIndex: this.committed,
+      progressOf: (member) =>
+        member === this.self
+          ? { silentMs: 0, answered: true, matchedIndex: this.synced }
+          : {
+              silentMs: nowMs - Math.max(startedMs, this.ackedSentMs.get(member) ?? startedMs),
+              answered: this.ackedSentMs.has(member),
+              matchedIndex: this.matched.get(member) ?? 0,
+            },
+      waits: {
+        answersWithinMs: this.waits.electionMaxMs,
+        replaceAfterMs: this.waits.replaceAfterMs,
+        forgetAfterMs: this.waits.forgetAfterMs,
+      },
+    };
+  }
+
+  /** Makes the next change of membership, once the one before and an entry of this term are committed. */
+  private reviewMembership(startedMs: number): void {
+    if (!this.mayChangeMembers) return;
+    const change = Membership.next(this.membershipView(startedMs));
+    if (!change) return;
+    const { kind, member, why } = change;
+    this.log.warn("Changes the members of the record.", { change: kind, member, why });
+    this.changeMembers(Membership.after(this.members, change));
   }
 
   private changeMembers(members: Members): void {
@@ -839,15 +883,9 @@
         if (this.role === "leader") this.handOver("A stop was asked for.");
         return command.done(true);
       case "learn": {
-        const { voters, learners } = this.members;
-        if (voters.includes(command.machine) || learners.includes(command.machine))
-          return command.done(true);
-        const free =
-          this.role === "leader" &&
-          this.membersIndex <= this.committed &&
-          this.committed >= this.leadingSinceIndex;
-        if (free) this.changeMembers({ voters, learners: [...learners, command.machine] });
-        return command.done(free);
+        if (this.role !== "leader") return command.done(false);
+        this.newLearners.push(command);
+        return this.takeNewLearners();
       }
       case "kept":
         this.book.letGo(this.store.history.newest);
@@ -867,7 +905,10 @@
     const led = this.role === "leader";
     this.role = "follower";
     this.knownLeader = leader;
-    if (leader || led) this.heardLeaderMs = this.world.clock.nowMs();
+    if (leader || led) {
+      this.heardLeaderMs = this.world.clock.nowMs();
+      this.heardAppendMs = this.heardLeaderMs;
+    }
   }
 
   private handleVote(ask: VoteAsk, done: (ret: VoteReturn) => void): void {
--- a/src/record/restore.ts
+++ b/src/record/restore.ts
@@ -36,6 +36,8 @@
     ...standing.entries,
     ...added.map((text, at) => ({ index: lastIndex + 1 + at, term, text })),
   ];
-  yield* store.checkpoint({ ...standing, term, votedFor: self, entries });
+  // Members of before may hold entries that are gone from here; by another name of the fleet they are not taken in as they are.
+  const fleet = `${standing.fleet}-${term}`;
+  yield* store.checkpoint({ ...standing, fleet, term, votedFor: self, entries });
   return { kind: "restored", entries: entries.length, lastIndex: lastIndex + added.length };
 };
--- a/test/machine/bounds.test.ts
+++ b/test/machine/bounds.test.ts
@@ -44,6 +44,20 @@
   }
 });
 
+test("a lost voter is replaced well within the time that its successor has, whatever the bounds", () => {
+  for (const catchUpMs of [1000, 1500, 2000, 4000, 6000, 60_000])
+    for (const contactMs of [1000, 3000, 30_000]) {
+      const { waits } = Bounds.of({ bounds: { catchUpMs, contactMs } });
+      expect(waits.replaceAfterMs).toBeGreaterThanOrEqual(2 * waits.electionMaxMs);
+      // The leader is lost too, and two elections are needed, as the successor starts.
+      expect(2 * waits.electionMaxMs + waits.replaceAfterMs).toBeLessThanOrEqual(0.7 * catchUpMs);
+      expect(waits.forgetAfterMs).toBeGreaterThan(10 * waits.replaceAfterMs);
+    }
+  expect(Bounds.faults({ bounds: { catchUpMs: 900 } }).map(({ path }) => path)).toEqual([
+    "bounds.catchUpMs",
+  ]);
+});
+
 test("sketch and guard stay below the rule", () => {
   const { budget } = Bounds.of({
     bounds: { retryRatio: 0.1, retryExtra: 20, retryWindowMs: 5000 },
--- /dev/null
+++ b/test/record/membership.test.ts
@@ -0,0 +1,114 @@
+import { expect, test } from "vitest";
+import {
+  type MemberProgress,
+  Membership,
+  type MembershipView,
+} from "../../src/record/membership.js";
+
+const waits = { answersWithinMs: 500, replaceAfterMs: 1333, forgetAfterMs: 60_000 };
+const well: MemberProgress = { silentMs: 60, answered: true, matchedIndex: 100 };
+const lost: MemberProgress = { silentMs: 2000, answered: false, matchedIndex: 0 };
+
+/** A view of a leader "a" whose members answer, but for those whose progress is given. */
+const viewOf = (
+  voters: string,
+  learners: string,
+  progress: Record<string, Partial<MemberProgress>> = {},
+  more: Partial<MembershipView> = {},
+): MembershipView => ({
+  self: "a",
+  voters: [...voters],
+  learners: [...learners],
+  leaving: new Set(),
+  wantedVoters: 3,
+  committedIndex: 100,
+  progressOf: (member) => ({ ...well, ...progress[member] }),
+  waits,
+  ...more,
+});
+const next = (view: MembershipView): string => {
+  const change = Membership.next(view);
+  return change ? `${change.kind} ${change.member}` : "none";
+};
+
+test("nothing changes while all answer, or while no learner is ready", () => {
+  expect(next(viewOf("abc", "d"))).toBe("none");
+  expect(next(viewOf("abc", "", { c: lost }))).toBe("none");
+  expect(next(viewOf("abc", "d", { c: lost, d: { matchedIndex: 10 } }))).toBe("none");
+  expect(next(viewOf("abc", "d", { c: lost, d: { answered: false } }))).toBe("none");
+  expect(next(viewOf("abc", "d", { c: lost, d: { silentMs: 600 } }))).toBe("none");
+  expect(next(viewOf("abc", "d", { c: { silentMs: 1300 } }))).toBe("none");
+});
+
+test("a lost voter goes first, then the learner takes its place", () => {
+  expect(next(viewOf("abc", "d", { c: lost }))).toBe("demote c");
+  expect(next(viewOf("ab", "dc", { c: lost }))).toBe("promote d");
+  expect(next(viewOf("abd", "c", { c: lost }))).toBe("none");
+});
+
+test("two lost voters of five are replaced one after the other", () => {
+  const five = { wantedVoters: 5 };
+  const progress = { d: lost, e: lost };
+  expect(next(viewOf("abcde", "fg", progress, five))).toBe("demote d");
+  expect(next(viewOf("abce", "fgd", progress, five))).toBe("promote f");
+  expect(next(viewOf("abcef", "gd", progress, five))).toBe("demote e");
+  expect(next(viewOf("abcf", "gde", progress, five))).toBe("promote g");
+  expect(next(viewOf("abcfg", "de", progress, five))).toBe("none");
+});
+
+test("no change is begun that the members that answer can't commit", () => {
+  expect(next(viewOf("abc", "d", { b: { silentMs: 600 }, c: lost }))).toBe("none");
+  expect(next(viewOf("ab", "d", { b: { silentMs: 600 } }))).toBe("promote d");
+  expect(next(viewOf("abcd", "", { c: lost, d: { silentMs: 600 } }))).toBe("demote c");
+  const two = { b: { silentMs: 600 }, c: lost, d: { silentMs: 600 } };
+  expect(next(viewOf("abcd", "", two))).toBe("none");
+});
+
+test("a voter that leaves is replaced while all still answer: the learner goes first", () => {
+  const leaving = { leaving: new Set("c") };
+  expect(next(viewOf("abc", "d", {}, leaving))).toBe("promote d");
+  expect(next(viewOf("abcd", "", {}, leaving))).toBe("demote c");
+  expect(next(viewOf("abd", "c", {}, leaving))).toBe("none");
+  expect(next(viewOf("abc", "d", { b: { silentMs: 600 } }, leaving))).toBe("none");
+  expect(next(viewOf("abc", "", {}, leaving))).toBe("none");
+});
+
+test("a member that leaves takes no place, and the leader doesn't demote itself", () => {
+  expect(next(viewOf("abc", "d", { c: lost }, { leaving: new Set("d") }))).toBe("none");
+  expect(next(viewOf("abcd", "", {}, { leaving: new Set("a") }))).toBe("none");
+});
+
+test("a learner that is gone for good is removed", () => {
+  expect(next(viewOf("abc", "d", { d: { ...lost, silentMs: 61_000 } }))).toBe("remove d");
+});
+
+test("what a leaving voter holds is held without it once a majority of the voters is", () => {
+  expect(Membership.isHeldWithout(viewOf("abc", ""), "c")).toBe(true);
+  expect(Membership.isHeldWithout(viewOf("abc", "", { b: { matchedIndex: 99 } }), "c")).toBe(false);
+  expect(Membership.isHeldWithout(viewOf("abd", "c", { b: lost }), "c")).toBe(true);
+});
+
+test("from any state of members and losses, each step keeps a majority that answers and ends in the wanted group", () => {
+  for (const [voters, learners, wantedVoters] of [
+    ["abc", "de", 3],
+    ["abcde", "fg", 5],
+    ["abcdefg", "hij", 7],
+  ] as const) {
+    const tolerated = (wantedVoters - 1) / 2;
+    for (let from = 1; from < voters.length; from += 1) {
+      const gone = [...voters].slice(from, from + Math.min(tolerated, learners.length));
+      let view = viewOf(voters, learners, Object.fromEntries(gone.map((voter) => [voter, lost])), {
+        wantedVoters,
+      });
+      for (let change = Membership.next(view); change; change = Membership.next(view)) {
+        const after = Membership.after(view, change);
+        const alive = after.voters.filter((voter) => !gone.includes(voter));
+        expect(2 * alive.length).toBeGreaterThan(after.voters.length);
+        expect(Math.abs(after.voters.length - view.voters.length)).toBe(1);
+        view = { ...view, ...after };
+      }
+      expect(view.voters).toHaveLength(wantedVoters);
+      expect(view.voters.filter((voter) => gone.includes(voter))).toEqual([]);
+    }
+  }
+});
--- /dev/null
+++ b/test/record/replacement.test.ts
@@ -0,0 +1,134 @@
+import { expect, test } from "vitest";
+import { configText, FleetStage, type StageMachine } from "./fleetStage.js";
+
+const isLed = (stage: FleetStage) => (): boolean =>
+  stage.disks.some(({ daemon }) => daemon?.recorder?.hasGrant === true);
+const later = { bootstrap: false };
+const catchUpMs = 4000;
+/** What a real process takes of `catchUpMs` for its own start, and a margin. */
+const startMs = 1500;
+
+const isVoter = (stage: FleetStage, machine: StageMachine): boolean =>
+  isLed(stage)() && stage.leader.record?.voters.includes(machine.peer) === true;
+
+/** A fleet with its first machines up and the rest empty, to be started as successors. */
+const fleetOf = (disks: number, up: number, machines: number): FleetStage => {
+  const words = Array.from({ length: disks }, (_, at) => `d:${"abc"[at % 3] ?? "a"}`);
+  const stage = new FleetStage(words, [0, 1, 2], {
+    tolerate: { machines, zones: 0 },
+    bounds: { catchUpMs },
+  });
+  for (const machine of stage.disks.slice(0, up)) stage.boot(machine);
+  stage.until(isLed(stage), 5000);
+  return stage;
+};
+
+/** Starts an empty machine whose seeds are machines that are up. */
+const bootSuccessor = (stage: FleetStage, machine: StageMachine): void => {
+  const up = stage.disks.filter(({ daemon }) => daemon !== undefined);
+  stage.boot(machine, { ...later, seeds: up.slice(0, 3).map(({ peer }) => peer) });
+};
+
+const voterOther = (stage: FleetStage): StageMachine => {
+  const { leader } = stage;
+  const voters = leader.record?.voters ?? [];
+  const other = stage.disks.find(
+    (machine) => machine.daemon && machine !== leader && voters.includes(machine.peer),
+  );
+  if (!other) throw new Error("There is no other voter.");
+  return other;
+};
+
+for (const how of ["a follower", "the leader"] as const)
+  test(`three voters, replaced one after the other at the first moment allowed: ${how} is lost each time`, () => {
+    const stage = fleetOf(7, 3, 1);
+    for (let round = 1; round <= 4; round += 1) {
+      expect(stage.commit(round)).toBe(true);
+      stage.kill(how === "the leader" ? stage.leader : voterOther(stage), true);
+      stage.wait(1000);
+      const successor = stage.at(2 + round);
+      bootSuccessor(stage, successor);
+      const tookMs = stage.until(() => isVoter(stage, successor), catchUpMs - startMs);
+      stage.wait(catchUpMs - tookMs);
+      expect(stage.leader.record?.voters).toHaveLength(3);
+    }
+    stage.kill(voterOther(stage), true);
+    stage.until(isLed(stage), 2000);
+    expect(stage.commit(5)).toBe(true);
+    for (const machine of stage.disks.filter(({ daemon }) => daemon !== undefined))
+      expect(stage.config(machine, 1)).toBe(configText(1));
+  });
+
+test("two of five voters are replaced at once, and two more are lost at the first moment allowed", () => {
+  const stage = fleetOf(7, 5, 2);
+  expect(stage.commit(1)).toBe(true);
+  const { leader } = stage;
+  stage.kill(leader, true);
+  stage.until(isLed(stage), 2000);
+  stage.kill(voterOther(stage), true);
+  stage.wait(1000);
+  const successors = [stage.at(5), stage.at(6)];
+  for (const successor of successors) bootSuccessor(stage, successor);
+  const tookMs = stage.until(
+    () => successors.every((successor) => isVoter(stage, successor)),
+    catchUpMs - startMs,
+  );
+  stage.wait(catchUpMs - tookMs);
+  stage.kill(voterOther(stage), true);
+  stage.kill(stage.leader, true);
+  stage.until(isLed(stage), 2000);
+  expect(stage.commit(2)).toBe(true);
+  expect(stage.config(stage.leader, 1)).toBe(configText(1));
+});
+
+test("a successor is taken in although the leader changes meanwhile", () => {
+  const stage = fleetOf(4, 3, 1);
+  expect(stage.commit(1)).toBe(true);
+  stage.kill(voterOther(stage), true);
+  stage.wait(1000);
+  const successor = stage.at(3);
+  bootSuccessor(stage, successor);
+  stage.wait(300);
+  const { daemon } = stage.leader;
+  if (daemon?.recorder) stage.start(daemon.recorder.yieldLeadership());
+  stage.until(() => isVoter(stage, successor), catchUpMs - startMs);
+  expect(stage.leader.record?.voters).toHaveLength(3);
+});
+
+test("the loss of the successor while it takes its place leaves the others their majority", () => {
+  const stage = fleetOf(4, 3, 1);
+  expect(stage.commit(1)).toBe(true);
+  stage.kill(voterOther(stage), true);
+  const successor = stage.at(3);
+  bootSuccessor(stage, successor);
+  stage.until(() => stage.leader.record?.voters.length !== 3, 4000);
+  stage.kill(successor, true);
+  stage.wait(1000);
+  expect(isLed(stage)()).toBe(true);
+  expect(stage.commit(2)).toBe(true);
+});
+
+test("a voter that is back after it was replaced learns on, and takes a place again", () => {
+  const stage = fleetOf(4, 4, 1);
+  stage.until(() => stage.leader.record?.learners.length === 1, 2000);
+  const back = voterOther(stage);
+  stage.kill(back);
+  stage.until(() => stage.leader.record?.learners.includes(back.peer) === true, catchUpMs);
+  expect(stage.commit(1)).toBe(true);
+  stage.boot(back, later);
+  stage.wait(1000);
+  stage.kill(voterOther(stage), true);
+  stage.until(() => isVoter(stage, back), catchUpMs);
+  expect(stage.commit(2)).toBe(true);
+});
+
+test("a learner that is gone for good is removed, and comes back by asking if it returns after all", () => {
+  const stage = fleetOf(4, 4, 1);
+  stage.until(() => stage.leader.record?.learners.length === 1, 2000);
+  const [learner] = stage.disks.filter(({ peer }) => stage.leader.record?.learners.includes(peer));
+  if (!learner) throw new Error("There is no learner.");
+  stage.kill(learner);
+  stage.until(() => stage.leader.record?.learners.length === 0, 16 * catchUpMs);
+  stage.boot(learner, later);
+  stage.until(() => stage.leader.record?.learners.includes(learner.peer) === true, catchUpMs);
+});
