Orders: an answer within a second where no leader is reached, no 4xx on what isn't known

Callers of the control address give up after a second of silence. Four things did not fit that: - On a cut-off side an order, a read of the configuration, of the machines or of the history was answered after eight tenths of the acknowledgement bound (4,000 ms in the test), long after its caller had gone. Every call is now answered within 0.8 s, an order with 1 ms more for each 100 bytes: 503 where nothing was asked of a leader, 504 where an order may have been taken. - An accepted change sent again after 2,000 others was answered 412, a refusal for good. A version not above those whose changes are still remembered now gets 504; it is never taken twice. - A read before the first configuration got 404, which ends a caller's tries for good; now 503. - The commands that name a route judged its existence by the view of the daemon they came to, which may be behind; now by the configuration that the leader reads.

--- a/src/contract/registry.ts
+++ b/src/contract/registry.ts
@@ -587,7 +587,9 @@
       if (!this.recorder.hasGrant) return breakdownReturn("noGrant");
       const first = this.book.changeVersion(order.changeId);
       if (first !== undefined) return JSON.stringify({ accepted: first });
-      const { version } = this.book;
+      const { version, forgottenUpTo } = this.book;
+      const wanted = order.version ?? (order.base === undefined ? Infinity : order.base + 1);
+      if (wanted <= forgottenUpTo) return JSON.stringify({ forgottenUpTo });
       if (order.base !== undefined && order.base !== version)
         return JSON.stringify({ lost: version });
       if (
--- a/src/operator/operators.ts
+++ b/src/operator/operators.ts
@@ -17,7 +17,14 @@
   unknown,
   validate,
 } from "superstruct";
-import { faultsOf, itemsShape, namesShape, nameShape, type Fault } from "../contract/config.js";
+import {
+  Config,
+  faultsOf,
+  itemsShape,
+  namesShape,
+  nameShape,
+  type Fault,
+} from "../contract/config.js";
 import type { Ferry } from "../contract/ferry.js";
 import type { ChangeOrder, Order } from "../contract/order.js";
 import type { View } from "../contract/view.js";
@@ -32,8 +39,15 @@
 import { defaultRules } from "../traffic/retryBudget.js";
 import { Query } from "./language.js";
 
-/** Back ends that announce themselves turn to another daemon after a second. */
-const noticeWaitMs = 900;
+/**
+ * Within how long a call is answered: whoever calls turns to another daemon after a second of silence, so an answer
+ * that would come later is given as "not known" in time; the same call sent again, to any daemon, tells more.
+ */
+const answerMs = 800;
+/** How many bytes of an order a slow link takes in a millisecond; callers wait longer for large bodies. */
+const slowBytesMs = 100;
+/** When to come back, in seconds: an election is over by then. */
+const retryAfter = { "retry-after": "1" };
 const heavyPhi = 0.1;
 
 const address = define<string>(
@@ -67,6 +81,8 @@
 const outcomeShape = union([
   object({ accepted: number() }),
   object({ lost: number() }),
+  /** It may have been taken, so long ago that nobody keeps which change it was. */
+  object({ forgottenUpTo: number() }),
   object({ faults: define<Fault[]>("faults", Array.isArray) }),
 ]);
 const foundShape = type({
@@ -103,9 +119,12 @@
       changeId,
       verdict: "mayHaveRun",
     },
-    { "retry-after": "2" },
+    retryAfter,
   );
 
+/** Nobody who may answer for the whole system was reached, so nothing is known: never a refusal. */
+const noLeader = (): Return => Return.json(503, { error: "No leader could be asked." }, retryAfter);
+
 const fault = (code: number, error: string, more: Record<string, unknown> = {}): Return =>
   Return.json(code, { error, ...more });
 
@@ -194,9 +213,9 @@
     }
   }
 
-  private *read(order: Order, waitMs = this.orderMs): Task<Return> {
-    const text = yield* this.ferry.command(order, waitMs);
-    if (text === undefined) return fault(503, "No leader could be asked.");
+  private *read(order: Order): Task<Return> {
+    const text = yield* this.ferry.command(order, answerMs);
+    if (text === undefined) return noLeader();
     return {
       code: 200,
       headers: { "content-type": "application/json" },
@@ -207,15 +226,14 @@
   private *readConfig(version: number | undefined): Task<Return> {
     const text = yield* this.ferry.command(
       { kind: "get", ...(version === undefined ? {} : { version }) },
-      this.orderMs,
+      answerMs,
     );
-    if (text === undefined) return fault(503, "No leader could be asked.");
+    if (text === undefined) return noLeader();
     const { found } = create(JSON.parse(text), foundShape);
-    if (!found)
-      return fault(
-        404,
-        version === undefined ? "No config was accepted yet." : `No config ${version} is kept.`,
-      );
+    // A first config is still to come: whoever waits for it asks again, so this is no refusal for good.
+    if (!found && version === undefined)
+      return Return.json(503, { error: "No config was accepted yet." }, retryAfter);
+    if (!found) return fault(404, `No config ${version} is kept.`);
     const config: unknown = JSON.parse(found.text);
     return Return.json(
       200,
@@ -257,30 +275,35 @@
       ...(version === undefined ? {} : { version: Number(version) }),
     };
     if (job.method !== "POST")
-      return yield* this.enter({
-        kind: job.method === "PUT" ? "put" : "patch",
-        ...change,
-        value: parsed.value,
-      });
+      return yield* this.enter(
+        { kind: job.method === "PUT" ? "put" : "patch", ...change, value: parsed.value },
+        job.body.length,
+      );
     const [failure, items] = validate(parsed.value, amendment);
     if (failure)
       return fault(400, "The change is refused whole.", { faults: faultsOf(failure.failures()) });
-    return yield* this.enter({
-      kind: "amend",
-      ...change,
-      put: items.put ?? {},
-      remove: {
-        services: items.remove?.services ?? [],
-        routes: items.remove?.routes ?? [],
-        goals: items.remove?.goals ?? [],
+    return yield* this.enter(
+      {
+        kind: "amend",
+        ...change,
+        put: items.put ?? {},
+        remove: {
+          services: items.remove?.services ?? [],
+          routes: items.remove?.routes ?? [],
+          goals: items.remove?.goals ?? [],
+        },
       },
-    });
+      job.body.length,
+    );
   }
 
-  private *enter(order: ChangeOrder): Task<Return> {
-    const text = yield* this.ferry.command(order, this.orderMs);
+  /** Has a change taken; a large one is waited for longer, as its sender does. */
+  private *enter(order: ChangeOrder, bodyBytes = 0): Task<Return> {
+    const waitMs = Math.min(this.orderMs, answerMs + bodyBytes / slowBytesMs);
+    const text = yield* this.ferry.command(order, waitMs);
     if (text === undefined) return unknownFate(order.changeId);
     const outcome = create(JSON.parse(text), outcomeShape);
+    if ("forgottenUpTo" in outcome) return unknownFate(order.changeId);
     if ("accepted" in outcome)
       return Return.json(
         200,
@@ -302,10 +325,11 @@
     const announced = { ...told, warmth: told.warmth ?? 1 };
     const heard = this.view.hear(announced);
     if (heard) return Return.json(200, { ...heard });
-    return yield* this.read(
-      { kind: "announce", ...announced, seen: Math.max(0, this.view.directorySequence) },
-      noticeWaitMs,
-    );
+    return yield* this.read({
+      kind: "announce",
+      ...announced,
+      seen: Math.max(0, this.view.directorySequence),
+    });
   }
 
   private *left(job: Job): Task<Return> {
@@ -316,7 +340,7 @@
         : validate(value, leaving);
     if (failure)
       return fault(400, "The notice is refused.", { faults: faultsOf(failure.failures()) });
-    return yield* this.read({ kind: "leave", ...told }, noticeWaitMs);
+    return yield* this.read({ kind: "leave", ...told });
   }
 
   private *ask(line: string): Task<Return> {
@@ -397,14 +421,19 @@
   }
 
   private *patch(value: unknown, route: string): Task<Return> {
-    if (!this.view.mappings.all.some(({ name }) => name === route))
+    // This daemon may be behind, so the leader is asked, not the view in hand.
+    const text = yield* this.ferry.command({ kind: "get" }, answerMs);
+    if (text === undefined) return noLeader();
+    const { found } = create(JSON.parse(text), foundShape);
+    const config = found ? Config.check(JSON.parse(found.text)) : undefined;
+    if (!config || "faults" in config || !Object.hasOwn(config.config.routes, route))
       return fault(404, `No route "${route}" is in force.`);
     return yield* this.enter({ kind: "patch", changeId: World.nonce(this.world), value });
   }
 
   private *showFleet(kind: "showMachines" | "showBackEnds"): Task<Return> {
-    const text = yield* this.ferry.command({ kind: "fleet" }, this.orderMs);
-    if (text === undefined) return fault(503, "No leader could be asked.");
+    const text = yield* this.ferry.command({ kind: "fleet" }, answerMs);
+    if (text === undefined) return noLeader();
     const fleet = create(
       JSON.parse(text),
       type({
@@ -422,8 +451,8 @@
   }
 
   private *explain(): Task<Return> {
-    const text = yield* this.ferry.command({ kind: "history" }, this.orderMs);
-    if (text === undefined) return fault(503, "No leader could be asked.");
+    const text = yield* this.ferry.command({ kind: "history" }, answerMs);
+    if (text === undefined) return noLeader();
     return Return.json(200, {
       journal: create(JSON.parse(text), historyShape).journal.slice(-100),
     });
--- a/src/record/book.ts
+++ b/src/record/book.ts
@@ -270,6 +270,7 @@
 });
 
 const keptRecent = 200;
+/** How many accepted changes are kept in mind by their ids, so that each is known when it is sent again. */
 const keptChanges = 2000;
 const keptJournal = 1000;
 /** How many bytes of returns are kept for duplicates, all together; beyond that the oldest go. */
@@ -320,6 +321,13 @@
     return known && versionOf(known);
   }
 
+  /** The version up to which it isn't known any more which changes were taken, or 0. */
+  get forgottenUpTo(): number {
+    if (this.changes.size < keptChanges) return 0;
+    const [oldest] = this.changes.values();
+    return oldest ? versionOf(oldest) - 1 : 0;
+  }
+
   /** Hears of each entry once it is applied. */
   onApplied(hook: (deed: Deed, index: number) => void): void {
     this.applied.add(hook);
--- /dev/null
+++ b/test/platform/cutOff.test.ts
@@ -0,0 +1,118 @@
+import { expect, test } from "vitest";
+import type { StageMachine } from "../record/fleetStage.js";
+import { itemOrder, OrderStage, wholeOrder, type Call } from "./orderStage.js";
+
+const cutMs = 20_000;
+/** How long the leader, and how long an edge, may go on by what a majority last said. */
+const leaderLeaseMs = 240;
+const edgeLeaseMs = 1600;
+/** How long an answer may take: callers give up after a second. */
+const answerMs = 900;
+
+const beat = (stage: OrderStage, at: StageMachine, id: string, calls: number, state = "up"): Call =>
+  stage.call(
+    at,
+    "POST",
+    `backends/${id}/heartbeat`,
+    JSON.stringify({
+      svc: "one",
+      addr: `10.1.0.${id}:90`,
+      zone: "a",
+      ver: "1",
+      capacity: 2,
+      state,
+      warmLeft: "0ms",
+      calls,
+    }),
+  );
+
+const begun = (): OrderStage => {
+  const stage = new OrderStage(["e:a", "e:b", "d:a", "d:b", "d:c"], [0, 1, 2]);
+  stage.bootAll();
+  stage.wait(4000);
+  expect(stage.untilClear(wholeOrder(0, 3, "first"))).toBe(200);
+  beat(stage, stage.at(0), "1", 1);
+  beat(stage, stage.at(0), "2", 1);
+  stage.wait(1000);
+  return stage;
+};
+
+interface Sent {
+  readonly kind: "order" | "read" | "beat" | "leave";
+  readonly call: Call;
+}
+
+/** All that may be asked of a control address, asked of a machine at once. */
+const askAll = (stage: OrderStage, at: StageMachine, round: number): Sent[] => [
+  { kind: "order", call: stage.order(at, wholeOrder(3, 5 + round, "minority")) },
+  { kind: "order", call: stage.order(at, itemOrder(3, 6 + round, { name: "m", svc: "one" })) },
+  { kind: "read", call: stage.call(at, "GET", "config/get") },
+  { kind: "beat", call: beat(stage, at, "1", 10 + round) },
+  { kind: "beat", call: beat(stage, at, `${100 + round}`, 1) },
+  { kind: "leave", call: beat(stage, at, "2", 10 + round, "draining") },
+  { kind: "leave", call: stage.call(at, "POST", "backends/2/deregister") },
+];
+
+type Ways = "both ways" | "they hear nothing" | "they are not heard";
+
+const cutOff = (stage: OrderStage, few: StageMachine[], ways: Ways): StageMachine[] => {
+  const rest = stage.machines.filter((machine) => !few.includes(machine));
+  if (ways !== "they are not heard") stage.cutWays(rest, few);
+  if (ways !== "they hear nothing") stage.cutWays(few, rest);
+  return rest;
+};
+
+const sides: Array<[name: string, few: (stage: OrderStage) => StageMachine[]]> = [
+  ["the leader", (stage) => [stage.leader]],
+  ["the leader and an edge", (stage) => [stage.leader, stage.at(0)]],
+  [
+    "a follower and an edge",
+    (stage) => [...stage.disks.filter((one) => one !== stage.leader).slice(0, 1), stage.at(0)],
+  ],
+  ["an edge", (stage) => [stage.at(0)]],
+];
+
+for (const [name, fewOf] of sides)
+  for (const ways of ["both ways", "they hear nothing", "they are not heard"] as const)
+    test(`cut off for 20 s, ${ways}: ${name}`, () => {
+      const stage = begun();
+      const few = fewOf(stage);
+      const rest = cutOff(stage, few, ways);
+      const fromMs = stage.time.nowMs();
+      const sent: Sent[] = [];
+      for (let round = 0; stage.time.nowMs() < fromMs + cutMs; round += 1) {
+        for (const machine of few) sent.push(...askAll(stage, machine, round));
+        stage.wait(250);
+        if (round !== 12) continue;
+        // Three seconds on, those on the other side take a change.
+        const [one = stage.at(1)] = rest.filter(({ disk }) => disk !== undefined);
+        // Where the few are heard, one of their orders may have been taken, though they can't be told.
+        const base = Number(stage.newest(one)?.slice(1));
+        if (ways !== "they hear nothing") expect(base).toBe(3);
+        const order = stage.order(one, wholeOrder(base, 1000, "majority"));
+        stage.wait(1000);
+        expect(order.code).toBe(200);
+      }
+      stage.network.heal();
+      stage.wait(6000);
+
+      for (const { kind, call } of sent) {
+        const atMs = call.sentMs - fromMs;
+        const leaseMs = kind === "beat" ? edgeLeaseMs : leaderLeaseMs;
+        const tookMs = (call.answeredMs ?? Infinity) - call.sentMs;
+        const what = `${kind} after ${atMs} ms: ${call.code} in ${tookMs} ms ${call.body}`;
+        const isAnsweredWhileCut = atMs + tookMs < cutMs;
+        if (isAnsweredWhileCut && atMs > leaseMs)
+          expect(call.code, what).toBeGreaterThanOrEqual(500);
+        else if (isAnsweredWhileCut && call.code !== 200)
+          expect(call.code, what).toBeGreaterThanOrEqual(500);
+        else if (!isAnsweredWhileCut && kind === "order")
+          expect([412, 503, 504], what).toContain(call.code);
+        else if (!isAnsweredWhileCut && kind === "read" && call.code === 200)
+          expect(call.body, what).toContain('"r1000"');
+        expect(tookMs, what).toBeLessThan(answerMs);
+      }
+      expect(stage.machines.map((machine) => stage.newest(machine))).toEqual(
+        stage.machines.map(() => "r1000"),
+      );
+    });
--- /dev/null
+++ b/test/platform/orderStage.ts
@@ -0,0 +1,142 @@
+import { control } from "../../platform/control.js";
+import type { Job } from "../../src/door/job.js";
+import type { Return } from "../../src/door/verdict.js";
+import type { Settings } from "../../src/machine/settings.js";
+import { FleetStage, type StageMachine } from "../record/fleetStage.js";
+
+/** A call on a control address: its answer once there is one, and how long that took. */
+export interface Call {
+  readonly sentMs: number;
+  answeredMs: number | undefined;
+  code: number | undefined;
+  body: string;
+}
+
+/** An order of an operator, as bytes. */
+export interface OrderBytes {
+  readonly target: "config/put" | "config/patch";
+  readonly base: string;
+  readonly body: string;
+}
+
+const service = (name: string) => ({
+  type: "services",
+  meta: { name },
+  spec: { healthPath: "/healthz", maxConns: 150, protocol: "h1", tls: false, idempotent: false },
+});
+
+/** A route to a service. */
+export const routeTo = (name: string, svc: string) => ({
+  type: "routes",
+  meta: { name },
+  spec: {
+    host: "a.example",
+    pfx: `/${name}/`,
+    kind: "safe",
+    deadline: "1000ms",
+    target_time: "250ms",
+    prio: 2,
+    svc,
+    tries: 2,
+  },
+});
+
+/** A whole configuration with one route; `note` tells it from others under the same version. */
+export const wholeOrder = (base: number, version: number, note = "x"): OrderBytes => ({
+  target: "config/put",
+  base: base === 0 ? "0" : `r${base}`,
+  body: JSON.stringify({
+    ver: `r${version}`,
+    objs: [
+      routeTo(note, "one"),
+      service("one"),
+      {
+        type: "limits",
+        meta: {},
+        spec: { hdrMaxBytes: 16_384, bodyMaxBytes: 67_108_864, hdrRead: "3000ms", idle: "15000ms" },
+      },
+    ],
+  }),
+});
+
+/** A change of items: a route, and a service of that name beside it if wanted. */
+export const itemOrder = (
+  base: number,
+  version: number,
+  route: { name: string; svc: string; addsService?: boolean },
+): OrderBytes => ({
+  target: "config/patch",
+  base: `r${base}`,
+  body: JSON.stringify({
+    ver: `r${version}`,
+    upsert: {
+      objs: [
+        routeTo(route.name, route.svc),
+        ...(route.addsService === true ? [service(route.svc)] : []),
+      ],
+    },
+  }),
+});
+
+/** A staged fleet whose control addresses are called in the platform's words. */
+export class OrderStage extends FleetStage {
+  constructor(machines: readonly string[], seeds: readonly number[], more: Partial<Settings> = {}) {
+    super(machines, seeds, more);
+  }
+
+  /** Sends a request to a machine's control address; a machine that is down never answers. */
+  call(
+    machine: StageMachine,
+    method: string,
+    target: string,
+    body = "",
+    headers: Record<string, string> = {},
+  ): Call {
+    const call: Call = {
+      sentMs: this.time.nowMs(),
+      answeredMs: undefined,
+      code: undefined,
+      body: "",
+    };
+    const give = (ret: Return): void => {
+      call.code = ret.code;
+      call.body = Buffer.from(ret.body).toString();
+      call.answeredMs = this.time.nowMs();
+    };
+    const job: Job = { method, target: `/daledoor/${target}`, headers, body: Buffer.from(body) };
+    const read = control.into(job);
+    if ("code" in read) give(read);
+    else machine.daemon?.operators.put({ job: read.job, give: (ret) => give(read.back(ret)) });
+    return call;
+  }
+
+  order(machine: StageMachine, { target, base, body }: OrderBytes): Call {
+    return this.call(machine, "POST", target, body, { "base-version": base });
+  }
+
+  /** Sends an order again and again, to one machine after another, until it has a clear answer. */
+  untilClear(order: OrderBytes, from = 0, atMostMs = 20_000): number {
+    const untilMs = this.time.nowMs() + atMostMs;
+    for (let at = from; this.time.nowMs() < untilMs; at += 1) {
+      const call = this.order(this.at(at % this.machines.length), order);
+      const patienceMs = this.time.nowMs() + 1000;
+      while (call.code === undefined && this.time.nowMs() < patienceMs) this.wait(5);
+      if (call.code !== undefined && call.code < 500) return call.code;
+      this.wait(100);
+    }
+    throw new Error(`No clear answer.\n${this.lines.slice(-30).join("\n")}`);
+  }
+
+  /** What the newest configuration is called, read through a machine; undefined where there is no clear answer. */
+  newest(machine: StageMachine): string | undefined {
+    const call = this.call(machine, "GET", "config/get");
+    this.wait(1000);
+    return call.code === 200 ? /"ver":"(r\d+)"/.exec(call.body)?.[1] : undefined;
+  }
+
+  /** Cuts all ways from some machines to others, one way only. */
+  cutWays(from: readonly StageMachine[], to: readonly StageMachine[]): void {
+    for (const one of from)
+      for (const other of to) this.network.cut(one.settings.machine, other.settings.machine);
+  }
+}
