Thin links: large bodies in turns, and freshness judged for when bytes leave

Cause: a daemon wrote whatever it had at once. On links of 2.9 to 3.6 Mbit/s a download of 90 to 540 KB fills the link for 0.25 to 1.5 s, and polls and forwarded requests, checked as fresh, waited behind it in buffers. The rate in the settings (limits.linkMbps) was read by nothing.

Change, where the settings name a rate; unpaced as before where they don't: - responses to callers above some KB, large request bodies and large frames of peers are written in turns of 15 ms of the link; a response that is held whole is still checked before its first byte, then written in turns; - a large response is read from its backend in turns too, since it comes by the same link; the backend waits meanwhile; - a request is sent only if the lease (and a key's claim) holds until the queue on the link has left, asked again right before the first byte; else it is withdrawn and goes elsewhere or gets 503 with when to come back; - a request of a route whose responses are usually large is refused before it runs where its response can't leave in time after what is queued and what requests in hand will bring: a first try by its goal, later ones by their deadline; - a stopping process waits for responses that are still being written, within the time at which it gives up work in hand.

--- a/src/contract/view.ts
+++ b/src/contract/view.ts
@@ -96,6 +96,11 @@
     return Math.max(0, this.world.clock.nowMs() - this.untilMs);
   }
 
+  /** For how long the lease to serve still holds; negative once it is over. */
+  get leaseLeftMs(): number {
+    return this.untilMs - this.world.clock.nowMs();
+  }
+
   /** The back ends under contract for a service that aren't leaving. */
   backEnds(service: string): readonly Contract[] {
     return this.byService.get(service) ?? [];
--- a/src/door/backEnds.ts
+++ b/src/door/backEnds.ts
@@ -3,6 +3,7 @@
 import { Client, errors, type Dispatcher } from "undici";
 import { Address } from "../runtime/wire.js";
 import type { Clock } from "../runtime/clock.js";
+import { LinkPacers, type LinkPacer, type Transfer } from "../runtime/linkPacer.js";
 import { Task } from "../runtime/task.js";
 import type { Dialect } from "./dialect.js";
 
@@ -40,6 +41,8 @@
   readonly pool: string;
   readonly job: BackJob;
   readonly untilMs: number;
+  /** When its response should have ended; of two large ones, that which is due first goes first. */
+  readonly dueMs?: number | undefined;
   /** Whether it may still be sent; asked when the connection stands, right before the first byte. */
   mayStill(): boolean;
 }
@@ -64,6 +67,17 @@
 /** How much of a response is held before the back end is made to wait. */
 const heldLimitBytes = 256 * 1024;
 
+/** About how many bytes a request's head takes beside its headers. */
+const requestHeadBytes = 100;
+
+/** How back ends are reached over HTTP. */
+export interface HttpOptions {
+  readonly proof?: Dialect["proof"] | undefined;
+  readonly connectWaitMs?: number;
+  /** Both directions of the machine's link, where its rate is to be kept. */
+  readonly pacers?: LinkPacers;
+}
+
 /** Raised where a connection that has ended is asked to open again. */
 class ConnectionOverError extends Error {}
 
@@ -82,8 +96,15 @@
   hasBegun = false;
   private readonly pieces: Uint8Array[] = [];
   private heldBytes = 0;
+  private receivedBytes = 0;
   private last: "end" | "cut" | undefined;
   private waiting: (() => void) | undefined;
+  private readonly ingress: LinkPacer;
+  private readonly transfer: Transfer;
+  /** What may come before the next turn; it is counted already. */
+  private creditBytes = 0;
+  /** Undone once the link may take more; set while the back end is made to wait for that. */
+  private cancelTurn: (() => void) | undefined;
   private controller: Dispatcher.DispatchController | undefined;
   private readonly head: (
     outcome: { code: number; headers: Record<string, string> } | { error: Error },
@@ -93,9 +114,13 @@
   constructor(
     head: (outcome: { code: number; headers: Record<string, string> } | { error: Error }) => void,
     over: (isWhole: boolean) => void,
+    ingress: LinkPacer,
+    dueMs: number,
   ) {
     this.head = head;
     this.over = over;
+    this.ingress = ingress;
+    this.transfer = ingress.begin({ transferClass: "response", dueMs });
   }
 
   onRequestStart(controller: Dispatcher.DispatchController): void {
@@ -120,18 +145,24 @@
   onResponseData(controller: Dispatcher.DispatchController, piece: Uint8Array): void {
     this.pieces.push(piece);
     this.heldBytes += piece.length;
-    if (this.heldBytes > heldLimitBytes) controller.pause();
+    this.receivedBytes += piece.length;
+    this.ingress.note(Math.max(0, piece.length - this.creditBytes));
+    this.creditBytes = Math.max(0, this.creditBytes - piece.length);
+    if (this.receivedBytes > this.ingress.smallBytes && this.creditBytes === 0) this.awaitTurn();
+    if (this.heldBytes > heldLimitBytes || this.cancelTurn) controller.pause();
     this.wake();
   }
 
   onResponseEnd(): void {
     this.last = "end";
+    this.cancelTurn?.();
     this.over(true);
     this.wake();
   }
 
   onResponseError(_controller: Dispatcher.DispatchController, error: Error): void {
     this.last = "cut";
+    this.cancelTurn?.();
     this.over(false);
     this.head({ error });
     this.wake();
@@ -143,8 +174,7 @@
       const piece = this.pieces.shift();
       if (piece) {
         this.heldBytes -= piece.length;
-        if (this.controller?.paused === true && this.heldBytes <= heldLimitBytes / 2)
-          this.controller.resume();
+        this.resume();
         return piece;
       }
       if (this.last !== undefined) return this.last;
@@ -156,9 +186,30 @@
 
   /** Lets the rest arrive unread. */
   drain(): void {
+    this.cancelTurn?.();
+    this.cancelTurn = undefined;
     this.pieces.length = 0;
     this.heldBytes = -Infinity;
-    if (this.controller?.paused === true) this.controller.resume();
+    this.resume();
+  }
+
+  /** Makes the back end wait for a turn among all that is received over the link. */
+  private awaitTurn(): void {
+    if (this.cancelTurn) return;
+    let isGiven = false;
+    const { turnBytes } = this.ingress;
+    const cancel = this.transfer.onTurn(turnBytes, () => {
+      isGiven = true;
+      this.cancelTurn = undefined;
+      this.creditBytes += turnBytes;
+      this.resume();
+    });
+    if (!isGiven) this.cancelTurn = cancel;
+  }
+
+  private resume(): void {
+    if (this.controller?.paused !== true || this.cancelTurn) return;
+    if (this.heldBytes <= heldLimitBytes / 2) this.controller.resume();
   }
 
   private wake(): void {
@@ -186,17 +237,52 @@
   });
 };
 
-const whole = ({ body, rest }: BackJob): Uint8Array | Readable | null => {
-  if (!rest) return body.length > 0 ? body : null;
+/** A request's body as it is sent: a large one in turns with all others on the link. */
+const bodyOf = (
+  { body, rest }: BackJob,
+  egress: LinkPacer,
+  dueMs: number,
+): Uint8Array | Readable | null => {
+  if (!rest && body.length <= egress.smallBytes) {
+    egress.note(body.length);
+    return body.length > 0 ? body : null;
+  }
+  const transfer = egress.begin({ transferClass: "response", dueMs }, body.length);
+  const turns = async function* (bytes: Uint8Array): AsyncGenerator<Uint8Array> {
+    for (let at = 0; at < bytes.length; at += egress.turnBytes) {
+      const part = bytes.subarray(at, at + egress.turnBytes);
+      await new Promise<void>((done) => transfer.onTurn(part.length, done));
+      yield part;
+    }
+  };
   return Readable.from(
     (async function* () {
-      if (body.length > 0) yield body;
-      yield* rest;
+      try {
+        yield* turns(body);
+        if (rest) for await (const piece of rest) yield* turns(piece);
+      } finally {
+        transfer.end();
+      }
     })(),
     { objectMode: false },
   );
 };
 
+/** The headers of a request as it is sent; a body that goes in turns has its length stated. */
+const headersOf = (
+  { headers, body, rest }: BackJob,
+  { smallBytes }: LinkPacer,
+): BackJob["headers"] =>
+  !rest && body.length > smallBytes
+    ? { ...headers, "content-length": String(body.length) }
+    : headers;
+
+const headBytesOf = ({ path, headers }: BackJob): number => {
+  let bytes = requestHeadBytes + path.length;
+  for (const name in headers) bytes += name.length + (headers[name]?.length ?? 0) + 4;
+  return bytes;
+};
+
 const methods = new Set<string>([
   "GET",
   "HEAD",
@@ -212,7 +298,14 @@
 
 export const BackEnds = {
   /** Over HTTP/1.1, by undici, whose own pools, repeating and pipelining stay unused. */
-  http(clock: Clock, proof: Dialect["proof"] = "connection", connectWaitMs = connectMs): BackEnds {
+  http(
+    clock: Clock,
+    {
+      proof = "connection",
+      connectWaitMs = connectMs,
+      pacers = LinkPacers.of(clock, undefined),
+    }: HttpOptions = {},
+  ): BackEnds {
     const idle = new Map<string, Line[]>();
     const lines = new Set<Line>();
     let wanted: ReadonlySet<string> | undefined;
@@ -284,7 +377,10 @@
       return "value" in proven && proven.value !== service ? "foreign" : "unreached";
     };
 
-    const dispatched = function* (line: Line, { job, untilMs }: BackTry): Task<Opened | "over"> {
+    const dispatched = function* (
+      line: Line,
+      { job, untilMs, dueMs = untilMs }: BackTry,
+    ): Task<Opened | "over"> {
       return yield* Task.wait<Opened | "over">((done) => {
         let isLate = false;
         let isOver = false;
@@ -306,6 +402,8 @@
             if (isWhole) rest(line);
             else over(line);
           },
+          pacers.ingress,
+          dueMs,
         );
         const drop = (): void => {
           cancelTimer();
@@ -324,8 +422,14 @@
           rest(line);
           return done("unreached");
         }
+        pacers.egress.note(headBytesOf(job));
         line.client.dispatch(
-          { method: job.method, path: job.path, headers: job.headers, body: whole(job) },
+          {
+            method: job.method,
+            path: job.path,
+            headers: headersOf(job, pacers.egress),
+            body: bodyOf(job, pacers.egress, dueMs),
+          },
           receiving,
         );
       });
--- a/src/door/door.ts
+++ b/src/door/door.ts
@@ -2,6 +2,7 @@
 import type { Mapping } from "../contract/mapping.js";
 import { poolOf, type View } from "../contract/view.js";
 import { Clock } from "../runtime/clock.js";
+import type { LinkPacer } from "../runtime/linkPacer.js";
 import type { PartLog } from "../runtime/logbook.js";
 import type { Task } from "../runtime/task.js";
 import { World } from "../runtime/world.js";
@@ -11,6 +12,7 @@
 import type { EdgeCounts } from "../traffic/edgeCounts.js";
 import { safeMethods } from "../contract/config.js";
 import { bodyEnd, headFault } from "./answerCheck.js";
+import { BulkAdmission } from "./bulkAdmission.js";
 import { serviceHeader, type BackEnds, type BackReturn, type Opened } from "./backEnds.js";
 import type { Dialect } from "./dialect.js";
 import { Job, type Caller } from "./job.js";
@@ -38,6 +40,8 @@
   isStreaming: boolean;
   /** It was given its final answer before its tries came to an end. */
   isAbandoned: boolean;
+  /** Ends that its response is expected to take its part of the link. */
+  bulkOver: () => void;
 }
 
 type Filter = (passage: Passage, rest: () => Task<Ending>) => Task<Ending>;
@@ -129,6 +133,8 @@
   readonly dialect: Dialect;
   /** How long requests that may be repeated are still served by a view whose lease is over. */
   readonly staleMs: number;
+  /** The link by which requests leave. */
+  readonly egress: LinkPacer;
 }
 
 /** Takes callers' requests through a chain of filters, each of which may answer. */
@@ -143,6 +149,8 @@
   private readonly incarnation: string;
   private readonly dialect: Dialect;
   private readonly staleMs: number;
+  private readonly egress: LinkPacer;
+  private readonly bulk: BulkAdmission;
   private readonly log: PartLog;
   private tries = 0;
   private closed = false;
@@ -161,10 +169,8 @@
     cut: 0,
   };
 
-  constructor(
-    world: World,
-    { view, backEnds, ferry, budget, counts, shares, incarnation, dialect, staleMs }: DoorParts,
-  ) {
+  constructor(world: World, parts: DoorParts) {
+    const { view, backEnds, ferry, budget, counts, shares, incarnation, dialect } = parts;
     this.world = world;
     this.view = view;
     this.backEnds = backEnds;
@@ -173,7 +179,9 @@
     this.shares = shares;
     this.incarnation = incarnation;
     this.dialect = dialect;
-    this.staleMs = staleMs;
+    this.staleMs = parts.staleMs;
+    this.egress = parts.egress;
+    this.bulk = new BulkAdmission(parts.egress, wholeBytes);
     this.keys = new Keys(world, ferry, incarnation, dialect.tellsParts ? after.led : undefined);
     this.log = world.logbook.part("door");
   }
@@ -209,6 +217,7 @@
       isSpent: false,
       isStreaming: false,
       isAbandoned: false,
+      bulkOver: () => undefined,
     };
     this.tally.taken += 1;
     this.inHand += 1;
@@ -230,6 +239,7 @@
         }),
       );
     } finally {
+      passage.bulkOver();
       this.inHand -= 1;
       this.passages.delete(passage);
     }
@@ -308,9 +318,16 @@
     passage.mapping = mapping;
     passage.service = mapping.choose(passage.draw);
     passage.untilMs = passage.arrivedMs + this.givenMs(passage, mapping);
+    passage.caller.dueMs = passage.arrivedMs + mapping.goalMs;
+    if (!this.canBear(passage, mapping))
+      return Ending.drop(
+        "This daemon's link is full for as long as there is time.",
+        after.elsewhere,
+      );
     this.budget.countFirst(passage.service, passage.arrivedMs);
     const number = this.view.numberOf("route", mapping.name);
     if (number !== undefined) this.counts.countRoute(number);
+    passage.bulkOver = this.bulk.expect(mapping.name);
     return yield* rest();
   }
 
@@ -366,9 +383,17 @@
       : Math.max(leastClaimMs, goalMs * claimGoalPart);
   }
 
-  /** Whether this daemon's view lets a request be sent on. */
+  /** Whether this daemon's view lets a request be sent on: it must hold until the request can have left the link. */
   private mayServe(mapping: Mapping): boolean {
-    return this.view.isGranted || (mapping.repeatable && this.view.lapsedMs < this.staleMs);
+    const leftMs = this.view.leaseLeftMs - this.egress.queueMs;
+    return leftMs > 0 || (mapping.repeatable && -leftMs < this.staleMs);
+  }
+
+  /** Whether a response of the route's usual size can still leave in time. A first try is refused while its caller can have another. */
+  private canBear({ arrivedMs, untilMs }: Passage, { name, goalMs, giveUpMs }: Mapping): boolean {
+    const isFirst = untilMs - arrivedMs >= giveUpMs * firstTryPart;
+    const dueMs = isFirst ? Math.min(untilMs, arrivedMs + goalMs) : untilMs;
+    return this.bulk.admits(name, dueMs - this.world.clock.nowMs());
   }
 
   private *forward(passage: Passage): Task<Ending> {
@@ -386,7 +411,7 @@
         return giveUp("This daemon's view is not proven fresh.", after.settled);
       if (!mapping.takes(passage.service)) passage.service = mapping.choose(passage.draw);
       const { service } = passage;
-      if (passage.claim && nowMs >= passage.claim.sendUntilMs)
+      if (passage.claim && nowMs + this.egress.queueMs >= passage.claim.sendUntilMs)
         return giveUp("The key's claim is too old to send under.");
       if (nowMs + (attempts > 0 ? leastLeftMs : 0) >= passage.untilMs)
         return giveUp(`No back end of ${service} took this in time.`);
@@ -449,7 +474,7 @@
       mapping.takes(service) &&
       this.mayServe(mapping) &&
       this.view.holds(contract) &&
-      this.world.clock.nowMs() < claimEnds;
+      this.world.clock.nowMs() + this.egress.queueMs < claimEnds;
     if (!may) return false;
     if (isFurther) this.tally.furtherTries += 1;
     else this.tally.firstTries += 1;
@@ -508,6 +533,7 @@
         rest,
       },
       untilMs,
+      dueMs: passage.caller.dueMs,
       mayStill: () => this.mayStill(passage, service, contract, isFurther),
     });
     if (opened === "refused" || opened === "foreign") this.view.noteRefused(contract);
@@ -523,6 +549,7 @@
         ? ending.ret === "streamed"
         : ending.why === "" && ending.ret.code < 500;
     const bytes = typeof ending.ret === "string" ? undefined : ending.ret.body.length;
+    if (whole && bytes !== undefined) this.bulk.learn(mapping.name, bytes);
     this.shares.ended(
       contract,
       {
@@ -603,6 +630,7 @@
     const { caller } = passage;
     if (passage.isAbandoned) return this.discard(opened, "answered");
     passage.isStreaming = true;
+    passage.bulkOver();
     caller.begin(
       opened.code,
       lengthBytes === undefined ? headers : { ...headers, "content-length": String(lengthBytes) },
@@ -613,6 +641,7 @@
       const piece = early.shift() ?? (yield* opened.next());
       if (piece === "end" && (lengthBytes === undefined || sentBytes === lengthBytes)) {
         caller.end();
+        this.bulk.learn(passage.mapping?.name ?? "", sentBytes);
         return { verdict: outcomeOf("streamed").verdict, ret: "streamed", why: "" };
       }
       if (
--- a/src/door/job.ts
+++ b/src/door/job.ts
@@ -15,6 +15,8 @@
 /** The way back to a caller. */
 export interface Caller {
   readonly isGone: boolean;
+  /** When the response should have ended: of two large ones, that which is due first goes first. */
+  dueMs?: number;
   whole(ret: Return): void;
   begin(code: number, headers: Record<string, string>): void;
   /** Passes a piece on; false once the caller is gone. */
--- a/src/link/link.ts
+++ b/src/link/link.ts
@@ -2,9 +2,11 @@
 import { StructError } from "superstruct";
 import { Clock } from "../runtime/clock.js";
 import { Holding } from "../runtime/holding.js";
+import { LinkPacer } from "../runtime/linkPacer.js";
 import type { PartLog } from "../runtime/logbook.js";
 import { Task } from "../runtime/task.js";
 import { World } from "../runtime/world.js";
+import { PacedChannel } from "./pacedChannel.js";
 import { exactly, Frame, FrameError, FrameReader, frameSequence } from "./frame.js";
 import type { Kind } from "./kind.js";
 import type { Channel } from "../runtime/wire.js";
@@ -23,6 +25,8 @@
 
 const silentMs = 1000;
 const backOffMs = 60;
+/** For how long a large return may give way to large asks. */
+const returnPatienceMs = 1000;
 
 /** The links of one daemon to its peers: asks, and the returns that come back. */
 export class Link {
@@ -32,14 +36,21 @@
   private readonly servers = new Map<number, Server>();
   private readonly newest: number;
   private nextJob = 1;
+  private readonly egress: LinkPacer;
   /** Links closed because of what came over them. */
   droppedFrames = 0;
 
   /** The address at which peers reach this daemon. */
   readonly self: string;
 
-  constructor(world: World, self: string, newest = frameSequence) {
+  constructor(
+    world: World,
+    self: string,
+    newest = frameSequence,
+    egress = new LinkPacer(world.clock, undefined),
+  ) {
     this.newest = newest;
+    this.egress = egress;
     this.world = world;
     this.self = self;
     this.log = world.logbook.part("link");
@@ -55,7 +66,11 @@
   /** Listens for peers. */
   *listen(): Task {
     yield* this.world.wire.listen(this.self, (channel) =>
-      World.start(this.world, "link", this.serving(channel)),
+      World.start(
+        this.world,
+        "link",
+        this.serving(new PacedChannel(channel, this.egress, this.world.clock, returnPatienceMs)),
+      ),
     );
   }
 
@@ -119,8 +134,9 @@
   private *keeping(peer: Peer): Task {
     for (;;) {
       const first = yield* peer.outgoing.take();
-      const channel = yield* this.world.wire.connect(peer.address);
-      if (channel) {
+      const connected = yield* this.world.wire.connect(peer.address);
+      if (connected) {
+        const channel = new PacedChannel(connected, this.egress, this.world.clock);
         peer.heardMs = this.world.clock.nowMs();
         peer.channel = channel;
         channel.send(first);
@@ -162,7 +178,7 @@
     const reader = new FrameReader(this.newest);
     for (;;) {
       const piece = yield* channel.incoming.take();
-      if (piece === "closed") return;
+      if (piece === "closed") return channel.close();
       try {
         for (const frame of reader.read(piece)) {
           const server = this.servers.get(frame.kind);
--- a/src/machine/daemon.ts
+++ b/src/machine/daemon.ts
@@ -24,6 +24,7 @@
 import { LoadBalancer } from "../traffic/loadBalancer.js";
 import { Bounds } from "./bounds.js";
 import { Clock } from "../runtime/clock.js";
+import { LinkPacers } from "../runtime/linkPacer.js";
 import type { PartLog } from "../runtime/logbook.js";
 import { Settings, type Role } from "./settings.js";
 import { Source } from "../runtime/source.js";
@@ -50,6 +51,8 @@
   readonly archive?: Archive | undefined;
   /** The headers by which it speaks with callers and back ends. */
   readonly dialect?: Dialect;
+  /** Both directions of the machine's link, where its rate is to be kept. */
+  readonly pacers?: LinkPacers;
   /** Waits of the record that differ from what the bounds make of them. */
   readonly waits?: Partial<Waits>;
 }
@@ -94,7 +97,8 @@
     this.roles = Settings.roles(settings);
     this.log = world.logbook.part("machine");
     this.incarnation = World.nonce(world);
-    this.link = new Link(world, settings.peers);
+    const pacers = options.pacers ?? LinkPacers.of(world.clock, undefined);
+    this.link = new Link(world, settings.peers, undefined, pacers.egress);
     this.seeds = settings.seeds;
     this.ferry = new Ferry(world, this.link, () => [...this.seeds, ...this.meeting.recorders]);
     const place: Place = {
@@ -136,6 +140,7 @@
       incarnation: this.incarnation,
       dialect: options.dialect ?? Dialect.own,
       staleMs: bounds.figures.staleMs,
+      egress: pacers.egress,
     });
     if (this.roles.includes("recorder") && world.disk) {
       const book = new Book();
--- /dev/null
+++ b/src/machine/httpCaller.ts
@@ -0,0 +1,136 @@
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Caller } from "../door/job.js";
+import type { Return } from "../door/verdict.js";
+import type { LinkPacer, Transfer } from "../runtime/linkPacer.js";
+import { Task } from "../runtime/task.js";
+
+/** What is heard of one caller's connection. */
+export interface Connection {
+  isOver: boolean;
+  /** Hear when it is over. */
+  readonly over: Set<() => void>;
+}
+
+/** What the responses of one server have in common. */
+export interface ResponseContext {
+  /** Whether callers are asked to open another connection. */
+  isClosing(): boolean;
+  /** The link that responses leave by. */
+  readonly egress: LinkPacer;
+  /** How many whole responses are being written. */
+  unfinished: number;
+}
+
+/** About how many bytes the head of a response takes. */
+const headBytes = 300;
+
+/** The way back to the caller of one request: large bodies are written in turns with all others on the link. */
+export class HttpCaller implements Caller {
+  dueMs = Infinity;
+  private readonly request: IncomingMessage;
+  private readonly response: ServerResponse;
+  private readonly connection: Connection;
+  private readonly context: ResponseContext;
+  private transfer: Transfer | undefined;
+
+  constructor(
+    request: IncomingMessage,
+    response: ServerResponse,
+    connection: Connection,
+    context: ResponseContext,
+  ) {
+    this.request = request;
+    this.response = response;
+    this.connection = connection;
+    this.context = context;
+  }
+
+  get isGone(): boolean {
+    return this.connection.isOver;
+  }
+
+  whole({ code, headers, body }: Return): void {
+    const { request, response, context } = this;
+    const isBodiless = request.method === "HEAD" || code === 204 || code === 304;
+    this.head(code, isBodiless ? headers : { ...headers, "content-length": String(body.length) });
+    if (isBodiless || body.length <= context.egress.smallBytes) {
+      context.egress.note(headBytes + (isBodiless ? 0 : body.length));
+      response.end(isBodiless ? undefined : body);
+      return;
+    }
+    Task.start(this.written(body), () => response.destroy());
+  }
+
+  begin(code: number, headers: Record<string, string>): void {
+    this.head(code, headers);
+    this.beginTransfer(Number(headers["content-length"] ?? 0));
+  }
+
+  *piece(bytes: Uint8Array): Task<boolean> {
+    const { turnBytes } = this.context.egress;
+    const transfer = this.transfer ?? this.beginTransfer(bytes.length);
+    for (let at = 0; at < bytes.length; at += turnBytes) {
+      const part = bytes.subarray(at, at + turnBytes);
+      yield* transfer.turn(part.length);
+      if (!(yield* this.accepted(part))) {
+        transfer.end();
+        return false;
+      }
+    }
+    return !this.connection.isOver;
+  }
+
+  end(): void {
+    this.transfer?.end();
+    this.response.end();
+  }
+
+  cut(): void {
+    this.transfer?.end();
+    this.response.destroy();
+  }
+
+  private *written(body: Uint8Array): Task {
+    this.context.unfinished += 1;
+    try {
+      this.beginTransfer(body.length);
+      if (yield* this.piece(body)) this.end();
+    } finally {
+      this.context.unfinished -= 1;
+    }
+  }
+
+  private head(code: number, headers: Record<string, string>): void {
+    this.response.sendDate = false;
+    this.response.writeHead(
+      code,
+      this.context.isClosing() ? { ...headers, connection: "close" } : headers,
+    );
+  }
+
+  private beginTransfer(bytes: number): Transfer {
+    const transfer = this.context.egress.begin(
+      { transferClass: "response", dueMs: this.dueMs },
+      bytes,
+    );
+    this.transfer = transfer;
+    return transfer;
+  }
+
+  /** Writes a part and waits until the connection takes more; false once the connection is over. */
+  private *accepted(part: Uint8Array): Task<boolean> {
+    const { response, connection } = this;
+    if (connection.isOver) return false;
+    if (response.write(part)) return true;
+    yield* Task.wait<true>((done) => {
+      const go = (): void => {
+        response.off("drain", go);
+        connection.over.delete(go);
+        done(true);
+      };
+      response.once("drain", go);
+      connection.over.add(go);
+    });
+    return !connection.isOver;
+  }
+}
--- a/src/machine/httpServer.ts
+++ b/src/machine/httpServer.ts
@@ -2,8 +2,11 @@
 import type { Socket } from "node:net";
 import type { Caller, Job } from "../door/job.js";
 import { Return } from "../door/verdict.js";
+import { Clock } from "../runtime/clock.js";
+import { LinkPacer } from "../runtime/linkPacer.js";
 import { Address, ListenError } from "../runtime/wire.js";
 import { Task } from "../runtime/task.js";
+import { HttpCaller, type Connection, type ResponseContext } from "./httpCaller.js";
 
 /** What callers may send, and how long they may take or rest. */
 export interface ServerLimits {
@@ -38,46 +41,6 @@
   return headers;
 };
 
-/** What is heard of one caller's connection. */
-interface Connection {
-  isOver: boolean;
-  readonly over: Set<() => void>;
-}
-
-const callerOf = (
-  request: IncomingMessage,
-  response: ServerResponse,
-  connection: Connection,
-  closing: () => boolean,
-): Caller => {
-  const finish = (code: number, headers: Record<string, string>): void => {
-    response.sendDate = false;
-    response.writeHead(code, closing() ? { ...headers, connection: "close" } : headers);
-  };
-  return {
-    get isGone() {
-      return connection.isOver;
-    },
-    whole({ code, headers, body }) {
-      const bodiless = request.method === "HEAD" || code === 204 || code === 304;
-      finish(code, bodiless ? headers : { ...headers, "content-length": String(body.length) });
-      response.end(bodiless ? undefined : body);
-    },
-    begin: finish,
-    *piece(bytes) {
-      if (connection.isOver) return false;
-      if (response.write(bytes)) return true;
-      yield* Task.wait<boolean>((done) => {
-        response.once("drain", () => done(true));
-        connection.over.add(() => done(false));
-      });
-      return !connection.isOver;
-    },
-    end: () => response.end(),
-    cut: () => response.destroy(),
-  };
-};
-
 const restOf = async function* (
   request: IncomingMessage,
   heldBytes: number,
@@ -110,11 +73,17 @@
   private readonly connections = new WeakMap<Socket, Connection>();
   private limits: ServerLimits = usual;
   private closing = false;
-
-  /** `wholeOnly`: bodies are always held whole. */
-  constructor(take: (job: Job, caller: Caller) => void, wholeOnly = true) {
+  private readonly responses: ResponseContext;
+
+  /** `wholeOnly`: bodies are always held whole. `egress`: the link that responses leave by. */
+  constructor(
+    take: (job: Job, caller: Caller) => void,
+    wholeOnly = true,
+    egress = new LinkPacer(Clock.real(), undefined),
+  ) {
     this.take = take;
     this.wholeOnly = wholeOnly;
+    this.responses = { isClosing: () => this.closing, egress, unfinished: 0 };
     this.server = createServer(
       { maxHeaderSize: parserHeaderBytes, connectionsCheckingInterval: lookMs, noDelay: true },
       (request, response) => this.arrived(request, response),
@@ -163,6 +132,11 @@
     this.server.closeIdleConnections();
   }
 
+  /** How many responses that were handed over whole are still being written. */
+  get unfinished(): number {
+    return this.responses.unfinished;
+  }
+
   /** Ends all that is left. */
   end(): void {
     this.server.closeAllConnections();
@@ -179,7 +153,7 @@
 
   private arrived(request: IncomingMessage, response: ServerResponse): void {
     const connection = this.connections.get(request.socket) ?? { isOver: false, over: new Set() };
-    const caller = callerOf(request, response, connection, () => this.closing);
+    const caller = new HttpCaller(request, response, connection, this.responses);
     const { headerBytes, bodyBytes } = this.limits;
     request.on("error", () => undefined);
     response.on("error", () => undefined);
--- a/src/machine/run.ts
+++ b/src/machine/run.ts
@@ -4,10 +4,12 @@
 import { Wire } from "../runtime/wire.js";
 import { Archive } from "../operator/archive.js";
 import type { Adapter } from "./adapter.js";
+import { Bounds } from "./bounds.js";
 import { Clock } from "../runtime/clock.js";
 import { Daemon } from "./daemon.js";
 import { Disk } from "../runtime/disk.js";
 import { HttpServer } from "./httpServer.js";
+import { LinkPacers } from "../runtime/linkPacer.js";
 import { Logbook } from "../runtime/logbook.js";
 import { Settings } from "./settings.js";
 import { SettingsError } from "./settingsError.js";
@@ -38,7 +40,8 @@
   const log = logbook.part("machine");
   const clock = Clock.real();
   const wire = Wire.tcp();
-  const backEnds = BackEnds.http(clock, adapter?.dialect.proof);
+  const pacers = LinkPacers.of(clock, settings.limits?.linkMbps);
+  const backEnds = BackEnds.http(clock, { proof: adapter?.dialect.proof, pacers });
   return new Promise<number>((end) => {
     const fail = (error: unknown): void => {
       log.fault("The daemon can't run.", error);
@@ -67,20 +70,29 @@
       const daemon = new Daemon(world, settings, {
         backEnds,
         archive,
+        pacers,
         ...(adapter ? { dialect: adapter.dialect } : {}),
       });
       const control = (takes: (job: Job) => boolean): HttpServer => {
-        const server = new HttpServer((job, caller) => {
-          const read = adapter ? adapter.control.into(job) : { job, back: (ret: Return) => ret };
-          if ("code" in read) caller.whole(read);
-          else if (takes(read.job))
-            daemon.operators.put({ job: read.job, give: (ret) => caller.whole(read.back(ret)) });
-          else caller.whole(Return.json(404, { error: "Only readiness is served here." }));
-        });
+        const server = new HttpServer(
+          (job, caller) => {
+            const read = adapter ? adapter.control.into(job) : { job, back: (ret: Return) => ret };
+            if ("code" in read) caller.whole(read);
+            else if (takes(read.job))
+              daemon.operators.put({ job: read.job, give: (ret) => caller.whole(read.back(ret)) });
+            else caller.whole(Return.json(404, { error: "Only readiness is served here." }));
+          },
+          true,
+          pacers.egress,
+        );
         server.bound({ bodyBytes: configBodyBytes });
         return server;
       };
-      const callers = new HttpServer((job, caller) => daemon.callers.put({ job, caller }), false);
+      const callers = new HttpServer(
+        (job, caller) => daemon.callers.put({ job, caller }),
+        false,
+        pacers.egress,
+      );
       const operators = control(() => true);
       const readiness = control((job) => job.method === "GET" && Job.path(job) === "/ready");
       daemon.onLimits = (limits) => callers.bound(limits);
@@ -122,10 +134,12 @@
           if (name !== "SIGHUP") done(name);
         }),
       );
+      const untilMs = clock.nowMs() + Bounds.of(settings).abandonMs;
       callers.partWithCallers();
       yield* daemon.drain(() => {
         if (callersAt !== undefined) callers.close();
       });
+      while (callers.unfinished > 0 && clock.nowMs() < untilMs) yield* Clock.rest(clock, 20);
       yield* Clock.rest(clock, 50);
       callers.end();
       for (const server of [operators, readiness]) {
--- /dev/null
+++ b/test/door/pacedBackEnds.test.ts
@@ -0,0 +1,103 @@
+import { createServer, type Server } from "node:http";
+import { expect, test } from "vitest";
+import { BackEnds } from "../../src/door/backEnds.js";
+import { Clock } from "../../src/runtime/clock.js";
+import { LinkPacers } from "../../src/runtime/linkPacer.js";
+import { Task } from "../../src/runtime/task.js";
+
+/** 8 Mbit/s: 1,000 bytes a millisecond, of which 900 are counted on. */
+const linkMbps = 8;
+const usableBytesPerMs = 900;
+
+const clock = Clock.real();
+
+const serving = async (server: Server): Promise<number> => {
+  await new Promise<void>((done) => server.listen(0, "127.0.0.1", done));
+  const bound = server.address();
+  return bound !== null && typeof bound === "object" ? bound.port : 0;
+};
+
+interface Outcome {
+  readonly text: string;
+  readonly bytes: number;
+  readonly tookMs: number;
+}
+
+const sent = (backEnds: BackEnds, port: number, path: string, body = new Uint8Array()) =>
+  new Promise<Outcome>((done, fail) =>
+    Task.start(
+      (function* () {
+        const startedMs = clock.nowMs();
+        const opened = yield* backEnds.send({
+          address: `127.0.0.1:${port}`,
+          service: "issues",
+          pool: "one",
+          job: { method: body.length > 0 ? "POST" : "GET", path, headers: {}, body },
+          untilMs: startedMs + 20_000,
+          mayStill: () => true,
+        });
+        if (typeof opened === "string") return { text: opened, bytes: 0, tookMs: 0 };
+        const pieces: Uint8Array[] = [];
+        let piece = yield* opened.next();
+        for (; typeof piece !== "string"; piece = yield* opened.next()) pieces.push(piece);
+        const whole = Buffer.concat(pieces);
+        return {
+          text: whole.length < 100 ? whole.toString() : piece,
+          bytes: whole.length,
+          tookMs: clock.nowMs() - startedMs,
+        };
+      })(),
+      fail,
+      done,
+    ),
+  );
+
+test("large responses are read at the rate of the link, together, and a short one is not held up by them", async () => {
+  const largeBytes = 800_000;
+  const server = createServer((incoming, outgoing) =>
+    outgoing.end(incoming.url === "/short" ? "short" : Buffer.alloc(largeBytes, "x")),
+  );
+  const port = await serving(server);
+  const pacers = LinkPacers.of(clock, linkMbps);
+  const backEnds = BackEnds.http(clock, { proof: "request", pacers });
+  const large = [sent(backEnds, port, "/one"), sent(backEnds, port, "/two")];
+  await new Promise((done) => setTimeout(done, 100));
+  const short = await sent(backEnds, port, "/short");
+  expect(short.text).toBe("short");
+  expect(short.tookMs).toBeLessThan(150);
+  const linkMs = (2 * largeBytes) / usableBytesPerMs;
+  const [first, second] = await Promise.all(large);
+  for (const one of [first, second]) expect(one).toMatchObject({ text: "end", bytes: largeBytes });
+  // Both are due at nearly the same time; which one goes first is left open.
+  const tookMs = [first?.tookMs ?? 0, second?.tookMs ?? 0].sort((one, other) => one - other);
+  expect(tookMs[0]).toBeGreaterThan(linkMs * 0.4);
+  expect(tookMs[1]).toBeGreaterThan(linkMs * 0.75);
+  expect(tookMs[1]).toBeLessThan(linkMs * 1.5);
+  backEnds.close();
+  server.close();
+  server.closeAllConnections();
+});
+
+test("a large request body leaves at the rate of the link and comes whole, with its length stated", async () => {
+  const body = Buffer.alloc(200_000, "y");
+  const server = createServer((incoming, outgoing) => {
+    let bytes = 0;
+    incoming.on("data", (piece: Buffer) => {
+      bytes += piece.length;
+    });
+    incoming.on("end", () =>
+      outgoing.end(`${incoming.headers["content-length"] ?? "none"} ${bytes}`),
+    );
+  });
+  const port = await serving(server);
+  const pacers = LinkPacers.of(clock, linkMbps);
+  const backEnds = BackEnds.http(clock, { proof: "request", pacers });
+  const outcome = sent(backEnds, port, "/", body);
+  await new Promise((done) => setTimeout(done, 50));
+  expect(pacers.egress.queueMs).toBeLessThanOrEqual(30);
+  expect((await outcome).text).toBe("200000 200000");
+  expect((await outcome).tookMs).toBeGreaterThan((200_000 / usableBytesPerMs) * 0.7);
+  backEnds.close();
+  server.close();
+  server.closeAllConnections();
+});
--- /dev/null
+++ b/test/machine/pacedResponses.test.ts
@@ -0,0 +1,97 @@
+import { createServer, get } from "node:http";
+import { expect, test } from "vitest";
+import { HttpServer } from "../../src/machine/httpServer.js";
+import { Clock } from "../../src/runtime/clock.js";
+import { LinkPacer } from "../../src/runtime/linkPacer.js";
+import { Task } from "../../src/runtime/task.js";
+
+const freePort = (): Promise<number> =>
+  new Promise((done, fail) => {
+    const probe = createServer().listen(0, "127.0.0.1", () => {
+      const bound = probe.address();
+      probe.close(() => done(bound !== null && typeof bound === "object" ? bound.port : 0));
+    });
+    probe.once("error", fail);
+  });
+
+const largeBytes = 120_000;
+const linkMbps = 4;
+/** What the link takes the body in: 500 bytes a millisecond. */
+const linkMs = largeBytes / 500;
+
+const fetched = (port: number, path: string): Promise<{ bytes: number; tookMs: number }> =>
+  new Promise((done, fail) => {
+    const startedMs = performance.now();
+    let bytes = 0;
+    get({ host: "127.0.0.1", port, path, agent: false }, (response) => {
+      response.on("data", (piece: Buffer) => {
+        bytes += piece.length;
+      });
+      response.once("end", () => done({ bytes, tookMs: performance.now() - startedMs }));
+    }).once("error", fail);
+  });
+
+test("large responses, held whole or streamed, leave at the rate of the link and take turns; a short one waits for none of them", async () => {
+  const clock = Clock.real();
+  const egress = new LinkPacer(clock, linkMbps);
+  const server = new HttpServer(
+    (job, caller) => {
+      const body = Buffer.alloc(job.target === "/short" ? 20 : largeBytes, "x");
+      if (job.target !== "/streamed") return caller.whole({ code: 200, headers: {}, body });
+      caller.begin(200, { "content-length": String(body.length) });
+      Task.start(
+        (function* () {
+          if (yield* caller.piece(body)) caller.end();
+        })(),
+        () => caller.cut(),
+      );
+    },
+    false,
+    egress,
+  );
+  const port = await freePort();
+  await new Promise<void>((done, fail) =>
+    Task.start(server.listen(`127.0.0.1:${port}`), fail, done),
+  );
+  const large = [fetched(port, "/whole"), fetched(port, "/streamed")];
+  await expect.poll(() => egress.waitMs(0), { timeout: 2000 }).toBeGreaterThan(linkMs);
+  expect(server.unfinished).toBe(1);
+  expect(egress.queueMs).toBeLessThanOrEqual(30);
+  const short = await fetched(port, "/short");
+  expect(short.bytes).toBe(20);
+  expect(short.tookMs).toBeLessThan(linkMs);
+  for (const { bytes, tookMs } of await Promise.all(large)) {
+    expect(bytes).toBe(largeBytes);
+    expect(tookMs).toBeGreaterThan(linkMs);
+  }
+  expect(server.unfinished).toBe(0);
+  server.close();
+  server.end();
+});
+
+test("a caller who hangs up in the middle of a large response frees the link for others", async () => {
+  const egress = new LinkPacer(Clock.real(), linkMbps);
+  const server = new HttpServer(
+    (_job, caller) =>
+      caller.whole({ code: 200, headers: {}, body: Buffer.alloc(largeBytes * 10, "x") }),
+    false,
+    egress,
+  );
+  const port = await freePort();
+  await new Promise<void>((done, fail) =>
+    Task.start(server.listen(`127.0.0.1:${port}`), fail, done),
+  );
+  await new Promise<void>((done) => {
+    const request = get({ host: "127.0.0.1", port, agent: false }, (response) => {
+      response.once("data", () => {
+        request.destroy();
+        done();
+      });
+    });
+    request.once("error", () => undefined);
+  });
+  await expect.poll(() => server.unfinished, { timeout: 2000 }).toBe(0);
+  expect(egress.waitMs(0)).toBeLessThan(100);
+  server.close();
+  server.end();
+});
--- a/test/platform/doorStage.ts
+++ b/test/platform/doorStage.ts
@@ -11,6 +11,7 @@
 import { VirtualNetwork } from "../../src/rehearsal/virtualNetwork.js";
 import { virtualWorld } from "../../src/rehearsal/virtualWorld.js";
 import { Clock } from "../../src/runtime/clock.js";
+import { LinkPacers } from "../../src/runtime/linkPacer.js";
 import { Task } from "../../src/runtime/task.js";
 
 /** One request as it reached a back end. */
@@ -127,6 +128,12 @@
   }
 }
 
+/** How a stage differs from the usual one. */
+export interface StageOptions {
+  readonly backEnds?: (clock: Clock) => BackEnds;
+  readonly linkMbps?: number;
+}
+
 /** One daemon that is all of a fleet, in the platform's dialect, before back ends that do as a test tells them. */
 export class DoorStage {
   readonly time = new VirtualClock();
@@ -139,13 +146,15 @@
   before: (address: string) => "refused" | "foreign" | "unreached" | undefined = () => undefined;
   /** The back ends that announce themselves each second: their instances by their addresses. */
   readonly announcing = new Map<string, string>();
+  readonly pacers: LinkPacers;
   private readonly clock: Clock;
   private orders = 0;
   private ids = 0;
 
-  /** `backEnds` replaces the played back ends, by real connections for example. */
-  constructor(backEnds?: (clock: Clock) => BackEnds) {
+  /** `backEnds` replaces the played back ends, by real connections for example; `linkMbps` is the rate of the machine's link. */
+  constructor({ backEnds, linkMbps }: StageOptions = {}) {
     this.clock = this.time.clock();
+    this.pacers = LinkPacers.of(this.clock, linkMbps);
     const random = Draw.of(11);
     const network = new VirtualNetwork(this.clock, random);
     this.disk = new VirtualDisk(this.clock, random);
@@ -170,6 +179,7 @@
     this.daemon = new Daemon(world, settings, {
       dialect,
       backEnds: backEnds ? backEnds(this.clock) : this.backEnds(),
+      pacers: this.pacers,
     });
     Task.start(this.daemon.start(), fail);
     this.until(() => this.daemon.standing.isGranted, 10_000);
@@ -177,8 +187,8 @@
   }
 
   /** A daemon with a config of all kinds of routes, before so many back ends, ready for further tries. */
-  static ready(backEnds = 2, real?: (clock: Clock) => BackEnds): DoorStage {
-    const stage = new DoorStage(real);
+  static ready(backEnds = 2, options: StageOptions = {}): DoorStage {
+    const stage = new DoorStage(options);
     const route = (name: string, more: Record<string, unknown>) => ({
       match: { host: "shop.example", path: `/${name}/*` },
       service: "shop",
--- a/test/platform/rawStage.ts
+++ b/test/platform/rawStage.ts
@@ -20,10 +20,12 @@
   /** A door before so many back ends. */
   static async ready(count = 2): Promise<RawStage> {
     const opened: BackEnds[] = [];
-    const stage = DoorStage.ready(0, (clock) => {
-      const connections = BackEnds.http(clock, "request");
-      opened.push(connections);
-      return connections;
+    const stage = DoorStage.ready(0, {
+      backEnds: (clock) => {
+        const connections = BackEnds.http(clock, { proof: "request" });
+        opened.push(connections);
+        return connections;
+      },
     });
     const [connections] = opened;
     if (!connections) throw new Error("The door took no back ends.");
