--- a/src/door/door.ts
+++ b/src/door/door.ts
@@ -591,6 +591,7 @@
     let heldBytes = 0;
     for (;;) {
       const piece = yield* opened.next();
+      if (typeof piece === "string" && bodiless) break;
       if (
         piece === "cut" ||
         (piece === "end" && lengthBytes !== undefined && heldBytes !== lengthBytes)
--- a/test/platform/rawStage.ts
+++ b/test/platform/rawStage.ts
@@ -61,6 +61,15 @@
     for (let passedMs = 0; passedMs < forMs; passedMs += turnMs) await this.turn();
   }
 
+  /** Has a request be answered over one connection to each back end, so that none of the next goes over a new one. */
+  async useConnections(): Promise<void> {
+    const isUsed = (): boolean => this.backEnds.every(({ requests }) => requests.length > 0);
+    for (let round = 0; !isUsed(); round += 1) {
+      if (round > 100) throw new Error("Some back end gets no request.");
+      await this.ask("GET", "/safe/use");
+    }
+  }
+
   /** Sends a request and waits for its end. */
   async ask(
     method: string,
