--- a/src/rehearsal/configOrders.ts
+++ b/src/rehearsal/configOrders.ts
@@ -2,9 +2,10 @@
 import type { Job } from "../door/job.js";
 import { Clock } from "../runtime/clock.js";
 import type { Task } from "../runtime/task.js";
-import type { Outside } from "./day.js";
+
 import type { Ledger } from "./ledger.js";
 import { malformedConfigs } from "./malformedConfigs.js";
+import type { Outside } from "./outside.js";
 import { Profile } from "./profile.js";
 
 /** A change of the configuration as an operator has drawn it up; sent again, it keeps its bytes. */
--- a/src/rehearsal/day.ts
+++ b/src/rehearsal/day.ts
@@ -1,42 +1,13 @@
 import { string, type, type Struct } from "superstruct";
 import type { Job } from "../door/job.js";
-import type { Return } from "../door/verdict.js";
 import { Clock } from "../runtime/clock.js";
 import { Task } from "../runtime/task.js";
-import type { Settings } from "../machine/settings.js";
 import { ConfigOrders } from "./configOrders.js";
+import type { Outside } from "./outside.js";
 import type { CallerRecord, Ledger } from "./ledger.js";
 import type { Profile, Traffic } from "./profile.js";
 import type { StandIn } from "./standIn.js";
 
-/** How a caller's request ended, as the caller saw it. */
-export interface CallerEnd {
-  readonly code: number;
-  readonly broke: CallerRecord["broke"];
-  readonly body: Buffer;
-  readonly statedBytes: number | undefined;
-  readonly retryAfterS: number | undefined;
-}
-
-/** The way from callers, back ends and operators to daemons: virtual or real. */
-export interface Outside {
-  readonly clock: Clock;
-  random(): number;
-  /** The edges that the platform sends new connections to. */
-  ready(): Array<Pick<Settings, "machine" | "zone">>;
-  /** Whether a daemon's process runs, so that a kept connection to it may be used though it takes no new ones. */
-  isUp(daemon: string): boolean;
-  call(daemon: string, job: Job, patienceMs: number): Task<CallerEnd>;
-  /** Asks the operators' port of a daemon, any daemon where none is named, from a back end's place or the operators'. */
-  desk(
-    daemon: string | undefined,
-    job: Job,
-    from?: string,
-    patienceMs?: number,
-  ): Task<Return | undefined>;
-  start(task: Task<unknown>): void;
-}
-
 /** How long a patient caller waits. */
 export const callerWaitMs = 9000;
 /** Which part of requests is sent over a connection that was kept, to whatever daemon it leads to. */
