A response whose deadline passes while it is read is cut short, never whole with a hole

Cause: at a try's deadline what had come of the response was thrown away and the rest was let in for up to 250 ms, so that the connection can be kept. A reader that had the head already (a client that takes a chunked download slowly) then got the later pieces behind the gap, and the end: a body in chunks looked whole to the client. One with a length was caught by its count. A reader that waited for the rest heard of the deadline only 250 ms late.

Ruled out: pieces lost before the deadline; they are queued until they are read.

Change: from the deadline on nothing more is handed to a reader, and it hears at once that the response is cut short.

Tests: door/backEndDeadline, over real connections; both failed before (the first got "second end" without "first", the second took 408 ms for 150).

--- a/src/door/backEnds.ts
+++ b/src/door/backEnds.ts
@@ -98,6 +98,8 @@
   private heldBytes = 0;
   private receivedBytes = 0;
   private last: "end" | "cut" | undefined;
+  /** Nobody reads any more: what still comes is thrown away. */
+  private isDraining = false;
   private waiting: (() => void) | undefined;
   private readonly ingress: LinkPacer;
   private readonly transfer: Transfer;
@@ -143,7 +145,7 @@
   }
 
   onResponseData(controller: Dispatcher.DispatchController, piece: Uint8Array): void {
-    this.pieces.push(piece);
+    if (!this.isDraining) this.pieces.push(piece);
     this.heldBytes += piece.length;
     this.receivedBytes += piece.length;
     this.ingress.note(Math.max(0, piece.length - this.creditBytes));
@@ -154,7 +156,7 @@
   }
 
   onResponseEnd(): void {
-    this.last = "end";
+    this.last ??= "end";
     this.cancelTurn?.();
     this.over(true);
     this.wake();
@@ -184,13 +186,16 @@
     }
   }
 
-  /** Lets the rest arrive unread. */
+  /** Lets the rest arrive unread; whoever still reads hears that the response is cut short. */
   drain(): void {
+    this.isDraining = true;
+    this.last ??= "cut";
     this.cancelTurn?.();
     this.cancelTurn = undefined;
     this.pieces.length = 0;
     this.heldBytes = -Infinity;
     this.resume();
+    this.wake();
   }
 
   /** Makes the back end wait for a turn among all that is received over the link. */
--- /dev/null
+++ b/test/door/backEndDeadline.test.ts
@@ -0,0 +1,76 @@
+import { createServer, type Socket } from "node:net";
+import { afterEach, expect, test } from "vitest";
+import { BackEnds, type Opened } from "../../src/door/backEnds.js";
+import { Clock } from "../../src/runtime/clock.js";
+import { Task } from "../../src/runtime/task.js";
+
+const clock = Clock.real();
+const closing: Array<() => void> = [];
+afterEach(() => {
+  for (const close of closing.splice(0)) close();
+});
+
+/** A back end that hands each connection's first bytes to a test. */
+const backEnd = async (act: (socket: Socket) => void): Promise<string> => {
+  const server = createServer((socket) => {
+    socket.on("error", () => undefined);
+    socket.once("data", () => act(socket));
+    closing.push(() => socket.destroy());
+  });
+  await new Promise<void>((done) => server.listen(0, "127.0.0.1", done));
+  closing.push(() => server.close());
+  const bound = server.address();
+  if (bound === null || typeof bound !== "object") throw new Error("The port has no number.");
+  return `127.0.0.1:${bound.port}`;
+};
+
+const run = <T>(task: Task<T>): Promise<T> =>
+  new Promise((done, fail) => Task.start(task, fail, done));
+
+const send = (address: string, forMs: number): Promise<Opened> => {
+  const backEnds = BackEnds.http(clock, { proof: "request" });
+  closing.push(() => backEnds.close());
+  return run(
+    backEnds.send({
+      address,
+      service: "any",
+      pool: "any",
+      job: { method: "GET", path: "/", headers: {}, body: new Uint8Array() },
+      untilMs: clock.nowMs() + forMs,
+      mayStill: () => true,
+    }),
+  );
+};
+
+/** Reads a response to its end. */
+const read = function* (opened: Opened): Task<string> {
+  if (typeof opened === "string") return opened;
+  let text = "";
+  for (;;) {
+    const piece = yield* opened.next();
+    if (typeof piece === "string") return `${text} ${piece}`;
+    text += Buffer.from(piece).toString();
+  }
+};
+
+const chunkedHead = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+
+test("a body that its reader takes up only after the deadline is cut short, never whole with a hole in it", async () => {
+  const address = await backEnd((socket) => {
+    socket.write(`${chunkedHead}5\r\nfirst\r\n`);
+    setTimeout(() => socket.write("6\r\nsecond\r\n0\r\n\r\n"), 200);
+  });
+  const opened = await send(address, 150);
+  expect(typeof opened).toBe("object");
+  await run(Clock.rest(clock, 300));
+  expect(await run(read(opened))).toMatch(/cut$/);
+});
+
+test("a reader that waits for the rest of a body hears at the deadline that it is cut", async () => {
+  const address = await backEnd((socket) => {
+    socket.write(`${chunkedHead}5\r\nfirst\r\n`);
+  });
+  const startedMs = clock.nowMs();
+  expect(await run(read(await send(address, 150)))).toBe("first cut");
+  expect(clock.nowMs() - startedMs).toBeLessThan(300);
+});
