A lapsed lease is served by only on evidence that the core is not settled

Cause: with staleMs set, any lapse was taken for an unsettled core, also one brought by an overloaded leader, a full link or a majority that members lost by themselves; edges went on by a configuration 4.5 s old while the bound held.

Change: serving under a lapsed lease takes connections to half of the members or more that failed or went silent within the bound of contact (door/lapsedLease); late polls, and one member of three that is gone, are no evidence. The bound staleMs stays. Links remember when a connection to a peer last failed.

Ruled out: members that answer that nobody leads as evidence. A majority lost by our own members looks the same.

Tests: door/lapsedLease, link/link.

--- a/src/door/door.ts
+++ b/src/door/door.ts
@@ -17,6 +17,7 @@
 import type { Dialect } from "./dialect.js";
 import { Job, type Caller } from "./job.js";
 import { Keys, type Claim } from "./keys.js";
+import type { LapsedLease } from "./lapsedLease.js";
 import { endingOf, maySendOn, outcomeOf, type FailureCause } from "./outcomeTable.js";
 import { Ending, Return, type Verdict } from "./verdict.js";
 
@@ -131,8 +132,8 @@
   readonly shares: LoadBalancer;
   readonly incarnation: string;
   readonly dialect: Dialect;
-  /** How long requests that may be repeated are still served by a view whose lease is over. */
-  readonly staleMs: number;
+  /** Whether requests that may be repeated are still served by a view whose lease is over. */
+  readonly lapsedLease: LapsedLease;
   /** The link by which requests leave. */
   readonly egress: LinkPacer;
 }
@@ -148,7 +149,7 @@
   private readonly keys: Keys;
   private readonly incarnation: string;
   private readonly dialect: Dialect;
-  private readonly staleMs: number;
+  private readonly lapsedLease: LapsedLease;
   private readonly egress: LinkPacer;
   private readonly bulk: BulkAdmission;
   private readonly log: PartLog;
@@ -179,7 +180,7 @@
     this.shares = shares;
     this.incarnation = incarnation;
     this.dialect = dialect;
-    this.staleMs = parts.staleMs;
+    this.lapsedLease = parts.lapsedLease;
     this.egress = parts.egress;
     this.bulk = new BulkAdmission(parts.egress, wholeBytes);
     this.keys = new Keys(world, ferry, incarnation, dialect.tellsParts ? after.led : undefined);
@@ -295,7 +296,8 @@
   /** Whether there is a view by which requests may be looked at, if only those that may be repeated. */
   private get hasView(): boolean {
     return (
-      this.view.configSequence > 0 && (this.view.isGranted || this.view.lapsedMs < this.staleMs)
+      this.view.configSequence > 0 &&
+      (this.view.isGranted || this.lapsedLease.allows(this.view.lapsedMs))
     );
   }
 
@@ -386,7 +388,7 @@
   /** Whether this daemon's view lets a request be sent on: it must hold until the request can have left the link. */
   private mayServe(mapping: Mapping): boolean {
     const leftMs = this.view.leaseLeftMs - this.egress.queueMs;
-    return leftMs > 0 || (mapping.repeatable && -leftMs < this.staleMs);
+    return leftMs > 0 || (mapping.repeatable && this.lapsedLease.allows(-leftMs));
   }
 
   /** Whether a response of the route's usual size can still leave in time. A first try is refused while its caller can have another. */
--- a/src/link/link.ts
+++ b/src/link/link.ts
@@ -16,6 +16,8 @@
   readonly outgoing: Holding<Uint8Array>;
   readonly waiting: Map<number, (body: Uint8Array | undefined) => void>;
   heardMs: number;
+  /** When a connection to it last failed or went silent. */
+  failedMs: number;
   /** The frames that are tried on this peer: the newest, until it turns them down. */
   sequence: number;
   channel: Channel | undefined;
@@ -98,8 +100,10 @@
         peer.channel &&
         peer.heardMs < sentMs &&
         this.world.clock.nowMs() - peer.heardMs > silentMs
-      )
+      ) {
+        peer.failedMs = this.world.clock.nowMs();
         peer.channel.close();
+      }
       return undefined;
     }
     try {
@@ -115,6 +119,11 @@
     return (this.peers.get(address)?.heardMs ?? -Infinity) >= sinceMs;
   }
 
+  /** Whether a connection to a peer failed or went silent since a moment. */
+  hasFailed(address: string, sinceMs: number): boolean {
+    return (this.peers.get(address)?.failedMs ?? -Infinity) >= sinceMs;
+  }
+
   private peer(address: string): Peer {
     const known = this.peers.get(address);
     if (known) return known;
@@ -123,6 +132,7 @@
       outgoing: new Holding(),
       waiting: new Map(),
       heardMs: -Infinity,
+      failedMs: -Infinity,
       sequence: this.newest,
       channel: undefined,
     };
@@ -147,7 +157,7 @@
             peer.sequence === this.newest ? Math.max(0, this.newest - 1) : this.newest;
         peer.channel = undefined;
         channel.close();
-      }
+      } else peer.failedMs = this.world.clock.nowMs();
       peer.outgoing.drain();
       for (const done of [...peer.waiting.values()]) done(undefined);
       yield* Clock.rest(this.world.clock, backOffMs);
--- a/src/machine/daemon.ts
+++ b/src/machine/daemon.ts
@@ -7,6 +7,7 @@
 import { Dialect } from "../door/dialect.js";
 import { Door } from "../door/door.js";
 import type { Caller, Job } from "../door/job.js";
+import { LapsedLease } from "../door/lapsedLease.js";
 import type { Return } from "../door/verdict.js";
 import { Kind } from "../link/kind.js";
 import { Link } from "../link/link.js";
@@ -139,7 +140,7 @@
       shares: this.shares,
       incarnation: this.incarnation,
       dialect: options.dialect ?? Dialect.own,
-      staleMs: bounds.figures.staleMs,
+      lapsedLease: this.lapsedLease(),
       egress: pacers.egress,
     });
     if (this.roles.includes("recorder") && world.disk) {
@@ -266,6 +267,17 @@
     return this.edgeCounts.ofService(service);
   }
 
+  private lapsedLease(): LapsedLease {
+    const { ferry, link } = this;
+    const core = {
+      get members() {
+        return ferry.recorders;
+      },
+      hasFailed: (member: string, sinceMs: number) => link.hasFailed(member, sinceMs),
+    };
+    return new LapsedLease(this.world.clock, core, this.bounds.figures);
+  }
+
   private machine(): Machine {
     const { machine, zone, peers } = this.settings;
     return {
--- /dev/null
+++ b/test/door/lapsedLease.test.ts
@@ -0,0 +1,51 @@
+import { expect, test } from "vitest";
+import { LapsedLease } from "../../src/door/lapsedLease.js";
+import { VirtualClock } from "../../src/rehearsal/virtualClock.js";
+
+const bounds = { staleMs: 5000, contactMs: 3000 };
+
+const stage = (members: readonly string[]) => {
+  const time = new VirtualClock();
+  const failedMs = new Map<string, number>();
+  const lease = new LapsedLease(
+    time.clock(),
+    {
+      members,
+      hasFailed: (member, sinceMs) => (failedMs.get(member) ?? -Infinity) >= sinceMs,
+    },
+    bounds,
+  );
+  const fail = (...failing: readonly string[]): void => {
+    for (const member of failing) failedMs.set(member, time.nowMs());
+  };
+  return { time, lease, fail };
+};
+
+test("late polls alone, or one member of three that is gone, don't let a lapsed lease be served by", () => {
+  const { lease, fail } = stage(["a", "b", "c"]);
+  expect(lease.allows(1)).toBe(false);
+  fail("c");
+  expect(lease.allows(1)).toBe(false);
+});
+
+test("half of the members gone, or all as seen from a machine that is cut off, do so, for staleMs at most", () => {
+  const three = stage(["a", "b", "c"]);
+  three.fail("a", "b");
+  expect(three.lease.allows(1)).toBe(true);
+  expect(three.lease.allows(bounds.staleMs)).toBe(false);
+  const four = stage(["a", "b", "c", "d"]);
+  four.fail("a", "b");
+  expect(four.lease.allows(4999)).toBe(true);
+});
+
+test("a failure is evidence for the time of contact only, and without known members there is none", () => {
+  const { time, lease, fail } = stage(["a", "b", "c"]);
+  fail("a", "b", "c");
+  time.runUntil(2900);
+  expect(lease.allows(1)).toBe(true);
+  time.runUntil(3100);
+  expect(lease.allows(1)).toBe(false);
+  const none = stage([]);
+  none.fail("a");
+  expect(none.lease.allows(1)).toBe(false);
+});
--- a/test/link/link.test.ts
+++ b/test/link/link.test.ts
@@ -1,6 +1,7 @@
 import { expect, test } from "vitest";
 import { Kind } from "../../src/link/kind.js";
 import { Link } from "../../src/link/link.js";
+import { Clock } from "../../src/runtime/clock.js";
 import { Holding } from "../../src/runtime/holding.js";
 import { Task } from "../../src/runtime/task.js";
 import { Draw } from "../../src/rehearsal/draw.js";
@@ -31,7 +32,7 @@
     Task.start(link.listen(), fail);
     return link;
   };
-  const ask = (from: Link, to: Link): boolean | undefined => {
+  const ask = (from: Link, to: { readonly self: string }): boolean | undefined => {
     const returns: Array<boolean | undefined> = [];
     Task.start(from.ask(to.self, Kind.handOver, { term: 7 }, 500), fail, (ret) =>
       returns.push(ret?.taken),
@@ -77,3 +78,21 @@
   expect(one.droppedFrames).toBe(1);
   expect(ask(two, one)).toBe(true);
 });
+
+test("a peer that takes no connection is known to have failed, one that answers late is not", () => {
+  const { time, linkAt, ask } = stage();
+  const asking = linkAt("10.0.0.1:1", 3);
+  const slow = linkAt("10.0.0.2:1", 3);
+  slow.serve(Kind.handOver, function* () {
+    yield* Clock.rest(time.clock(), 700);
+    return { taken: true };
+  });
+  const gone = { self: "10.0.0.9:1" };
+  const sinceMs = time.nowMs();
+  expect(ask(asking, slow)).toBeUndefined();
+  expect(asking.hasFailed(slow.self, sinceMs)).toBe(false);
+  expect(ask(asking, gone)).toBeUndefined();
+  time.runUntil(time.nowMs() + 2000);
+  expect(asking.hasFailed(gone.self, sinceMs)).toBe(true);
+  expect(asking.hasFailed(gone.self, time.nowMs())).toBe(false);
+});
