--- /dev/null
+++ b/src/record/consensus/append.ts
@@ -0,0 +1,125 @@
+import type { Held } from "../../link/link.js";
+import type { Entry, Kind } from "../../link/kind.js";
+import type { LogRecord } from "../store.js";
+import { commitUpTo } from "./commit.js";
+import { follow } from "./follow.js";
+import { rightsOf } from "./rights.js";
+import { withMembersIn, withMembersOfLog, type ConsensusState, type Facts } from "./state.js";
+
+/** Entries from a leader, or none as a heartbeat. */
+export type AppendRequest = Held<typeof Kind.append.ask>;
+
+/** The answer to entries or a heartbeat. */
+export type AppendReply = Held<typeof Kind.append.return>;
+
+/** What is to be acknowledged once it is on disk, and the term and log that it holds under. */
+export interface PendingAcknowledgment {
+  readonly term: number;
+  readonly cuts: number;
+  readonly counts: boolean;
+  readonly matched: number;
+}
+
+/** What a member does on entries: it refuses at once, or writes the records and acknowledges after the sync. */
+export type AppendDecision =
+  | { readonly kind: "refuse"; readonly state: ConsensusState; readonly reply: AppendReply }
+  | {
+      readonly kind: "accept";
+      readonly state: ConsensusState;
+      readonly records: readonly LogRecord[];
+      /** Whether something of what is acknowledged is not on disk yet. */
+      readonly mustSync: boolean;
+      readonly pending: PendingAcknowledgment;
+    };
+
+const refused = (term: number): AppendReply => ({ term, fits: false, counts: false, matched: 0 });
+
+/** The log with a leader's entries in it: a conflicting tail goes first. */
+const merge = (
+  former: ConsensusState,
+  entries: readonly Entry[],
+  { rules }: Facts,
+): { state: ConsensusState; records: LogRecord[] } => {
+  let state = former;
+  const records: LogRecord[] = [];
+  for (const entry of entries) {
+    if (entry.index <= state.log.baseIndex) continue;
+    const known = state.log.termAt(entry.index);
+    if (known === entry.term) continue;
+    if (known !== undefined) {
+      if (!rules.truncateConflicts) continue;
+      const log = state.log.before(entry.index);
+      state = withMembersOfLog({
+        ...state,
+        log,
+        syncedIndex: Math.min(state.syncedIndex, log.lastIndex),
+        cuts: state.cuts + 1,
+      });
+      records.push({ kind: "cut", index: entry.index });
+    }
+    state = withMembersIn({ ...state, log: state.log.plus([entry]) }, [entry]);
+    records.push({ kind: "entry", ...entry });
+  }
+  return { state, records };
+};
+
+/** Which entries of a leader this member takes. */
+export const decideAppend = (
+  former: ConsensusState,
+  request: AppendRequest,
+  facts: Facts,
+): AppendDecision => {
+  const { rules } = facts;
+  if (request.term < former.term && rules.refuseOldTerms)
+    return { kind: "refuse", state: former, reply: refused(former.term) };
+  const newTerm: LogRecord[] =
+    request.term > former.term ? [{ kind: "vote", term: request.term, text: "" }] : [];
+  const following = follow(former, request.term, request.leader, facts.nowMs);
+  const { term, log } = following;
+  const isKnown =
+    request.previousIndex < log.baseIndex ||
+    (rules.checkPreviousTerm
+      ? log.termAt(request.previousIndex) === request.previousTerm
+      : request.previousIndex <= log.lastIndex);
+  if (!isKnown) {
+    const matched = Math.min(log.lastIndex, request.previousIndex - 1);
+    return { kind: "refuse", state: following, reply: { ...refused(term), matched } };
+  }
+  const { state, records } = merge(following, request.entries, facts);
+  const matched = Math.max(
+    request.previousIndex,
+    state.log.baseIndex,
+    request.entries.at(-1)?.index ?? 0,
+  );
+  const allRecords = [...newTerm, ...records];
+  return {
+    kind: "accept",
+    state: commitUpTo(state, Math.min(request.committed, matched)),
+    records: allRecords,
+    mustSync: allRecords.length > 0 || state.syncedIndex < matched,
+    pending: { term, cuts: state.cuts, counts: rightsOf(following, facts).countForCommit, matched },
+  };
+};
+
+/** Whether what was written under a term and a log is still true under the present ones. */
+export const stillHolds = (
+  state: ConsensusState,
+  pending: PendingAcknowledgment,
+  { rules }: Pick<Facts, "rules">,
+): boolean =>
+  !rules.acknowledgeOnlyUnderSameTerm ||
+  (state.term === pending.term && state.cuts === pending.cuts);
+
+/** Acknowledges entries that are on disk, unless the term or the log moved on meanwhile. */
+export const acknowledgeAppend = (
+  state: ConsensusState,
+  pending: PendingAcknowledgment,
+  facts: Pick<Facts, "rules">,
+): { readonly state: ConsensusState; readonly reply: AppendReply } => {
+  const { term, counts, matched } = pending;
+  if (!stillHolds(state, pending, facts)) return { state, reply: refused(state.term) };
+  return {
+    state: { ...state, syncedIndex: Math.max(state.syncedIndex, matched) },
+    reply: { term, fits: true, counts, matched },
+  };
+};
--- /dev/null
+++ b/src/record/consensus/commit.ts
@@ -0,0 +1,73 @@
+import { reachedByMajority } from "./quorum.js";
+import type { ConsensusState, Facts } from "./state.js";
+
+/** The state with all entries up to an index committed, as far as the log goes. */
+export const commitUpTo = (state: ConsensusState, index: number): ConsensusState => {
+  const committedIndex = Math.max(state.committedIndex, Math.min(index, state.log.lastIndex));
+  return committedIndex === state.committedIndex ? state : { ...state, committedIndex };
+};
+
+/** Up to where each member holds the leader's log on disk, as far as the leader knows. */
+const heldBy = (state: ConsensusState, member: string): number =>
+  member === state.self ? state.syncedIndex : (state.matched.get(member) ?? 0);
+
+/**
+ * What a leader commits: entries that a majority of the voters has on disk, and only by an entry of its own term. An
+ * older entry may be on a majority and still be replaced by a leader whose log is longer in a later term.
+ */
+export const advanceCommit = (
+  state: ConsensusState,
+  { rules }: Pick<Facts, "rules">,
+): ConsensusState => {
+  const { members } = state;
+  const counted = rules.countOnlyVoters ? members.voters : [...members.voters, ...members.learners];
+  const index = reachedByMajority(members, (member) => heldBy(state, member), counted) ?? 0;
+  if (index <= state.committedIndex) return state;
+  const isOwnTerm = state.log.termAt(index) === state.term;
+  return isOwnTerm || !rules.commitOnlyOwnTerm ? commitUpTo(state, index) : state;
+};
+
+/** A leader's own entries are on disk up to an index. */
+export const ownEntriesSynced = (
+  state: ConsensusState,
+  term: number,
+  index: number,
+  facts: Pick<Facts, "rules">,
+): ConsensusState => {
+  if (state.role !== "leader" || state.term !== term) return state;
+  const syncedIndex = Math.max(state.syncedIndex, index);
+  return advanceCommit({ ...state, syncedIndex }, facts);
+};
+
+/** What a member acknowledged to the leader of a term. */
+export interface Acknowledgment {
+  readonly peer: string;
+  readonly term: number;
+  /** When the request that this answers was sent, on the leader's clock. */
+  readonly sentMs: number;
+  readonly matched: number;
+  /** Whether the member counts, which it doesn't while it rejoins. */
+  readonly counts: boolean;
+}
+
+/** Notes an acknowledgment, for what is committed and for the lease. */
+export const noteAcknowledgment = (
+  state: ConsensusState,
+  acknowledgment: Acknowledgment,
+  { rules, nowMs }: Pick<Facts, "rules" | "nowMs">,
+): ConsensusState => {
+  const { peer, term, matched, counts } = acknowledgment;
+  if (state.role !== "leader" || state.term !== term) return state;
+  if (!counts) return advanceCommit(state, { rules });
+  const sentMs = rules.leaseFromSending ? acknowledgment.sentMs : nowMs;
+  const matchedSoFar = state.matched.get(peer) ?? 0;
+  const sentSoFar = state.ackedSentMs.get(peer) ?? Number.NEGATIVE_INFINITY;
+  return advanceCommit(
+    {
+      ...state,
+      matched: new Map(state.matched).set(peer, Math.max(matchedSoFar, matched)),
+      ackedSentMs: new Map(state.ackedSentMs).set(peer, Math.max(sentSoFar, sentMs)),
+    },
+    { rules },
+  );
+};
--- /dev/null
+++ b/src/record/consensus/election.ts
@@ -0,0 +1,79 @@
+import type { LogRecord } from "../store.js";
+import { rightsOf } from "./rights.js";
+import type { ConsensusState, Facts } from "./state.js";
+import type { VoteRequest } from "./vote.js";
+
+/** What a member does that has heard no leader for its election wait: it stands, where it may. */
+export const onElectionWaitOver = (state: ConsensusState, facts: Facts): ConsensusState => ({
+  ...state,
+  knownLeader: "",
+  role: rightsOf(state, facts).stand ? "preCandidate" : state.role,
+});
+
+const requestOf = (
+  state: ConsensusState,
+  term: number,
+  isPreVote: boolean,
+  handOver: boolean,
+): VoteRequest => ({
+  isPreVote,
+  term,
+  candidate: state.self,
+  lastIndex: state.log.lastIndex,
+  lastTerm: state.log.lastTerm,
+  handOver,
+});
+
+/** Asks who would give its vote, without a new term: a member that was cut off must not unseat a leader by coming back. */
+export const startPreVote = (
+  state: ConsensusState,
+): { readonly state: ConsensusState; readonly request: VoteRequest } => ({
+  state: { ...state, votes: new Set(), isHandedOver: false },
+  request: requestOf(state, state.term + 1, true, false),
+});
+
+/** A candidate's new term and vote for itself; the request goes out once the records are on disk. */
+export interface Campaign {
+  readonly state: ConsensusState;
+  readonly records: readonly LogRecord[];
+  readonly request: VoteRequest;
+}
+
+/** Stands in a new term. */
+export const startCampaign = (former: ConsensusState): Campaign => {
+  const term = former.term + 1;
+  const state: ConsensusState = {
+    ...former,
+    term,
+    votedFor: former.self,
+    votes: new Set(),
+    knownLeader: "",
+    isHandedOver: false,
+  };
+  return {
+    state,
+    records: [{ kind: "vote", term, text: state.self }],
+    request: requestOf(state, term, false, former.isHandedOver),
+  };
+};
+
+/** Whether a candidate whose own vote is synced by now still stands in that term. */
+export const stillStands = (state: ConsensusState, term: number): boolean =>
+  state.role === "candidate" && state.term === term;
+
+/** An election that brought no majority in its time: the member waits for its next turn, and may vote at once. */
+export const giveUpElection = (state: ConsensusState, { nowMs, waits }: Facts): ConsensusState => ({
+  ...state,
+  role: "follower",
+  heardLeaderMs: nowMs - waits.electionMinMs,
+});
+
+/** Takes the lead that the leader of this term hands over, unless this member can't. */
+export const takeHandOver = (
+  state: ConsensusState,
+  term: number,
+  facts: Facts,
+): ConsensusState | undefined =>
+  term === state.term && state.role === "follower" && rightsOf(state, facts).stand
+    ? { ...state, role: "candidate", isHandedOver: true }
+    : undefined;
--- /dev/null
+++ b/src/record/consensus/follow.ts
@@ -0,0 +1,20 @@
+import type { ConsensusState } from "./state.js";
+
+/** The state of a member that follows in a term, under a leader or under none that is known. */
+export const follow = (
+  state: ConsensusState,
+  term: number,
+  leader: string,
+  nowMs: number,
+): ConsensusState => {
+  const hears = leader !== "" || state.role === "leader";
+  return {
+    ...state,
+    term: Math.max(term, state.term),
+    votedFor: term > state.term ? "" : state.votedFor,
+    role: "follower",
+    knownLeader: leader,
+    heardLeaderMs: hears ? nowMs : state.heardLeaderMs,
+    heardAppendMs: hears ? nowMs : state.heardAppendMs,
+  };
+};
--- /dev/null
+++ b/src/record/consensus/leadership.ts
@@ -0,0 +1,55 @@
+import type { Entry } from "../../link/kind.js";
+import type { LogRecord } from "../store.js";
+import { leaseUntilMs } from "./lease.js";
+import { withMembersIn, type ConsensusState, type Facts } from "./state.js";
+
+/** Whether this member leads in a term. */
+export const isLeading = (state: ConsensusState, term: number): boolean =>
+  state.role === "leader" && state.term === term;
+
+/** The state of a member that was just elected. */
+export const beginLeading = (state: ConsensusState): ConsensusState => ({
+  ...state,
+  knownLeader: state.self,
+  matched: new Map(),
+  ackedSentMs: new Map(),
+  leadingSinceIndex: state.log.lastIndex + 1,
+});
+
+/** The entry with which a leader begins its term: once it is committed, all before it are. */
+export const leadsText = (state: ConsensusState): string =>
+  JSON.stringify({ kind: "leads", machine: state.self, term: state.term });
+
+/** A leader's new entries, which are to be written and sent. */
+export interface OwnEntries {
+  readonly state: ConsensusState;
+  readonly entries: readonly Entry[];
+  readonly records: readonly LogRecord[];
+}
+
+/** Adds entries to a leader's own log. */
+export const addOwnEntries = (former: ConsensusState, texts: readonly string[]): OwnEntries => {
+  const { term, log } = former;
+  const first = log.lastIndex + 1;
+  const entries = texts.map((text, at) => ({ index: first + at, term, text }));
+  const state = withMembersIn({ ...former, log: log.plus(entries) }, entries);
+  return { state, entries, records: entries.map((entry) => ({ kind: "entry", ...entry })) };
+};
+
+/** Why a leader must step down now, if it must. */
+export const whyStepDown = (
+  state: ConsensusState,
+  leadingSinceMs: number,
+  facts: Facts,
+): "notVoter" | "noContact" | undefined => {
+  if (!state.members.voters.includes(state.self) && state.committedIndex >= state.membersIndex)
+    return "notVoter";
+  const contactMs = Math.max(leaseUntilMs(state, facts), leadingSinceMs);
+  return facts.nowMs > contactMs + 2 * facts.waits.electionMaxMs ? "noContact" : undefined;
+};
+
+/** To whom a leader hands over: the voter whose log is the furthest, of those that have acknowledged anything. */
+export const heirOf = (state: ConsensusState): string | undefined =>
+  state.members.voters
+    .filter((voter) => voter !== state.self && state.ackedSentMs.has(voter))
+    .sort((a, b) => (state.matched.get(b) ?? 0) - (state.matched.get(a) ?? 0))[0];
--- /dev/null
+++ b/src/record/consensus/replication.ts
@@ -0,0 +1,62 @@
+import type { Entry } from "../../link/kind.js";
+import type { AppendReply, AppendRequest } from "./append.js";
+import type { ConsensusState } from "./state.js";
+
+/** What a leader knows about where another member's log meets its own. */
+export interface Progress {
+  /** The next entry to send. */
+  readonly next: number;
+  /** Whether the member is known to hold all before it. */
+  readonly isSure: boolean;
+}
+
+/** Where a leader begins with a member it knows nothing about. */
+export const initialProgress = ({ log }: ConsensusState): Progress => ({
+  next: log.lastIndex,
+  isSure: false,
+});
+
+/** Whether a member is so far behind that the log doesn't reach back to it. */
+export const needsSnapshot = ({ log }: ConsensusState, { next }: Progress): boolean =>
+  next <= log.baseIndex;
+
+/** What one request of entries carries at most, unless a single entry is larger. */
+export interface BatchLimit {
+  readonly entries: number;
+  readonly bytes: number;
+}
+
+/** How many entries from the first on stay within a limit; at least one. */
+export const countWithin = (entries: Iterable<Entry>, limit: BatchLimit): number => {
+  let count = 0;
+  let heldBytes = 0;
+  for (const { text } of entries) {
+    heldBytes += text.length;
+    if (count > 0 && (count >= limit.entries || heldBytes > limit.bytes)) break;
+    count += 1;
+  }
+  return count;
+};
+
+/** What a leader sends a member next: entries once their logs are known to meet, else a heartbeat that asks whether they do. */
+export const appendRequestFor = (
+  state: ConsensusState,
+  { next, isSure }: Progress,
+  limit: BatchLimit,
+): AppendRequest => {
+  const following = isSure ? state.log.entriesFrom(next, limit.entries) : [];
+  return {
+    term: state.term,
+    leader: state.self,
+    previousIndex: next - 1,
+    previousTerm: state.log.termAt(next - 1) ?? 0,
+    committed: state.committedIndex,
+    entries: following.slice(0, countWithin(following, limit)),
+  };
+};
+
+/** What a leader knows after an answer of its own term. */
+export const progressAfter = ({ next }: Progress, { fits, matched }: AppendReply): Progress => ({
+  isSure: fits,
+  next: fits ? Math.max(next, matched + 1) : Math.max(0, Math.min(next - 1, matched + 1)),
+});
--- /dev/null
+++ b/src/record/consensus/rights.ts
@@ -0,0 +1,29 @@
+import { memberRights, type MemberRights, type MemberState } from "../memberRights.js";
+import { hasLease } from "./lease.js";
+import type { ConsensusState, Facts } from "./state.js";
+
+/** Whether this member leads, or heard a leader so lately that it may still answer under its lease. */
+const isBoundToLeader = (state: ConsensusState, { nowMs, waits, rules }: Facts): boolean =>
+  rules.refuseVoteWhileLeaderIsHeard &&
+  (state.role === "leader" || nowMs - state.heardLeaderMs < waits.electionMinMs);
+
+/** What this member may do now, by how whole it is. */
+export const rightsOf = (state: ConsensusState, facts: Facts): MemberRights => {
+  const { rules } = facts;
+  const member: MemberState = {
+    stage: facts.stage,
+    isRejoining: state.rejoinNonce !== "",
+    hasHistory: facts.hasHistory,
+    isNamedVoter: state.members.voters.includes(state.self),
+    isLeader: state.role === "leader",
+    isDiskWell: facts.isDiskWell,
+    isBoundToLeader: isBoundToLeader(state, facts),
+    hasLease: hasLease(state, facts),
+  };
+  const rights = memberRights(member);
+  if (rules.voteOnlyWhenWhole && rules.countOnlyWhenWhole) return rights;
+  const asWhole = memberRights({ ...member, isRejoining: false });
+  return rules.countOnlyWhenWhole
+    ? { ...asWhole, countForCommit: rights.countForCommit }
+    : { ...rights, countForCommit: asWhole.countForCommit };
+};
--- /dev/null
+++ b/src/record/consensus/snapshot.ts
@@ -0,0 +1,94 @@
+import type { Entry } from "../../link/kind.js";
+import type { Members } from "../members.js";
+import { stillHolds, type PendingAcknowledgment } from "./append.js";
+import { follow } from "./follow.js";
+import { ReplicatedLog } from "./replicatedLog.js";
+import { rightsOf } from "./rights.js";
+import { membersAt, withMembersOfLog, type ConsensusState, type Facts } from "./state.js";
+
+/** Which snapshot a leader offers. */
+export interface SnapshotOffer {
+  readonly term: number;
+  readonly leader: string;
+  readonly lastIndex: number;
+  readonly lastTerm: number;
+}
+
+/** The answer to a snapshot. */
+export interface SnapshotReply {
+  readonly term: number;
+  readonly counts: boolean;
+  readonly matched: number;
+}
+
+/** What a member does on a snapshot: it answers at once, or installs it and acknowledges after the sync. */
+export type SnapshotDecision =
+  | { readonly kind: "answer"; readonly state: ConsensusState; readonly reply: SnapshotReply }
+  | {
+      readonly kind: "install";
+      /** The state before the snapshot is in it. */
+      readonly state: ConsensusState;
+      readonly counts: boolean;
+      /** The entries after the snapshot that stay. */
+      readonly entries: readonly Entry[];
+    };
+
+/** Whether a member takes a leader's snapshot. */
+export const decideSnapshot = (
+  former: ConsensusState,
+  offer: SnapshotOffer,
+  facts: Facts,
+): SnapshotDecision => {
+  if (offer.term < former.term && facts.rules.refuseOldTerms) {
+    const reply = { term: former.term, counts: false, matched: 0 };
+    return { kind: "answer", state: former, reply };
+  }
+  const state = follow(former, offer.term, offer.leader, facts.nowMs);
+  const counts = rightsOf(state, facts).countForCommit;
+  if (offer.lastIndex <= state.committedIndex) {
+    const reply = { term: state.term, counts, matched: state.committedIndex };
+    return { kind: "answer", state, reply };
+  }
+  const fits = state.log.termAt(offer.lastIndex) === offer.lastTerm;
+  const entries = fits ? state.log.entriesFrom(offer.lastIndex + 1) : [];
+  return { kind: "install", state, counts, entries };
+};
+
+/** The state with a snapshot in it, of which nothing is on disk yet. */
+export const installSnapshot = (
+  state: ConsensusState,
+  { lastIndex, lastTerm }: SnapshotOffer,
+  members: Members,
+  entries: readonly Entry[],
+): ConsensusState =>
+  withMembersOfLog({
+    ...state,
+    log: ReplicatedLog.of(lastIndex, lastTerm, entries),
+    baseMembers: members,
+    committedIndex: lastIndex,
+    syncedIndex: 0,
+    cuts: state.cuts + 1,
+  });
+
+/** Acknowledges a snapshot that is on disk, unless the term or the log moved on meanwhile. */
+export const acknowledgeSnapshot = (
+  state: ConsensusState,
+  pending: PendingAcknowledgment,
+  heldIndex: number,
+  facts: Pick<Facts, "rules">,
+): { readonly state: ConsensusState; readonly reply: SnapshotReply } => {
+  const { term, counts, matched } = pending;
+  if (!stillHolds(state, pending, facts))
+    return { state, reply: { term: state.term, counts: false, matched: 0 } };
+  return {
+    state: { ...state, syncedIndex: Math.max(state.syncedIndex, heldIndex) },
+    reply: { term, counts, matched },
+  };
+};
+
+/** The state with its log's base moved up to an index that is in a snapshot on disk. */
+export const compactLog = (state: ConsensusState, index: number): ConsensusState => ({
+  ...state,
+  log: state.log.compactedTo(index),
+  baseMembers: membersAt(state, index),
+});
--- /dev/null
+++ b/src/record/consensus/state.ts
@@ -0,0 +1,155 @@
+import type { Entry } from "../../link/kind.js";
+import type { MemberStage } from "../memberRights.js";
+import { Members } from "../members.js";
+import { ReplicatedLog } from "./replicatedLog.js";
+import type { SafetyRules } from "./safetyRules.js";
+
+/** What a member does in the agreement now. */
+export type Role = "follower" | "preCandidate" | "candidate" | "leader";
+
+/** All that the decisions of the agreement know about one member. A value never changes; decisions give a new one. */
+export interface ConsensusState {
+  readonly self: string;
+  readonly role: Role;
+  readonly term: number;
+  /** Whom this member gave its vote in this term, or an empty text. */
+  readonly votedFor: string;
+  readonly log: ReplicatedLog;
+  /** The members as of the log's base. */
+  readonly baseMembers: Members;
+  /** The members as of the log's end: a change counts from when it is in the log. */
+  readonly members: Members;
+  readonly membersIndex: number;
+  readonly committedIndex: number;
+  /** Up to where the log is known to be on disk. */
+  readonly syncedIndex: number;
+  /** How often the log was cut or replaced; tells writes apart that began before from those after. */
+  readonly cuts: number;
+  /** The mark that must be committed before this member counts again after its disk was lost, or an empty text. */
+  readonly rejoinNonce: string;
+  readonly knownLeader: string;
+  /** When this member last heard a leader, gave a vote or started. */
+  readonly heardLeaderMs: number;
+  /** When a leader last sent this member entries, a heartbeat or a snapshot, or this one led. */
+  readonly heardAppendMs: number;
+  /** Who gave its vote in the election under way. */
+  readonly votes: ReadonlySet<string>;
+  /** Whether the election under way was asked for by the former leader. */
+  readonly isHandedOver: boolean;
+  /** The first entry of this leader's own term. */
+  readonly leadingSinceIndex: number;
+  /** Up to where each other member has acknowledged this leader's log. */
+  readonly matched: ReadonlyMap<string, number>;
+  /** When the newest heartbeat that each other member acknowledged was sent. */
+  readonly ackedSentMs: ReadonlyMap<string, number>;
+}
+
+/** The waits by which members elect, on a monotonic clock. */
+export interface ElectionWaits {
+  readonly heartbeatMs: number;
+  readonly electionMinMs: number;
+  readonly electionMaxMs: number;
+  /** How long a majority's acknowledgment lets the leader answer; shorter than the shortest election wait. */
+  readonly leaderGrantMs: number;
+}
+
+/** What a decision may know beside the state. */
+export interface Facts {
+  readonly nowMs: number;
+  readonly waits: ElectionWaits;
+  readonly rules: SafetyRules;
+  /** How far this member's own storage is part of a formed log. */
+  readonly stage: MemberStage;
+  /** Whether the configurations that a snapshot doesn't carry are all kept here. */
+  readonly hasHistory: boolean;
+  /** Whether the disk takes writes, and they don't wait too long. */
+  readonly isDiskWell: boolean;
+}
+
+/** What a member that has just started knows from its disk. */
+export interface PersistedState {
+  readonly term: number;
+  readonly votedFor: string;
+  readonly rejoinNonce: string;
+  readonly lastIndex: number;
+  readonly lastTerm: number;
+  readonly members: Members;
+  readonly entries: readonly Entry[];
+}
+
+const nobody: Members = { voters: [], learners: [] };
+
+/** The state with the members that its log sets. */
+export const withMembersOfLog = (state: ConsensusState): ConsensusState => {
+  const { log, baseMembers } = state;
+  return withMembersIn(
+    { ...state, members: baseMembers, membersIndex: log.baseIndex },
+    log.entriesFrom(log.baseIndex + 1),
+  );
+};
+
+/** The state with the members that entries added at the log's end set. */
+export const withMembersIn = (state: ConsensusState, entries: readonly Entry[]): ConsensusState => {
+  let { members, membersIndex } = state;
+  for (const entry of entries) {
+    const set = Members.in(entry.text);
+    if (set === undefined) continue;
+    members = set;
+    membersIndex = entry.index;
+  }
+  return membersIndex === state.membersIndex ? state : { ...state, members, membersIndex };
+};
+
+/** The members as of an index of the log. */
+export const membersAt = ({ log, baseMembers }: ConsensusState, index: number): Members => {
+  let members = baseMembers;
+  for (const entry of log.entriesFrom(log.baseIndex + 1, index - log.baseIndex))
+    members = Members.in(entry.text) ?? members;
+  return members;
+};
+
+/** A member that knows nothing yet. */
+export const initialState = (self: string, nowMs: number): ConsensusState => ({
+  self,
+  role: "follower",
+  term: 0,
+  votedFor: "",
+  log: ReplicatedLog.of(0, 0),
+  baseMembers: nobody,
+  members: nobody,
+  membersIndex: 0,
+  committedIndex: 0,
+  syncedIndex: 0,
+  cuts: 0,
+  rejoinNonce: "",
+  knownLeader: "",
+  heardLeaderMs: nowMs,
+  heardAppendMs: nowMs,
+  votes: new Set(),
+  isHandedOver: false,
+  leadingSinceIndex: 0,
+  matched: new Map(),
+  ackedSentMs: new Map(),
+});
+
+/** The state once what the disk holds, or what was formed or is to be rejoined, is taken over. */
+export const restoredState = (state: ConsensusState, persisted: PersistedState): ConsensusState => {
+  const log = ReplicatedLog.of(persisted.lastIndex, persisted.lastTerm, persisted.entries);
+  return withMembersOfLog({
+    ...state,
+    term: persisted.term,
+    votedFor: persisted.votedFor,
+    rejoinNonce: persisted.rejoinNonce,
+    log,
+    baseMembers: persisted.members,
+    committedIndex: persisted.lastIndex,
+    syncedIndex: log.lastIndex,
+  });
+};
+
+/** When a member that has just started takes its last leader to have been heard. */
+export const restartedAt = (state: ConsensusState, facts: Facts): ConsensusState => ({
+  ...state,
+  heardAppendMs: facts.nowMs,
+  heardLeaderMs: facts.rules.waitBeforeVotingAfterRestart ? facts.nowMs : Number.NEGATIVE_INFINITY,
+});
--- a/src/record/recorder.ts
+++ b/src/record/recorder.ts
@@ -1,20 +1,75 @@
-import { create, enums, object, string } from "superstruct";
 import { Clock } from "../runtime/clock.js";
 import { Holding } from "../runtime/holding.js";
 import type { PartLog } from "../runtime/logbook.js";
 import { Task } from "../runtime/task.js";
 import { World } from "../runtime/world.js";
-import { Kind, type Entry } from "../link/kind.js";
+import { Kind } from "../link/kind.js";
 import type { Held, Link } from "../link/link.js";
 import type { AcceptedConfig, Book } from "./book.js";
+import {
+  acknowledgeAppend,
+  decideAppend,
+  type AppendReply,
+  type AppendRequest,
+} from "./consensus/append.js";
+import { noteAcknowledgment, ownEntriesSynced, type Acknowledgment } from "./consensus/commit.js";
+import {
+  giveUpElection,
+  onElectionWaitOver,
+  startCampaign,
+  startPreVote,
+  stillStands,
+  takeHandOver,
+} from "./consensus/election.js";
+import { follow } from "./consensus/follow.js";
+import {
+  addOwnEntries,
+  beginLeading,
+  heirOf,
+  isLeading,
+  leadsText,
+  whyStepDown,
+} from "./consensus/leadership.js";
+import { mayChangeMembers, membersText } from "./consensus/membershipChange.js";
+import { endsRejoining, rejoined, rejoinMarkIn } from "./consensus/rejoin.js";
+import {
+  appendRequestFor,
+  countWithin,
+  initialProgress,
+  needsSnapshot,
+  progressAfter,
+} from "./consensus/replication.js";
+import { rightsOf } from "./consensus/rights.js";
+import { safetyRules } from "./consensus/safetyRules.js";
+import {
+  acknowledgeSnapshot,
+  compactLog,
+  decideSnapshot,
+  installSnapshot,
+} from "./consensus/snapshot.js";
+import {
+  initialState,
+  membersAt,
+  restartedAt,
+  restoredState,
+  type ConsensusState,
+  type Facts,
+} from "./consensus/state.js";
+import {
+  countVote,
+  decideVote,
+  type ReceivedVote,
+  type VoteReply,
+  type VoteRequest,
+} from "./consensus/vote.js";
 import { History } from "./history.js";
 import { Joining } from "./joining.js";
 import { Meeting, type Attendance } from "./meeting.js";
-import { memberRights, type MemberRights, type MemberStage } from "./memberRights.js";
-import { Members } from "./members.js";
+import type { MemberRights, MemberStage } from "./memberRights.js";
+import type { Members } from "./members.js";
 import { Membership, type MembershipView } from "./membership.js";
 import { Place } from "./place.js";
-import { Store, type LogRecord, type Standing } from "./store.js";
+import { Store, type Standing } from "./store.js";
 import { Writer } from "./writer.js";
 
 /** The waits by which recorders elect; each is a duration on a monotonic clock. */
@@ -49,21 +104,17 @@
 /** What became of a proposal: committed and applied here, or its fate is unknown. */
 export type Proposed = { index: number; outcome: string } | "notLeader" | "unknown";
 
-type VoteAsk = Held<typeof Kind.vote.ask>;
-type VoteReturn = Held<typeof Kind.vote.return>;
-type AppendAsk = Held<typeof Kind.append.ask>;
-type AppendReturn = Held<typeof Kind.append.return>;
 type CheckpointAsk = Held<typeof Kind.checkpoint.ask>;
 type CheckpointReturn = Held<typeof Kind.checkpoint.return>;
 
 type Command =
-  | { kind: "vote"; ask: VoteAsk; done: (ret: VoteReturn) => void }
-  | { kind: "append"; ask: AppendAsk; done: (ret: AppendReturn) => void }
+  | { kind: "vote"; ask: VoteRequest; done: (ret: VoteReply) => void }
+  | { kind: "append"; ask: AppendRequest; done: (ret: AppendReply) => void }
   | { kind: "checkpoint"; ask: CheckpointAsk; done: (ret: CheckpointReturn) => void }
   | { kind: "handOver"; term: number; done: (taken: boolean) => void }
   | { kind: "propose"; texts: string[]; done: (outcomes: Proposed[]) => void }
-  | { kind: "acked"; peer: string; term: number; sentMs: number; matched: number; counts: boolean }
-  | { kind: "voted"; peer: string; isPreVote: boolean; term: number; ret: VoteReturn }
+  | { kind: "acked"; acknowledgment: Acknowledgment }
+  | { kind: "voted"; received: ReceivedVote }
   | { kind: "written"; term: number; index: number }
   | { kind: "outdated"; term: number }
   | { kind: "learn"; machine: string; done: (known: boolean) => void }
@@ -71,8 +122,6 @@
   | { kind: "rejoined" }
   | { kind: "kept" };
 
-const markShape = object({ kind: enums(["rejoined"]), machine: string(), nonce: string() });
-
 /** Raised when the record in memory contradicts itself; the daemon must not go on. */
 export class RecordError extends Error {}
 
@@ -83,23 +132,6 @@
 /** What is kept of the log behind a checkpoint, for followers that lag a little. */
 const kept = { entries: 2000, bytes: 16 * 1024 * 1024 };
 
-/** How many entries from the first on stay within a bound; at least one. Exported for its test. */
-export const within = (
-  entries: Iterable<Entry>,
-  bound: { entries: number; bytes: number },
-): number => {
-  let count = 0;
-  let heldBytes = 0;
-  for (const { text } of entries) {
-    heldBytes += text.length;
-    if (count > 0 && (count >= bound.entries || heldBytes > bound.bytes)) break;
-    count += 1;
-  }
-  return count;
-};
-
-type Role = "follower" | "preCandidate" | "candidate" | "leader";
-
 /** A recorder: it replicates the record under a leader that a majority elected, and applies it to its book. */
 export class Recorder {
   readonly self: string;
@@ -121,34 +153,14 @@
   /** Set while the disk takes what was formed or is to be rejoined. */
   private isTurning = false;
   private readonly opening = new Holding<true>();
-  private rejoining = "";
-  private role: Role = "follower";
-  private term = 0;
-  private votedFor = "";
-  private entries: Entry[] = [];
-  private baseIndex = 0;
-  private baseTerm = 0;
-  private members: Members;
-  private membersIndex = 0;
-  private baseMembers: Members;
-  private committed = 0;
+  /** What this member knows of the agreement; every decision on it is made in `consensus/`. */
+  private agreed: ConsensusState;
   private applied = 0;
-  private synced = 0;
-  private knownLeader = "";
-  private heardLeaderMs: number;
-  /** When a leader last sent this recorder entries, a heartbeat or a snapshot, or this one led. */
-  private heardAppendMs: number;
-  private leadingSinceIndex = 0;
-  private matched = new Map<string, number>();
-  private ackedSentMs = new Map<string, number>();
-  private votes = new Set<string>();
   private nudges = new Map<string, Holding<true>>();
   /** Machines that asked to learn, until a change of membership may be made. */
   private readonly newLearners: Array<{ machine: string; done: (known: boolean) => void }> = [];
   private promises = new Map<number, { term: number; done: (proposed: Proposed) => void }>();
   private checkpointing = false;
-  private handedOver = false;
-  private cuts = 0;
   private leaderHooks: Array<(leads: boolean) => void> = [];
 
   constructor(
@@ -170,52 +182,37 @@
     this.store = store;
     this.log = world.logbook.part("record");
     this.writer = new Writer(world.clock, store, this.log);
-    this.members = { voters: [], learners: [] };
-    this.baseMembers = this.members;
-    this.heardLeaderMs = world.clock.nowMs();
-    this.heardAppendMs = this.heardLeaderMs;
+    this.agreed = initialState(this.self, world.clock.nowMs());
     meeting.attend(this);
   }
 
   /** The leader as far as this recorder knows, or an empty word. */
   get leader(): string {
-    return this.role === "leader" ? this.self : this.knownLeader;
+    return this.agreed.role === "leader" ? this.self : this.agreed.knownLeader;
   }
 
   /** Whether this recorder may answer for the fleet now. */
   get hasGrant(): boolean {
-    return this.rights.answer;
+    return this.applied >= this.agreed.leadingSinceIndex && this.rights.answer;
   }
 
   /** What this recorder may do now, by how whole it is. */
   get rights(): MemberRights {
-    const nowMs = this.world.clock.nowMs();
-    const isLeader = this.role === "leader";
-    return memberRights({
-      stage: this.isUnborn ? "unborn" : this.state,
-      isRejoining: this.rejoining !== "",
-      hasHistory: this.hasHistory,
-      isNamedVoter: this.members.voters.includes(this.self),
-      isLeader,
-      isDiskWell:
-        this.writer.breakdown === undefined && this.writer.waitingMs <= this.waits.stallMs,
-      isBoundToLeader: isLeader || nowMs - this.heardLeaderMs < this.waits.electionMinMs,
-      hasLease: isLeader && this.applied >= this.leadingSinceIndex && nowMs < this.grantUntilMs(),
-    });
+    return rightsOf(this.agreed, this.facts);
   }
 
   /** How this recorder stands, for status and tests. */
   get status() {
     return {
-      state: this.rejoining || !this.hasHistory ? "rejoining" : this.attendance.state,
-      role: this.role,
-      term: this.term,
+      state: this.nonce !== "" || !this.hasHistory ? "rejoining" : this.attendance.state,
+      role: this.agreed.role,
+      term: this.agreed.term,
       leader: this.leader,
-      committed: this.committed,
+      committed: this.agreed.committedIndex,
       applied: this.applied,
-      lastIndex: this.lastIndex,
-      voters: this.members.voters,
-      learners: this.members.learners,
+      lastIndex: this.agreed.log.lastIndex,
+      voters: this.agreed.members.voters,
+      learners: this.agreed.members.learners,
       disk: this.writer.breakdown ?? "well",
       syncs: this.writer.syncs,
       written: this.writer.written,
@@ -224,16 +221,20 @@
 
   /** The mark that must be committed before this recorder counts again, or an empty word. */
   get nonce(): string {
-    return this.rejoining;
+    return this.agreed.rejoinNonce;
   }
 
   get currentMembers(): Members {
-    return this.members;
+    return this.agreed.members;
   }
 
   /** How this recorder stands when others meet it. */
   get attendance(): Attendance {
-    return { state: this.isUnborn ? "unborn" : this.state, fleet: this.fleet, ...this.baseMembers };
+    return {
+      state: this.isUnborn ? "unborn" : this.state,
+      fleet: this.fleet,
+      ...this.agreed.baseMembers,
+    };
   }
 
   /** Whether the record was formed here, but not yet by all of its voters as far as is known. */
@@ -241,12 +242,25 @@
     return (
       this.state === "formed" &&
       !this.isOpen &&
-      this.term === 0 &&
-      this.lastIndex === 0 &&
-      this.rejoining === ""
+      this.agreed.term === 0 &&
+      this.agreed.log.lastIndex === 0 &&
+      this.agreed.rejoinNonce === ""
     );
   }
 
+  /** What decisions know beside the state. */
+  private get facts(): Facts {
+    return {
+      nowMs: this.world.clock.nowMs(),
+      waits: this.waits,
+      rules: safetyRules,
+      stage: this.isUnborn ? "unborn" : this.state,
+      hasHistory: this.hasHistory,
+      isDiskWell:
+        this.writer.breakdown === undefined && this.writer.waitingMs <= this.waits.stallMs,
+    };
+  }
+
   /** Hears each time this recorder begins or ceases to lead. */
   onLeading(hook: (leads: boolean) => void): void {
     this.leaderHooks.push(hook);
@@ -267,7 +281,7 @@
 
   /** Steps down in favour of the follower that is furthest. */
   *yieldLeadership(): Task {
-    if (this.role === "leader")
+    if (this.agreed.role === "leader")
       yield* Task.wait<true>((done) => this.holding.put({ kind: "yield", done }));
   }
 
@@ -286,12 +300,11 @@
     }
     World.start(this.world, "record", this.meeting.own());
     if (this.state !== "formed" || this.isUnborn) yield* this.opening.take();
-    this.heardAppendMs = this.world.clock.nowMs();
+    this.agreed = restartedAt(this.agreed, this.facts);
     World.start(this.world, "record", this.joining().own());
     World.start(this.world, "record", this.learning());
-    this.heardLeaderMs = this.world.clock.nowMs();
     for (;;) {
-      switch (this.role) {
+      switch (this.agreed.role) {
         case "follower":
           yield* this.following();
           break;
@@ -314,11 +327,11 @@
     const closed = (): boolean => !this.rights.takePart;
     this.link.serve(Kind.vote, function* (ask) {
       if (closed()) return { term: 0, granted: false };
-      return yield* Task.wait<VoteReturn>((done) => holding.put({ kind: "vote", ask, done }));
+      return yield* Task.wait<VoteReply>((done) => holding.put({ kind: "vote", ask, done }));
     });
     this.link.serve(Kind.append, function* (ask) {
       if (closed()) return { term: 0, fits: false, counts: false, matched: 0 };
-      return yield* Task.wait<AppendReturn>((done) => holding.put({ kind: "append", ask, done }));
+      return yield* Task.wait<AppendReply>((done) => holding.put({ kind: "append", ask, done }));
     });
     this.link.serve(Kind.checkpoint, function* (ask) {
       if (closed()) return { term: 0, counts: false, matched: 0 };
@@ -389,9 +402,9 @@
 
   /** Configs from one on, as another recorder holds them; none where nobody who is reached does. */
   private *fetched(from: number): Task<AcceptedConfig[]> {
-    const { voters, learners } = this.members;
+    const { voters, learners } = this.agreed.members;
     for (const peer of new Set([
-      this.knownLeader,
+      this.agreed.knownLeader,
       ...voters,
       ...learners,
       ...this.meeting.recorders,
@@ -462,17 +475,17 @@
 
   /** What the leader has to do so that this recorder is a member that counts, or nothing. */
   private get membershipRequest(): string | undefined {
-    if (this.rejoining)
-      return JSON.stringify({ kind: "rejoin", machine: this.self, nonce: this.rejoining });
-    const unheardMs = this.world.clock.nowMs() - this.heardAppendMs;
-    const isForgotten = this.role !== "leader" && unheardMs > this.waits.replaceAfterMs;
+    if (this.nonce !== "")
+      return JSON.stringify({ kind: "rejoin", machine: this.self, nonce: this.nonce });
+    const unheardMs = this.world.clock.nowMs() - this.agreed.heardAppendMs;
+    const isForgotten = this.agreed.role !== "leader" && unheardMs > this.waits.replaceAfterMs;
     if (!isForgotten) return undefined;
     return JSON.stringify({ kind: "join", machine: this.self, fleet: this.fleet });
   }
 
   private joining(): Joining {
     const contacts = (): string[] => [
-      this.knownLeader,
+      this.agreed.knownLeader,
       ...this.meeting.recorders,
       ...this.place.seeds(),
     ];
@@ -490,146 +503,90 @@
 
   private adopt(standing: Standing): void {
     this.fleet = standing.fleet;
-    this.rejoining = standing.rejoining;
-    this.term = standing.term;
-    this.votedFor = standing.votedFor;
-    this.baseMembers = this.book.restore(standing.book);
-    this.baseIndex = standing.lastIndex;
-    this.baseTerm = standing.lastTerm;
-    this.entries = [...standing.entries];
-    this.committed = standing.lastIndex;
-    this.applied = standing.lastIndex;
-    this.synced = this.lastIndex;
-    this.readMembers();
+    const { term, votedFor, lastIndex, lastTerm, entries } = standing;
+    this.agreed = restoredState(this.agreed, {
+      term,
+      votedFor,
+      rejoinNonce: standing.rejoining,
+      lastIndex,
+      lastTerm,
+      members: this.book.restore(standing.book),
+      entries,
+    });
+    this.applied = lastIndex;
     this.state = "formed";
   }
 
-  private get lastIndex(): number {
-    return this.baseIndex + this.entries.length;
-  }
-
-  private termAt(index: number): number | undefined {
-    if (index === this.baseIndex) return this.baseTerm;
-    return this.entries[index - this.baseIndex - 1]?.term;
-  }
-
-  private get lastTerm(): number {
-    return this.termAt(this.lastIndex) ?? 0;
-  }
-
-  private readMembers(): void {
-    this.members = this.baseMembers;
-    this.membersIndex = this.baseIndex;
-    for (const entry of this.entries) this.noteMembers(entry);
-  }
-
-  private noteMembers(entry: Entry): void {
-    const members = Members.in(entry.text);
-    if (!members) return;
-    this.members = members;
-    this.membersIndex = entry.index;
-  }
-
-  private get majority(): number {
-    return Math.floor(this.members.voters.length / 2) + 1;
-  }
-
-  private grantUntilMs(): number {
-    const sent = this.members.voters
-      .map((voter) =>
-        voter === this.self ? this.world.clock.nowMs() : (this.ackedSentMs.get(voter) ?? -Infinity),
-      )
-      .sort((a, b) => b - a);
-    return (sent[this.majority - 1] ?? -Infinity) + this.waits.leaderGrantMs;
-  }
-
   private electionWaitMs(): number {
     const { electionMinMs, electionMaxMs } = this.waits;
     return electionMinMs + this.world.random() * (electionMaxMs - electionMinMs);
   }
 
   private *following(): Task {
-    let untilMs = this.heardLeaderMs + this.electionWaitMs();
-    while (this.role === "follower") {
+    let untilMs = this.agreed.heardLeaderMs + this.electionWaitMs();
+    while (this.agreed.role === "follower") {
       const command = yield* this.holding.takeUntil(this.world.clock, untilMs);
-      const heardMs = this.heardLeaderMs;
+      const heardMs = this.agreed.heardLeaderMs;
       if (command) this.handle(command);
-      if (this.heardLeaderMs !== heardMs) untilMs = this.heardLeaderMs + this.electionWaitMs();
+      if (this.agreed.heardLeaderMs !== heardMs)
+        untilMs = this.agreed.heardLeaderMs + this.electionWaitMs();
       else if (this.world.clock.nowMs() >= untilMs) {
-        this.knownLeader = "";
-        if (this.rights.stand) this.role = "preCandidate";
-        else untilMs = this.world.clock.nowMs() + this.electionWaitMs();
+        this.agreed = onElectionWaitOver(this.agreed, this.facts);
+        if (this.agreed.role === "follower")
+          untilMs = this.world.clock.nowMs() + this.electionWaitMs();
       }
     }
   }
 
   private *standing(isPreVote: boolean): Task {
-    const role = this.role;
-    const term = this.term + 1;
-    this.votes = new Set();
-    if (isPreVote) this.startVoting(true, term, false);
-    else this.campaign(this.handedOver);
-    this.handedOver = false;
+    const { role } = this.agreed;
+    if (isPreVote) this.preVote();
+    else this.campaign();
     const untilMs = this.world.clock.nowMs() + this.electionWaitMs();
-    while (this.role === role) {
+    while (this.agreed.role === role) {
       const command = yield* this.holding.takeUntil(this.world.clock, untilMs);
       if (command) this.handle(command);
-      if (this.role === role && this.world.clock.nowMs() >= untilMs) {
-        this.role = "follower";
-        this.heardLeaderMs = this.world.clock.nowMs() - this.waits.electionMinMs;
-      }
+      if (this.agreed.role === role && this.world.clock.nowMs() >= untilMs)
+        this.agreed = giveUpElection(this.agreed, this.facts);
     }
   }
 
-  private campaign(handOver: boolean): void {
-    this.knownLeader = "";
-    this.term += 1;
-    this.votedFor = this.self;
-    this.votes = new Set();
-    const { term } = this;
-    this.writer.append([{ kind: "vote", term, text: this.self }], () => {
-      if (this.role === "candidate" && this.term === term) this.startVoting(false, term, handOver);
-    });
+  private preVote(): void {
+    const { state, request } = startPreVote(this.agreed);
+    this.agreed = state;
+    this.askForVotes(request);
   }
 
-  private startVoting(isPreVote: boolean, term: number, handOver: boolean): void {
-    const ask: VoteAsk = {
-      isPreVote,
-      term,
-      candidate: this.self,
-      lastIndex: this.lastIndex,
-      lastTerm: this.lastTerm,
-      handOver,
-    };
-    this.holding.put({
-      kind: "voted",
-      peer: this.self,
-      isPreVote,
-      term,
-      ret: { term, granted: true },
+  private campaign(): void {
+    const { state, records, request } = startCampaign(this.agreed);
+    this.agreed = state;
+    this.writer.append([...records], () => {
+      if (stillStands(this.agreed, request.term)) this.askForVotes(request);
     });
-    for (const peer of this.members.voters.filter((voter) => voter !== this.self))
-      World.start(this.world, "record", this.asking(peer, ask));
   }
 
-  private *asking(peer: string, ask: VoteAsk): Task {
-    const ret = yield* this.link.ask(peer, Kind.vote, ask, this.waits.electionMinMs);
-    if (ret)
-      this.holding.put({ kind: "voted", peer, isPreVote: ask.isPreVote, term: ask.term, ret });
+  private askForVotes(request: VoteRequest): void {
+    const { isPreVote, term } = request;
+    const reply: VoteReply = { term, granted: true };
+    this.holding.put({ kind: "voted", received: { peer: this.self, isPreVote, term, reply } });
+    for (const peer of this.agreed.members.voters.filter((voter) => voter !== this.self))
+      World.start(this.world, "record", this.asking(peer, request));
   }
 
-  /** Whether the change of membership before, and an entry of this term, are committed, so that the next one may be made. */
-  private get mayChangeMembers(): boolean {
-    return this.membersIndex <= this.committed && this.committed >= this.leadingSinceIndex;
+  private *asking(peer: string, ask: VoteRequest): Task {
+    const ret = yield* this.link.ask(peer, Kind.vote, ask, this.waits.electionMinMs);
+    if (!ret) return;
+    const { isPreVote, term } = ask;
+    this.holding.put({ kind: "voted", received: { peer, isPreVote, term, reply: ret } });
   }
 
   /** Adds the machines that asked to learn, each once the change of membership before it is committed. */
   private takeNewLearners(): void {
     for (let next = this.newLearners[0]; next; next = this.newLearners[0]) {
-      const { voters, learners } = this.members;
+      const { voters, learners } = this.agreed.members;
       const { machine, done } = next;
       if (![...voters, ...learners].includes(machine)) {
-        if (!this.mayChangeMembers) return;
+        if (!mayChangeMembers(this.agreed, this.facts)) return;
         this.changeMembers({ voters, learners: [...learners, machine] });
       }
       this.newLearners.shift();
@@ -638,15 +595,12 @@
   }
 
   private *leading(): Task {
-    const { term } = this;
-    this.knownLeader = this.self;
-    this.matched = new Map();
-    this.ackedSentMs = new Map();
+    this.agreed = beginLeading(this.agreed);
+    const { term } = this.agreed;
     this.nudges = new Map();
     this.promises = new Map();
-    this.leadingSinceIndex = this.lastIndex + 1;
     this.log.say("Leads the record.", { term });
-    this.add([JSON.stringify({ kind: "leads", machine: this.self, term })], () => undefined);
+    this.add([leadsText(this.agreed)], () => undefined);
     for (const hook of this.leaderHooks) hook(true);
     const startedMs = this.world.clock.nowMs();
     while (this.isLeading(term)) {
@@ -657,12 +611,10 @@
       );
       if (command) this.handle(command);
       if (!this.isLeading(term)) break;
-      const nowMs = this.world.clock.nowMs();
+      const why = whyStepDown(this.agreed, startedMs, this.facts);
       if (!this.rights.lead) this.handOver("The disk doesn't keep up.");
-      else if (!this.members.voters.includes(this.self) && this.committed >= this.membersIndex)
-        this.handOver("No longer a voter.");
-      else if (nowMs > Math.max(this.grantUntilMs(), startedMs) + 2 * this.waits.electionMaxMs)
-        this.follow(this.term, "");
+      else if (why === "notVoter") this.handOver("No longer a voter.");
+      else if (why === "noContact") this.follow(term, "");
       else {
         this.takeNewLearners();
         this.reviewMembership(startedMs);
@@ -677,16 +629,14 @@
   }
 
   private isLeading(term: number): boolean {
-    return this.role === "leader" && this.term === term;
+    return isLeading(this.agreed, term);
   }
 
   private handOver(why: string): void {
-    const { term } = this;
-    const heir = this.members.voters
-      .filter((voter) => voter !== this.self && this.ackedSentMs.has(voter))
-      .sort((a, b) => (this.matched.get(b) ?? 0) - (this.matched.get(a) ?? 0))[0];
+    const { term } = this.agreed;
+    const heir = heirOf(this.agreed);
     this.log.warn("Hands over the lead.", { why, to: heir ?? "nobody" });
-    this.follow(this.term, "");
+    this.follow(term, "");
     const link = this.link;
     if (heir !== undefined)
       World.start(
@@ -701,21 +651,22 @@
   /** What this leader knows of the members, for a decision about them. */
   private membershipView(startedMs: number): MembershipView {
     const nowMs = this.world.clock.nowMs();
-    const { voters, learners } = this.members;
+    const { voters, learners } = this.agreed.members;
     return {
       self: this.self,
       voters,
       learners,
       leaving: new Set(),
       wantedVoters: Place.voters(this.place),
-      committedIndex: this.committed,
+      committedIndex: this.agreed.committedIndex,
       progressOf: (member) =>
         member === this.self
-          ? { silentMs: 0, answered: true, matchedIndex: this.synced }
+          ? { silentMs: 0, answered: true, matchedIndex: this.agreed.syncedIndex }
           : {
-              silentMs: nowMs - Math.max(startedMs, this.ackedSentMs.get(member) ?? startedMs),
-              answered: this.ackedSentMs.has(member),
-              matchedIndex: this.matched.get(member) ?? 0,
+              silentMs:
+                nowMs - Math.max(startedMs, this.agreed.ackedSentMs.get(member) ?? startedMs),
+              answered: this.agreed.ackedSentMs.has(member),
+              matchedIndex: this.agreed.matched.get(member) ?? 0,
             },
       waits: {
         answersWithinMs: this.waits.electionMaxMs,
@@ -727,20 +678,20 @@
 
   /** Makes the next change of membership, once the one before and an entry of this term are committed. */
   private reviewMembership(startedMs: number): void {
-    if (!this.mayChangeMembers) return;
+    if (!mayChangeMembers(this.agreed, this.facts)) return;
     const change = Membership.next(this.membershipView(startedMs));
     if (!change) return;
     const { kind, member, why } = change;
     this.log.warn("Changes the members of the record.", { change: kind, member, why });
-    this.changeMembers(Membership.after(this.members, change));
+    this.changeMembers(Membership.after(this.agreed.members, change));
   }
 
   private changeMembers(members: Members): void {
-    this.add([JSON.stringify({ kind: "members", ...members })], () => undefined);
+    this.add([membersText(members)], () => undefined);
   }
 
   private keepReplicating(term: number): void {
-    for (const peer of [...this.members.voters, ...this.members.learners]) {
+    for (const peer of [...this.agreed.members.voters, ...this.agreed.members.learners]) {
       if (peer === this.self || this.nudges.has(peer)) continue;
       const nudge = new Holding<true>();
       this.nudges.set(peer, nudge);
@@ -749,63 +700,40 @@
   }
 
   private *replicating(peer: string, term: number, nudge: Holding<true>): Task {
-    let next = this.lastIndex;
-    let sure = false;
-    while (
-      this.isLeading(term) &&
-      (this.members.voters.includes(peer) || this.members.learners.includes(peer))
-    ) {
+    let progress = initialProgress(this.agreed);
+    while (this.isLeading(term) && this.isMember(peer)) {
       const sentMs = this.world.clock.nowMs();
-      if (next <= this.baseIndex) {
+      if (needsSnapshot(this.agreed, progress)) {
         const standing = {
           term,
           leader: this.self,
           lastIndex: this.applied,
-          lastTerm: this.termAt(this.applied) ?? 0,
-          text: this.book.checkpoint(this.membersAt(this.applied)),
+          lastTerm: this.agreed.log.termAt(this.applied) ?? 0,
+          text: this.book.checkpoint(membersAt(this.agreed, this.applied)),
         };
         const ret = yield* this.link.ask(peer, Kind.checkpoint, standing, 5000);
         if (ret) {
+          const { matched, counts } = ret;
           this.holding.put({
             kind: "acked",
-            peer,
-            term,
-            sentMs,
-            matched: ret.matched,
-            counts: ret.counts,
+            acknowledgment: { peer, term, sentMs, matched, counts },
           });
           if (ret.term > term) this.holding.put({ kind: "outdated", term: ret.term });
-          if (ret.matched >= standing.lastIndex) next = ret.matched + 1;
+          if (ret.matched >= standing.lastIndex) progress = { ...progress, next: ret.matched + 1 };
         }
       } else {
-        const from = next - this.baseIndex - 1;
-        const following: Entry[] = sure ? this.entries.slice(from, from + batch.entries) : [];
-        const entries: Entry[] = following.slice(0, within(following, batch));
-        const previousTerm = this.termAt(next - 1) ?? 0;
-        const ask = {
-          term,
-          leader: this.self,
-          previousIndex: next - 1,
-          previousTerm,
-          committed: this.committed,
-          entries,
-        };
+        const ask = appendRequestFor(this.agreed, progress, batch);
         const ret = yield* this.link.ask(peer, Kind.append, ask, this.waits.electionMinMs);
         if (ret && ret.term > term) this.holding.put({ kind: "outdated", term: ret.term });
         else if (ret && ret.term === term) {
+          const { fits, counts } = ret;
+          const matched = fits ? ret.matched : 0;
           this.holding.put({
             kind: "acked",
-            peer,
-            term,
-            sentMs,
-            matched: ret.fits ? ret.matched : 0,
-            counts: ret.counts,
+            acknowledgment: { peer, term, sentMs, matched, counts },
           });
-          sure = ret.fits;
-          next = ret.fits
-            ? Math.max(next, ret.matched + 1)
-            : Math.max(0, Math.min(next - 1, ret.matched + 1));
-          if (!ret.fits || this.lastIndex >= next) continue;
+          progress = progressAfter(progress, ret);
+          if (!fits || this.agreed.log.lastIndex >= progress.next) continue;
         }
       }
       nudge.drain();
@@ -814,38 +742,28 @@
     if (this.nudges.get(peer) === nudge) this.nudges.delete(peer);
   }
 
-  private membersAt(index: number): Members {
-    let members = this.baseMembers;
-    for (const entry of this.entries)
-      if (entry.index <= index) members = Members.in(entry.text) ?? members;
-    return members;
+  private isMember(peer: string): boolean {
+    const { voters, learners } = this.agreed.members;
+    return voters.includes(peer) || learners.includes(peer);
   }
 
   private add(texts: string[], done: (outcomes: Proposed[]) => void): void {
-    const { term } = this;
-    const first = this.lastIndex + 1;
-    const fresh = texts.map((text, at) => ({ index: first + at, term, text }));
+    const { state, entries, records } = addOwnEntries(this.agreed, texts);
+    this.agreed = state;
+    const { term, log } = state;
     const outcomes: Proposed[] = [];
-    for (const entry of fresh) {
-      this.entries.push(entry);
-      this.noteMembers(entry);
-      this.promises.set(entry.index, {
+    for (const { index } of entries)
+      this.promises.set(index, {
         term,
         done: (proposed) => {
           outcomes.push(proposed);
           if (outcomes.length === texts.length) done(outcomes);
         },
       });
-    }
-    this.write(fresh.map((entry) => ({ kind: "entry", ...entry })));
-    for (const nudge of this.nudges.values()) nudge.put(true);
-  }
-
-  private write(records: LogRecord[]): void {
-    const { term, lastIndex } = this;
-    this.writer.append(records, () =>
-      this.holding.put({ kind: "written", term, index: lastIndex }),
+    this.writer.append([...records], () =>
+      this.holding.put({ kind: "written", term, index: log.lastIndex }),
     );
+    for (const nudge of this.nudges.values()) nudge.put(true);
   }
 
   private handle(command: Command): void {
@@ -857,33 +775,29 @@
       case "checkpoint":
         return this.handleCheckpoint(command.ask, command.done);
       case "handOver": {
-        const taken = command.term === this.term && this.role === "follower" && this.rights.stand;
-        if (taken) {
-          this.handedOver = true;
-          this.role = "candidate";
-        }
+        const state = takeHandOver(this.agreed, command.term, this.facts);
+        const taken = state !== undefined;
+        if (state !== undefined) this.agreed = state;
         return command.done(taken);
       }
       case "propose":
-        if (this.role === "leader") return this.add(command.texts, command.done);
+        if (this.agreed.role === "leader") return this.add(command.texts, command.done);
         return command.done(command.texts.map(() => "notLeader"));
       case "acked":
-        return this.handleAcked(command);
+        return this.take(noteAcknowledgment(this.agreed, command.acknowledgment, this.facts));
       case "voted":
-        return this.handleVoted(command);
-      case "written":
-        if (!this.isLeading(command.term)) return;
-        this.synced = Math.max(this.synced, command.index);
-        this.advance();
+        this.agreed = countVote(this.agreed, command.received, this.world.clock.nowMs());
         return;
+      case "written":
+        return this.take(ownEntriesSynced(this.agreed, command.term, command.index, this.facts));
       case "outdated":
-        if (command.term > this.term) this.follow(command.term, "");
+        if (command.term > this.agreed.term) this.follow(command.term, "");
         return;
       case "yield":
-        if (this.role === "leader") this.handOver("A stop was asked for.");
+        if (this.agreed.role === "leader") this.handOver("A stop was asked for.");
         return command.done(true);
       case "learn": {
-        if (this.role !== "leader") return command.done(false);
+        if (this.agreed.role !== "leader") return command.done(false);
         this.newLearners.push(command);
         return this.takeNewLearners();
       }
@@ -891,180 +805,78 @@
         this.book.letGo(this.store.history.newest);
         return;
       case "rejoined":
-        this.rejoining = "";
+        this.agreed = rejoined(this.agreed);
         this.log.say("Rejoined: votes and acknowledges again.");
         return;
     }
   }
 
   private follow(term: number, leader: string): void {
-    if (term > this.term) {
-      this.term = term;
-      this.votedFor = "";
-    }
-    const led = this.role === "leader";
-    this.role = "follower";
-    this.knownLeader = leader;
-    if (leader || led) {
-      this.heardLeaderMs = this.world.clock.nowMs();
-      this.heardAppendMs = this.heardLeaderMs;
-    }
+    this.agreed = follow(this.agreed, term, leader, this.world.clock.nowMs());
   }
 
-  private handleVote(ask: VoteAsk, done: (ret: VoteReturn) => void): void {
-    const { rights } = this;
-    const voluntary = ask.isPreVote ? rights.preVote : rights.vote;
-    const mayVote = ask.handOver ? rights.voteOnHandOver : voluntary;
-    const upToDate =
-      ask.lastTerm > this.lastTerm ||
-      (ask.lastTerm === this.lastTerm && ask.lastIndex >= this.lastIndex);
-    if (!mayVote || ask.term < this.term) return done({ term: this.term, granted: false });
-    if (ask.isPreVote) return done({ term: this.term, granted: upToDate && ask.term > this.term });
-    if (ask.term > this.term) this.follow(ask.term, "");
-    const granted = upToDate && (this.votedFor === "" || this.votedFor === ask.candidate);
-    const { term } = this;
-    if (granted) {
-      this.votedFor = ask.candidate;
-      this.heardLeaderMs = this.world.clock.nowMs();
-    }
-    this.writer.append([{ kind: "vote", term, text: this.votedFor }], () =>
-      done({ term, granted }),
-    );
+  private handleVote(request: VoteRequest, done: (reply: VoteReply) => void): void {
+    const { state, records, replyAfterSync, reply } = decideVote(this.agreed, request, this.facts);
+    this.agreed = state;
+    if (replyAfterSync) this.writer.append([...records], () => done(reply));
+    else done(reply);
   }
 
-  private handleVoted(command: {
-    peer: string;
-    isPreVote: boolean;
-    term: number;
-    ret: VoteReturn;
-  }): void {
-    const { peer, isPreVote, term, ret } = command;
-    if (ret.term > term) return this.follow(ret.term, "");
-    if (
-      isPreVote
-        ? this.role !== "preCandidate" || term !== this.term + 1
-        : this.role !== "candidate" || term !== this.term
-    )
-      return;
-    if (!ret.granted) return;
-    this.votes.add(peer);
-    const count = this.members.voters.filter((voter) => this.votes.has(voter)).length;
-    if (count >= this.majority) this.role = isPreVote ? "candidate" : "leader";
-  }
-
-  private handleAppend(ask: AppendAsk, done: (ret: AppendReturn) => void): void {
-    if (ask.term < this.term)
-      return done({ term: this.term, fits: false, counts: false, matched: 0 });
-    const records: LogRecord[] =
-      ask.term > this.term ? [{ kind: "vote", term: ask.term, text: "" }] : [];
-    this.follow(ask.term, ask.leader);
-    const { term } = this;
-    const counts = this.rights.countForCommit;
-    const before = this.termAt(ask.previousIndex);
-    if (ask.previousIndex >= this.baseIndex && before !== ask.previousTerm) {
-      return done({
-        term,
-        fits: false,
-        counts: false,
-        matched: Math.min(this.lastIndex, ask.previousIndex - 1),
-      });
-    }
-    for (const entry of ask.entries) {
-      if (entry.index <= this.baseIndex) continue;
-      const known = this.termAt(entry.index);
-      if (known === entry.term) continue;
-      if (known !== undefined) {
-        this.entries.splice(entry.index - this.baseIndex - 1);
-        this.synced = Math.min(this.synced, this.lastIndex);
-        this.cuts += 1;
-        records.push({ kind: "cut", index: entry.index });
-        this.readMembers();
-      }
-      this.entries.push(entry);
-      this.noteMembers(entry);
-      records.push({ kind: "entry", ...entry });
+  private handleAppend(request: AppendRequest, done: (reply: AppendReply) => void): void {
+    const decision = decideAppend(this.agreed, request, this.facts);
+    if (decision.kind === "refuse") {
+      this.agreed = decision.state;
+      return done(decision.reply);
     }
-    const matched = Math.max(ask.previousIndex, this.baseIndex, ask.entries.at(-1)?.index ?? 0);
-    const { cuts } = this;
+    const { state, records, mustSync, pending } = decision;
+    this.agreed = state;
     const finish = (): void => {
-      if (this.term !== term || this.cuts !== cuts)
-        return done({ term: this.term, fits: false, counts: false, matched: 0 });
-      this.synced = Math.max(this.synced, matched);
-      done({ term, fits: true, counts, matched });
+      const acknowledged = acknowledgeAppend(this.agreed, pending, this.facts);
+      this.agreed = acknowledged.state;
+      done(acknowledged.reply);
     };
-    if (records.length > 0 || this.synced < matched) this.writer.append(records, finish);
+    if (mustSync) this.writer.append([...records], finish);
     else finish();
-    this.commit(Math.min(ask.committed, matched));
+    this.take(this.agreed);
   }
 
   private handleCheckpoint(ask: CheckpointAsk, done: (ret: CheckpointReturn) => void): void {
-    if (ask.term < this.term) return done({ term: this.term, counts: false, matched: 0 });
-    this.follow(ask.term, ask.leader);
-    const { term } = this;
-    const counts = this.rights.countForCommit;
-    if (ask.lastIndex <= this.committed) return done({ term, counts, matched: this.committed });
+    const decision = decideSnapshot(this.agreed, ask, this.facts);
+    this.agreed = decision.state;
+    if (decision.kind === "answer") return done(decision.reply);
+    const { counts, entries } = decision;
+    const { term, votedFor, rejoinNonce } = this.agreed;
+    const { lastIndex, lastTerm } = ask;
     const standing: Standing = {
       fleet: this.fleet,
-      rejoining: this.rejoining,
+      rejoining: rejoinNonce,
       term,
-      votedFor: this.votedFor,
-      lastIndex: ask.lastIndex,
-      lastTerm: ask.lastTerm,
+      votedFor,
+      lastIndex,
+      lastTerm,
       book: ask.text,
-      entries:
-        this.termAt(ask.lastIndex) === ask.lastTerm
-          ? this.entries.slice(ask.lastIndex - this.baseIndex)
-          : [],
+      entries: [...entries],
     };
-    this.adopt(standing);
-    this.synced = 0;
-    this.cuts += 1;
-    const { cuts } = this;
+    this.agreed = installSnapshot(this.agreed, ask, this.book.restore(ask.text), entries);
+    this.applied = lastIndex;
+    const pending = { term, cuts: this.agreed.cuts, counts, matched: lastIndex };
     this.writer.checkpoint(standing, () => {
-      if (this.term !== term || this.cuts !== cuts)
-        return done({ term: this.term, counts: false, matched: 0 });
-      this.synced = Math.max(this.synced, standing.lastIndex + standing.entries.length);
-      done({ term, counts, matched: ask.lastIndex });
+      const heldIndex = lastIndex + entries.length;
+      const acknowledged = acknowledgeSnapshot(this.agreed, pending, heldIndex, this.facts);
+      this.agreed = acknowledged.state;
+      done(acknowledged.reply);
     });
   }
 
-  private handleAcked(command: {
-    peer: string;
-    term: number;
-    sentMs: number;
-    matched: number;
-    counts: boolean;
-  }): void {
-    if (!this.isLeading(command.term)) return;
-    if (command.counts) {
-      this.matched.set(
-        command.peer,
-        Math.max(this.matched.get(command.peer) ?? 0, command.matched),
-      );
-      this.ackedSentMs.set(
-        command.peer,
-        Math.max(this.ackedSentMs.get(command.peer) ?? -Infinity, command.sentMs),
-      );
-    }
-    this.advance();
-  }
-
-  private advance(): void {
-    const reached = this.members.voters
-      .map((voter) => (voter === this.self ? this.synced : (this.matched.get(voter) ?? 0)))
-      .sort((a, b) => b - a);
-    const index = reached[this.majority - 1] ?? 0;
-    if (index > this.committed && this.termAt(index) === this.term) this.commit(index);
-  }
-
-  private commit(index: number): void {
-    this.committed = Math.max(this.committed, Math.min(index, this.lastIndex));
-    while (this.applied < this.committed) {
-      const entry = this.entries[this.applied - this.baseIndex];
+  /** Takes a state over, and applies what is committed in it. */
+  private take(state: ConsensusState): void {
+    this.agreed = state;
+    while (this.applied < this.agreed.committedIndex) {
+      const entry = this.agreed.log.entryAt(this.applied + 1);
       if (entry?.index !== this.applied + 1)
         throw new RecordError(`Entry ${this.applied + 1} is not where it should be.`);
       this.applied = entry.index;
-      if (entry.text.startsWith('{"kind":"rejoined"')) this.noteRejoined(entry.text);
+      this.noteRejoined(entry.text);
       const outcome = this.book.apply(entry.index, entry.text);
       const promise = this.promises.get(entry.index);
       this.promises.delete(entry.index);
@@ -1079,37 +891,32 @@
   }
 
   private noteRejoined(text: string): void {
-    const mark = create(JSON.parse(text), markShape);
-    if (mark.machine === this.self && this.rejoining !== "" && mark.nonce === this.rejoining)
+    const mark = rejoinMarkIn(text);
+    if (mark !== undefined && endsRejoining(this.agreed, mark, this.facts))
       this.writeCheckpoint("rejoined");
   }
 
   private writeCheckpoint(then: "rejoined" | ""): void {
     this.checkpointing = true;
     const lastIndex = this.applied;
-    const lastTerm = this.termAt(lastIndex) ?? 0;
-    const members = this.membersAt(lastIndex);
+    const { term, votedFor, rejoinNonce, log } = this.agreed;
+    const members = membersAt(this.agreed, lastIndex);
     const newest = this.book.inForce?.sequence ?? 0;
     const keeps = this.hasHistory;
     if (keeps) this.writer.keep(this.book.configs, () => this.holding.put({ kind: "kept" }));
     const standing: Standing = {
       fleet: this.fleet,
-      rejoining: then === "rejoined" ? "" : this.rejoining,
-      term: this.term,
-      votedFor: this.votedFor,
+      rejoining: then === "rejoined" ? "" : rejoinNonce,
+      term,
+      votedFor,
       lastIndex,
-      lastTerm,
+      lastTerm: log.termAt(lastIndex) ?? 0,
       book: this.book.checkpoint(members, keeps ? newest : 0),
-      entries: this.entries.slice(lastIndex - this.baseIndex),
+      entries: log.entriesFrom(lastIndex + 1),
     };
-    const applied = this.entries.slice(0, lastIndex - this.baseIndex).reverse();
-    const keepFrom = lastIndex - (applied.length > 0 ? within(applied, kept) : 0);
-    const keptMembers = this.membersAt(keepFrom);
-    const keptTerm = this.termAt(keepFrom) ?? 0;
-    this.entries = this.entries.slice(keepFrom - this.baseIndex);
-    this.baseIndex = keepFrom;
-    this.baseTerm = keptTerm;
-    this.baseMembers = keptMembers;
+    const applied = log.entriesFrom(log.baseIndex + 1, lastIndex - log.baseIndex).reverse();
+    const keptCount = applied.length > 0 ? countWithin(applied, kept) : 0;
+    this.agreed = compactLog(this.agreed, lastIndex - keptCount);
     this.writer.checkpoint(standing, () => {
       this.checkpointing = false;
       if (then === "rejoined") this.holding.put({ kind: "rejoined" });
--- a/test/record/recorder.test.ts
+++ b/test/record/recorder.test.ts
@@ -4,7 +4,8 @@
 import { Task } from "../../src/runtime/task.js";
 import type { World } from "../../src/runtime/world.js";
 import { Book } from "../../src/record/book.js";
-import { batch, Recorder, Waits, within } from "../../src/record/recorder.js";
+import { countWithin } from "../../src/record/consensus/replication.js";
+import { batch, Recorder, Waits } from "../../src/record/recorder.js";
 import { type Standing, Store } from "../../src/record/store.js";
 import { Draw } from "../../src/rehearsal/draw.js";
 import { Gate } from "../../src/rehearsal/gate.js";
@@ -174,9 +175,9 @@
   const entries = (bytes: number, count: number): Entry[] =>
     Array.from({ length: count }, (_, at) => ({ index: at + 1, term: 1, text: "x".repeat(bytes) }));
   expect([
-    within(entries(10, 900), batch),
-    within(entries(1024 * 1024, 300), batch),
-    within(entries(9 * 1024 * 1024, 3), batch),
-    within([], batch),
+    countWithin(entries(10, 900), batch),
+    countWithin(entries(1024 * 1024, 300), batch),
+    countWithin(entries(9 * 1024 * 1024, 3), batch),
+    countWithin([], batch),
   ]).toEqual([256, 4, 1, 0]);
 });
