A duplicate Not-Run that names no request can't speak for one that runs once

Ruled out: believing only responses that name the request (where back ends turn away without naming, each unsafe or keyed request would end in 502); the duplicate of a response that does name its request, which is told apart.

Change: a connection on which a response named no request carries repeatable requests only from then on. On every connection that an unsafe or keyed request uses all earlier responses named theirs, and so would their duplicates.

Test: platform/outcomes, "a second Not-Run that names no request"; before, the unsafe request arrived twice.

--- a/src/door/backEnds.ts
+++ b/src/door/backEnds.ts
@@ -23,6 +23,8 @@
   /** The next piece, the end, or word that the body was cut short or came too late. */
   next(): Task<Uint8Array | "end" | "cut">;
   cancel(): void;
+  /** Notes that it names no request: a duplicate of it could pass for the next one's. */
+  noteUnnamed?(): void;
 }
 
 /**
@@ -43,6 +45,8 @@
   readonly untilMs: number;
   /** When its response should have ended; of two large ones, that which is due first goes first. */
   readonly dueMs?: number | undefined;
+  /** Whether it must run once at most: it then uses no connection on which a response named no request. */
+  readonly isOnce?: boolean;
   /** Whether it may still be sent; asked when the connection stands, right before the first byte. */
   mayStill(): boolean;
 }
@@ -86,6 +90,8 @@
   readonly client: Client;
   readonly socket: Socket;
   readonly pool: string;
+  /** A response came on it that named no request. */
+  hasUnnamed: boolean;
 }
 
 type Connected = Socket | "refused" | "unreached";
@@ -334,6 +340,12 @@
       if (known) known.push(line);
       else idle.set(line.pool, [line]);
     };
+    /** An idle connection that a request may use. */
+    const idleFor = ({ pool, isOnce = false }: BackTry): Line | undefined => {
+      const resting = idle.get(pool) ?? [];
+      const at = resting.findLastIndex(({ hasUnnamed }) => !isOnce || !hasUnnamed);
+      return at < 0 ? undefined : resting.splice(at, 1)[0];
+    };
     const lineOn = (socket: Socket, address: string, pool: string): Line => {
       let isTaken = false;
       const client = new Client(`http://${address}`, {
@@ -348,7 +360,7 @@
           queueMicrotask(() => done(null, socket));
         },
       });
-      const line: Line = { client, socket, pool };
+      const line: Line = { client, socket, pool, hasUnnamed: false };
       lines.add(line);
       client.on("disconnect", () => over(line));
       socket.once("close", () => over(line));
@@ -398,7 +410,10 @@
               else done(isRefusedByLibrary ? "unreached" : "over");
               return;
             }
-            done({ ...outcome, next: () => receiving.next(), cancel: drop });
+            const noteUnnamed = (): void => {
+              line.hasUnnamed = true;
+            };
+            done({ ...outcome, next: () => receiving.next(), cancel: drop, noteUnnamed });
           },
           (isWhole) => {
             isOver = true;
@@ -444,7 +459,7 @@
       *send(one) {
         for (;;) {
           if (isClosed) return "unreached";
-          const known = idle.get(one.pool)?.pop();
+          const known = idleFor(one);
           if (known && !lines.has(known)) continue;
           const line = known ?? (yield* opened(one));
           if (typeof line === "string") return line;
--- a/src/door/door.ts
+++ b/src/door/door.ts
@@ -536,6 +536,7 @@
       },
       untilMs,
       dueMs: passage.caller.dueMs,
+      isOnce: !mapping.repeatable,
       mayStill: () => this.mayStill(passage, service, contract, isFurther),
     });
     if (opened === "refused" || opened === "foreign") this.view.noteRefused(contract);
@@ -579,6 +580,7 @@
     const { echo, proof } = dialect;
     const echoHeader = proof === "connection" ? mapping.stampHeader : echo;
     const fault = headFault(opened, { dialect, id, echoHeader });
+    if (headers[echoHeader] === undefined) opened.noteUnnamed?.();
     if (fault !== undefined) return yield* this.refuse(contract, opened, fault);
     const end = bodyEnd(passage.job.method, opened);
     if (end === "unknown") return yield* this.refuse(contract, opened, "noLength");
--- a/test/platform/outcomes.test.ts
+++ b/test/platform/outcomes.test.ts
@@ -286,3 +286,23 @@
   expect(stage.heads.map(({ path }) => path)).toEqual(["/unsafe/first", "/unsafe/second"]);
   expect(seen.code).toBe(502);
 });
+
+test("a second Not-Run that names no request is not taken for word about the next one", async () => {
+  const stage = await ready(2);
+  await stage.useConnections();
+  const unnamed = response(503, { "not-run": "1" }, "full");
+  const declinedOn = new Set<Socket>();
+  stage.act = ({ path }, socket) => {
+    if (path === "/safe/turned-away") declinedOn.add(socket);
+    if (declinedOn.has(socket)) socket.write(unnamed);
+    else socket.write(success(other, "theirs"));
+  };
+  expect((await stage.ask("GET", "/safe/turned-away")).code).toBe(503);
+  expect(declinedOn.size).toBe(2);
+  await stage.ask("POST", "/unsafe/next");
+  expect(stage.heads.filter(({ path }) => path === "/unsafe/next").length).toBe(1);
+  stage.act = (request, socket) => socket.write(success(request, "fine"));
+  expect((await stage.ask("GET", "/safe/x")).code).toBe(200);
+  const connections = stage.backEnds.map(({ sockets }) => sockets.length);
+  expect(Math.max(...connections)).toBeLessThanOrEqual(2);
+});
