The directory travels by changes, checked by a digest, whole only where it must

Each change of the directory sent all of it to every daemon: with 242 backends some 78 KB to each. A new leader sent it again to whoever was behind, while its heartbeats waited behind those bytes.

Every member of the replicated log now keeps which registrations the last directory entries touched, as it applies them, bounded at 1 MiB of names; a poll whose sequence is among those gets the registrations that changed and the addresses that went, any other the whole, packed. A new leader knows the same changes as the one before. Each view carries a digest of the directory, the sum of a 64 bit hash of each registration; a daemon whose copy adds up to something else takes no lease from that view and asks for the whole.

Weighed: keeping old directories and comparing them (memory for each), a digest made anew from the whole each time (all registrations hashed at each change).

--- a/src/contract/order.ts
+++ b/src/contract/order.ts
@@ -149,6 +149,8 @@
     Object.values(value).every((one) => typeof one === "number"),
 );
 
+const registrationsShape = define<Contract[]>("directory", Contract.areAll);
+
 const viewShape = object({
   granted: literal(true),
   grantMs: number(),
@@ -161,7 +163,15 @@
   /** The numbers of the services and routes that the config names. */
   numbers: optional(numbersShape),
   directorySequence: number(),
-  directory: optional(define<Contract[]>("directory", Contract.areAll)),
+  /** All registrations; also packed where they are long. */
+  directory: optional(registrationsShape),
+  packedDirectory: optional(string()),
+  /** What changed since the directory under `base`: registrations, and addresses that are no longer in it. */
+  directoryChanges: optional(
+    object({ base: number(), put: registrationsShape, removed: array(string()) }),
+  ),
+  /** What the copy must add up to, once this is taken. */
+  directoryDigest: optional(string()),
   grantNumber: string(),
   capacities: array(object({ service: string(), capacity: number() })),
   collectors: array(object({ zone: string(), peer: string() })),
@@ -175,6 +185,13 @@
 
 const readPoll = quick(pollShape);
 const readView = quick(viewShape);
+const readRegistrations = quick(registrationsShape);
+
+/** A view whose directory, where it is packed, is unpacked. */
+const unpackedView = (view: GrantedView): GrantedView =>
+  view.packedDirectory === undefined
+    ? view
+    : { ...view, directory: readRegistrations(JSON.parse(Packed.text(view.packedDirectory))) };
 
 export const Poll = {
   read: (text: string): Poll => readPoll(JSON.parse(text)),
@@ -184,7 +201,7 @@
       value !== null &&
       "granted" in value &&
       value.granted === true
-      ? readView(value)
+      ? unpackedView(readView(value))
       : create(value, pollReturnShape);
   },
 };
--- a/src/contract/registry.ts
+++ b/src/contract/registry.ts
@@ -10,6 +10,7 @@
 import type { Recorder } from "../record/recorder.js";
 import type { CapacityGrants } from "./capacityGrants.js";
 import { amend, Config, mergePatch } from "./config.js";
+import { DirectoryChanges } from "./directoryChanges.js";
 import {
   longText,
   breakdownReturn,
@@ -90,7 +91,7 @@
   private isTelling = false;
   /** What many polls return alike, made once for each change. */
   private configText = { sequence: -1, text: "", services: new Array<string>() };
-  private directoryText = { sequence: -1, text: "", byNumber: new Map<number, Contract>() };
+  private readonly directory: DirectoryChanges;
   /** Since when this leader has seen a number rest. */
   private readonly restingSince = new Map<number, number>();
   private keyAges: Array<{ scope: string; index: number; atMs: number }> = [];
@@ -114,6 +115,7 @@
     this.terms = terms;
     this.allowance = allowance;
     this.log = world.logbook.part("contract");
+    this.directory = new DirectoryChanges(book);
     book.onApplied((deed, index) => {
       if (deed.kind === "claim")
         this.keyAges.push({ scope: deed.scope, index, atMs: world.clock.nowMs() });
@@ -228,6 +230,7 @@
       announceMs: this.terms.announceMs,
       configSequence: this.book.inForce?.sequence ?? 0,
       directorySequence: this.book.directorySequence,
+      directoryDigest: this.directory.digest,
       grantNumber: granted.number,
       capacities: [...granted.capacities].map(([service, capacity]) => ({ service, capacity })),
       collectors: [...this.machines.values()]
@@ -239,7 +242,7 @@
     if (this.book.inForce && poll.configSequence !== this.book.inForce.sequence)
       parts.push(this.currentConfig().text);
     if (poll.directorySequence !== this.book.directorySequence)
-      parts.push(this.currentDirectory().text);
+      parts.push(this.directory.viewPart(poll.directorySequence));
     return `${parts.join(",")}}`;
   }
 
@@ -311,7 +314,6 @@
     this.goneSince.clear();
     for (const instance of this.book.gone.keys()) this.goneSince.set(instance, nowMs);
     this.configText = { sequence: -1, text: "", services: [] };
-    this.directoryText = { sequence: -1, text: "", byNumber: new Map() };
     this.keyAges = [...this.book.keys].map(([scope, { atIndex }]) => ({
       scope,
       index: atIndex,
@@ -360,20 +362,6 @@
     return this.configText;
   }
 
-  /** The text of the directory, as part of a view, and its contracts by number. */
-  private currentDirectory() {
-    const sequence = this.book.directorySequence;
-    if (this.directoryText.sequence !== sequence) {
-      const contracts = [...this.book.contracts.values()];
-      this.directoryText = {
-        sequence,
-        text: `"directory":${JSON.stringify(contracts)}`,
-        byNumber: new Map(contracts.map((contract) => [contract.number, contract])),
-      };
-    }
-    return this.directoryText;
-  }
-
   private hasNewsFor(poll: Poll): boolean {
     return (
       poll.configSequence !== (this.book.inForce?.sequence ?? 0) ||
@@ -403,15 +391,14 @@
 
   /** Takes from a poll which back ends announced themselves at its daemon, and which refused it. */
   private hearAll({ machine, heard = [], refused }: Poll, nowMs: number): void {
-    const { byNumber } = this.currentDirectory();
     for (const { number, order } of heard) {
-      const contract = byNumber.get(number);
+      const contract = this.directory.registration(number);
       if (!contract || contract.leaving) continue;
       this.hear(contract.address, nowMs);
       this.noteOrder(contract.instance, order);
     }
     for (const { address, number } of refused) {
-      const known = byNumber.get(number);
+      const known = this.directory.registration(number);
       if (known?.address !== address || known.leaving || this.ending.has(number)) continue;
       this.ending.add(number);
       this.tell(
--- a/src/contract/view.ts
+++ b/src/contract/view.ts
@@ -7,6 +7,7 @@
 import type { World } from "../runtime/world.js";
 import type { Contract } from "../record/book.js";
 import { Config, ConfigReader } from "./config.js";
+import { DirectoryCopy } from "./directoryCopy.js";
 import type { Ferry } from "./ferry.js";
 import { Mappings } from "./mappings.js";
 import { Poll, type GrantedView, type Machine, type Order } from "./order.js";
@@ -39,7 +40,7 @@
   private readonly log: PartLog;
   private untilMs = -Infinity;
   private heard = false;
-  private directory: readonly Contract[] = [];
+  private readonly directory = new DirectoryCopy();
   private byService = new Map<string, Contract[]>();
   private byAddress = new Map<string, Contract>();
   private byInstance = new Map<string, Contract>();
@@ -56,8 +57,6 @@
   onLease: () => void = () => undefined;
   /** Hears of each config that comes into force here. */
   onConfig: (mappings: Mappings) => void = () => undefined;
-  /** The newest change of the directory that is known here. */
-  directorySequence = -1;
   private readonly reader = new ConfigReader();
   private numbers = new Map<string, number>();
   private readonly names = new Map<number, string>();
@@ -87,6 +86,11 @@
     return this.world.clock.nowMs() < this.untilMs;
   }
 
+  /** The newest change of the directory that is known here. */
+  get directorySequence(): number {
+    return this.directory.sequence;
+  }
+
   private get canServe(): boolean {
     return this.isGranted && this.configSequence > 0;
   }
@@ -209,7 +213,7 @@
     const poll: Poll = {
       machine: this.machine(),
       configSequence: this.configSequence,
-      directorySequence: this.directorySequence,
+      directorySequence: this.directory.knownSequence,
       grantNumber: this.grantNumber,
       capacities: [...this.budget.capacities].map(([service, capacity]) => ({ service, capacity })),
       wished: this.services.map((service) => ({
@@ -232,6 +236,17 @@
       });
       return;
     }
+    const update = this.directory.take(view);
+    if (update === "differs") {
+      this.log.warn(
+        "The copy of the directory differs from the leader's; the whole is asked for.",
+        {
+          sequence: view.directorySequence,
+        },
+      );
+      return;
+    }
+    if (update === "changed") this.takeDirectory();
     const couldServe = this.canServe;
     const config =
       view.config ?? (view.packedConfig === undefined ? undefined : Packed.text(view.packedConfig));
@@ -244,14 +259,6 @@
       this.numbers = new Map(Object.entries(view.numbers));
       for (const [name, number] of this.numbers) this.names.set(number, name);
     }
-    if (view.directory) {
-      this.directorySequence = view.directorySequence;
-      this.directory = view.directory;
-      const numbers = new Set(view.directory.map(({ number }) => number));
-      this.refused = this.refused.filter(({ number }) => numbers.has(number));
-      this.arrange();
-      this.onDirectory(view.directory);
-    }
     this.announceMs = view.announceMs ?? this.announceMs;
     this.collectors = view.collectors;
     this.ferry.know(view.recorders);
@@ -267,6 +274,14 @@
     this.heard = true;
   }
 
+  private takeDirectory(): void {
+    const { registrations } = this.directory;
+    const numbers = new Set(registrations.map(({ number }) => number));
+    this.refused = this.refused.filter(({ number }) => numbers.has(number));
+    this.arrange();
+    this.onDirectory(registrations);
+  }
+
   /** Arranges the directory in the ways in which it is looked up. */
   private arrange(): void {
     const refused = new Set(this.refused.map(({ number }) => number));
@@ -274,7 +289,8 @@
     this.byAddress = new Map();
     this.byInstance = new Map();
     this.standing = new Set();
-    for (const contract of this.directory) {
+    const { registrations } = this.directory;
+    for (const contract of registrations) {
       const { address, service, instance, number, leaving } = contract;
       this.byAddress.set(address, contract);
       if (instance !== "" && (!leaving || !this.byInstance.has(instance)))
@@ -285,7 +301,7 @@
       if (known) known.push(contract);
       else this.byService.set(service, [contract]);
     }
-    if (this.orders.size <= this.directory.length + spareOrders) return;
+    if (this.orders.size <= registrations.length + spareOrders) return;
     for (const instance of this.orders.keys())
       if (!this.byInstance.has(instance)) this.orders.delete(instance);
   }
--- /dev/null
+++ b/test/contract/directoryChanges.test.ts
@@ -0,0 +1,136 @@
+import fc from "fast-check";
+import { expect, test } from "vitest";
+import { DirectoryChanges } from "../../src/contract/directoryChanges.js";
+import { DirectoryCopy } from "../../src/contract/directoryCopy.js";
+import { Poll, type GrantedView } from "../../src/contract/order.js";
+import { RecentChanges } from "../../src/contract/recentChanges.js";
+import { Book, Deed, type Contract } from "../../src/record/book.js";
+import { Kind } from "../../src/link/kind.js";
+import { service, stage } from "./directoryStage.js";
+
+const viewOf = (changes: DirectoryChanges, known: number): GrantedView => {
+  const view = Poll.readReturn(
+    `{"granted":true,"grantMs":1,"configSequence":0,"grantNumber":"","capacities":[],"collectors":[],"recorders":[],${[
+      `"directorySequence":${changes.sequence}`,
+      `"directoryDigest":"${changes.digest}"`,
+      ...(known === changes.sequence ? [] : [changes.viewPart(known)]),
+    ].join(",")}}`,
+  );
+  if (!view.granted) throw new Error("The view grants nothing.");
+  return view;
+};
+
+const sorted = (registrations: Iterable<Contract>): Contract[] =>
+  [...registrations].sort((a, b) => (a.address < b.address ? -1 : 1));
+
+const address = fc.integer({ min: 1, max: 6 }).map((at) => `10.0.0.${at}:80`);
+const instance = fc.constantFrom("", "a", "b", "c", "d");
+const backend = fc.record({
+  address,
+  service: fc.constantFrom("one", "two"),
+  instance,
+  capacity: fc.integer({ min: 0, max: 3 }),
+});
+const deed: fc.Arbitrary<Deed> = fc.oneof(
+  backend.map((one): Deed => ({ kind: "contract", zone: "z", warmth: 1, ...one })),
+  backend.map(({ address: at, service: of, instance: life }): Deed => ({
+    kind: "leave",
+    address: at,
+    service: of,
+    drained: false,
+    ...(life === "" ? {} : { instance: life }),
+  })),
+  fc
+    .record({ address, number: fc.integer({ min: 1, max: 40 }) })
+    .map((one): Deed => ({ kind: "purge", ...one })),
+  fc
+    .record({ address, number: fc.integer({ min: 1, max: 40 }) })
+    .map((one): Deed => ({ kind: "end", why: "test", ...one })),
+);
+
+test("copies that follow by changes, now and then, are what the state machine holds, by digest too", () => {
+  fc.assert(
+    fc.property(fc.array(fc.tuple(deed, fc.nat(7)), { maxLength: 40 }), (steps) => {
+      const book = new Book();
+      const changes = new DirectoryChanges(book);
+      const copies = [0, 1, 2].map(() => new DirectoryCopy());
+      for (const [at, [one, polling]] of steps.entries()) {
+        book.apply(at + 1, Deed.text(one));
+        for (const [bit, copy] of copies.entries()) {
+          if ((polling >> bit) % 2 === 0) continue;
+          expect(copy.take(viewOf(changes, copy.knownSequence))).not.toBe("differs");
+          expect(sorted(copy.registrations)).toEqual(sorted(book.contracts.values()));
+          expect(copy.sequence).toBe(book.directorySequence);
+        }
+      }
+    }),
+    { numRuns: 300 },
+  );
+});
+
+test("a copy that differs is found by the digest, grants nothing and asks for the whole, which mends it", () => {
+  const book = new Book();
+  const changes = new DirectoryChanges(book);
+  const announce = (index: number, at: string, capacity: number): void => {
+    const one: Deed = { kind: "contract", address: at, service, zone: "z", warmth: 1, capacity };
+    book.apply(index, Deed.text(one));
+  };
+  for (let index = 1; index <= 8; index += 1) announce(index, `10.0.0.${index}:80`, 1);
+  const copy = new DirectoryCopy();
+  copy.take(viewOf(changes, -1));
+  announce(9, "10.0.0.2:80", 4);
+  const view = viewOf(changes, copy.knownSequence);
+  const put = view.directoryChanges?.put ?? [];
+  expect(put).toHaveLength(1);
+  const bent = {
+    ...view,
+    directoryChanges: { base: 8, put: put.map((one) => ({ ...one, capacity: 3 })), removed: [] },
+  };
+  expect(copy.take(bent)).toBe("differs");
+  expect(copy.knownSequence).toBe(-1);
+  expect(copy.take(viewOf(changes, copy.knownSequence))).toBe("changed");
+  expect(sorted(copy.registrations)).toEqual(sorted(book.contracts.values()));
+  expect(copy.knownSequence).toBe(9);
+  announce(10, "10.0.0.2:80", 5);
+  const skipped = viewOf(changes, copy.knownSequence);
+  announce(11, "10.0.0.3:80", 5);
+  expect(copy.take(viewOf(changes, 10))).toBe("differs");
+  expect(copy.take(skipped)).toBe("changed");
+});
+
+test("the last changes are bounded by bytes: what is older than those is answered as unknown", () => {
+  const recent = new RecentChanges(5, 400);
+  for (let sequence = 6; sequence < 16; sequence += 1) recent.note(sequence, [`item-${sequence}`]);
+  expect(recent.since(15)).toEqual(new Set());
+  expect(recent.since(13)).toEqual(new Set(["item-14", "item-15"]));
+  expect(recent.since(5)).toBeUndefined();
+  expect(recent.since(99)).toBeUndefined();
+  expect([10, 11, 12].map((sequence) => recent.since(sequence)?.size)).toEqual([5, 4, 3]);
+  expect(recent.since(9)).toBeUndefined();
+  recent.note(20, ["x".repeat(1000)]);
+  expect(recent.since(20)).toEqual(new Set());
+  expect(recent.since(15)).toBeUndefined();
+});
+
+test("a poll that knows the directory before gets what changed, a few hundred bytes, from a new leader too", () => {
+  const { simulation, announce, exchange, poll, pollText, leader, wait, contract } = stage({
+    holdMs: 50,
+  });
+  for (let at = 0; at < 8; at += 1) announce(`life-${at}`, { address: `10.9.1.${at}:80` });
+  const known = poll();
+  announce("late", { address: "10.9.2.1:80" });
+  const { directorySequence, configSequence } = known;
+  const bytesOf = (sequence: number): number =>
+    exchange(Kind.poll, pollText({ directorySequence: sequence, configSequence }))[0]?.text
+      .length ?? Infinity;
+  const unchangedBytes = bytesOf(poll().directorySequence);
+  expect(bytesOf(directorySequence) - unchangedBytes).toBeLessThan(400);
+  expect(poll({ directorySequence }).directoryChanges?.put).toHaveLength(1);
+
+  simulation.kill(leader());
+  wait(2500);
+  const later = poll({ directorySequence, configSequence });
+  expect(later.directory).toBeUndefined();
+  expect(later.directoryChanges?.put.map(({ instance: life }) => life)).toContain("late");
+  expect(contract("10.9.1.7:80")).toMatchObject({ instance: "life-7" });
+});
