--- a/src/contract/order.ts
+++ b/src/contract/order.ts
@@ -63,6 +63,7 @@
   release: object({ kind: literal("release"), scope: string(), job: string() }),
   rejoin: object({ kind: literal("rejoin"), machine: string(), nonce: string() }),
   join: object({ kind: literal("join"), machine: string(), fleet: string() }),
+  stopping: object({ kind: literal("stopping"), machine: string(), lastIndex: number() }),
   fleet: object({ kind: literal("fleet") }),
   drainBackEnd: object({ kind: literal("drainBackEnd"), address: string() }),
 };
--- a/src/contract/registry.ts
+++ b/src/contract/registry.ts
@@ -177,6 +177,8 @@
         return yield* this.rejoin(order.machine, order.nonce);
       case "join":
         return yield* this.join(order.machine, order.fleet);
+      case "stopping":
+        return yield* this.memberStops(order.machine, order.lastIndex);
       case "fleet":
         return this.granted(() => this.fleetView());
     }
@@ -688,6 +690,12 @@
     return taken ? JSON.stringify({ taken }) : breakdownReturn("busy");
   }
 
+  private *memberStops(machine: string, lastIndex: number): Task<string> {
+    if (!this.recorder.hasGrant) return breakdownReturn("noGrant");
+    const answer = yield* this.recorder.memberStops(machine, lastIndex);
+    return answer ? JSON.stringify(answer) : breakdownReturn("notLeader");
+  }
+
   private *rejoin(machine: string, nonce: string): Task<string> {
     if (!this.recorder.hasGrant) return breakdownReturn("noGrant");
     if (!(yield* this.recorder.addLearner(machine))) return breakdownReturn("busy");
--- a/src/machine/bounds.ts
+++ b/src/machine/bounds.ts
@@ -65,6 +65,8 @@
   readonly serveOnMs: number;
   /** When a stopping daemon gives up on what is still in hand. */
   readonly abandonMs: number;
+  /** Until when a stopping member of the log waits for the others to hold what it acknowledged. */
+  readonly retireMs: number;
 }
 
 const figuresOf = ({ bounds }: BoundSettings): Figures => {
@@ -161,6 +163,7 @@
       orderMs: 0.8 * ackMs,
       serveOnMs: Math.min(2600, (graceMs * 13) / 30),
       abandonMs: graceMs - endMs,
+      retireMs: graceMs - endMs / 2,
     };
   },
 };
--- a/src/machine/daemon.ts
+++ b/src/machine/daemon.ts
@@ -231,8 +231,12 @@
     const startedMs = this.world.clock.nowMs();
     this.draining = true;
     this.log.say("Draining.", { inHand: this.door.unfinished });
-    if (this.recorder) yield* this.recorder.yieldLeadership();
-    const { serveOnMs, abandonMs } = this.bounds;
+    const { serveOnMs, abandonMs, retireMs } = this.bounds;
+    const { recorder } = this;
+    if (recorder) {
+      yield* recorder.yieldLeadership();
+      World.start(this.world, "record", recorder.leave(startedMs + serveOnMs));
+    }
     yield* Clock.rest(this.world.clock, startedMs + serveOnMs - this.world.clock.nowMs());
     this.door.close();
     closeToCallers();
@@ -243,6 +247,7 @@
         inHand: this.door.unfinished,
       });
     this.door.abandon();
+    if (recorder) yield* recorder.retire(startedMs + retireMs);
     if (this.door.unfinished > 0) return;
     this.log.say("Drained.");
   }
--- a/src/record/consensus/leadership.ts
+++ b/src/record/consensus/leadership.ts
@@ -48,8 +48,17 @@
   return facts.nowMs > contactMs + 2 * facts.waits.electionMaxMs ? "noContact" : undefined;
 };
 
-/** To whom a leader hands over: the voter whose log is the furthest, of those that have acknowledged anything. */
-export const heirOf = (state: ConsensusState): string | undefined =>
-  state.members.voters
+/**
+ * To whom a leader hands over: of the voters that have acknowledged anything, one that stays before one that is about to stop,
+ * then the one whose log is the furthest.
+ */
+export const heirOf = (
+  state: ConsensusState,
+  leaving: ReadonlySet<string> = new Set(),
+): string | undefined => {
+  const lag = (voter: string): number =>
+    leaving.has(voter) ? Infinity : state.log.lastIndex - (state.matched.get(voter) ?? 0);
+  return state.members.voters
     .filter((voter) => voter !== state.self && state.ackedSentMs.has(voter))
-    .sort((a, b) => (state.matched.get(b) ?? 0) - (state.matched.get(a) ?? 0))[0];
+    .sort((a, b) => (lag(a) < lag(b) ? -1 : 1))[0];
+};
--- a/src/record/consensus/rights.ts
+++ b/src/record/consensus/rights.ts
@@ -16,6 +16,7 @@
     hasHistory: facts.hasHistory,
     isNamedVoter: state.members.voters.includes(state.self),
     isLeader: state.role === "leader",
+    isRetired: facts.isRetired,
     isDiskWell: facts.isDiskWell,
     isBoundToLeader: isBoundToLeader(state, facts),
     hasLease: hasLease(state, facts),
--- a/src/record/joining.ts
+++ b/src/record/joining.ts
@@ -1,17 +1,22 @@
 import { Kind } from "../link/kind.js";
 import type { Link } from "../link/link.js";
 import { Clock } from "../runtime/clock.js";
-import { Task } from "../runtime/task.js";
+import type { PartLog } from "../runtime/logbook.js";
+import type { Task } from "../runtime/task.js";
 import { World } from "../runtime/world.js";
 
-/** How long a contact is waited for that may lead or tell who does; it may have to commit two entries. */
-const askMs = 1000;
-/** How often the contacts are asked until the leader has taken the member in. */
-const retryMs = 200;
+/** How long an answer is waited for at most: the leader may have to commit two entries on slow disks. */
+const askMs = 2000;
+/** How often those contacts are asked again that have answered, until the leader has taken the member in. */
+const retryMs = 150;
+/** In how many rounds no leader is reached before one that answered is asked to forward the request. */
+const roundsUntilForwarded = 4;
 /** How long a member that was taken in waits for what it asked for, before it asks again. */
 const settleMs = 2000;
 /** How often a member looks whether it has to ask. */
-const lookMs = 100;
+const lookMs = 250;
+/** How often a member that waits looks whether it has what it waits for. */
+const stepMs = 10;
 
 const isTaken = (answer: string): boolean => answer.includes('"taken"');
 
@@ -29,59 +34,75 @@
   private readonly world: World;
   private readonly link: Link;
   private readonly applicant: Applicant;
+  private readonly log: PartLog;
+  /** Contacts whose answer is still waited for. */
+  private readonly pending = new Set<string>();
+  /** Contacts asked in this round; two that name each other as the leader must not be asked over and over. */
+  private readonly asked = new Set<string>();
+  /** The last contact that answered without having taken the request. */
+  private answered = "";
+  /** The request that the leader has carried out. */
+  private taken = "";
 
   constructor(world: World, link: Link, applicant: Applicant) {
     this.world = world;
     this.link = link;
     this.applicant = applicant;
+    this.log = world.logbook.part("record");
   }
 
   /** Runs for as long as the daemon does. */
   *own(): Task {
     for (;;) {
       const { request } = this.applicant;
-      if (request === undefined) yield* Clock.rest(this.world.clock, lookMs);
-      else {
-        const taken = yield* this.asking(request);
-        yield* this.resting(request, taken ? settleMs : retryMs);
-      }
+      if (request !== undefined) yield* this.applying(request);
+      yield* Clock.rest(this.world.clock, lookMs);
     }
   }
 
-  private *resting(request: string, forMs: number): Task {
-    const untilMs = this.world.clock.nowMs() + forMs;
-    while (this.applicant.request === request && this.world.clock.nowMs() < untilMs)
-      yield* Clock.rest(this.world.clock, lookMs);
+  /** Asks round by round until the request is taken, or another one or none is due. */
+  private *applying(request: string): Task {
+    const { clock } = this.world;
+    const sinceMs = clock.nowMs();
+    let rounds = 0;
+    while (this.taken !== request && this.applicant.request === request) {
+      rounds += 1;
+      this.asked.clear();
+      this.askAll(request);
+      if (rounds % roundsUntilForwarded === 0) this.ask(this.answered, request, false);
+      yield* this.resting(retryMs, () => this.taken === request);
+    }
+    if (this.taken !== request) return;
+    const tookMs = Math.round(clock.nowMs() - sinceMs);
+    this.log.say("The leader has taken this member in.", { rounds, tookMs });
+    yield* this.resting(settleMs, () => this.applicant.request !== request);
+    this.taken = "";
   }
 
-  /**
-   * Asks all contacts at the same moment, so that dead ones cost no time; only the leader does what is asked, the others tell
-   * who leads, and it is asked too. Where none of that reaches the leader, one that answered is asked to forward it.
-   */
-  private *asking(text: string): Task<boolean> {
-    const asked = new Set(["", this.applicant.self]);
-    const answered: string[] = [];
-    let open = 0;
-    const taken = yield* Task.wait<boolean>((done) => {
-      const ask = (peer: string): void => {
-        if (asked.has(peer)) return;
-        asked.add(peer);
-        open += 1;
-        const asking = this.link.ask(peer, Kind.command, { ferried: true, text }, askMs);
-        World.start(this.world, "record", asking, (ret) => {
-          open -= 1;
-          if (ret) answered.push(peer);
-          if (ret && isTaken(ret.text)) return done(true);
-          if (ret) ask(ret.leader);
-          if (open === 0) done(false);
-        });
-      };
-      for (const peer of this.applicant.contacts) ask(peer);
-      if (open === 0) done(false);
+  private *resting(forMs: number, isOver: () => boolean): Task {
+    const { clock } = this.world;
+    const untilMs = clock.nowMs() + forMs;
+    while (!isOver() && clock.nowMs() < untilMs) yield* Clock.rest(clock, stepMs);
+  }
+
+  /** Asks all contacts that don't owe an answer, so that dead ones cost no time; only the leader does what is asked. */
+  private askAll(request: string): void {
+    for (const peer of this.applicant.contacts) this.ask(peer, request, true);
+  }
+
+  private ask(peer: string, request: string, ferried: boolean): void {
+    if (peer === "" || peer === this.applicant.self || this.pending.has(peer)) return;
+    this.pending.add(peer);
+    this.asked.add(peer);
+    const asking = this.link.ask(peer, Kind.command, { ferried, text: request }, askMs);
+    World.start(this.world, "record", asking, (ret) => {
+      this.pending.delete(peer);
+      if (!ret) return;
+      if (isTaken(ret.text)) this.taken = request;
+      else {
+        this.answered = peer;
+        if (!this.asked.has(ret.leader)) this.ask(ret.leader, request, true);
+      }
     });
-    const [way] = answered;
-    if (taken || way === undefined) return taken;
-    const ret = yield* this.link.ask(way, Kind.command, { ferried: false, text }, askMs);
-    return ret !== undefined && isTaken(ret.text);
   }
 }
--- a/src/record/meeting.ts
+++ b/src/record/meeting.ts
@@ -36,6 +36,8 @@
 const askMs = 300;
 const formMs = 2000;
 const roundMs = 100;
+/** How long the next round waits once others were named that have not been met. */
+const newNamesMs = 10;
 const helloMs = 1000;
 const freshMs = 3000;
 const contactsHeld = 64;
@@ -109,8 +111,11 @@
         yield* this.meetAll(this.place.seeds());
         yield* Clock.rest(this.world.clock, helloMs);
       } else {
+        const known = this.named;
         if (state !== "none" || this.mayFound) yield* this.round();
-        yield* Clock.rest(this.world.clock, roundMs * (1 + this.world.random()));
+        const isNew = this.named.some((peer) => !known.includes(peer));
+        const restMs = isNew ? newNamesMs : roundMs * (1 + this.world.random());
+        yield* Clock.rest(this.world.clock, restMs);
       }
     }
   }
@@ -170,9 +175,15 @@
   /** Meets all that are known; then rejoins, forms or opens, or waits. */
   private *round(): Task {
     const seeds = this.place.seeds();
-    const met = yield* this.meetAll([
-      ...new Set([...seeds, ...this.recorders, ...this.outlook.recorders(), ...this.named]),
+    const peers = new Set([
+      ...seeds,
+      ...this.recorders,
+      ...this.outlook.recorders(),
+      ...this.named,
     ]);
+    // One that is empty has only to find a formed record; the dead among those it asks must not cost it time.
+    const enough = (one: Met): boolean => this.state === "empty" && one.state === "formed";
+    const met = yield* this.meetAll([...peers], enough);
     this.named = [
       ...new Set([...met.values()].flatMap((one) => [one.leader, ...one.recorders, ...one.voters])),
     ]
@@ -297,15 +308,24 @@
     if (ret) met.set(peer, ret);
   }
 
-  /** Meets many at once, and gives what they returned by their addresses. */
-  private *meetAll(peers: readonly string[]): Task<Map<string, Met>> {
+  /** Meets many at once, and gives what they returned by their addresses; ends early once one of them is enough. */
+  private *meetAll(
+    peers: readonly string[],
+    enough: (one: Met) => boolean = () => false,
+  ): Task<Map<string, Met>> {
     const met = new Map<string, Met>();
     const { hello } = this;
     const others = peers.filter((peer) => peer !== this.place.self);
-    yield* Task.all(
-      (task) => World.start(this.world, "record", task),
-      others.map((peer) => this.meet(peer, hello, askMs, met)),
-    );
+    let open = others.length;
+    if (open === 0) return met;
+    yield* Task.wait<boolean>((done) => {
+      for (const peer of others)
+        World.start(this.world, "record", this.meet(peer, hello, askMs, met), () => {
+          open -= 1;
+          const one = met.get(peer);
+          if (open === 0 || (one && enough(one))) done(true);
+        });
+    });
     return met;
   }
 
--- a/src/record/memberRights.ts
+++ b/src/record/memberRights.ts
@@ -27,6 +27,8 @@
   readonly isNamedVoter: boolean;
   /** It was elected in the current term. */
   readonly isLeader: boolean;
+  /** Its process is about to end for good, as far as it knows. */
+  readonly isRetired: boolean;
   /** It takes writes, and they don't wait too long. */
   readonly isDiskWell: boolean;
   /** It leads, or heard a leader, gave a vote or started within the shortest election wait. */
@@ -71,8 +73,8 @@
     preVote: vote,
     vote,
     voteOnHandOver: knowsWhatItPromised,
-    stand: isWell && member.isNamedVoter && !member.isLeader,
-    countForCommit: knowsWhatItPromised && member.hasHistory,
+    stand: isWell && member.isNamedVoter && !member.isLeader && !member.isRetired,
+    countForCommit: knowsWhatItPromised && member.hasHistory && !member.isRetired,
     // One that is no voter any more leads on until its removal is committed.
     lead: isWell && member.isLeader,
     answer: knowsWhatItPromised && member.isLeader && member.hasLease,
--- a/src/record/membership.ts
+++ b/src/record/membership.ts
@@ -147,11 +147,11 @@
     }
   },
 
-  /** Whether a majority of the voters holds what is committed without counting one of them, or that one votes no more. */
-  isHeldWithout(view: MembershipView, leaver: string): boolean {
-    if (!view.voters.includes(leaver)) return true;
+  /** Whether a majority of the voters holds what is committed, and all up to an index, without counting one of them. */
+  isHeldWithout(view: MembershipView, leaver: string, index: number): boolean {
+    const heldIndex = Math.max(view.committedIndex, index);
     const holding = view.voters.filter(
-      (voter) => voter !== leaver && view.progressOf(voter).matchedIndex >= view.committedIndex,
+      (voter) => voter !== leaver && view.progressOf(voter).matchedIndex >= heldIndex,
     );
     return holding.length >= majorityOf(view.voters.length);
   },
--- a/src/record/recorder.ts
+++ b/src/record/recorder.ts
@@ -64,6 +64,7 @@
 } from "./consensus/vote.js";
 import { History } from "./history.js";
 import { Joining } from "./joining.js";
+import { Leaving, type LeavingAnswer } from "./leaving.js";
 import { Meeting, type Attendance } from "./meeting.js";
 import type { MemberRights, MemberStage } from "./memberRights.js";
 import type { Members } from "./members.js";
@@ -119,6 +120,12 @@
   | { kind: "outdated"; term: number }
   | { kind: "learn"; machine: string; done: (known: boolean) => void }
   | { kind: "yield"; done: (yielded: true) => void }
+  | {
+      kind: "stopping";
+      machine: string;
+      lastIndex: number;
+      done: (answer: LeavingAnswer | undefined) => void;
+    }
   | { kind: "rejoined" }
   | { kind: "kept" };
 
@@ -161,6 +168,10 @@
   private readonly newLearners: Array<{ machine: string; done: (known: boolean) => void }> = [];
   private promises = new Map<number, { term: number; done: (proposed: Proposed) => void }>();
   private checkpointing = false;
+  /** Set right before the process ends: what is acknowledged then can't be counted on. */
+  private isRetired = false;
+  /** Members that told this leader that they are about to stop, and until when that holds unless they say so again. */
+  private readonly leavingUntilMs = new Map<string, number>();
   private leaderHooks: Array<(leads: boolean) => void> = [];
 
   constructor(
@@ -256,6 +267,7 @@
       rules: safetyRules,
       stage: this.isUnborn ? "unborn" : this.state,
       hasHistory: this.hasHistory,
+      isRetired: this.isRetired,
       isDiskWell:
         this.writer.breakdown === undefined && this.writer.waitingMs <= this.waits.stallMs,
     };
@@ -285,6 +297,33 @@
       yield* Task.wait<true>((done) => this.holding.put({ kind: "yield", done }));
   }
 
+  /** Hears, as the leader, that a member is about to stop; tells how it stands, or nothing where this one doesn't lead. */
+  *memberStops(machine: string, lastIndex: number): Task<LeavingAnswer | undefined> {
+    return yield* Task.wait<LeavingAnswer | undefined>((done) =>
+      this.holding.put({ kind: "stopping", machine, lastIndex, done }),
+    );
+  }
+
+  /** Leaves the voters where a learner is ready to take the place; ends once that is done, or at a moment of the clock. */
+  *leave(untilMs: number): Task {
+    const left = yield* this.leaving().until(({ isVoter }) => !isVoter, untilMs);
+    if (left) this.log.say("Left the voters: a learner took this one's place.");
+  }
+
+  /**
+   * The last step before the process ends: acknowledges no more, and waits until a majority without this one holds all that it
+   * acknowledged; ends at a moment of the clock at the latest.
+   */
+  *retire(untilMs: number): Task {
+    if (this.state !== "formed") return;
+    yield* this.yieldLeadership();
+    this.isRetired = true;
+    const { voters } = this.agreed.members;
+    if (!voters.includes(this.self) || voters.length === 1) return;
+    const held = yield* this.leaving().until(({ isHeld }) => isHeld, untilMs);
+    if (!held) this.log.warn("Stops though others may not hold all that is acknowledged here.");
+  }
+
   /** The recorder's own task: loads, forms or rejoins, then follows, stands and leads. */
   *own(): Task {
     this.serve();
@@ -501,6 +540,20 @@
     });
   }
 
+  private leaving(): Leaving {
+    const leader = (): string => this.leader;
+    const lastIndex = (): number => this.agreed.log.lastIndex;
+    return new Leaving(this.world, this.link, {
+      self: this.self,
+      get leader() {
+        return leader();
+      },
+      get lastIndex() {
+        return lastIndex();
+      },
+    });
+  }
+
   private adopt(standing: Standing): void {
     this.fleet = standing.fleet;
     const { term, votedFor, lastIndex, lastTerm, entries } = standing;
@@ -634,7 +687,7 @@
 
   private handOver(why: string): void {
     const { term } = this.agreed;
-    const heir = heirOf(this.agreed);
+    const heir = heirOf(this.agreed, this.leavingMembers());
     this.log.warn("Hands over the lead.", { why, to: heir ?? "nobody" });
     this.follow(term, "");
     const link = this.link;
@@ -648,6 +701,12 @@
       );
   }
 
+  private leavingMembers(): Set<string> {
+    const nowMs = this.world.clock.nowMs();
+    const still = [...this.leavingUntilMs].filter(([, untilMs]) => untilMs > nowMs);
+    return new Set(still.map(([peer]) => peer));
+  }
+
   /** What this leader knows of the members, for a decision about them. */
   private membershipView(startedMs: number): MembershipView {
     const nowMs = this.world.clock.nowMs();
@@ -656,7 +715,7 @@
       self: this.self,
       voters,
       learners,
-      leaving: new Set(),
+      leaving: this.leavingMembers(),
       wantedVoters: Place.voters(this.place),
       committedIndex: this.agreed.committedIndex,
       progressOf: (member) =>
@@ -801,6 +860,8 @@
         this.newLearners.push(command);
         return this.takeNewLearners();
       }
+      case "stopping":
+        return command.done(this.noteStopping(command.machine, command.lastIndex));
       case "kept":
         this.book.letGo(this.store.history.newest);
         return;
@@ -811,6 +872,18 @@
     }
   }
 
+  private noteStopping(machine: string, lastIndex: number): LeavingAnswer | undefined {
+    const { role, members, membersIndex, committedIndex, log } = this.agreed;
+    if (role !== "leader") return undefined;
+    const nowMs = this.world.clock.nowMs();
+    this.leavingUntilMs.set(machine, nowMs + this.waits.electionMaxMs);
+    const view = this.membershipView(nowMs);
+    return {
+      isVoter: members.voters.includes(machine) || membersIndex > committedIndex,
+      isHeld: Membership.isHeldWithout(view, machine, Math.min(lastIndex, log.lastIndex)),
+    };
+  }
+
   private follow(term: number, leader: string): void {
     this.agreed = follow(this.agreed, term, leader, this.world.clock.nowMs());
   }
--- a/test/record/memberRights.test.ts
+++ b/test/record/memberRights.test.ts
@@ -12,6 +12,7 @@
   hasHistory: true,
   isNamedVoter: true,
   isLeader: false,
+  isRetired: false,
   isDiskWell: true,
   isBoundToLeader: false,
   hasLease: false,
@@ -65,6 +66,11 @@
     { isDiskWell: false },
     ["takePart", "preVote", "vote", "voteOnHandOver", "countForCommit", "forward"],
   ],
+  [
+    "voter that is about to end",
+    { isRetired: true },
+    ["takePart", "preVote", "vote", "voteOnHandOver", "forward"],
+  ],
   [
     "whole voter that hears no leader",
     {},
@@ -111,6 +117,7 @@
     "hasHistory",
     "isNamedVoter",
     "isLeader",
+    "isRetired",
     "isDiskWell",
     "isBoundToLeader",
     "hasLease",
@@ -132,6 +139,7 @@
     if (forgot) expect([inMajority, rights.lead, rights.answer]).toEqual([false, false, false]);
     if (!state.hasLease || !state.isLeader) expect(rights.answer).toBe(false);
     if (state.isBoundToLeader) expect([rights.vote, rights.preVote]).toEqual([false, false]);
+    if (state.isRetired) expect([rights.stand, rights.countForCommit]).toEqual([false, false]);
     if (rights.form) expect(state.stage).toBe("empty");
     expect(rights.forward).toBe(true);
   }
--- a/test/record/membership.test.ts
+++ b/test/record/membership.test.ts
@@ -83,9 +83,12 @@
 });
 
 test("what a leaving voter holds is held without it once a majority of the voters is", () => {
-  expect(Membership.isHeldWithout(viewOf("abc", ""), "c")).toBe(true);
-  expect(Membership.isHeldWithout(viewOf("abc", "", { b: { matchedIndex: 99 } }), "c")).toBe(false);
-  expect(Membership.isHeldWithout(viewOf("abd", "c", { b: lost }), "c")).toBe(true);
+  expect(Membership.isHeldWithout(viewOf("abc", ""), "c", 100)).toBe(true);
+  expect(Membership.isHeldWithout(viewOf("abc", "", { b: { matchedIndex: 99 } }), "c", 0)).toBe(
+    false,
+  );
+  expect(Membership.isHeldWithout(viewOf("abd", "c", { b: lost }), "c", 0)).toBe(true);
+  expect(Membership.isHeldWithout(viewOf("abc", ""), "c", 101)).toBe(false);
 });
 
 test("from any state of members and losses, each step keeps a majority that answers and ends in the wanted group", () => {
