What a client pipelines behind a closing answer doesn't run, unless it may be repeated

Cause: requests that a client sends before the first is answered were all handed on at once. Where the first's answer closed the connection (a stop, a cut stream, a refused body), an unsafe one behind it had run, though nobody could hear its answer and the client counts it as not read and sends it again.

Ruled out: holding every pipelined request (safe ones would wait for each other, for nothing: they may run again).

Change: a request that may run once waits until all that came before it on its connection is answered, and doesn't run where that closed the connection.

--- a/src/door/door.ts
+++ b/src/door/door.ts
@@ -224,7 +224,12 @@
     this.inHand += 1;
     this.passages.add(passage);
     try {
-      const ending = yield* this.pass(passage, [this.limits, this.mapped, this.keyed]);
+      const ending = yield* this.pass(passage, [
+        this.limits,
+        this.mapped,
+        this.ordered,
+        this.keyed,
+      ]);
       if (passage.isAbandoned) return;
       this.tally.byVerdict[ending.verdict] += 1;
       if (ending.ret === "cut") this.tally.cut += 1;
@@ -333,6 +338,14 @@
     return yield* rest();
   }
 
+  /** Holds what may run once until it is sure that its caller won't count it as not read and send it again. */
+  private *ordered({ mapping, caller }: Passage, rest: () => Task<Ending>): Task<Ending> {
+    const isRepeatable = mapping?.repeatable === true;
+    if (!isRepeatable && caller.turn && !(yield* caller.turn()))
+      return Ending.drop("The answer before this one closed the connection.", after.elsewhere);
+    return yield* rest();
+  }
+
   private *keyed(passage: Passage, rest: () => Task<Ending>): Task<Ending> {
     const { job, mapping } = passage;
     const { key: header } = this.dialect;
--- a/src/machine/httpCaller.ts
+++ b/src/machine/httpCaller.ts
@@ -9,8 +9,23 @@
   isOver: boolean;
   /** Hear when it is over. */
   readonly over: Set<() => void>;
+  /** Its requests that are not answered yet, in the order in which they came. */
+  readonly unanswered: HttpCaller[];
+  /** An answer was given that closes it: what came behind that one counts as not read. */
+  isClosing: boolean;
+  /** Hear when a request is answered. */
+  readonly answered: Set<() => void>;
 }
 
+/** A connection of which nothing is heard yet. */
+export const newConnection = (): Connection => ({
+  isOver: false,
+  over: new Set(),
+  unanswered: [],
+  isClosing: false,
+  answered: new Set(),
+});
+
 /** What the responses of one server have in common. */
 export interface ResponseContext {
   /** Whether callers are asked to open another connection. */
@@ -43,12 +58,31 @@
     this.response = response;
     this.connection = connection;
     this.context = context;
+    connection.unanswered.push(this);
+    response.once("close", () => this.leave());
   }
 
   get isGone(): boolean {
     return this.connection.isOver;
   }
 
+  /** Waits until all that came before on the connection is answered; false where the connection ends before. */
+  *turn(): Task<boolean> {
+    const { connection } = this;
+    while (connection.unanswered[0] !== this && !connection.isOver) {
+      yield* Task.wait<true>((done) => {
+        const go = (): void => {
+          connection.answered.delete(go);
+          connection.over.delete(go);
+          done(true);
+        };
+        connection.answered.add(go);
+        connection.over.add(go);
+      });
+    }
+    return !connection.isOver && !connection.isClosing;
+  }
+
   whole({ code, headers, body }: Return): void {
     const { request, response, context } = this;
     const isBodiless = request.method === "HEAD" || code === 204 || code === 304;
@@ -100,12 +134,18 @@
     }
   }
 
+  private leave(): void {
+    const { unanswered, answered } = this.connection;
+    const at = unanswered.indexOf(this);
+    if (at >= 0) unanswered.splice(at, 1);
+    for (const hear of [...answered]) hear();
+  }
+
   private head(code: number, headers: Record<string, string>): void {
+    const sent = this.context.isClosing() ? { ...headers, connection: "close" } : headers;
+    if (sent["connection"] === "close") this.connection.isClosing = true;
     this.response.sendDate = false;
-    this.response.writeHead(
-      code,
-      this.context.isClosing() ? { ...headers, connection: "close" } : headers,
-    );
+    this.response.writeHead(code, sent);
   }
 
   private beginTransfer(bytes: number): Transfer {
--- a/src/machine/httpServer.ts
+++ b/src/machine/httpServer.ts
@@ -6,7 +6,7 @@
 import { LinkPacer } from "../runtime/linkPacer.js";
 import { Address, ListenError } from "../runtime/wire.js";
 import { Task } from "../runtime/task.js";
-import { HttpCaller, type Connection, type ResponseContext } from "./httpCaller.js";
+import { HttpCaller, newConnection, type Connection, type ResponseContext } from "./httpCaller.js";
 
 /** What callers may send, and how long they may take or rest. */
 export interface ServerLimits {
@@ -143,7 +143,7 @@
   }
 
   private connected(socket: Socket): void {
-    const connection: Connection = { isOver: false, over: new Set() };
+    const connection = newConnection();
     this.connections.set(socket, connection);
     socket.once("close", () => {
       connection.isOver = true;
@@ -152,7 +152,7 @@
   }
 
   private arrived(request: IncomingMessage, response: ServerResponse): void {
-    const connection = this.connections.get(request.socket) ?? { isOver: false, over: new Set() };
+    const connection = this.connections.get(request.socket) ?? newConnection();
     const caller = new HttpCaller(request, response, connection, this.responses);
     const { headerBytes, bodyBytes } = this.limits;
     request.on("error", () => undefined);
