The history of configurations is bounded, stored by change, and no longer gates counting

Every accepted configuration was kept for ever in files that only grew. A member also did not count for commits before it had learned all old configurations.

History now keeps files of up to 64 configurations, the first whole (63 KB at that size), the others as changes of the text (184 bytes on the mean). All files together take a quarter of limits.diskMb; the oldest go beyond that, and first when the disk refuses a write. 16 MB hold about 13,700 such changes. Files of former builds are still read. What is missing is learned in the background, newest first. Who asks for a configuration that no voter keeps gets 410, "no longer kept".

Ruled out: changes against the first configuration of a file (reads one step, but takes some six times the room); 128 in a file (a read took up to 110 ms).

--- a/src/contract/registry.ts
+++ b/src/contract/registry.ts
@@ -643,6 +643,7 @@
     const found =
       wanted === this.book.version ? newest : yield* this.ofVersion(wanted, newest.sequence);
     if (found === "unknown") return breakdownReturn("unknown");
+    if (found === "noLongerKept") return this.granted(() => ({ found: null, noLongerKept: true }));
     if (!found) return this.granted(() => ({ found: null }));
     return this.granted(() => ({
       found: {
@@ -659,7 +660,7 @@
   private *ofVersion(
     version: number,
     newest: number,
-  ): Task<AcceptedConfig | "unknown" | undefined> {
+  ): Task<AcceptedConfig | "noLongerKept" | "unknown" | undefined> {
     const { recent } = this.book;
     const at = recent.findIndex((one) => versionOf(one) >= version);
     const known =
@@ -667,19 +668,25 @@
         ? recent[at]
         : undefined;
     if (known && versionOf(known) !== version) return undefined;
-    if (known) return (yield* this.recorder.config(known.sequence)) ?? "unknown";
+    if (known) {
+      const read = yield* this.recorder.config(known.sequence);
+      return read.kind === "found" ? read.config : read.kind;
+    }
     let low = 1;
+    let isLowGone = false;
     let high = Math.min(version, recent[0]?.sequence ?? newest);
     while (low <= high) {
       const middle = version === high ? high : Math.floor((low + high) / 2);
-      const config = yield* this.recorder.config(middle);
-      if (!config) return "unknown";
-      const found = versionOf(config);
-      if (found === version) return config;
-      if (found < version) low = middle + 1;
-      else high = middle - 1;
+      const read = yield* this.recorder.config(middle);
+      if (read.kind === "unknown") return "unknown";
+      if (read.kind === "found" && versionOf(read.config) === version) return read.config;
+      const isBelow = read.kind === "noLongerKept" || versionOf(read.config) < version;
+      if (isBelow) {
+        low = middle + 1;
+        isLowGone = read.kind === "noLongerKept";
+      } else high = middle - 1;
     }
-    return undefined;
+    return isLowGone ? "noLongerKept" : undefined;
   }
 
   /** Takes a member in that holds this fleet's record, and was removed while it was away. */
--- a/src/machine/daemon.ts
+++ b/src/machine/daemon.ts
@@ -14,6 +14,7 @@
 import type { Archive } from "../operator/archive.js";
 import { Operators } from "../operator/operators.js";
 import { Book } from "../record/book.js";
+import { historyBytesOf } from "../record/historyShare.js";
 import { Meeting } from "../record/meeting.js";
 import type { Place } from "../record/place.js";
 import { Recorder, type Waits } from "../record/recorder.js";
@@ -151,7 +152,7 @@
         place,
         { ...bounds.waits, ...options.waits },
         book,
-        new Store(world.disk),
+        new Store(world.disk, historyBytesOf(settings.limits?.diskMb)),
         this.meeting,
       );
       this.registry = new Registry(
--- a/src/operator/operators.ts
+++ b/src/operator/operators.ts
@@ -95,6 +95,7 @@
       text: string(),
     }),
   ),
+  noLongerKept: optional(boolean()),
 });
 const historyShape = type({
   journal: define<Array<{ index: number; text: string }>>("journal", Array.isArray),
@@ -229,10 +230,15 @@
       answerMs,
     );
     if (text === undefined) return noLeader();
-    const { found } = create(JSON.parse(text), foundShape);
+    const { found, noLongerKept } = create(JSON.parse(text), foundShape);
     // A first config is still to come: whoever waits for it asks again, so this is no refusal for good.
     if (!found && version === undefined)
       return Return.json(503, { error: "No config was accepted yet." }, retryAfter);
+    if (!found && noLongerKept === true)
+      return fault(
+        410,
+        `Config ${version} is no longer kept: the oldest go first when the disk's share for them is full.`,
+      );
     if (!found) return fault(404, `No config ${version} is kept.`);
     const config: unknown = JSON.parse(found.text);
     return Return.json(
--- a/src/record/consensus/rights.ts
+++ b/src/record/consensus/rights.ts
@@ -13,7 +13,6 @@
   const member: MemberState = {
     stage: facts.stage,
     isRejoining: state.rejoinNonce !== "",
-    hasHistory: facts.hasHistory,
     isNamedVoter: state.members.voters.includes(state.self),
     isLeader: state.role === "leader",
     isRetired: facts.isRetired,
--- a/src/record/consensus/state.ts
+++ b/src/record/consensus/state.ts
@@ -60,8 +60,6 @@
   readonly rules: SafetyRules;
   /** How far this member's own storage is part of a formed log. */
   readonly stage: MemberStage;
-  /** Whether the configurations that a snapshot doesn't carry are all kept here. */
-  readonly hasHistory: boolean;
   /** Whether the process is about to end, so that what this member acknowledges can't be counted on. */
   readonly isRetired: boolean;
   /** Whether the disk takes writes, and they don't wait too long. */
--- /dev/null
+++ b/src/record/historyKeeper.ts
@@ -0,0 +1,243 @@
+import { Clock } from "../runtime/clock.js";
+import type { PartLog } from "../runtime/logbook.js";
+import { Task } from "../runtime/task.js";
+import type { World } from "../runtime/world.js";
+import { Kind } from "../link/kind.js";
+import type { Held, Link } from "../link/link.js";
+import type { AcceptedConfig, Book } from "./book.js";
+import { fileConfigs, History, type SequenceRange } from "./history.js";
+import type { Writer } from "./writer.js";
+
+const askWaitMs = 600;
+const learnMs = 200;
+/** A member that learns rests this many times as long as an exchange took, so that those who are asked have time for other work. */
+const restsPerExchange = 3;
+
+/** What became of looking for an accepted config. */
+export type ConfigRead =
+  | { readonly kind: "found"; readonly config: AcceptedConfig }
+  /** It was accepted, and removed since for lack of room. */
+  | { readonly kind: "noLongerKept" }
+  /** Nobody who was reached holds it, and not everybody was reached. */
+  | { readonly kind: "unknown" };
+
+/** What the keeper of the history must know of the replicated log's member. */
+export interface HistoryTerms {
+  readonly isFormed: () => boolean;
+  readonly voters: () => readonly string[];
+  /** Further peers that may hold configs. */
+  readonly others: () => readonly string[];
+  /** How much text of configs may wait in memory and snapshots for a disk that refuses them. */
+  readonly unkeptBytes: number;
+  /** Hears that configs up to one need no longer be held by the state machine. */
+  readonly kept: (upTo: number) => void;
+}
+
+/** What peers returned when asked for configs. */
+interface Fetched {
+  readonly configs: readonly AcceptedConfig[];
+  /** Whether each voter said what it holds. */
+  readonly isEveryVoterHeard: boolean;
+}
+
+/** Keeps accepted configs on disk, learns those that are missing from the other members, and reads them back. */
+export class HistoryKeeper {
+  private readonly world: World;
+  private readonly link: Link;
+  private readonly book: Book;
+  private readonly history: History;
+  private readonly writer: Writer;
+  private readonly terms: HistoryTerms;
+  private readonly log: PartLog;
+  /** Ranges that damage took and that aren't learned again yet. */
+  private damaged: SequenceRange[] = [];
+  /** Whether configs wait for the disk to take them. */
+  private isOwing = false;
+  /** Whether older configs were missing when it was last looked for them. */
+  private isLacking = false;
+  /** Configs up to this one are kept by no voter. */
+  private goneUpTo = 0;
+
+  constructor(
+    world: World,
+    link: Link,
+    book: Book,
+    history: History,
+    writer: Writer,
+    terms: HistoryTerms,
+  ) {
+    this.world = world;
+    this.link = link;
+    this.book = book;
+    this.history = history;
+    this.writer = writer;
+    this.terms = terms;
+    this.log = world.logbook.part("record");
+  }
+
+  /** Returns to other members what is kept here. */
+  serve(): void {
+    this.link.serve(Kind.history, ({ from }) => this.pieceFrom(from));
+  }
+
+  /** The keeper's own task: measures what the disk holds, then learns what is missing, newest first. */
+  *own(): Task {
+    yield* this.check();
+    for (;;) {
+      if (this.terms.isFormed()) {
+        if (this.history.isDamaged) yield* this.check();
+        if (this.isOwing) this.keep();
+        const sinceMs = this.world.clock.nowMs();
+        yield* this.learn();
+        const tookMs = this.world.clock.nowMs() - sinceMs;
+        yield* Clock.rest(this.world.clock, restsPerExchange * tookMs);
+      }
+      yield* Clock.rest(this.world.clock, learnMs);
+    }
+  }
+
+  /** Has the disk keep the configs that the state machine still holds; it lets go of them once they are kept. */
+  keep(): void {
+    const { configs } = this.book;
+    const newest = configs.at(-1)?.sequence ?? 0;
+    this.isOwing = false;
+    if (newest <= this.history.newest) return this.terms.kept(this.history.newest);
+    const { history } = this;
+    const add = function* (): Task {
+      yield* history.add(configs);
+    };
+    this.writer.attempt(add, (succeeded) => {
+      this.isOwing = !succeeded;
+      if (succeeded) this.terms.kept(newest);
+      else this.boundUnkept();
+    });
+    this.writer.attempt(
+      () => this.shrink(),
+      () => undefined,
+    );
+  }
+
+  /** One accepted config, from here or from another member. */
+  *read(sequence: number): Task<ConfigRead> {
+    const own =
+      this.book.configs.find((config) => config.sequence === sequence) ??
+      (yield* this.history.read(sequence));
+    if (own) return { kind: "found", config: own };
+    const { configs, isEveryVoterHeard } = yield* this.fetch(sequence);
+    const [config] = configs;
+    if (config) return { kind: "found", config };
+    const isGone = isEveryVoterHeard || sequence <= this.goneUpTo;
+    return { kind: isGone ? "noLongerKept" : "unknown" };
+  }
+
+  private *pieceFrom(from: number): Task<Held<typeof Kind.history.return>> {
+    if (!this.terms.isFormed()) return { configs: new Uint8Array() };
+    const kept = yield* this.history.piece(from);
+    if (kept.length > 0) return { configs: kept };
+    const { configs } = this.book;
+    const at = configs.findIndex(({ sequence }) => sequence === from);
+    return { configs: at < 0 ? new Uint8Array() : History.pack(configs.slice(at)) };
+  }
+
+  /** Configs from one on, as another member holds them; followers are asked before the leader. */
+  private *fetch(from: number): Task<Fetched> {
+    const voters = this.terms.voters();
+    const heard = new Set([this.link.self]);
+    const asked = new Set([this.link.self, ""]);
+    for (const peer of [...voters, ...this.terms.others()]) {
+      if (asked.has(peer)) continue;
+      asked.add(peer);
+      const ret = yield* this.link.ask(peer, Kind.history, { from }, askWaitMs);
+      if (!ret) continue;
+      heard.add(peer);
+      const configs = History.unpack(ret.configs, from);
+      if (configs.length > 0) return { configs, isEveryVoterHeard: false };
+    }
+    return { configs: [], isEveryVoterHeard: voters.every((voter) => heard.has(voter)) };
+  }
+
+  /** Learns some of the newest configs that are missing here, while there is room for them. */
+  private *learn(): Task {
+    const missing = this.missing();
+    if (!missing) {
+      if (this.isLacking)
+        this.log.say("The history of configs is whole.", { newest: this.history.newest });
+      this.isLacking = false;
+      return;
+    }
+    this.isLacking = true;
+    const { configs, isEveryVoterHeard } = yield* this.fetchOf(missing);
+    if (configs.length > 0)
+      yield* this.insert(configs.filter(({ sequence }) => sequence <= missing.to));
+    else if (isEveryVoterHeard) this.goneUpTo = Math.max(this.goneUpTo, missing.to);
+    this.noteMended();
+  }
+
+  /** Configs of a range: those of its last file from their first on, or from later on where others keep no older ones. */
+  private *fetchOf({ from, to }: SequenceRange): Task<Fetched> {
+    let first = Math.max(from, to - fileConfigs + 1);
+    for (;;) {
+      const fetched = yield* this.fetch(first);
+      if (fetched.configs.length > 0 || first === to) return fetched;
+      first = Math.ceil((first + 1 + to) / 2);
+    }
+  }
+
+  /** The newest range that is missing here and may be learned. */
+  private missing(): SequenceRange | undefined {
+    const first = this.book.configs[0]?.sequence ?? 1;
+    const range = this.history.missingBelow(first);
+    const floor = Math.max(this.goneUpTo, this.history.letGoUpTo);
+    if (!range || range.to <= floor || !this.history.hasRoom) return undefined;
+    return { from: Math.max(range.from, floor + 1), to: range.to };
+  }
+
+  private *insert(configs: AcceptedConfig[]): Task {
+    const { history } = this;
+    const add = function* (): Task {
+      yield* history.add(configs);
+    };
+    yield* Task.wait<boolean>((done) => this.writer.attempt(add, done));
+  }
+
+  /** Measures files in the owner of the disk's turn, since damaged ones are cut. */
+  private *check(): Task {
+    const { history } = this;
+    const found: SequenceRange[] = [];
+    const check = function* (): Task {
+      found.push(...(yield* history.check()));
+    };
+    yield* Task.wait<boolean>((done) => this.writer.attempt(check, done));
+    for (const range of found) {
+      this.log.warn("A file of the history is damaged; its configs are learned from the others.", {
+        ...range,
+      });
+      this.damaged.push(range);
+    }
+    yield* Task.wait<boolean>((done) => this.writer.attempt(() => this.shrink(), done));
+  }
+
+  private noteMended(): void {
+    const missing = this.history.missingBelow(this.book.configs[0]?.sequence ?? 1);
+    const isWhole = ({ from }: SequenceRange): boolean => !missing || missing.to < from;
+    for (const range of this.damaged.filter(isWhole))
+      this.log.say("A damaged file of the history is whole again.", { ...range });
+    this.damaged = this.damaged.filter((range) => !isWhole(range));
+  }
+
+  private *shrink(): Task {
+    const removed = yield* this.history.shrink();
+    if (removed)
+      this.log.say("The oldest configs of the history are no longer kept.", { ...removed });
+  }
+
+  /** While the disk refuses the history, only so much text waits for it; beyond that only the newest config does. */
+  private boundUnkept(): void {
+    const { configs } = this.book;
+    const bytes = configs.reduce((sum, { text }) => sum + text.length, 0);
+    const upTo = configs.at(-2)?.sequence;
+    if (bytes <= this.terms.unkeptBytes || upTo === undefined) return;
+    this.log.warn("The disk doesn't take the history; configs are let go unkept.", { upTo });
+    this.terms.kept(upTo);
+  }
+}
--- a/src/record/memberRights.ts
+++ b/src/record/memberRights.ts
@@ -21,8 +21,6 @@
   readonly stage: MemberStage;
   /** It lost its disk and its mark has not been committed since. */
   readonly isRejoining: boolean;
-  /** The configurations that the snapshot it was given does not carry are all kept here. */
-  readonly hasHistory: boolean;
   /** The newest membership that it knows names it as a voter. */
   readonly isNamedVoter: boolean;
   /** It was elected in the current term. */
@@ -74,7 +72,7 @@
     vote,
     voteOnHandOver: knowsWhatItPromised,
     stand: isWell && member.isNamedVoter && !member.isLeader && !member.isRetired,
-    countForCommit: knowsWhatItPromised && member.hasHistory && !member.isRetired,
+    countForCommit: knowsWhatItPromised && !member.isRetired,
     // One that is no voter any more leads on until its removal is committed.
     lead: isWell && member.isLeader,
     answer: knowsWhatItPromised && member.isLeader && member.hasLease,
--- a/src/record/recorder.ts
+++ b/src/record/recorder.ts
@@ -1,11 +1,10 @@
-import { Clock } from "../runtime/clock.js";
 import { Holding } from "../runtime/holding.js";
 import type { PartLog } from "../runtime/logbook.js";
 import { Task } from "../runtime/task.js";
 import { World } from "../runtime/world.js";
 import { Kind } from "../link/kind.js";
 import type { Held, Link } from "../link/link.js";
-import type { AcceptedConfig, Book } from "./book.js";
+import type { Book } from "./book.js";
 import {
   acknowledgeAppend,
   decideAppend,
@@ -62,7 +61,7 @@
   type VoteReply,
   type VoteRequest,
 } from "./consensus/vote.js";
-import { History } from "./history.js";
+import { HistoryKeeper, type ConfigRead } from "./historyKeeper.js";
 import { Joining } from "./joining.js";
 import { Leaving, type LeavingAnswer } from "./leaving.js";
 import { Meeting, type Attendance } from "./meeting.js";
@@ -127,13 +126,11 @@
       done: (answer: LeavingAnswer | undefined) => void;
     }
   | { kind: "rejoined" }
-  | { kind: "kept" };
+  | { kind: "kept"; upTo: number };
 
 /** Raised when the record in memory contradicts itself; the daemon must not go on. */
 export class RecordError extends Error {}
 
-const historyWaitMs = 600;
-const learnMs = 200;
 /** What one frame of entries carries at most, unless a single entry is larger. Exported for its test. */
 export const batch = { entries: 256, bytes: 4 * 1024 * 1024 };
 /** What is kept of the log behind a checkpoint, for followers that lag a little. */
@@ -152,6 +149,7 @@
   private readonly store: Store;
   private readonly writer: Writer;
   private readonly holding = new Holding<Command>();
+  private readonly historyKeeper: HistoryKeeper;
 
   private state: Exclude<MemberStage, "unborn"> = "loading";
   private fleet = "";
@@ -193,6 +191,17 @@
     this.store = store;
     this.log = world.logbook.part("record");
     this.writer = new Writer(world.clock, store, this.log);
+    this.historyKeeper = new HistoryKeeper(world, link, book, store.history, this.writer, {
+      isFormed: () => this.state === "formed",
+      voters: () => this.agreed.members.voters,
+      others: () => [
+        this.agreed.knownLeader,
+        ...this.agreed.members.learners,
+        ...meeting.recorders,
+      ],
+      unkeptBytes: waits.checkpointBytes,
+      kept: (upTo) => this.holding.put({ kind: "kept", upTo }),
+    });
     this.agreed = initialState(this.self, world.clock.nowMs());
     meeting.attend(this);
   }
@@ -215,7 +224,7 @@
   /** How this recorder stands, for status and tests. */
   get status() {
     return {
-      state: this.nonce !== "" || !this.hasHistory ? "rejoining" : this.attendance.state,
+      state: this.nonce !== "" ? "rejoining" : this.attendance.state,
       role: this.agreed.role,
       term: this.agreed.term,
       leader: this.leader,
@@ -266,7 +275,6 @@
       waits: this.waits,
       rules: safetyRules,
       stage: this.isUnborn ? "unborn" : this.state,
-      hasHistory: this.hasHistory,
       isRetired: this.isRetired,
       isDiskWell:
         this.writer.breakdown === undefined && this.writer.waitingMs <= this.waits.stallMs,
@@ -341,7 +349,7 @@
     if (this.state !== "formed" || this.isUnborn) yield* this.opening.take();
     this.agreed = restartedAt(this.agreed, this.facts);
     World.start(this.world, "record", this.joining().own());
-    World.start(this.world, "record", this.learning());
+    World.start(this.world, "record", this.historyKeeper.own());
     for (;;) {
       switch (this.agreed.role) {
         case "follower":
@@ -384,7 +392,7 @@
         taken: yield* Task.wait<boolean>((done) => holding.put({ kind: "handOver", term, done })),
       };
     });
-    this.link.serve(Kind.history, ({ from }) => this.historyFrom(from));
+    this.historyKeeper.serve();
   }
 
   /** Writes on an empty disk which fleet's record this is and who its members are. */
@@ -414,81 +422,9 @@
     this.opening.putOnce(true);
   }
 
-  /** One accepted config, from here or from another recorder; `undefined` where nobody who is reached holds it. */
-  *config(sequence: number): Task<AcceptedConfig | undefined> {
-    const own =
-      this.book.configs.find((config) => config.sequence === sequence) ??
-      (yield* this.store.history.read(sequence));
-    return own ?? (yield* this.fetched(sequence))[0];
-  }
-
-  /** Whether every config that was ever accepted is kept here; without them this recorder doesn't count for new entries. */
-  private get hasHistory(): boolean {
-    return (this.book.configs[0]?.sequence ?? 1) <= this.store.history.newest + 1;
-  }
-
-  private *historyFrom(from: number): Task<Held<typeof Kind.history.return>> {
-    if (this.state !== "formed") return { configs: new Uint8Array() };
-    const kept = yield* this.store.history.piece(from);
-    const [first] = this.book.configs;
-    const inBook = kept.length === 0 && first !== undefined && from >= first.sequence;
-    return {
-      configs: inBook
-        ? History.pack(this.book.configs.filter(({ sequence }) => sequence >= from))
-        : kept,
-    };
-  }
-
-  /** Configs from one on, as another recorder holds them; none where nobody who is reached does. */
-  private *fetched(from: number): Task<AcceptedConfig[]> {
-    const { voters, learners } = this.agreed.members;
-    for (const peer of new Set([
-      this.agreed.knownLeader,
-      ...voters,
-      ...learners,
-      ...this.meeting.recorders,
-    ])) {
-      if (peer === this.self || peer === "") continue;
-      const ret = yield* this.link.ask(peer, Kind.history, { from }, historyWaitMs);
-      const configs = ret ? History.unpack(ret.configs, from) : [];
-      if (configs.length > 0) return configs;
-    }
-    return [];
-  }
-
-  /** Learns what the history lacks, after a checkpoint from the leader or damage on the disk. */
-  private *learning(): Task {
-    const { history } = this.store;
-    yield* history.check();
-    for (;;) {
-      const [file] = history.damaged;
-      if (this.state === "formed" && !this.hasHistory) {
-        const configs = yield* this.fetched(history.newest + 1);
-        if (configs.length > 0)
-          yield* Task.wait<boolean>((done) => this.writer.keep(configs, () => done(true)));
-        if (this.hasHistory)
-          this.log.say("The history of configs is whole.", { newest: history.newest });
-        else if (configs.length > 0) continue;
-      } else if (this.state === "formed" && file !== undefined) yield* this.mending(file);
-      yield* Clock.rest(this.world.clock, learnMs);
-    }
-  }
-
-  private *mending(file: number): Task {
-    const { history } = this.store;
-    const { from, to } = History.span(file, history.newest);
-    this.log.warn("A file of the history is damaged; its configs are learned from the others.", {
-      from,
-      to,
-    });
-    const configs: AcceptedConfig[] = [];
-    for (let next = from; next <= to; next = from + configs.length) {
-      const more = yield* this.fetched(next);
-      if (more.length === 0) return;
-      configs.push(...more.filter(({ sequence }) => sequence <= to));
-    }
-    yield* Task.wait<boolean>((done) => this.writer.keep(configs, () => done(true), file));
-    this.log.say("A damaged file of the history is whole again.", { from, to });
+  /** One accepted config, from here or from another member. */
+  *config(sequence: number): Task<ConfigRead> {
+    return yield* this.historyKeeper.read(sequence);
   }
 
   /** Begins to learn the record of a fleet that was formed by others. */
@@ -863,7 +799,7 @@
       case "stopping":
         return command.done(this.noteStopping(command.machine, command.lastIndex));
       case "kept":
-        this.book.letGo(this.store.history.newest);
+        this.book.letGo(command.upTo);
         return;
       case "rejoined":
         this.agreed = rejoined(this.agreed);
@@ -974,9 +910,6 @@
     const lastIndex = this.applied;
     const { term, votedFor, rejoinNonce, log } = this.agreed;
     const members = membersAt(this.agreed, lastIndex);
-    const newest = this.book.inForce?.sequence ?? 0;
-    const keeps = this.hasHistory;
-    if (keeps) this.writer.keep(this.book.configs, () => this.holding.put({ kind: "kept" }));
     const standing: Standing = {
       fleet: this.fleet,
       rejoining: then === "rejoined" ? "" : rejoinNonce,
@@ -984,7 +917,7 @@
       votedFor,
       lastIndex,
       lastTerm: log.termAt(lastIndex) ?? 0,
-      book: this.book.checkpoint(members, keeps ? newest : 0),
+      book: this.book.checkpoint(members, this.store.history.newest),
       entries: log.entriesFrom(lastIndex + 1),
     };
     const applied = log.entriesFrom(log.baseIndex + 1, lastIndex - log.baseIndex).reverse();
@@ -994,5 +927,6 @@
       this.checkpointing = false;
       if (then === "rejoined") this.holding.put({ kind: "rejoined" });
     });
+    this.historyKeeper.keep();
   }
 }
--- a/src/record/store.ts
+++ b/src/record/store.ts
@@ -78,16 +78,16 @@
 /** Two checkpoint slots written in turn, and a short log after the newer one. */
 export class Store {
   private readonly disk: Disk;
-  /** Every accepted config, beside the slots. */
+  /** Accepted configs, beside the slots, as far back as there is room. */
   readonly history: History;
   private sequence = 0;
   private logBytes = 0;
   private torn = false;
   private isClearing = false;
 
-  constructor(disk: Disk) {
+  constructor(disk: Disk, historyBytes = Infinity) {
     this.disk = disk;
-    this.history = new History(disk);
+    this.history = new History(disk, historyBytes);
   }
 
   /** How much has been added to the log since the last checkpoint. */
--- a/src/record/writer.ts
+++ b/src/record/writer.ts
@@ -3,13 +3,13 @@
 import { Holding } from "../runtime/holding.js";
 import type { PartLog } from "../runtime/logbook.js";
 import { Task } from "../runtime/task.js";
-import type { AcceptedConfig } from "./book.js";
+import { RoomMaker } from "./roomMaker.js";
 import type { LogRecord, Standing, Store } from "./store.js";
 
 type Order =
   | { records: LogRecord[]; done: () => void }
   | { standing: Standing; done: () => void }
-  | { configs: AcceptedConfig[]; file: number | undefined; done: () => void };
+  | { attempt: () => Task; done: (succeeded: boolean) => void };
 
 const retryMs = 200;
 
@@ -19,6 +19,7 @@
   private readonly store: Store;
   private readonly log: PartLog;
   private readonly holding = new Holding<Order>();
+  private readonly roomMaker: RoomMaker;
   private sinceMs: number | undefined;
   /** Why the disk takes nothing now, or nothing. */
   breakdown: string | undefined;
@@ -30,6 +31,7 @@
     this.clock = clock;
     this.store = store;
     this.log = log;
+    this.roomMaker = new RoomMaker(clock, store.history, log);
   }
 
   /** How long the oldest write has been waiting. */
@@ -49,9 +51,9 @@
     this.holding.put({ standing, done });
   }
 
-  /** Has the history keep configs, or write a damaged file of it anew. */
-  keep(configs: AcceptedConfig[], done: () => void, file?: number): void {
-    this.holding.put({ configs, file, done });
+  /** Does what may fail without consequence, once, in its turn; tells whether the disk took it. */
+  attempt(attempt: () => Task, done: (succeeded: boolean) => void): void {
+    this.holding.put({ attempt, done });
   }
 
   *own(): Task {
@@ -64,8 +66,11 @@
         else {
           yield* this.appendGroup(group);
           group = [];
-          yield* this.persist(() => this.work(order));
-          order.done();
+          if ("attempt" in order) order.done(yield* this.tryOnce(order.attempt));
+          else {
+            yield* this.persist(() => this.store.checkpoint(order.standing));
+            order.done();
+          }
         }
       }
       yield* this.appendGroup(group);
@@ -73,11 +78,16 @@
     }
   }
 
-  private work(order: Exclude<Order, { records: LogRecord[] }>): Task {
-    if ("standing" in order) return this.store.checkpoint(order.standing);
-    return order.file === undefined
-      ? this.store.history.append(order.configs)
-      : this.store.history.mend(order.file, order.configs);
+  /** Nobody waits for such a write, so that a disk that refuses it is not told as one that takes nothing. */
+  private *tryOnce(write: () => Task): Task<boolean> {
+    try {
+      yield* write();
+      return true;
+    } catch (error) {
+      if (!(error instanceof DiskBreakdown)) throw error;
+      yield* this.roomMaker.refused();
+      return false;
+    }
   }
 
   private *appendGroup(group: Array<{ records: LogRecord[]; done: () => void }>): Task {
@@ -95,9 +105,11 @@
         this.syncs += 1;
         if (this.breakdown !== undefined) this.log.say("The disk takes writes again.");
         this.breakdown = undefined;
+        this.roomMaker.accepted();
         return;
       } catch (error) {
         if (!(error instanceof DiskBreakdown)) throw error;
+        if (yield* this.roomMaker.refused()) continue;
         const why = error.cause instanceof Error ? error.cause.message : error.message;
         if (this.breakdown === undefined)
           this.log.warn("The disk takes no writes; nothing is acknowledged.", { why });
--- /dev/null
+++ b/test/record/diskLimit.test.ts
@@ -0,0 +1,263 @@
+import { expect, test } from "vitest";
+import { Config } from "../../src/contract/config.js";
+import { type AcceptedConfig, Book, Deed } from "../../src/record/book.js";
+import { HistoryFormat } from "../../src/record/historyFormat.js";
+import { type Standing, Store } from "../../src/record/store.js";
+import { FleetStage, type StageMachine } from "./fleetStage.js";
+import { LargeConfig } from "./largeConfig.js";
+
+const diskMb = 64;
+const isLed = (stage: FleetStage) => (): boolean =>
+  stage.disks.some(({ daemon }) => daemon?.recorder?.hasGrant === true);
+
+/** Has the leader accept configs one after another, and keeps their texts. */
+class Changes {
+  readonly texts: string[] = [];
+  private readonly stage: FleetStage;
+  private readonly config: LargeConfig;
+  private readonly fromSequence: number;
+
+  constructor(stage: FleetStage, config: LargeConfig, fromSequence = 1) {
+    this.stage = stage;
+    this.config = config;
+    this.fromSequence = fromSequence;
+  }
+
+  get newest(): number {
+    return this.fromSequence + this.texts.length - 1;
+  }
+
+  /** One change; tells how it ended within five seconds. */
+  accept(): string {
+    const recorder = this.stage.leader.daemon?.recorder;
+    if (!recorder) return "no leader";
+    const text = this.config.next();
+    const deed = Deed.text({
+      kind: "config",
+      expected: this.newest,
+      changeId: `c${this.newest + 1}`,
+      acceptedAt: "2026-01-01T00:00:00.000Z",
+      text,
+      services: [],
+      routes: [],
+    });
+    const outcomes: string[] = [];
+    this.stage.start(
+      (function* () {
+        const proposed = yield* recorder.propose(deed);
+        outcomes.push(typeof proposed === "string" ? proposed : proposed.outcome);
+      })(),
+    );
+    this.stage.until(() => outcomes.length > 0, 5000);
+    const [outcome = ""] = outcomes;
+    if (outcome.includes("accepted")) this.texts.push(text);
+    return outcome;
+  }
+}
+
+/** How a read of a version ends at a machine. */
+const readAt = (stage: FleetStage, machine: StageMachine, sequence: number): string => {
+  const { recorder } = machine.daemon ?? {};
+  const reads: string[] = [];
+  if (!recorder) return "no recorder";
+  stage.start(
+    (function* () {
+      const read = yield* recorder.config(sequence);
+      reads.push(read.kind === "found" ? read.config.text : read.kind);
+    })(),
+  );
+  stage.until(() => reads.length > 0, 10_000);
+  return reads[0] ?? "";
+};
+
+const limitDisks = (stage: FleetStage): void => {
+  for (const { disk } of stage.disks) if (disk) disk.capacityBytes = diskMb * 1_000_000;
+};
+
+test("a large config is one that a gateway takes", () => {
+  const text = new LargeConfig(50).next();
+  expect(Config.check(JSON.parse(text))).not.toHaveProperty("faults");
+});
+
+test("1,000 changes of a configuration with 2,500 routes fit on a disk of 64 MB, before and after a restart", () => {
+  const stage = new FleetStage(["d:a"], [0], {
+    tolerate: { machines: 0, zones: 0 },
+    limits: { diskMb },
+  });
+  limitDisks(stage);
+  const machine = stage.at(0);
+  stage.bootAll();
+  stage.until(isLed(stage), 5000);
+  const changes = new Changes(stage, new LargeConfig(2500));
+  for (let round = 0; round < 1000; round += 1) expect(changes.accept()).toContain("accepted");
+  stage.kill(machine);
+  stage.boot(machine, { bootstrap: false });
+  stage.until(isLed(stage), 10_000);
+  for (const sequence of [1, 2, 64, 65, 700, 999, 1000])
+    expect(readAt(stage, machine, sequence) === changes.texts[sequence - 1]).toBe(true);
+  expect(stage.lines.filter((line) => line.includes("The disk is full"))).toEqual([]);
+  expect(machine.disk?.heldBytes ?? Infinity).toBeLessThan(diskMb * 1_000_000);
+}, 300_000);
+
+test("when its share of the disk is full the history lets its oldest go, and says so to whoever asks", () => {
+  const stage = new FleetStage(["d:a", "d:b", "d:c"], [0, 1, 2], { limits: { diskMb: 1 } });
+  stage.bootAll();
+  stage.until(isLed(stage), 5000);
+  const config = new LargeConfig(120);
+  const changes = new Changes(stage, config);
+  let accepted = 0;
+  while (accepted < 2400) accepted += changes.accept().includes("accepted") ? 1 : 0;
+  stage.wait(5000);
+  const { leader } = stage;
+  expect(
+    stage.lines.some((line) =>
+      line.includes("The oldest configs of the history are no longer kept."),
+    ),
+  ).toBe(true);
+  for (const machine of stage.disks) {
+    expect(readAt(stage, machine, 1)).toBe("noLongerKept");
+    expect(readAt(stage, machine, 2400) === changes.texts[2399]).toBe(true);
+    expect(readAt(stage, machine, 2100) === changes.texts[2099]).toBe(true);
+  }
+  for (const machine of stage.disks) stage.kill(machine);
+  for (const machine of stage.disks) stage.boot(machine, { bootstrap: false });
+  stage.until(isLed(stage), 6000);
+  stage.wait(3000);
+  expect(readAt(stage, leader, 1)).toBe("noLongerKept");
+  expect(readAt(stage, leader, 2400) === changes.texts[2399]).toBe(true);
+}, 300_000);
+
+test("a disk that is full for a while holds up changes only as long, and no old config is lost with the newest file", () => {
+  const stage = new FleetStage(["d:a", "d:b", "d:c"], [0, 1, 2], { limits: { diskMb } });
+  stage.bootAll();
+  stage.until(isLed(stage), 5000);
+  const changes = new Changes(stage, new LargeConfig(600));
+  const acceptUntil = (count: number): void => {
+    for (let tries = 0; changes.texts.length < count; tries += 1) {
+      if (tries > count + 40) throw new Error("Too many changes were refused.");
+      if (!isLed(stage)()) stage.until(isLed(stage), 6000);
+      changes.accept();
+    }
+  };
+  acceptUntil(300);
+  const [first, second] = stage.disks;
+  for (const machine of [first, second]) {
+    if (!machine?.disk) throw new Error("A disk is missing.");
+    machine.disk.full = true;
+    stage.wait(4000);
+    machine.disk.full = false;
+    stage.wait(2000);
+    acceptUntil(changes.texts.length + 150);
+  }
+  for (const { disk } of stage.disks) if (disk) disk.full = true;
+  stage.wait(3000);
+  for (const { disk } of stage.disks) if (disk) disk.full = false;
+  stage.until(isLed(stage), 6000);
+  acceptUntil(700);
+  for (const machine of stage.disks) stage.kill(machine);
+  for (const machine of stage.disks) stage.boot(machine, { bootstrap: false });
+  stage.until(isLed(stage), 6000);
+  for (const machine of stage.disks)
+    for (const sequence of [690, 700])
+      expect(readAt(stage, machine, sequence) === changes.texts[sequence - 1]).toBe(true);
+  for (const { disk } of stage.disks) expect(disk?.heldBytes).toBeLessThan(diskMb * 1_000_000);
+}, 300_000);
+
+/** A member's disk as a former build left it: full of whole configs, 64 a file. */
+const fillAsFormerBuild = (
+  stage: FleetStage,
+  machine: StageMachine,
+  config: LargeConfig,
+): number => {
+  const { disk, peer } = machine;
+  if (!disk) throw new Error("The disk is missing.");
+  const accepted = (sequence: number, text: string): AcceptedConfig => ({
+    sequence,
+    index: sequence,
+    changeId: `c${sequence}`,
+    acceptedAt: "2026-01-01T00:00:00.000Z",
+    text,
+  });
+  const files = 14;
+  for (let file = 0; file < files; file += 1) {
+    const text = config.next();
+    const records = Array.from({ length: 64 }, (_, at) =>
+      HistoryFormat.whole(accepted(file * 64 + at + 1, text)),
+    );
+    disk.poke(`history-${file}`, Buffer.concat(records));
+  }
+  const newest = files * 64 + 1;
+  const book = new Book();
+  book.configs = [accepted(newest, config.next())];
+  book.recent = book.configs.map(({ sequence, changeId, acceptedAt }) => ({
+    sequence,
+    changeId,
+    acceptedAt,
+  }));
+  const standing: Standing = {
+    fleet: "f",
+    rejoining: "",
+    term: 1,
+    votedFor: "",
+    lastIndex: newest,
+    lastTerm: 1,
+    book: book.checkpoint({ voters: [peer], learners: [] }),
+    entries: [],
+  };
+  stage.start(new Store(disk).checkpoint(standing));
+  stage.wait(200);
+  return newest;
+};
+
+for (const [what, limitMb] of [
+  ["and no more than its share is kept", diskMb],
+  [
+    "also where nothing says how large the disk is: the history gives up room when it is full",
+    1000,
+  ],
+] as const)
+  test(`on a disk that a former build filled changes go on, ${what}`, () => {
+    const stage = new FleetStage(["d:a"], [0], {
+      tolerate: { machines: 0, zones: 0 },
+      limits: { diskMb: limitMb },
+      bootstrap: false,
+    });
+    const machine = stage.at(0);
+    const config = new LargeConfig(2500);
+    const newest = fillAsFormerBuild(stage, machine, config);
+    if (!machine.disk) throw new Error("The disk is missing.");
+    expect(machine.disk.heldBytes).toBeGreaterThan(50_000_000);
+    machine.disk.capacityBytes = machine.disk.heldBytes + 400_000;
+    stage.bootAll();
+    stage.until(isLed(stage), 5000);
+    const changes = new Changes(stage, config, newest + 1);
+    while (changes.texts.length < 200) expect(changes.accept()).toContain("accepted");
+    expect(readAt(stage, machine, changes.newest) === changes.texts.at(-1)).toBe(true);
+    expect(readAt(stage, machine, 1)).toBe("noLongerKept");
+    expect(JSON.parse(readAt(stage, machine, newest - 1))).toHaveProperty("routes");
+    stage.kill(machine);
+    stage.boot(machine);
+    stage.until(isLed(stage), 5000);
+    expect(readAt(stage, machine, changes.newest) === changes.texts.at(-1)).toBe(true);
+  }, 300_000);
+
+test("an emptied member counts before it has the history, and learns it afterwards", () => {
+  const stage = new FleetStage(["d:a", "d:b", "d:c"], [0, 1, 2], { limits: { diskMb } });
+  stage.bootAll();
+  stage.until(isLed(stage), 5000);
+  const changes = new Changes(stage, new LargeConfig(400));
+  while (changes.texts.length < 900) expect(changes.accept()).toContain("accepted");
+  const { leader } = stage;
+  const [emptied, other] = stage.disks.filter((machine) => machine !== leader);
+  if (!emptied || !other) throw new Error("A member is missing.");
+  stage.kill(emptied, true);
+  stage.boot(emptied, { bootstrap: false });
+  stage.until(() => emptied.record?.state === "formed", 4000);
+  stage.kill(other);
+  expect(changes.accept()).toContain("accepted");
+  stage.boot(other, { bootstrap: false });
+  stage.wait(60_000);
+  for (const machine of stage.disks.filter((machine) => machine !== emptied)) stage.kill(machine);
+  for (const sequence of [1, 64, 65, 500, 900, 901])
+    expect(readAt(stage, emptied, sequence) === changes.texts[sequence - 1]).toBe(true);
+}, 300_000);
