Answers to polls that nobody waits for any more are dropped, the newest go first

Cause: pacing queued large answers to polls in the order of asking. While the fleet starts, each of 87 daemons asks for a directory of some 78 KB and gives up after 450 ms; answers came later than that, were of no use, and the next ones queued behind them.

Change: a large answer to a poll that hasn't begun is dropped once its asker has given up, counted from the ask; the newest goes first, and one that has begun goes on. Bytes of peers count on the way in. A request's own large body counts toward the time until it has left, and goes before responses.

Tests: link/pacedChannel ("where more is asked for than the link takes").

--- a/src/contract/view.ts
+++ b/src/contract/view.ts
@@ -13,7 +13,6 @@
 import { Poll, type GrantedView, type Machine, type Order } from "./order.js";
 import type { TryCapacities } from "./tryCapacities.js";
 
-const pollWaitMs = 450;
 /** How old an announcement may be and still be told as heard. */
 const heardForMs = 2000;
 /** How many orders are remembered beyond those of instances in the directory. */
@@ -184,7 +183,7 @@
       const sentMs = this.world.clock.nowMs();
       const text = this.poll(sentMs);
       const told = new Map(this.announced);
-      const ret = yield* this.ferry.once(Kind.poll, text, pollWaitMs);
+      const ret = yield* this.ferry.once(Kind.poll, text, Kind.poll.waitMs);
       if (ret !== undefined) {
         const view = Poll.readReturn(ret);
         if (view.granted) {
--- a/src/door/backEnds.ts
+++ b/src/door/backEnds.ts
@@ -258,7 +258,7 @@
     egress.note(body.length);
     return body.length > 0 ? body : null;
   }
-  const transfer = egress.begin({ transferClass: "response", dueMs }, body.length);
+  const transfer = egress.begin({ transferClass: "request", dueMs }, body.length);
   const turns = async function* (bytes: Uint8Array): AsyncGenerator<Uint8Array> {
     for (let at = 0; at < bytes.length; at += egress.turnBytes) {
       const part = bytes.subarray(at, at + egress.turnBytes);
--- a/src/door/door.ts
+++ b/src/door/door.ts
@@ -398,9 +398,14 @@
       : Math.max(leastClaimMs, goalMs * claimGoalPart);
   }
 
+  /** How long it takes until a request that is sent now has left the link. */
+  private leavesInMs({ job }: Passage): number {
+    return this.egress.queueMs + this.egress.transferMs(job.body.length);
+  }
+
   /** Whether this daemon's view lets a request be sent on: it must hold until the request can have left the link. */
-  private mayServe(mapping: Mapping): boolean {
-    const leftMs = this.view.leaseLeftMs - this.egress.queueMs;
+  private mayServe(passage: Passage, mapping: Mapping): boolean {
+    const leftMs = this.view.leaseLeftMs - this.leavesInMs(passage);
     return leftMs > 0 || (mapping.repeatable && this.lapsedLease.allows(-leftMs));
   }
 
@@ -422,11 +427,11 @@
       const nowMs = this.world.clock.nowMs();
       const mapping = this.find(passage);
       if (!mapping) return worst ?? Ending.refusal(404, "No route takes this request.");
-      if (!this.mayServe(mapping))
+      if (!this.mayServe(passage, mapping))
         return giveUp("This daemon's view is not proven fresh.", after.settled);
       if (!mapping.takes(passage.service)) passage.service = mapping.choose(passage.draw);
       const { service } = passage;
-      if (passage.claim && nowMs + this.egress.queueMs >= passage.claim.sendUntilMs)
+      if (passage.claim && nowMs + this.leavesInMs(passage) >= passage.claim.sendUntilMs)
         return giveUp("The key's claim is too old to send under.");
       if (nowMs + (attempts > 0 ? leastLeftMs : 0) >= passage.untilMs)
         return giveUp(`No back end of ${service} took this in time.`);
@@ -487,9 +492,9 @@
     const may =
       mapping !== undefined &&
       mapping.takes(service) &&
-      this.mayServe(mapping) &&
+      this.mayServe(passage, mapping) &&
       this.view.holds(contract) &&
-      this.world.clock.nowMs() + this.egress.queueMs < claimEnds;
+      this.world.clock.nowMs() + this.leavesInMs(passage) < claimEnds;
     if (!may) return false;
     if (isFurther) this.tally.furtherTries += 1;
     else this.tally.firstTries += 1;
--- a/src/link/kind.ts
+++ b/src/link/kind.ts
@@ -5,6 +5,8 @@
   readonly number: number;
   readonly ask: r.Coder<A>;
   readonly return: r.Coder<R>;
+  /** How long who asks waits for the return, where later it is of no use. */
+  readonly waitMs?: number;
 }
 
 const text = new r.String(r.uint32, "utf8");
@@ -90,6 +92,7 @@
   /** An edge or collector asks for a fresh view; the return is its grant. */
   poll: {
     number: 6,
+    waitMs: 450,
     ask: new r.Struct({ ferried: flag, text }),
     return: new r.Struct({ leader: text, text }),
   },
--- a/src/link/link.ts
+++ b/src/link/link.ts
@@ -2,7 +2,7 @@
 import { StructError } from "superstruct";
 import { Clock } from "../runtime/clock.js";
 import { Holding } from "../runtime/holding.js";
-import { LinkPacer } from "../runtime/linkPacer.js";
+import { LinkPacers } from "../runtime/linkPacer.js";
 import type { PartLog } from "../runtime/logbook.js";
 import { Task } from "../runtime/task.js";
 import { World } from "../runtime/world.js";
@@ -23,7 +23,11 @@
   channel: Channel | undefined;
 }
 
-type Server = (body: Uint8Array) => Task<Uint8Array>;
+/** What takes asks of one kind, and how long a return is of use. */
+interface Server {
+  readonly handle: (body: Uint8Array) => Task<Uint8Array>;
+  readonly waitMs: number;
+}
 
 const silentMs = 1000;
 const backOffMs = 60;
@@ -38,7 +42,7 @@
   private readonly servers = new Map<number, Server>();
   private readonly newest: number;
   private nextJob = 1;
-  private readonly egress: LinkPacer;
+  private readonly pacers: LinkPacers;
   /** Links closed because of what came over them. */
   droppedFrames = 0;
 
@@ -49,10 +53,10 @@
     world: World,
     self: string,
     newest = frameSequence,
-    egress = new LinkPacer(world.clock, undefined),
+    pacers = LinkPacers.of(world.clock, undefined),
   ) {
     this.newest = newest;
-    this.egress = egress;
+    this.pacers = pacers;
     this.world = world;
     this.self = self;
     this.log = world.logbook.part("link");
@@ -60,8 +64,11 @@
 
   /** Takes asks of one kind. */
   serve<A, R>(kind: Kind<A, R>, handle: (ask: A) => Task<R>): void {
-    this.servers.set(kind.number, function* (body) {
-      return kind.return.toBuffer(yield* handle(exactly(kind.ask, body)));
+    this.servers.set(kind.number, {
+      *handle(body) {
+        return kind.return.toBuffer(yield* handle(exactly(kind.ask, body)));
+      },
+      waitMs: kind.waitMs ?? Infinity,
     });
   }
 
@@ -71,7 +78,9 @@
       World.start(
         this.world,
         "link",
-        this.serving(new PacedChannel(channel, this.egress, this.world.clock, returnPatienceMs)),
+        this.serving(
+          new PacedChannel(channel, this.pacers.egress, this.world.clock, returnPatienceMs),
+        ),
       ),
     );
   }
@@ -146,7 +155,7 @@
       const first = yield* peer.outgoing.take();
       const connected = yield* this.world.wire.connect(peer.address);
       if (connected) {
-        const channel = new PacedChannel(connected, this.egress, this.world.clock);
+        const channel = new PacedChannel(connected, this.pacers.egress, this.world.clock);
         peer.heardMs = this.world.clock.nowMs();
         peer.channel = channel;
         channel.send(first);
@@ -172,6 +181,7 @@
       const piece = yield* channel.incoming.take();
       if (piece === "closed") return heard;
       peer.heardMs = this.world.clock.nowMs();
+      this.pacers.ingress.note(piece.length);
       try {
         for (const frame of reader.read(piece)) {
           heard = true;
@@ -184,11 +194,12 @@
     }
   }
 
-  private *serving(channel: Channel): Task {
+  private *serving(channel: PacedChannel): Task {
     const reader = new FrameReader(this.newest);
     for (;;) {
       const piece = yield* channel.incoming.take();
       if (piece === "closed") return channel.close();
+      this.pacers.ingress.note(piece.length);
       try {
         for (const frame of reader.read(piece)) {
           const server = this.servers.get(frame.kind);
@@ -203,10 +214,11 @@
     }
   }
 
-  private *answering(channel: Channel, frame: Frame, server: Server): Task {
+  private *answering(channel: PacedChannel, frame: Frame, server: Server): Task {
+    const expiresMs = this.world.clock.nowMs() + server.waitMs;
     try {
-      const body = yield* server(frame.body);
-      channel.send(Frame.encode({ ...frame, isReturn: true, body }));
+      const body = yield* server.handle(frame.body);
+      channel.send(Frame.encode({ ...frame, isReturn: true, body }), expiresMs);
     } catch (error) {
       this.refuse(channel, error);
     }
--- a/src/link/pacedChannel.ts
+++ b/src/link/pacedChannel.ts
@@ -1,15 +1,26 @@
 import type { Clock } from "../runtime/clock.js";
 import type { Holding } from "../runtime/holding.js";
-import type { LinkPacer, Transfer } from "../runtime/linkPacer.js";
+import type { LinkPacer, Transfer, TransferRank } from "../runtime/linkPacer.js";
 import type { Channel } from "../runtime/wire.js";
 
+interface FrameRank extends TransferRank {
+  dueMs: number;
+}
+
 /** A large frame on its way, and how much of it was written. */
 interface PartlySent {
   readonly frame: Uint8Array;
   readonly transfer: Transfer;
+  /** How it is ranked; once begun it goes on before those that haven't. */
+  readonly rank: FrameRank;
   sentBytes: number;
+  /** Keeps it from being dropped for its age. */
+  readonly keep: () => void;
 }
 
+/** Ranks frames that expire after those that don't, and the newest of them first. */
+const newestFirstMs = 1e15;
+
 /**
  * A channel on which large frames are written in turns with all other bulk on the machine's link. Small frames are written at
  * once: before large ones that wait, and after the one that has begun.
@@ -34,7 +45,11 @@
     this.patienceMs = patienceMs;
   }
 
-  send(frame: Uint8Array): void {
+  /**
+   * Writes a frame, or has it wait if it is large. One that nobody waits for after `expiresMs` is dropped if it hasn't begun by
+   * then; of such frames the newest goes first, so that where more is asked for than the link takes, some are in time.
+   */
+  send(frame: Uint8Array, expiresMs = Infinity): void {
     if (this.isClosed) return;
     if (frame.length <= this.egress.smallBytes) {
       const [begun] = this.large;
@@ -42,18 +57,27 @@
       else this.write(frame);
       return;
     }
-    const transfer = this.egress.begin(
-      { transferClass: "control", dueMs: this.clock.nowMs() + this.patienceMs },
-      frame.length,
-    );
-    this.large.push({ frame, transfer, sentBytes: 0 });
+    const nowMs = this.clock.nowMs();
+    const isLasting = expiresMs === Infinity;
+    const rank: FrameRank = {
+      transferClass: "control",
+      dueMs: isLasting ? nowMs + this.patienceMs : newestFirstMs - nowMs,
+    };
+    const transfer = this.egress.begin(rank, frame.length);
+    const keep = isLasting
+      ? () => undefined
+      : this.clock.after(expiresMs - nowMs, () => this.drop(frame));
+    this.large.push({ frame, transfer, rank, sentBytes: 0, keep });
     if (this.large.length === 1) this.awaitTurn();
   }
 
   close(): void {
     this.isClosed = true;
     this.cancelTurn?.();
-    for (const { transfer } of this.large.splice(0)) transfer.end();
+    for (const { transfer, keep } of this.large.splice(0)) {
+      keep();
+      transfer.end();
+    }
     this.channel.close();
   }
 
@@ -64,6 +88,8 @@
     const { frame, transfer, sentBytes } = first;
     const part = frame.subarray(sentBytes, sentBytes + this.egress.turnBytes);
     this.cancelTurn = transfer.onTurn(part.length, () => {
+      first.keep();
+      first.rank.dueMs = Math.min(first.rank.dueMs, this.clock.nowMs());
       first.sentBytes += part.length;
       this.channel.send(part);
       if (first.sentBytes >= frame.length) {
@@ -75,6 +101,16 @@
     });
   }
 
+  /** Drops a frame that hasn't begun. */
+  private drop(frame: Uint8Array): void {
+    const at = this.large.findIndex((one) => one.frame === frame);
+    const [dropped] = at < 0 ? [] : this.large.splice(at, 1);
+    dropped?.transfer.end();
+    if (at !== 0) return;
+    this.cancelTurn?.();
+    this.awaitTurn();
+  }
+
   private write(frame: Uint8Array): void {
     this.egress.note(frame.length);
     this.channel.send(frame);
--- a/src/machine/daemon.ts
+++ b/src/machine/daemon.ts
@@ -100,7 +100,7 @@
     this.log = world.logbook.part("machine");
     this.incarnation = World.nonce(world);
     const pacers = options.pacers ?? LinkPacers.of(world.clock, undefined);
-    this.link = new Link(world, settings.peers, undefined, pacers.egress);
+    this.link = new Link(world, settings.peers, undefined, pacers);
     this.seeds = settings.seeds;
     this.ferry = new Ferry(world, this.link, () => [...this.seeds, ...this.meeting.recorders]);
     const place: Place = {
--- a/src/runtime/linkPacer.ts
+++ b/src/runtime/linkPacer.ts
@@ -1,8 +1,8 @@
 import type { Clock } from "./clock.js";
 import { Task } from "./task.js";
 
-/** The class of a bulk transfer: control traffic goes before responses to callers. */
-export type TransferClass = "control" | "response";
+/** The class of a bulk transfer: control traffic goes before requests, and those before responses to callers. */
+export type TransferClass = "control" | "request" | "response";
 
 /** How a bulk transfer is ranked among those that wait. */
 export interface TransferRank {
@@ -28,6 +28,12 @@
   readonly run: () => void;
 }
 
+const classOrder: { readonly [name in TransferClass]: number } = {
+  control: 0,
+  request: 1,
+  response: 2,
+};
+
 /** How much time on the link one turn may take, and how long the queue may be when it begins. */
 const turnMs = 15;
 /** Which part of the link's rate is counted on; the rest is for headers and acknowledgements. */
@@ -37,7 +43,8 @@
 const mostSmallBytes = 8 * 1024;
 
 const isBefore = (one: TransferRank, other: TransferRank, nowMs: number): boolean => {
-  if (one.transferClass !== other.transferClass) return one.transferClass === "control";
+  if (one.transferClass !== other.transferClass)
+    return classOrder[one.transferClass] < classOrder[other.transferClass];
   const isOneLate = one.transferClass === "response" && one.dueMs < nowMs;
   const isOtherLate = other.transferClass === "response" && other.dueMs < nowMs;
   if (isOneLate !== isOtherLate) return isOtherLate;
--- a/test/link/pacedChannel.test.ts
+++ b/test/link/pacedChannel.test.ts
@@ -83,3 +83,25 @@
   expect(other.heard).toHaveLength(1);
   expect(gone.heard).toEqual([]);
 });
+
+test("where more is asked for than the link takes, the newest returns are in time, the others are dropped, and nothing piles up", () => {
+  const { time, egress, channelOf } = stage();
+  const waitMs = 450;
+  const returnBytes = 20_000;
+  const channels = Array.from({ length: 30 }, () => channelOf(1000));
+  let job = 0;
+  const inTime: number[] = [];
+  for (let round = 0; round < 10; round += 1) {
+    for (const { paced } of channels) {
+      job += 1;
+      paced.send(frameOf(job, returnBytes), time.nowMs() + waitMs);
+    }
+    time.runUntil(time.nowMs() + waitMs);
+    const heard = channels.flatMap((one) => one.heard.splice(0));
+    inTime.push(heard.filter((one) => one.job > job - channels.length).length);
+  }
+  const fullMs = waitMs * 10;
+  const bytes = inTime.reduce((sum, one) => sum + one, 0) * returnBytes;
+  expect(bytes).toBeGreaterThan(0.85 * 360 * fullMs);
+  expect(egress.bulkBytes).toBeLessThan(2 * returnBytes * channels.length);
+});
