The explorer of the agreement, and the election that it found to end for good

Each decision is made by the functions of src/record/consensus/ (and Membership) that the recorder calls. At each step: one leader a term, committed entries stay, majorities meet, no answer older than an acknowledged change; at the end linearizability of the calls and that the group heals.

Mend: a refusal's term is compared with the member's own.

--- a/.dependency-cruiser.cjs
+++ b/.dependency-cruiser.cjs
@@ -8,6 +8,7 @@
   ["door", "^src/door/"],
   ["operator", "^src/operator/"],
   ["daemon", "^src/machine/"],
+  ["explorer", "^src/explorer/"],
   ["rehearsal", "^src/rehearsal/"],
 ];
 
--- /dev/null
+++ b/src/explorer/explore.ts
@@ -0,0 +1,43 @@
+import type { SafetyRules } from "../record/consensus/safetyRules.js";
+import type { ElectionWaits } from "../record/consensus/state.js";
+import { runRandomly, type Counterexample } from "./run.js";
+import { GroupSettings } from "./settings.js";
+
+/** What is changed of production's rules and waits; nothing for production itself. */
+export interface Alteration {
+  readonly rules?: Partial<SafetyRules>;
+  readonly waits?: Partial<ElectionWaits>;
+}
+
+/** How far to explore at random. */
+export interface Extent {
+  readonly firstSeed: number;
+  readonly mostSteps: number;
+  readonly stepsPerRun: number;
+}
+
+/** What an exploration found. */
+export interface Finding {
+  readonly steps: number;
+  readonly runs: number;
+  /** The seed of the run that broke a promise. */
+  readonly seed: number | undefined;
+  readonly counterexample: Counterexample | undefined;
+}
+
+/** The group of a seed: three to five members, one or two spares. */
+export const settingsFor = (seed: number, alteration: Alteration): GroupSettings =>
+  GroupSettings.of(seed % 3 === 2 ? 5 : 3, 1 + (seed % 2), seed, alteration);
+
+/** Runs of fixed length, seed after seed, until one breaks a promise or the steps are used up. */
+export const exploreRandomly = (extent: Extent, alteration: Alteration = {}): Finding => {
+  let steps = 0;
+  let seed = extent.firstSeed;
+  for (; steps < extent.mostSteps; seed += 1) {
+    const counterexample = runRandomly(settingsFor(seed, alteration), seed, extent.stepsPerRun);
+    steps += counterexample?.steps.length ?? extent.stepsPerRun;
+    if (counterexample !== undefined)
+      return { steps, runs: seed - extent.firstSeed + 1, seed, counterexample };
+  }
+  return { steps, runs: seed - extent.firstSeed, seed: undefined, counterexample: undefined };
+};
--- /dev/null
+++ b/src/explorer/group.ts
@@ -0,0 +1,286 @@
+import { Members } from "../record/members.js";
+import { Checks } from "./checks.js";
+import { History } from "./history/history.js";
+import type { Message, Reply, Request } from "./message.js";
+import { ModelDisk } from "./modelDisk.js";
+import { ModelMember, type Surroundings } from "./modelMember.js";
+import { RandomSource } from "./random.js";
+import type { GroupSettings } from "./settings.js";
+import type { Step } from "./step.js";
+
+/** How many messages are under way at most; beyond that the oldest are lost. */
+const mostMessages = 48;
+
+const linkOf = (from: string, to: string): string => `${from}>${to}`;
+
+/** Members, the messages between them, and the checks on all of it; moved on by steps. */
+export class Group implements Surroundings {
+  readonly settings: GroupSettings;
+  readonly members = new Map<string, ModelMember>();
+  readonly messages = new Map<string, Message>();
+  readonly cuts = new Set<string>();
+  readonly history: History;
+  checks: Checks;
+  nowMs = 1000;
+  /**
+   * Whether the losses so far are inside what is tolerated, so that the group must heal: no more than that at once, of
+   * emptied, stopped and cut off voters together, nor any while a voter's place is being filled.
+   */
+  isWithinTolerance = true;
+  private readonly counts = new Map<string, number>();
+  private lastValue = 0;
+  /** Writes under way, by the entry that carries them: who leads, in which term, and the call. */
+  private readonly calls = new Map<string, number>();
+
+  constructor(settings: GroupSettings) {
+    this.settings = settings;
+    const { names, wantedVoters } = settings;
+    const members: Members = {
+      voters: names.slice(0, wantedVoters),
+      learners: names.slice(wantedVoters),
+    };
+    this.checks = new Checks(members);
+    this.history = new History();
+    names.forEach((name, at) => {
+      const member = new ModelMember(name, settings.clockRates[at] ?? 1, this, new ModelDisk());
+      member.disk.content = {
+        term: 0,
+        votedFor: "",
+        rejoinNonce: "",
+        lastIndex: 0,
+        lastTerm: 0,
+        members,
+        entries: [],
+        value: 0,
+      };
+      this.members.set(name, member);
+      member.start();
+    });
+  }
+
+  /** A copy that goes its own way. */
+  clone(): Group {
+    const copy = new Group(this.settings);
+    copy.nowMs = this.nowMs;
+    copy.isWithinTolerance = this.isWithinTolerance;
+    copy.lastValue = this.lastValue;
+    copy.checks = this.checks.clone();
+    copy.members.clear();
+    copy.messages.clear();
+    for (const [name, member] of this.members) copy.members.set(name, member.clone(copy));
+    for (const [id, message] of this.messages) copy.messages.set(id, message);
+    for (const cut of this.cuts) copy.cuts.add(cut);
+    for (const [name, count] of this.counts) copy.counts.set(name, count);
+    copy.counts.forEach((_, name) => {
+      if (!this.counts.has(name)) copy.counts.delete(name);
+    });
+    for (const [entry, call] of this.calls) copy.calls.set(entry, call);
+    copy.history.takeOver(this.history);
+    return copy;
+  }
+
+  /** What tells two situations of the group apart. */
+  get fingerprint(): string {
+    const members = [...this.members.values()].map((member) => member.fingerprint);
+    const messages = [...this.messages.values()]
+      .map(({ from, to, body }) => JSON.stringify([from, to, body]))
+      .sort();
+    return [...members, ...messages, [...this.cuts].sort().join()].join("\n");
+  }
+
+  member(name: string): ModelMember {
+    const member = this.members.get(name);
+    if (member === undefined) throw new Error(`There is no member ${name}.`);
+    return member;
+  }
+
+  /** Does one step and checks what must hold; a step that makes no sense now does nothing. */
+  take(step: Step): void {
+    this.perform(step);
+    this.countLosses();
+    this.checks.look(this.members.values());
+  }
+
+  private perform(step: Step): void {
+    switch (step.kind) {
+      case "advance":
+        this.nowMs += step.ms;
+        for (const member of this.members.values())
+          if (!step.paused.includes(member.name)) member.tick();
+        return;
+      case "deliver":
+        return this.deliver(step.message, step.twice);
+      case "lose":
+        this.messages.delete(step.message);
+        return;
+      case "sync":
+        return this.member(step.member).sync();
+      case "crash":
+        return this.member(step.member).crash(step.keptWrites);
+      case "wipe":
+        if (this.mayWipe(step.member)) this.member(step.member).wipe();
+        return;
+      case "start":
+        return this.member(step.member).start();
+      case "cut":
+        this.cuts.add(linkOf(step.from, step.to));
+        return;
+      case "mend":
+        this.cuts.delete(linkOf(step.from, step.to));
+        return;
+      case "write":
+        return this.write(this.member(step.member));
+      case "read":
+        return this.read(this.member(step.member));
+      case "handOver":
+        return this.member(step.member).handOver();
+      case "compact":
+        return this.member(step.member).compact();
+      case "demote":
+        return this.demote(this.member(step.member), step.voter);
+      case "promote":
+        return this.promote(this.member(step.member), step.learner);
+    }
+  }
+
+  /**
+   * Whether a disk may be lost now: no more than are tolerated at once. A loss counts until its machine is whole again
+   * or replaced, and a change of members under way is not over.
+   */
+  mayWipe(name: string): boolean {
+    const { voters } = this.checks.latestMembers;
+    const { wantedVoters } = this.settings;
+    const tolerated = (wantedVoters - 1) / 2;
+    const lost = voters.filter((voter) => !this.member(voter).isWhole);
+    const isChanging = [...this.members.values()].some(
+      ({ disk }) =>
+        disk.content?.entries.some(
+          ({ index, text }) =>
+            index > this.checks.lastCommittedIndex && Members.in(text) !== undefined,
+        ) === true ||
+        disk.pending.some(
+          ({ content }) =>
+            "records" in content &&
+            content.records.some(
+              (record) => record.kind === "entry" && Members.in(record.text) !== undefined,
+            ),
+        ),
+    );
+    const counts = voters.includes(name) && !lost.includes(name) ? 1 : 0;
+    return voters.length === wantedVoters && !isChanging && lost.length + counts <= tolerated;
+  }
+
+  private countLosses(): void {
+    if (!this.isWithinTolerance) return;
+    const { wantedVoters, names } = this.settings;
+    if (names.every((name) => this.member(name).isWhole)) return;
+    const cutOff = new Set([...this.cuts].flatMap((cut) => cut.split(">")));
+    const { voters } = this.checks.latestMembers;
+    const lost = voters.filter(
+      (voter) => !this.member(voter).isWhole || !this.member(voter).isUp || cutOff.has(voter),
+    );
+    const isFilling = [...this.members.values()].some(
+      ({ isUp, state }) => isUp && state.members.voters.length !== wantedVoters,
+    );
+    if (isFilling || lost.length > (wantedVoters - 1) / 2) this.isWithinTolerance = false;
+  }
+
+  private deliver(id: string, twice: boolean): void {
+    const message = this.messages.get(id);
+    if (message === undefined || this.cuts.has(linkOf(message.from, message.to))) return;
+    if (!twice) this.messages.delete(id);
+    const receiver = this.member(message.to);
+    const { body, from, askId } = message;
+    if (body.way === "request") receiver.receive(from, askId, body.request);
+    else receiver.receiveReply(askId, body.reply);
+  }
+
+  private write(member: ModelMember): void {
+    const value = this.lastValue + 1;
+    if (!member.write(value)) return;
+    this.lastValue = value;
+    const { term, log } = member.state;
+    this.calls.set(`${member.name} ${term} ${log.lastIndex}`, this.history.begin("write", value));
+  }
+
+  private read(member: ModelMember): void {
+    if (!member.answers) return;
+    this.history.end(this.history.begin("read"), member.value);
+  }
+
+  private demote(leader: ModelMember, voter: string): void {
+    const { voters, learners } = leader.state.members;
+    if (!voters.includes(voter) || voters.length <= this.settings.wantedVoters - 1) return;
+    leader.changeMembers({
+      voters: voters.filter((one) => one !== voter),
+      learners: [...learners, voter],
+    });
+  }
+
+  private promote(leader: ModelMember, learner: string): void {
+    const { voters, learners } = leader.state.members;
+    if (!learners.includes(learner) || voters.length > this.settings.wantedVoters) return;
+    leader.changeMembers({
+      voters: [...voters, learner],
+      learners: learners.filter((one) => one !== learner),
+    });
+  }
+
+  send(from: string, to: string, request: Request): string {
+    const id = this.nameFor(from, to, request.kind);
+    this.put({ id, from, to, askId: id, body: { way: "request", request } });
+    return id;
+  }
+
+  reply(from: string, to: string, askId: string, reply: Reply): void {
+    const id = this.nameFor(from, to, `${reply.kind}-reply`);
+    this.put({ id, from, to, askId, body: { way: "reply", reply } });
+  }
+
+  draw(member: string): number {
+    const count = this.next(`draw ${member}`);
+    const place = this.settings.names.indexOf(member);
+    return new RandomSource(this.settings.seed * 1009 + place * 97 + count).next();
+  }
+
+  nonce(): string {
+    return `nonce-${this.next("nonce")}`;
+  }
+
+  applied(member: ModelMember, index: number, term: number, text: string): void {
+    this.checks.applied(member, index, term, text);
+    const key = `${member.name} ${term} ${index}`;
+    const call = this.calls.get(key);
+    if (call === undefined || member.state.role !== "leader" || member.state.term !== term) return;
+    this.calls.delete(key);
+    this.history.end(call);
+  }
+
+  elected(member: ModelMember): void {
+    this.checks.elected(member);
+  }
+
+  knownMembers(): Members | undefined {
+    const known = [...this.members.values()].find(
+      (member) => member.isUp && member.disk.content !== undefined,
+    );
+    return known?.state.baseMembers;
+  }
+
+  private next(name: string): number {
+    const count = (this.counts.get(name) ?? 0) + 1;
+    this.counts.set(name, count);
+    return count;
+  }
+
+  private nameFor(from: string, to: string, kind: string): string {
+    const name = `${linkOf(from, to)}:${kind}`;
+    return `${name}#${this.next(name)}`;
+  }
+
+  private put(message: Message): void {
+    this.messages.set(message.id, message);
+    const [oldest] = this.messages.keys();
+    if (this.messages.size > mostMessages && oldest !== undefined) this.messages.delete(oldest);
+  }
+}
--- /dev/null
+++ b/src/explorer/message.ts
@@ -0,0 +1,36 @@
+import type { AppendReply, AppendRequest } from "../record/consensus/append.js";
+import type { SnapshotOffer, SnapshotReply } from "../record/consensus/snapshot.js";
+import type { VoteReply, VoteRequest } from "../record/consensus/vote.js";
+import type { Members } from "../record/members.js";
+
+/** A snapshot on its way: which one, the members in it, and the register's value. */
+export interface SnapshotRequest extends SnapshotOffer {
+  readonly members: Members;
+  readonly value: number;
+}
+
+/** What a member asks of another. */
+export type Request =
+  | { readonly kind: "vote"; readonly request: VoteRequest }
+  | { readonly kind: "append"; readonly request: AppendRequest }
+  | { readonly kind: "snapshot"; readonly request: SnapshotRequest }
+  | { readonly kind: "handOver"; readonly term: number }
+  | { readonly kind: "rejoin"; readonly machine: string; readonly nonce: string };
+
+/** What comes back. */
+export type Reply =
+  | { readonly kind: "vote"; readonly reply: VoteReply }
+  | { readonly kind: "append"; readonly reply: AppendReply }
+  | { readonly kind: "snapshot"; readonly reply: SnapshotReply };
+
+/** A request or a reply between two members; replies name the request that they answer. */
+export interface Message {
+  /** Names the message in a trace: from, to, kind, and its number among those. */
+  readonly id: string;
+  readonly from: string;
+  readonly to: string;
+  readonly askId: string;
+  readonly body:
+    | { readonly way: "request"; readonly request: Request }
+    | { readonly way: "reply"; readonly reply: Reply };
+}
--- /dev/null
+++ b/src/explorer/run.ts
@@ -0,0 +1,78 @@
+import { Violation } from "./checks.js";
+import { Group } from "./group.js";
+import { heal } from "./healing.js";
+import { findContradiction } from "./history/linearizability.js";
+import { RandomWalk } from "./randomWalk.js";
+import type { GroupSettings } from "./settings.js";
+import type { Step } from "./step.js";
+
+/** A run that broke a promise: the group, the steps up to the breach, and which promise. */
+export interface Counterexample {
+  readonly settings: GroupSettings;
+  readonly steps: readonly Step[];
+  readonly promise: string;
+  readonly how: string;
+}
+
+/** How many calls of a run are checked for linearizability; more take too long. */
+const checkedCalls = 60;
+
+const checkHistory = (group: Group): void => {
+  const contradiction = findContradiction(group.history.operations.slice(0, checkedCalls), 0);
+  if (contradiction !== undefined)
+    throw new Violation("linearizable", JSON.stringify(contradiction.stuckAt));
+};
+
+const finish = (group: Group): void => {
+  checkHistory(group);
+  heal(group);
+};
+
+const attempt = (
+  settings: GroupSettings,
+  steps: readonly Step[],
+  work: () => void,
+): Counterexample | undefined => {
+  try {
+    work();
+    return undefined;
+  } catch (error) {
+    if (!(error instanceof Violation)) throw error;
+    return { settings, steps, promise: error.promise, how: error.message };
+  }
+};
+
+/** Plays a trace, then ends all failures. */
+export const replay = (
+  settings: GroupSettings,
+  steps: readonly Step[],
+): Counterexample | undefined => {
+  const group = new Group(settings);
+  const played: Step[] = [];
+  return attempt(settings, played, () => {
+    for (const step of steps) {
+      played.push(step);
+      group.take(step);
+    }
+    finish(group);
+  });
+};
+
+/** One random run of some steps. */
+export const runRandomly = (
+  settings: GroupSettings,
+  seed: number,
+  length: number,
+): Counterexample | undefined => {
+  const group = new Group(settings);
+  const walk = new RandomWalk(seed);
+  const steps: Step[] = [];
+  return attempt(settings, steps, () => {
+    while (steps.length < length) {
+      const step = walk.next(group);
+      steps.push(step);
+      group.take(step);
+    }
+    finish(group);
+  });
+};
--- /dev/null
+++ b/src/explorer/settings.ts
@@ -0,0 +1,43 @@
+import { safetyRules, type SafetyRules } from "../record/consensus/safetyRules.js";
+import type { ElectionWaits } from "../record/consensus/state.js";
+import { Waits } from "../record/recorder.js";
+
+/** What an explored group is made of. */
+export interface GroupSettings {
+  readonly names: readonly string[];
+  /** How many of the names vote at first; the others are spares that learn. */
+  readonly wantedVoters: number;
+  readonly clockRates: readonly number[];
+  /** Varies the election waits. */
+  readonly seed: number;
+  readonly waits: ElectionWaits;
+  readonly replaceAfterMs: number;
+  readonly forgetAfterMs: number;
+  readonly rules: SafetyRules;
+}
+
+/** How far clocks may differ: the lease and the election wait leave room for 11% each way. */
+const clockSpread = 0.08;
+
+export const GroupSettings = {
+  /** A group with production's waits and rules. */
+  of(
+    voters: number,
+    spares: number,
+    seed: number,
+    change: { rules?: Partial<SafetyRules>; waits?: Partial<ElectionWaits> } = {},
+  ): GroupSettings {
+    const names = Array.from({ length: voters + spares }, (_, at) => `m${at + 1}`);
+    const clockRates = names.map((_, at) => 1 + clockSpread * (((seed + at * 2) % 3) - 1));
+    return {
+      names,
+      wantedVoters: voters,
+      clockRates,
+      seed,
+      waits: { ...Waits.usual, ...change.waits },
+      replaceAfterMs: Waits.usual.replaceAfterMs,
+      forgetAfterMs: Waits.usual.forgetAfterMs,
+      rules: { ...safetyRules, ...change.rules },
+    };
+  },
+};
--- /dev/null
+++ b/src/explorer/trace.ts
@@ -0,0 +1,96 @@
+import { Group } from "./group.js";
+import { Violation } from "./checks.js";
+import type { Message } from "./message.js";
+import type { Counterexample } from "./run.js";
+import { stepsToText, type Step } from "./step.js";
+
+const contentOf = ({ body }: Message): string => {
+  if (body.way === "reply") return `${body.reply.kind} reply ${JSON.stringify(body.reply.reply)}`;
+  const { request } = body;
+  switch (request.kind) {
+    case "vote":
+      return `${request.request.isPreVote ? "pre-vote" : "vote"} request ${JSON.stringify(request.request)}`;
+    case "append":
+    case "snapshot":
+      return `${request.kind} request ${JSON.stringify(request.request)}`;
+    default:
+      return JSON.stringify(request);
+  }
+};
+
+const describe = (group: Group, step: Step): string => {
+  switch (step.kind) {
+    case "advance": {
+      const paused = step.paused.length > 0 ? `, ${step.paused.join(" and ")} paused` : "";
+      return `${step.ms} ms pass${paused}`;
+    }
+    case "deliver":
+    case "lose": {
+      const message = group.messages.get(step.message);
+      if (message === undefined) return `${step.message} is gone already`;
+      const what =
+        step.kind === "lose" ? "is lost" : step.twice ? "arrives, a copy stays" : "arrives";
+      return `${message.from} to ${message.to}: ${contentOf(message)} ${what}`;
+    }
+    case "sync":
+      return `${step.member}: its oldest write is on disk`;
+    case "crash":
+      return `${step.member} stops; ${step.keptWrites} of its unsynced writes are on disk`;
+    case "wipe":
+      return `${step.member} stops and its disk is lost`;
+    case "start":
+      return `${step.member} starts`;
+    case "cut":
+      return `nothing gets from ${step.from} to ${step.to} any more`;
+    case "mend":
+      return `messages get from ${step.from} to ${step.to} again`;
+    case "write":
+      return `${step.member} is told to write`;
+    case "read":
+      return `${step.member} is asked to read`;
+    case "handOver":
+      return `${step.member} is told to hand over`;
+    case "compact":
+      return `${step.member} writes a snapshot`;
+    case "demote":
+      return `${step.member} is to demote ${step.voter}`;
+    case "promote":
+      return `${step.member} is to promote ${step.learner}`;
+  }
+};
+
+const stateOf = (group: Group): string =>
+  [...group.members.values()]
+    .map(({ name, isUp, state }) => {
+      const { role, term, log, committedIndex } = state;
+      return isUp
+        ? `${name}:${role} t${term} log${log.lastIndex} c${committedIndex}`
+        : `${name}:down`;
+    })
+    .join("  ");
+
+/** A counterexample for a person: what happened, step by step, and how each member stood then. */
+export const traceText = ({ settings, steps, how }: Counterexample): string => {
+  const group = new Group(settings);
+  const lines: string[] = [];
+  for (const [at, step] of steps.entries()) {
+    lines.push(`${at + 1}. ${describe(group, step)}`);
+    try {
+      group.take(step);
+    } catch (error) {
+      if (!(error instanceof Violation)) throw error;
+    }
+    lines.push(`     ${stateOf(group)}`);
+  }
+  return [...lines, how].join("\n");
+};
+
+/** A counterexample as a file that can be played again: what a person reads as comments, then the steps. */
+export const traceFile = (found: Counterexample): string =>
+  [
+    ...traceText(found)
+      .split("\n")
+      .map((line) => `# ${line}`),
+    stepsToText(found.steps),
+    "",
+  ].join("\n");
--- a/src/record/consensus/vote.ts
+++ b/src/record/consensus/vote.ts
@@ -79,7 +79,7 @@
   nowMs: number,
 ): ConsensusState => {
   const { peer, isPreVote, term, reply } = received;
-  if (reply.term > term) return follow(state, reply.term, "", nowMs);
+  if (!reply.granted && reply.term > state.term) return follow(state, reply.term, "", nowMs);
   const isCurrent = isPreVote
     ? state.role === "preCandidate" && term === state.term + 1
     : state.role === "candidate" && term === state.term;
--- /dev/null
+++ b/test/record/vote.test.ts
@@ -0,0 +1,25 @@
+import { expect, test } from "vitest";
+import { initialState, type ConsensusState } from "../../src/record/consensus/state.js";
+import { countVote } from "../../src/record/consensus/vote.js";
+
+const standing = (more: Partial<ConsensusState>): ConsensusState => ({
+  ...initialState("own", 0),
+  members: { voters: ["own", "other"], learners: [] },
+  ...more,
+});
+
+test("a refused pre-vote tells of a later term, which is taken over, also one that is asked for", () => {
+  const reply = { term: 3, granted: false };
+  const state = countVote(
+    standing({ role: "preCandidate", term: 2 }),
+    { peer: "other", isPreVote: true, term: 3, reply },
+    0,
+  );
+  expect([state.role, state.term, state.votedFor]).toEqual(["follower", 3, ""]);
+});
+
+test("an answer of a term that was left behind changes nothing", () => {
+  const state = standing({ role: "leader", term: 5, votedFor: "own" });
+  const received = { peer: "other", isPreVote: false, term: 3, reply: { term: 4, granted: false } };
+  expect(countVote(state, received, 0)).toBe(state);
+});
