A client whose answer came before its body was sent can send the rest

Cause: where a back end answers before a body that is passed on was whole, the rest of that body was never read again. The client had its answer, but its connection stood still for good: what it went on to send was neither read nor refused, and its next request never came.

Ruled out: closing the connection at once. With unread bytes waiting that is a reset, which can take the answer with it (RFC 9112, 9.6).

Change: what is left of such a body is read and thrown away, up to the limit on bodies, at which the connection is closed.

Tests: platform/uploads, real clients and back ends: early answers, resets within a body, bodies broken off by the client, dead idle connections under a body that can be sent once, a client that goes away and comes again with its key. The two on early answers failed before; the rest held.

--- a/src/machine/httpServer.ts
+++ b/src/machine/httpServer.ts
@@ -47,13 +47,28 @@
   limitBytes: number,
 ): AsyncGenerator<Uint8Array> {
   let sumBytes = heldBytes;
-  for await (const piece of request) {
-    if (!(piece instanceof Uint8Array)) throw new BodyBrokenError("The body is not bytes.");
-    sumBytes += piece.length;
-    if (sumBytes > limitBytes) throw new BodyBrokenError("The body is over its limit.");
-    yield piece;
+  try {
+    for await (const piece of request.iterator({ destroyOnReturn: false })) {
+      if (!(piece instanceof Uint8Array)) throw new BodyBrokenError("The body is not bytes.");
+      sumBytes += piece.length;
+      if (sumBytes > limitBytes) throw new BodyBrokenError("The body is over its limit.");
+      yield piece;
+    }
+    if (!request.complete) throw new BodyBrokenError("The body was cut short.");
+  } finally {
+    readOut(request, sumBytes, limitBytes);
   }
-  if (!request.complete) throw new BodyBrokenError("The body was cut short.");
+};
+
+/** Reads what is left of a body that nobody wants any more: a connection that is closed with unread bytes can lose its answer. */
+const readOut = (request: IncomingMessage, readBytes: number, limitBytes: number): void => {
+  if (request.readableEnded) return;
+  let sumBytes = readBytes;
+  request.on("data", (piece: Buffer) => {
+    sumBytes += piece.length;
+    if (sumBytes > limitBytes) request.destroy();
+  });
+  request.resume();
 };
 
 const headerBytesOf = (request: IncomingMessage): number => {
