Configurations travel to edges by item, checked by a digest, whole only where they must

Each change of the configuration sent all of it to every daemon: at 1,400 routes some 280 KB before packing, and an edge read it whole again.

The leader now compares the items (services, routes, goals, limits, numbers) of the configuration in force with those of the one before, by identity or by a 64 bit hash, and keeps which changed, bounded at 1 MiB of names. A poll that knows one of the last configurations gets what changed since; others get the whole. A digest (the sum of the items' hashes, and the order of the routes, since the first of two alike wins) comes with it: a copy that adds up to something else keeps its sequence, takes no lease from that view and asks for the whole. What adapters keep with items for reading back isn't sent to edges any more. An edge takes changed items over, keeps the others as the same objects and makes mappings only of what changed.

--- /dev/null
+++ b/src/contract/configChanges.ts
@@ -0,0 +1,188 @@
+import type { Book } from "../record/book.js";
+import { Packed } from "../runtime/packed.js";
+import { Config } from "./config.js";
+import { ConfigItems, type ConfigItem, type NumberedConfig } from "./configItems.js";
+import { longText, type ConfigUpdate } from "./order.js";
+import { RecentChanges } from "./recentChanges.js";
+import { SetDigest } from "./setDigest.js";
+
+/** How many bytes the names of changed items may take; beyond that the oldest changes are forgotten. */
+const keptChangeBytes = 1024 * 1024;
+/** In the list of changes: stands before the key of an item that was removed. */
+const removedMark = "-";
+
+interface Known {
+  readonly value: ConfigItem["value"];
+  readonly hash: bigint;
+}
+
+const emptyConfig: NumberedConfig = { config: Config.empty, numbers: new Map() };
+
+/** The order of routes that a daemon has after it removed some items and put others at the end. */
+const orderAfter = (
+  former: Config,
+  removed: ReadonlySet<string>,
+  added: readonly string[],
+): string =>
+  Object.keys(
+    Object.fromEntries(
+      [
+        ...Object.keys(former.routes).filter(
+          (name) => !removed.has(ConfigItems.key("routes", name)),
+        ),
+        ...added,
+      ].map((name) => [name, true]),
+    ),
+  ).join(" ");
+
+/** What polls are told of the configuration in force: the items that changed since the sequence that a daemon knows, or all. */
+export class ConfigChanges {
+  private readonly book: Book;
+  private readonly read: () => Config;
+  private current = emptyConfig;
+  private currentSequence = 0;
+  private items = new Map<string, Known>();
+  private setDigest = new SetDigest();
+  private recent = new RecentChanges(0, keptChangeBytes);
+  /** The parts of views that were made for the present sequence, by the sequence that a daemon knows. */
+  private readonly parts = new Map<number, string>();
+  private serviceNames: string[] = [];
+  private digestText = "";
+
+  /** Follows the configuration in force, which `read` gives as it was parsed. */
+  constructor(book: Book, read: () => Config) {
+    this.book = book;
+    this.read = read;
+  }
+
+  /** The services of the configuration in force. */
+  get services(): readonly string[] {
+    this.observe();
+    return this.serviceNames;
+  }
+
+  /** Forgets everything, as one that leads anew: the next look takes the configuration in force as the first. */
+  reset(): void {
+    this.current = emptyConfig;
+    this.currentSequence = 0;
+    this.items = new Map();
+    this.setDigest = new SetDigest();
+    this.recent = new RecentChanges(0, keptChangeBytes);
+    this.parts.clear();
+  }
+
+  /** The part of a view that brings a daemon from the sequence that it knows to the one in force. */
+  viewPart(known: number): string {
+    this.observe();
+    const former = this.parts.get(known);
+    if (former !== undefined) return former;
+    const touched = this.recent.since(known);
+    const told =
+      touched && touched.size < this.items.size / 2
+        ? this.changesPart(known, touched)
+        : this.wholePart();
+    const part = `${told},"configDigest":"${this.digestText}"`;
+    this.parts.set(known, part);
+    return part;
+  }
+
+  private changesPart(base: number, touched: ReadonlySet<string>): string {
+    const update: ConfigUpdate = {
+      base,
+      put: { services: {}, routes: {}, goals: {} },
+      removed: [],
+      numbers: {},
+    };
+    this.putTouched(update, touched);
+    for (const key of touched) {
+      if (key.startsWith(removedMark)) update.removed.push(key.slice(removedMark.length));
+      const name = ConfigItems.numberedName(key) ?? "";
+      const number = this.current.numbers.get(name);
+      if (number !== undefined) update.numbers[name] = number;
+    }
+    const text = JSON.stringify(update);
+    return text.length > longText
+      ? `"packedConfigChanges":"${Packed.of(text)}"`
+      : `"configChanges":${text}`;
+  }
+
+  private putTouched({ put }: ConfigUpdate, touched: ReadonlySet<string>): void {
+    const { services, routes, goals, limits } = this.current.config;
+    const isTouched = (key: string): boolean => touched.has(key);
+    for (const [name, service] of Object.entries(services))
+      if (isTouched(ConfigItems.key("services", name)))
+        put.services[name] = ConfigItems.forEdges(service);
+    for (const [name, route] of Object.entries(routes))
+      if (isTouched(ConfigItems.key("routes", name)))
+        put.routes[name] = ConfigItems.forEdges(route);
+    put.goals = Object.fromEntries(
+      Object.entries(goals ?? {}).filter(([name]) => isTouched(ConfigItems.key("goals", name))),
+    );
+    if (limits && isTouched(ConfigItems.limitsKey)) put.limits = ConfigItems.forEdges(limits);
+  }
+
+  private wholePart(): string {
+    const whole = this.parts.get(-1);
+    if (whole !== undefined) return whole;
+    const text = JSON.stringify(ConfigItems.wholeForEdges(this.current.config));
+    const config =
+      text.length > longText
+        ? `"packedConfig":"${Packed.of(text)}"`
+        : `"config":${JSON.stringify(text)}`;
+    const part = `${config},"numbers":${JSON.stringify(Object.fromEntries(this.current.numbers))}`;
+    this.parts.set(-1, part);
+    return part;
+  }
+
+  /** Takes notice of the configuration in force: what differs from the last look has changed since. */
+  private observe(): void {
+    const sequence = this.book.inForce?.sequence ?? 0;
+    if (sequence === this.currentSequence) return;
+    const next = { config: this.read(), numbers: new Map(this.book.numbering.inForce) };
+    const isFirst = this.currentSequence === 0;
+    const touched = this.takeItems(next);
+    const removed = new Set(
+      touched
+        .filter((key) => key.startsWith(removedMark))
+        .map((key) => key.slice(removedMark.length)),
+    );
+    const added = Object.keys(next.config.routes).filter(
+      (name) => !Object.hasOwn(this.current.config.routes, name),
+    );
+    const keepsOrder =
+      orderAfter(this.current.config, removed, added) === Object.keys(next.config.routes).join(" ");
+    this.current = next;
+    this.currentSequence = sequence;
+    this.parts.clear();
+    this.digestText = ConfigItems.digest(this.setDigest, next.config);
+    this.serviceNames = Object.keys(next.config.services);
+    if (isFirst || !keepsOrder) this.recent = new RecentChanges(sequence, keptChangeBytes);
+    else this.recent.note(sequence, touched);
+  }
+
+  /** Takes over all items, and tells the keys of those that changed or went. */
+  private takeItems(next: NumberedConfig): string[] {
+    const touched: string[] = [];
+    const present = new Map<string, Known>();
+    for (const item of ConfigItems.all(next)) {
+      const former = this.items.get(item.key);
+      if (former?.value === item.value) {
+        present.set(item.key, former);
+        continue;
+      }
+      const hash = ConfigItems.hash(item);
+      present.set(item.key, { value: item.value, hash });
+      if (former?.hash === hash) continue;
+      touched.push(item.key);
+      if (former) this.setDigest.remove(former.hash);
+      this.setDigest.add(hash);
+    }
+    for (const [key, { hash }] of this.items) {
+      if (present.has(key)) continue;
+      touched.push(`${removedMark}${key}`);
+      this.setDigest.remove(hash);
+    }
+    this.items = present;
+    return touched;
+  }
+}
--- a/src/contract/mappings.ts
+++ b/src/contract/mappings.ts
@@ -30,12 +30,15 @@
   return served.find(({ weight }) => (left -= weight) < 0)?.service ?? served.at(-1)?.service ?? "";
 };
 
+const ofName = <T>(section: Record<string, T>, name: string): T | undefined =>
+  Object.hasOwn(section, name) ? section[name] : undefined;
+
 const mappingOf = (config: Config, name: string, route: Route): Mapping => {
   const isPrefix = route.match.path.endsWith("*");
   const splits = splitsOf(route);
   const service = splits[0]?.service ?? "";
-  const shape = Object.hasOwn(config.services, service) ? config.services[service] : undefined;
-  const goal = config.goals && Object.hasOwn(config.goals, name) ? config.goals[name] : undefined;
+  const shape = ofName(config.services, service);
+  const goal = ofName(config.goals ?? {}, name);
   const repeatable =
     route.kind === undefined
       ? repeatableBy(route)
@@ -74,12 +77,15 @@
   private readonly byName = new Map<string, Mapping>();
   readonly all: readonly Mapping[];
   readonly limits: NonNullable<Config["limits"]>;
-  private readonly services: Config["services"];
+  private readonly config: Config;
 
-  constructor(config: Config) {
+  /** Reads a config; what is the same as in a former one, by identity of its items, is taken over from that. */
+  constructor(config: Config, former?: Mappings) {
     this.limits = config.limits ?? {};
-    this.services = config.services;
-    this.all = Object.entries(config.routes).map(([name, route]) => mappingOf(config, name, route));
+    this.config = config;
+    this.all = Object.entries(config.routes).map(
+      ([name, route]) => former?.sameIn(config, name) ?? mappingOf(config, name, route),
+    );
     for (const mapping of this.all) this.byName.set(mapping.name, mapping);
     for (const mapping of this.all) if (!mapping.isPrefix) this.index(mapping.host).add(mapping);
     for (const mapping of this.all
@@ -102,7 +108,18 @@
 
   /** A service of this config by its name. */
   service(name: string): MappedService | undefined {
-    return Object.hasOwn(this.services, name) ? this.services[name] : undefined;
+    return ofName(this.config.services, name);
+  }
+
+  /** The mapping of a route, if all that it is made of is the same in another config. */
+  private sameIn(config: Config, name: string): Mapping | undefined {
+    const mapping = this.byName.get(name);
+    const isSame =
+      mapping !== undefined &&
+      config.routes[name] === this.config.routes[name] &&
+      ofName(config.goals ?? {}, name) === ofName(this.config.goals ?? {}, name) &&
+      ofName(config.services, mapping.service) === this.service(mapping.service);
+    return isSame ? mapping : undefined;
   }
 
   private index(host: string | undefined): PathIndex {
--- a/src/contract/order.ts
+++ b/src/contract/order.ts
@@ -1,4 +1,5 @@
-import { itemsShape, namesShape } from "./config.js";
+import { configShape, itemsShape, namesShape, type Config } from "./config.js";
+import { Guarded } from "./guarded.js";
 import { FrameError } from "../link/frame.js";
 import { kindOf } from "../runtime/kindOf.js";
 import { Contract } from "../record/book.js";
@@ -150,6 +151,18 @@
     Object.values(value).every((one) => typeof one === "number"),
 );
 
+/** What changed since the configuration under `base`: items that are put whole, and the keys of items that went before that. */
+const configUpdateShape = object({
+  base: number(),
+  put: define<Config>("items of a config", (value) => Guarded.passes(configShape, value)),
+  removed: array(string()),
+  /** The numbers of services and routes that are new or have changed. */
+  numbers: numbersShape,
+});
+
+/** The changes of a configuration, by item. */
+export type ConfigUpdate = Infer<typeof configUpdateShape>;
+
 const registrationsShape = define<Contract[]>("directory", Contract.areAll);
 
 const viewShape = object({
@@ -161,7 +174,12 @@
   config: optional(string()),
   /** The same, packed where it is long. */
   packedConfig: optional(string()),
-  /** The numbers of the services and routes that the config names. */
+  /** What changed in it, where the daemon's own is known; packed where it is long. */
+  configChanges: optional(configUpdateShape),
+  packedConfigChanges: optional(string()),
+  /** What the copy must add up to, once this is taken. */
+  configDigest: optional(string()),
+  /** The numbers of the services and routes that a whole config names. */
   numbers: optional(numbersShape),
   directorySequence: number(),
   /** All registrations; also packed where they are long. */
@@ -186,6 +204,7 @@
 
 const readPoll = quick(pollShape);
 const readView = quick(viewShape);
+const readConfigUpdate = quick(configUpdateShape);
 const readRegistrations = quick(registrationsShape);
 
 /** A view whose directory, where it is packed, is unpacked. */
@@ -196,6 +215,11 @@
 
 export const Poll = {
   read: (text: string): Poll => readPoll(JSON.parse(text)),
+  /** The changes of the configuration that a view tells, if any. */
+  configUpdate: ({ configChanges, packedConfigChanges }: GrantedView): ConfigUpdate | undefined =>
+    packedConfigChanges === undefined
+      ? configChanges
+      : readConfigUpdate(JSON.parse(Packed.text(packedConfigChanges))),
   readReturn(text: string): Infer<typeof pollReturnShape> {
     const value: unknown = JSON.parse(text);
     return typeof value === "object" &&
--- a/src/contract/registry.ts
+++ b/src/contract/registry.ts
@@ -2,17 +2,16 @@
 import { Clock } from "../runtime/clock.js";
 import { Holding } from "../runtime/holding.js";
 import type { PartLog } from "../runtime/logbook.js";
-import { Packed } from "../runtime/packed.js";
 import { Task } from "../runtime/task.js";
 import { World } from "../runtime/world.js";
 import type { AcceptedConfig, Book, Contract } from "../record/book.js";
 import { Deed, heldKeys, versionOf } from "../record/book.js";
 import type { Recorder } from "../record/recorder.js";
 import type { CapacityGrants } from "./capacityGrants.js";
-import { amend, Config, mergePatch } from "./config.js";
+import { amend, Config, ConfigReader, mergePatch } from "./config.js";
+import { ConfigChanges } from "./configChanges.js";
 import { DirectoryChanges } from "./directoryChanges.js";
 import {
-  longText,
   breakdownReturn,
   isBreakdown,
   Order,
@@ -78,7 +77,7 @@
   private readonly log: PartLog;
   private readonly configs = new Holding<{ order: ChangeOrder; done: (text: string) => void }>();
   /** The config that was read last, beside its text. */
-  private parsed: { text: string; value: unknown } = { text: "", value: Config.empty };
+  private parsed: { text: string; value: Config } = { text: "", value: Config.empty };
   private readonly heardBackEnds = new Map<string, { heardMs: number; leftMs: number }>();
   private readonly machines = new Map<string, Heard>();
   private readonly ending = new Set<number>();
@@ -89,8 +88,7 @@
   /** Polls that are held until there is news. */
   private readonly waitingForNews = new Set<() => void>();
   private isTelling = false;
-  /** What many polls return alike, made once for each change. */
-  private configText = { sequence: -1, text: "", services: new Array<string>() };
+  private readonly configChanges: ConfigChanges;
   private readonly directory: DirectoryChanges;
   /** Since when this leader has seen a number rest. */
   private readonly restingSince = new Map<number, number>();
@@ -116,6 +114,7 @@
     this.allowance = allowance;
     this.log = world.logbook.part("contract");
     this.directory = new DirectoryChanges(book);
+    this.configChanges = new ConfigChanges(book, () => this.configInForce());
     book.onApplied((deed, index) => {
       if (deed.kind === "claim")
         this.keyAges.push({ scope: deed.scope, index, atMs: world.clock.nowMs() });
@@ -199,7 +198,7 @@
       this.log.say("A machine shows itself.", { machine: machine.name, zone: machine.zone });
     this.machines.set(machine.name, { machine, heardMs: nowMs, silent: false });
     this.hearAll(poll, nowMs);
-    const { services } = this.currentConfig();
+    const { services } = this.configChanges;
     const isEdge = machine.roles.includes("edge") && !machine.draining;
     const edge = `${machine.name} ${machine.incarnation}`;
     const holds = this.book.holders.has(edge);
@@ -242,7 +241,7 @@
     };
     const parts = [JSON.stringify(view).slice(0, -1)];
     if (this.book.inForce && poll.configSequence !== this.book.inForce.sequence)
-      parts.push(this.currentConfig().text);
+      parts.push(this.configChanges.viewPart(poll.configSequence));
     if (poll.directorySequence !== this.book.directorySequence)
       parts.push(this.directory.viewPart(poll.directorySequence));
     return `${parts.join(",")}}`;
@@ -315,7 +314,7 @@
     this.orders.clear();
     this.goneSince.clear();
     for (const instance of this.book.gone.keys()) this.goneSince.set(instance, nowMs);
-    this.configText = { sequence: -1, text: "", services: [] };
+    this.configChanges.reset();
     this.keyAges = [...this.book.keys].map(([scope, { atIndex }]) => ({
       scope,
       index: atIndex,
@@ -340,30 +339,6 @@
     World.start(this.world, "contract", this.enter(deed), ended);
   }
 
-  /** The text of the config in force and its numbers, as part of a view. */
-  private currentConfig() {
-    const inForce = this.book.inForce;
-    const sequence = inForce?.sequence ?? 0;
-    if (this.configText.sequence !== sequence) {
-      const numbers = this.book.numbering.inForce;
-      const config =
-        inForce && inForce.text.length > longText
-          ? `"packedConfig":"${Packed.of(inForce.text)}"`
-          : `"config":${JSON.stringify(inForce?.text ?? "")}`;
-      const text = inForce
-        ? `${config},"numbers":${JSON.stringify(Object.fromEntries(numbers))}`
-        : "";
-      this.configText = {
-        sequence,
-        text,
-        services: [...numbers.keys()]
-          .filter((name) => name.startsWith("service "))
-          .map((name) => name.slice(8)),
-      };
-    }
-    return this.configText;
-  }
-
   private hasNewsFor(poll: Poll): boolean {
     return (
       poll.configSequence !== (this.book.inForce?.sequence ?? 0) ||
@@ -613,15 +588,20 @@
   /** The whole config that an order makes of the one in force. */
   private changed(order: ChangeOrder): unknown {
     if (order.kind === "put") return order.value;
-    const text = this.book.inForce?.text;
-    if (text !== undefined && this.parsed.text !== text)
-      this.parsed = { text, value: JSON.parse(text) };
-    const current = text === undefined ? Config.empty : this.parsed.value;
+    const current = this.configInForce();
     return order.kind === "patch"
       ? mergePatch(current, order.value)
       : amend(current, order.put, order.remove);
   }
 
+  /** The config in force, parsed once for each change. */
+  private configInForce(): Config {
+    const text = this.book.inForce?.text;
+    if (text === undefined) return Config.empty;
+    if (this.parsed.text !== text) this.parsed = { text, value: new ConfigReader().read(text) };
+    return this.parsed.value;
+  }
+
   /** Numbers that have been out of force for so long that no window holds them. */
   private rested(): number[] {
     const nowMs = this.world.clock.nowMs();
--- a/src/contract/view.ts
+++ b/src/contract/view.ts
@@ -2,11 +2,11 @@
 import { Clock } from "../runtime/clock.js";
 import { Holding } from "../runtime/holding.js";
 import type { PartLog } from "../runtime/logbook.js";
-import { Packed } from "../runtime/packed.js";
 import type { Task } from "../runtime/task.js";
 import type { World } from "../runtime/world.js";
 import type { Contract } from "../record/book.js";
-import { Config, ConfigReader } from "./config.js";
+import { Config } from "./config.js";
+import { ConfigCopy } from "./configCopy.js";
 import { DirectoryCopy } from "./directoryCopy.js";
 import type { Ferry } from "./ferry.js";
 import { Mappings } from "./mappings.js";
@@ -56,11 +56,9 @@
   onLease: () => void = () => undefined;
   /** Hears of each config that comes into force here. */
   onConfig: (mappings: Mappings) => void = () => undefined;
-  private readonly reader = new ConfigReader();
-  private numbers = new Map<string, number>();
+  private readonly config = new ConfigCopy();
   private readonly names = new Map<number, string>();
   mappings = new Mappings(Config.empty);
-  configSequence = 0;
   collectors: GrantedView["collectors"] = [];
   private refused: Contract[] = [];
   private grantNumber = "";
@@ -90,6 +88,11 @@
     return this.directory.sequence;
   }
 
+  /** The sequence of the config that is in force here; 0 for none yet. */
+  get configSequence(): number {
+    return this.config.sequence;
+  }
+
   private get canServe(): boolean {
     return this.isGranted && this.configSequence > 0;
   }
@@ -162,7 +165,7 @@
 
   /** The number that the record gave to a service or a route. */
   numberOf(kind: "service" | "route", name: string): number | undefined {
-    return this.numbers.get(`${kind} ${name}`);
+    return this.config.numbers.get(`${kind} ${name}`);
   }
 
   /** The name behind a number, also for a while after it went out of force. */
@@ -211,7 +214,7 @@
       if (nowMs - atMs > heardForMs) this.announced.delete(number);
     const poll: Poll = {
       machine: this.machine(),
-      configSequence: this.configSequence,
+      configSequence: this.config.knownSequence,
       directorySequence: this.directory.knownSequence,
       grantNumber: this.grantNumber,
       capacities: [...this.budget.capacities].map(([service, capacity]) => ({ service, capacity })),
@@ -235,29 +238,8 @@
       });
       return;
     }
-    const update = this.directory.take(view);
-    if (update === "differs") {
-      this.log.warn(
-        "The copy of the directory differs from the leader's; the whole is asked for.",
-        {
-          sequence: view.directorySequence,
-        },
-      );
-      return;
-    }
-    if (update === "changed") this.takeDirectory();
     const couldServe = this.canServe;
-    const config =
-      view.config ?? (view.packedConfig === undefined ? undefined : Packed.text(view.packedConfig));
-    if (config !== undefined && view.configSequence > this.configSequence) {
-      this.mappings = new Mappings(this.reader.read(config));
-      this.configSequence = view.configSequence;
-      this.onConfig(this.mappings);
-    }
-    if (view.numbers) {
-      this.numbers = new Map(Object.entries(view.numbers));
-      for (const [name, number] of this.numbers) this.names.set(number, name);
-    }
+    if (!this.takeCopies(view)) return;
     this.announceMs = view.announceMs ?? this.announceMs;
     this.collectors = view.collectors;
     this.ferry.know(view.recorders);
@@ -273,6 +255,27 @@
     this.heard = true;
   }
 
+  /** Brings the copies up to a view; tells whether they are what the leader has. */
+  private takeCopies(view: GrantedView): boolean {
+    const directory = this.directory.take(view);
+    const config = this.config.take(view);
+    if (directory === "changed") this.takeDirectory();
+    if (config === "changed") this.takeConfig();
+    if (directory !== "differs" && config !== "differs") return true;
+    this.log.warn("A copy differs from the leader's; the whole is asked for.", {
+      directory,
+      config,
+      sequence: view.configSequence,
+    });
+    return false;
+  }
+
+  private takeConfig(): void {
+    this.mappings = new Mappings(this.config.config, this.mappings);
+    for (const [name, number] of this.config.numbers) this.names.set(number, name);
+    this.onConfig(this.mappings);
+  }
+
   private takeDirectory(): void {
     const { registrations } = this.directory;
     const numbers = new Set(registrations.map(({ number }) => number));
