A beat that a lagging daemon can't place gets 503, not an empty acknowledgement

A backend on the cut-off side whose contract ended meanwhile beats at the edge in the first 30 ms after the edge is back. The edge's directory is older than the end of the contract, so the leader can't tell the beat from a late one, and enters nothing; yet it was answered 200, and the backend stayed out until its next beat. Taking it would let late beats bring back what is gone. It is now answered 503, and the backend calls another daemon at once. Announcements that aren't counted are answered as before.

--- a/src/contract/registry.ts
+++ b/src/contract/registry.ts
@@ -462,8 +462,9 @@
       if (!known.leaving && known.zone === zone && known.capacity === capacity)
         return this.announced(known.number, "known");
     }
+    // One that counts its announcements is not told that it was heard: another daemon knows more and may enter it.
     if (known && seen < Math.max(known.number, known.leftAt))
-      return this.announced(known.number, "overtaken");
+      return this.announced(known.number, order.order === undefined ? "overtaken" : "behind");
     this.hear(address, nowMs);
     this.noteOrder(instance, order.order ?? 0);
     const outcome = yield* this.enter({
--- a/src/operator/operators.ts
+++ b/src/operator/operators.ts
@@ -3,6 +3,7 @@
   create,
   define,
   integer,
+  is,
   literal,
   max,
   min,
@@ -100,6 +101,7 @@
 const historyShape = type({
   journal: define<Array<{ index: number; text: string }>>("journal", Array.isArray),
 });
+const behindShape = type({ state: literal("behind") });
 const readyShape = object({ ready: literal(true) });
 
 /** What the operators' port needs of its daemon. */
@@ -123,6 +125,13 @@
     retryAfter,
   );
 
+/** What the leader said, as it said it. */
+const asSent = (text: string): Return => ({
+  code: 200,
+  headers: { "content-type": "application/json" },
+  body: Buffer.from(`${text}\n`),
+});
+
 /** Nobody who may answer for the whole system was reached, so nothing is known: never a refusal. */
 const noLeader = (): Return => Return.json(503, { error: "No leader could be asked." }, retryAfter);
 
@@ -216,12 +225,7 @@
 
   private *read(order: Order): Task<Return> {
     const text = yield* this.ferry.command(order, answerMs);
-    if (text === undefined) return noLeader();
-    return {
-      code: 200,
-      headers: { "content-type": "application/json" },
-      body: Buffer.from(`${text}\n`),
-    };
+    return text === undefined ? noLeader() : asSent(text);
   }
 
   private *readConfig(version: number | undefined): Task<Return> {
@@ -331,11 +335,14 @@
     const announced = { ...told, warmth: told.warmth ?? 1 };
     const heard = this.view.hear(announced);
     if (heard) return Return.json(200, { ...heard });
-    return yield* this.read({
-      kind: "announce",
-      ...announced,
-      seen: Math.max(0, this.view.directorySequence),
-    });
+    const text = yield* this.ferry.command(
+      { kind: "announce", ...announced, seen: Math.max(0, this.view.directorySequence) },
+      answerMs,
+    );
+    if (text === undefined) return noLeader();
+    return is(JSON.parse(text), behindShape)
+      ? Return.json(503, { error: "This daemon is behind; ask another." }, retryAfter)
+      : asSent(text);
   }
 
   private *left(job: Job): Task<Return> {
--- a/test/contract/directory.test.ts
+++ b/test/contract/directory.test.ts
@@ -230,3 +230,15 @@
   expect(view.contractOf("one")).toMatchObject({ leaving: true });
   expect(simulation.machines.length).toBeGreaterThan(0);
 });
+
+test("a beat through a daemon with an older directory isn't told that it was heard, once through another it is", () => {
+  const { announce, poll, contract, wait } = stage();
+  announce("one", { order: 1 });
+  const number = contract()?.number ?? -1;
+  poll({ refused: [{ address, number }] });
+  wait(300);
+  expect(announce("one", { order: 2, seen: number })).toContain('"behind"');
+  expect(contract()?.leaving).toBe(true);
+  expect(announce("one", { order: 2 })).toContain('"taken"');
+  expect(contract()?.leaving).toBe(false);
+});
--- a/test/platform/cutOff.test.ts
+++ b/test/platform/cutOff.test.ts
@@ -118,3 +118,33 @@
         stage.machines.map(() => "r1000"),
       );
     });
+
+/** Whether the leader's directory holds a backend that isn't leaving. */
+const stands = (stage: OrderStage, address: string): boolean => {
+  const bodies: string[] = [];
+  stage.at(1).daemon?.operators.put({
+    job: { method: "POST", target: "/ask", headers: {}, body: Buffer.from("show backends") },
+    give: (ret) => bodies.push(Buffer.from(ret.body).toString()),
+  });
+  stage.wait(300);
+  return bodies.some((body) => new RegExp(`"address":"${address}"[^}]*"leaving":false`).test(body));
+};
+
+for (let restMs = 0; restMs < 300; restMs += 10)
+  test(`${restMs} ms after an edge is back, a beat that it acknowledges has an effect`, () => {
+    const stage = begun();
+    const edge = stage.at(0);
+    expect(stands(stage, "10.1.0.1:90")).toBe(true);
+    cutOff(stage, [edge], "both ways");
+    stage.wait(20_000);
+    expect(stands(stage, "10.1.0.1:90")).toBe(false);
+    stage.network.heal();
+    stage.wait(restMs);
+    const call = beat(stage, edge, "1", 50);
+    stage.until(() => call.code !== undefined, 1000);
+    if (call.code === 200) expect(stands(stage, "10.1.0.1:90")).toBe(true);
+    else expect(call.code).toBe(503);
+    beat(stage, stage.at(1), "1", 51);
+    stage.wait(200);
+    expect(stands(stage, "10.1.0.1:90")).toBe(true);
+  });
