--- a/src/rehearsal/configOrders.ts
+++ b/src/rehearsal/configOrders.ts
@@ -110,8 +110,10 @@
     const record = this.ledger.order({ base, probe, startMs: clock.nowMs() });
     this.ledger.world.push({ kind: "sent", atMs: clock.nowMs(), probe, text });
     for (let attempt = 0; attempt < attemptsOfOrder && !this.isOver(); attempt += 1) {
-      const ret = yield* this.outside.desk(via?.(), orderJob(change), undefined, patienceMs);
+      const [daemon, sentMs] = [via?.(), clock.nowMs()];
+      const ret = yield* this.outside.desk(daemon, orderJob(change), undefined, patienceMs);
       const atMs = clock.nowMs();
+      record.attempts.push({ daemon, startMs: sentMs, endMs: atMs, code: ret?.code ?? 0 });
       if (ret?.code === 200) {
         const { sequence } = create(jsonIn(ret.body), sequenced);
         this.sequence = Math.max(this.sequence, sequence);
--- /dev/null
+++ b/src/rehearsal/faults/catchUpFaults.ts
@@ -0,0 +1,41 @@
+import { Bounds } from "../../machine/bounds.js";
+import { Clock } from "../../runtime/clock.js";
+import type { Task } from "../../runtime/task.js";
+import type { Simulation } from "../simulation.js";
+import type { Fault } from "./fault.js";
+import { disks, pick, rest } from "./targets.js";
+import { timedOrder } from "./timedOrder.js";
+
+const changesMeanwhile = 300;
+/** The changes end after so long, however many there were: other failures may hold them up. */
+const mostChangingMs = 40_000;
+const downMs = 2500;
+const orderAfterMs = 300;
+
+const changeManyTimes = function* (simulation: Simulation): Task {
+  const untilMs = simulation.time.nowMs() + mostChangingMs;
+  for (let made = 0; made < changesMeanwhile && simulation.time.nowMs() < untilMs; made += 1)
+    yield* simulation.day.putConfig();
+};
+
+/** A member is behind by hundreds of changes when the others are lost in turn. */
+export const catchUpFaults: Record<string, Fault> = {
+  *changeWhileMemberIsAway(simulation) {
+    const { catchUpMs } = Bounds.of(simulation.profile).figures;
+    const away = pick(simulation, disks(simulation));
+    if (!away) return;
+    simulation.kill(away, true);
+    yield* changeManyTimes(simulation);
+    simulation.boot(away);
+    yield* Clock.rest(simulation.clock, catchUpMs);
+    for (const other of disks(simulation).filter((one) => one !== away)) {
+      simulation.kill(other, true);
+      yield* Clock.rest(simulation.clock, orderAfterMs);
+      simulation.start(timedOrder(simulation, "one lost after many changes"));
+      yield* Clock.rest(simulation.clock, downMs);
+      simulation.boot(other);
+      yield* Clock.rest(simulation.clock, catchUpMs);
+    }
+    yield* rest(simulation, 200, 500);
+  },
+};
--- /dev/null
+++ b/src/rehearsal/faults/lostAnswerFaults.ts
@@ -0,0 +1,49 @@
+import type { Task } from "../../runtime/task.js";
+import type { SimMachine, Simulation } from "../simulation.js";
+import type { Fault } from "./fault.js";
+import { reboot } from "./restarts.js";
+import { disks, pick, rest } from "./targets.js";
+import { operatorPatienceMs } from "./timedOrder.js";
+
+const lostPart = 0.7;
+const rounds = 3;
+const ordersAtOnce = 8;
+/** How far above the current version operators choose the next one. */
+const mostStep = 4;
+/** Within so long of its acknowledgement the member that gave it loses power. */
+const mostStrikeMs = 4;
+
+const strike = function* (simulation: Simulation, machine: SimMachine): Task {
+  yield* rest(simulation, 0, mostStrikeMs);
+  yield* reboot(simulation, [machine], true);
+};
+
+/** Orders race for one number, and the member that acknowledges the first of them loses power. */
+const raceAndStrike = (simulation: Simulation): void => {
+  const { operators } = simulation.day;
+  let hasStruck = false;
+  simulation.onAcknowledged = (machine) => {
+    if (hasStruck) return;
+    hasStruck = true;
+    simulation.start(strike(simulation, machine));
+  };
+  const version = operators.sequence + 1 + Math.floor(simulation.random() * mostStep);
+  const via = (): string | undefined => pick(simulation, disks(simulation))?.settings.machine;
+  for (let order = 0; order < ordersAtOnce; order += 1)
+    simulation.start(
+      operators.submit(operators.prepare(version), { via, patienceMs: operatorPatienceMs }),
+    );
+};
+
+/** Answers to operators are lost, and with them the member that gave one. */
+export const lostAnswerFaults: Record<string, Fault> = {
+  *loseOperatorAnswers(simulation) {
+    simulation.lostAnswerPart = lostPart;
+    for (let round = 0; round < rounds; round += 1) {
+      raceAndStrike(simulation);
+      yield* rest(simulation, 2500, 4500);
+    }
+    simulation.onAcknowledged = () => undefined;
+    simulation.lostAnswerPart = 0;
+  },
+};
--- /dev/null
+++ b/src/rehearsal/faults/replacementFaults.ts
@@ -0,0 +1,121 @@
+import { Bounds } from "../../machine/bounds.js";
+import { Clock } from "../../runtime/clock.js";
+import type { Task } from "../../runtime/task.js";
+import type { SimMachine, Simulation } from "../simulation.js";
+import type { Fault } from "./fault.js";
+import { allFormed, disks, leaders, rest } from "./targets.js";
+import { timedOrder } from "./timedOrder.js";
+
+/** A planned successor starts so long before the old one is told to stop, a sudden one so long after it is gone. */
+const successorMs = 1000;
+const downMs = 3000;
+/** An operator's order comes so long after a loss. */
+const orderAfterMs = 300;
+const watchMs = 50;
+
+/** One way to lose a member; it tells from when on the member no longer counts as lost. */
+type Loss = (simulation: Simulation, member: SimMachine) => Task<number>;
+
+const syncMs = (simulation: Simulation): number => Bounds.of(simulation.profile).figures.catchUpMs;
+
+const replacedSuddenly: Loss = function* (simulation, member) {
+  simulation.remove(member);
+  yield* Clock.rest(simulation.clock, successorMs);
+  simulation.addSpare(member.settings.zone);
+  return simulation.time.nowMs() + syncMs(simulation);
+};
+
+const replacedInOrder: Loss = function* (simulation, member) {
+  simulation.addSpare(member.settings.zone);
+  const wholeMs = simulation.time.nowMs() + syncMs(simulation);
+  yield* Clock.rest(simulation.clock, successorMs);
+  yield* simulation.stop(member);
+  simulation.remove(member);
+  return wholeMs;
+};
+
+const emptied: Loss = function* (simulation, member) {
+  simulation.kill(member, true);
+  member.disk?.wipe();
+  member.isEmptied = true;
+  yield* Clock.rest(simulation.clock, successorMs);
+  simulation.boot(member);
+  return simulation.time.nowMs() + syncMs(simulation);
+};
+
+const unpowered: Loss = function* (simulation, member) {
+  simulation.kill(member, true);
+  yield* Clock.rest(simulation.clock, downMs);
+  simulation.boot(member);
+  return simulation.time.nowMs() + syncMs(simulation);
+};
+
+/** The members to lose next: the leader first, then those that have been there longest. */
+const nextLost = (simulation: Simulation, count: number): SimMachine[] => {
+  const led = leaders(simulation);
+  const others = disks(simulation).filter((one) => !led.includes(one));
+  return [...led, ...others].slice(0, count);
+};
+
+/** Loses as many members at once as may be lost; ends when none of them counts as lost any more. */
+const loseAtOnce = function* (simulation: Simulation, lose: Loss, name: string): Task {
+  const members = nextLost(simulation, simulation.profile.tolerate?.machines ?? 1);
+  const wholeMs: number[] = [];
+  simulation.ledger.world.push({
+    kind: "membersLost",
+    atMs: simulation.time.nowMs(),
+    how: name,
+    machines: members.map(({ settings }) => settings.machine),
+  });
+  for (const member of members)
+    simulation.start(
+      (function* () {
+        wholeMs.push(yield* lose(simulation, member));
+      })(),
+    );
+  yield* Clock.rest(simulation.clock, orderAfterMs);
+  simulation.start(timedOrder(simulation, name));
+  while (wholeMs.length < members.length) yield* Clock.rest(simulation.clock, watchMs);
+  const untilMs = Math.max(...wholeMs);
+  yield* Clock.rest(simulation.clock, Math.max(0, untilMs - simulation.time.nowMs()));
+};
+
+/** Loses members again and again, each time at the first moment that the bounds allow. */
+const loseInTurn = function* (
+  simulation: Simulation,
+  losses: ReadonlyArray<readonly [name: string, lose: Loss]>,
+): Task {
+  if (!allFormed(simulation)) return;
+  simulation.isLosingDisk = true;
+  for (const [name, lose] of losses) yield* loseAtOnce(simulation, lose, name);
+  simulation.isLosingDisk = false;
+  yield* rest(simulation, 500, 1000);
+};
+
+/** Members are replaced by empty machines, and the next are lost as soon as that is allowed. */
+export const replacementFaults: Record<string, Fault> = {
+  *replaceMembersSuddenly(simulation) {
+    yield* loseInTurn(simulation, [
+      ["replaced", replacedSuddenly],
+      ["replaced", replacedSuddenly],
+      ["emptied", emptied],
+      ["unpowered", unpowered],
+    ]);
+  },
+  *replaceMembersInOrder(simulation) {
+    yield* loseInTurn(simulation, [
+      ["replaced in order", replacedInOrder],
+      ["replaced in order", replacedInOrder],
+      ["unpowered", unpowered],
+      ["emptied", emptied],
+    ]);
+  },
+  *replaceMembersAfterLosses(simulation) {
+    yield* loseInTurn(simulation, [
+      ["emptied", emptied],
+      ["replaced", replacedSuddenly],
+      ["unpowered", unpowered],
+      ["replaced in order", replacedInOrder],
+    ]);
+  },
+};
--- /dev/null
+++ b/src/rehearsal/faults/timedOrder.ts
@@ -0,0 +1,21 @@
+import type { Task } from "../../runtime/task.js";
+import type { Simulation } from "../simulation.js";
+
+/** An operator changes the configuration; how long that took goes into the ledger. */
+export const timedOrder = function* (simulation: Simulation, during: string): Task {
+  const { ledger, time, day } = simulation;
+  const atMs = time.nowMs();
+  const change = day.operators.prepare();
+  yield* day.operators.submit(change, { patienceMs: operatorPatienceMs });
+  const order = ledger.configOrders.find(({ probe }) => probe === change.probe);
+  ledger.world.push({
+    kind: "orderedDuring",
+    atMs,
+    during,
+    outcome: order?.outcome ?? "unknown",
+    waitedMs: time.nowMs() - atMs,
+  });
+};
+
+/** After so long without an answer an operator turns to another daemon. */
+export const operatorPatienceMs = 1000;
--- a/src/rehearsal/ledger.ts
+++ b/src/rehearsal/ledger.ts
@@ -38,6 +38,16 @@
   readonly meant: string;
 }
 
+/** One attempt at an order, at one daemon. */
+export interface OrderAttempt {
+  /** The daemon it was sent to; any where none was named. */
+  readonly daemon: string | undefined;
+  readonly startMs: number;
+  readonly endMs: number;
+  /** The code of the answer; 0 where none came. */
+  readonly code: number;
+}
+
 /** One operator's change of the configuration, with all attempts at it. */
 export interface ConfigOrderRecord {
   readonly startMs: number;
@@ -49,6 +59,7 @@
   outcome: "accepted" | "lost" | "refused" | "unknown";
   /** Its own version where accepted, the current one where lost. */
   version: number;
+  readonly attempts: OrderAttempt[];
 }
 
 /** One answered read of the newest configuration. */
@@ -70,6 +81,15 @@
   | { kind: "reused"; atMs: number; address: string; service: string }
   | { kind: "killed"; atMs: number; daemon: string }
   | { kind: "stopped"; atMs: number; daemon: string; endedMs: number }
+  | { kind: "memberCut"; atMs: number; endMs: number; daemon: string }
+  | { kind: "membersLost"; atMs: number; how: string; machines: readonly string[] }
+  | {
+      kind: "orderedDuring";
+      atMs: number;
+      during: string;
+      outcome: ConfigOrderRecord["outcome"];
+      waitedMs: number;
+    }
   | { kind: "fault"; atMs: number; what: string }
   | { kind: "recovered"; atMs: number };
 
@@ -89,6 +109,7 @@
       endMs: Infinity,
       outcome: "unknown",
       version: 0,
+      attempts: [],
     };
     this.configOrders.push(record);
     return record;
--- a/src/rehearsal/simulation.ts
+++ b/src/rehearsal/simulation.ts
@@ -32,6 +32,8 @@
   isStopping: boolean;
   /** Whether it is gone for good, so that it never starts again. */
   isRemoved: boolean;
+  /** Whether its disk was lost once, after which it never forms a log. */
+  isEmptied: boolean;
   /** Hears that the process is gone: every connection to it breaks. */
   readonly gone: Set<() => void>;
 }
@@ -141,6 +143,7 @@
       daemon: undefined,
       isStopping: false,
       isRemoved: false,
+      isEmptied: false,
       gone: new Set(),
     };
   }
@@ -202,7 +205,12 @@
       random: this.random,
       wallTime: () => new Date(1.8e12 + this.time.nowMs() + machine.offsetMs + machine.wallJumpMs),
     });
-    const daemon = new Daemon(world, machine.settings, {
+    const settings = {
+      ...machine.settings,
+      seeds: this.seeds(),
+      ...(machine.isEmptied ? { bootstrap: false } : {}),
+    };
+    const daemon = new Daemon(world, settings, {
       backEnds: this.backEnds(machine, gate, clock),
       waits: this.waits,
     });
--- a/src/rehearsal/standIn.ts
+++ b/src/rehearsal/standIn.ts
@@ -11,6 +11,8 @@
   readonly body: Buffer;
   /** The body is broken off after this many bytes. */
   readonly cutAt: number | undefined;
+  /** How long after it the same answer comes once more on its connection; not at all where undefined. */
+  readonly againMs: number | undefined;
 }
 
 /** How a stand-in misbehaves, each a part of its requests. */
@@ -19,11 +21,22 @@
   losesPart: number;
   garbagePart: number;
   cutPart: number;
+  /** Sends its answer a second time, some of them late. */
+  doubledPart: number;
   /** Misbehaves only toward the process with this name. */
   onlyFrom: string;
 }
 
-const honest: Manners = { slowFactor: 1, losesPart: 0, garbagePart: 0, cutPart: 0, onlyFrom: "" };
+const honest: Manners = {
+  slowFactor: 1,
+  losesPart: 0,
+  garbagePart: 0,
+  cutPart: 0,
+  doubledPart: 0,
+  onlyFrom: "",
+};
+/** A second answer comes so long after the first at most. */
+const mostAgainMs = 60;
 
 /** A back end of our own: it runs requests, records each, and misbehaves when told to. */
 export class StandIn {
@@ -102,7 +115,7 @@
       key: job.headers["idempotency-key"],
       meant,
     });
-    const { slowFactor, losesPart, garbagePart, cutPart } = (
+    const { slowFactor, losesPart, garbagePart, cutPart, doubledPart } = (
       job.headers["x-daledoor-job"] ?? ""
     ).includes(this.manners.onlyFrom)
       ? this.manners
@@ -129,6 +142,7 @@
       headers,
       body,
       cutAt: this.random() < cutPart ? Math.floor(body.length * this.random()) : undefined,
+      againMs: this.random() < doubledPart ? this.random() * mostAgainMs : undefined,
     };
   }
 }
--- a/src/rehearsal/virtualBackEnds.ts
+++ b/src/rehearsal/virtualBackEnds.ts
@@ -11,6 +11,8 @@
   readonly incarnation: number;
   /** Whether the daemon has heard that it broke. */
   isOver: boolean;
+  /** What hears the next answer that comes on it; nobody while it rests. */
+  hear: ((reply: Reply) => void) | undefined;
 }
 
 /** What the virtual back ends of one machine are made of. */
@@ -42,7 +44,12 @@
   const isWhole = ({ standIn, incarnation }: Line): boolean =>
     standIn.isUp && standIn.incarnation === incarnation;
   const lineTo = (standIn: StandIn): Line => {
-    const line: Line = { standIn, incarnation: standIn.incarnation, isOver: false };
+    const line: Line = {
+      standIn,
+      incarnation: standIn.incarnation,
+      isOver: false,
+      hear: undefined,
+    };
     standIn.onEnd(() =>
       network.deliver(
         standIn.address,
@@ -131,9 +138,8 @@
             clock.nowMs(),
             Math.max(0, clock.nowMs() - sentMs - tripMs),
           );
-          clock.after(reply.waitMs, () =>
-            back(reply.isLost || !isWhole(line) ? "lost" : replied(line, reply, pool)),
-          );
+          line.hear = (first) => back(replied(line, first, pool));
+          clock.after(reply.waitMs, () => answer(line, reply, () => back("lost")));
         },
         () => give("lost"),
         tripMs,
@@ -141,6 +147,18 @@
     });
   };
 
+  /** An answer goes out on its connection, to whatever request is waiting there, and perhaps once more. */
+  const answer = (line: Line, reply: Reply, lost: () => void): void => {
+    if (reply.isLost || !isWhole(line)) return lost();
+    const { hear } = line;
+    line.hear = undefined;
+    if (hear) hear(reply);
+    else line.isOver = true;
+    const { againMs } = reply;
+    if (againMs !== undefined)
+      clock.after(againMs, () => answer(line, { ...reply, againMs: undefined }, () => undefined));
+  };
+
   const replied = (line: Line, reply: Reply, pool: string): Opened => {
     const { address } = line.standIn;
     const body = reply.body.subarray(0, reply.cutAt ?? reply.body.length);
--- a/test/rehearsal/configHistory.test.ts
+++ b/test/rehearsal/configHistory.test.ts
@@ -8,7 +8,7 @@
   version: number,
   startMs: number,
   endMs: number,
-): ConfigOrderRecord => ({ base, outcome, version, startMs, endMs, probe: startMs });
+): ConfigOrderRecord => ({ base, outcome, version, startMs, endMs, probe: startMs, attempts: [] });
 const read = (version: number, startMs: number, endMs: number): ConfigReadRecord => ({
   version,
   startMs,
--- /dev/null
+++ b/test/rehearsal/controlSide.test.ts
@@ -0,0 +1,108 @@
+import { expect, test } from "vitest";
+import type { Breach } from "../../src/rehearsal/judge.js";
+import type { ConfigOrderRecord, OrderAttempt } from "../../src/rehearsal/ledger.js";
+import { Profile } from "../../src/rehearsal/profile.js";
+import { rehearse, type RehearsalOptions, type Rehearsed } from "../../src/rehearsal/rehearsal.js";
+
+/** Within which an operator's order is acknowledged while no more is lost than may be. */
+const ackMs = 5000;
+
+const dayOf = (fault: string, options: Partial<RehearsalOptions> = {}): Rehearsed =>
+  rehearse({
+    profile: Profile.all.rastro,
+    seed: 17,
+    dayMs: 2000,
+    rateFactor: 0.03,
+    only: [fault],
+    atOnce: 1,
+    ...options,
+  });
+const brokenRules = (day: Rehearsed): string[] => [
+  ...new Set(day.breaches.map(({ rule }: Breach) => rule)),
+];
+const acceptedIn = (
+  orders: readonly ConfigOrderRecord[],
+  fromMs: number,
+  untilMs: number,
+): number =>
+  orders.filter(
+    ({ outcome, endMs }) => outcome === "accepted" && endMs >= fromMs && endMs < untilMs,
+  ).length;
+
+const sides = ["cutMemberForLong", "cutMemberOutwardForLong", "cutMemberInwardForLong"];
+test.each(sides)("a member is cut off for 20 s while operators race on both sides: %s", (fault) => {
+  const day = dayOf(fault);
+  const { ledger } = day.simulation;
+  const cuts = ledger.of("memberCut");
+  expect(day.breaches).toEqual([]);
+  expect(cuts.length).toBeGreaterThan(0);
+  for (const { atMs, endMs, daemon } of cuts) {
+    for (let fromMs = atMs; fromMs < endMs; fromMs += ackMs)
+      expect(acceptedIn(ledger.configOrders, fromMs, fromMs + ackMs)).toBeGreaterThan(0);
+    const inside: OrderAttempt[] = ledger.configOrders
+      .flatMap(({ attempts }) => attempts)
+      .filter((one) => one.daemon === daemon && one.startMs >= atMs && one.endMs < endMs);
+    expect(inside.length).toBeGreaterThan(5);
+    expect(inside.filter(({ code }) => code !== 200 && code !== 412 && code < 500)).toEqual([]);
+  }
+});
+
+test("eight orders race for a number, answers are lost, and who acknowledged loses power", () => {
+  const day = dayOf("loseOperatorAnswers", { profile: Profile.all.kovacic });
+  const { ledger } = day.simulation;
+  expect(day.breaches).toEqual([]);
+  expect(ledger.of("killed").length).toBeGreaterThan(3);
+  const again = ledger.configOrders.filter(
+    ({ outcome, attempts }) => outcome === "accepted" && attempts.length > 1,
+  );
+  expect(again.length).toBeGreaterThan(2);
+  expect(ledger.configOrders.filter(({ outcome }) => outcome === "lost").length).toBeGreaterThan(8);
+});
+
+const replacements = [
+  "replaceMembersSuddenly",
+  "replaceMembersInOrder",
+  "replaceMembersAfterLosses",
+].flatMap((fault) =>
+  [Profile.all.rastro, Profile.all.kovacic, Profile.five].map((profile) => ({ fault, profile })),
+);
+test.each(replacements)(
+  "members are lost as soon as that is allowed, again and again: $fault, $profile.name",
+  ({ fault, profile }) => {
+    const day = dayOf(fault, { profile });
+    const { ledger } = day.simulation;
+    expect(day.breaches).toEqual([]);
+    expect(ledger.of("membersLost").length).toBeGreaterThan(3);
+    const orders = ledger.of("orderedDuring");
+    expect(orders.length).toBe(ledger.of("membersLost").length);
+    expect(orders.filter(({ waitedMs }) => waitedMs > ackMs)).toEqual([]);
+  },
+);
+
+test("a member was away for 300 changes when the others are lost in turn", () => {
+  const day = dayOf("changeWhileMemberIsAway");
+  const { ledger } = day.simulation;
+  expect(day.breaches).toEqual([]);
+  expect(ledger.of("accepted").length).toBeGreaterThan(300);
+  const orders = ledger.of("orderedDuring");
+  expect(orders.length).toBeGreaterThan(1);
+  expect(orders.filter(({ waitedMs }) => waitedMs > ackMs)).toEqual([]);
+});
+
+test("answers come garbled, twice, late or not at all while edges stop and addresses change hands", () => {
+  const day = dayOf("garbleDuringStops", { rateFactor: 0.15 });
+  const { ledger } = day.simulation;
+  expect(day.breaches).toEqual([]);
+  expect(ledger.of("stopped").length).toBeGreaterThan(2);
+  expect(ledger.of("left").length).toBeGreaterThan(1);
+  expect(ledger.of("reused").length).toBeGreaterThan(1);
+});
+
+test("with a fixed 10 s until a lost voter is replaced, the second loss leaves no majority", () => {
+  const day = dayOf("replaceMembersSuddenly", { waits: { replaceAfterMs: 10_000 } });
+  expect(brokenRules(day)).toContain("most requests are served 15 s after a fault");
+});
+test("with a leader that answers without asking its majority, a cut leader shows what is old", () => {
+  const day = dayOf("cutMemberForLong", { waits: { leaderGrantMs: 60_000 } });
+  expect(brokenRules(day)).toContain("operators see one register of configs");
+});
