A paced channel that is closed takes back the turn that it waits for

Cause: where the first turn of a large frame was given at once, the cancel function of the next turn was overwritten by that of the given one, so that a closed channel still took a turn of the link and wrote into what was closed. Test: link/pacedChannel, which wrote one part more before.

--- a/src/link/pacedChannel.ts
+++ b/src/link/pacedChannel.ts
@@ -87,7 +87,10 @@
     if (!first) return;
     const { frame, transfer, sentBytes } = first;
     const part = frame.subarray(sentBytes, sentBytes + this.egress.turnBytes);
-    this.cancelTurn = transfer.onTurn(part.length, () => {
+    let isGiven = false;
+    const cancel = transfer.onTurn(part.length, () => {
+      isGiven = true;
+      this.cancelTurn = undefined;
       first.keep();
       first.rank.dueMs = Math.min(first.rank.dueMs, this.clock.nowMs());
       first.sentBytes += part.length;
@@ -99,6 +102,7 @@
       }
       this.awaitTurn();
     });
+    if (!isGiven) this.cancelTurn = cancel;
   }
 
   /** Drops a frame that hasn't begun. */
--- a/test/link/pacedChannel.test.ts
+++ b/test/link/pacedChannel.test.ts
@@ -105,3 +105,14 @@
   expect(bytes).toBeGreaterThan(0.85 * 360 * fullMs);
   expect(egress.bulkBytes).toBeLessThan(2 * returnBytes * channels.length);
 });
+
+test("a channel that is closed in the middle of a frame that began at once writes no more of it", () => {
+  const { time, egress, channelOf } = stage();
+  const { paced, written } = channelOf();
+  paced.send(frameOf(1, egress.turnBytes * 5));
+  const before = written.length;
+  expect(before).toBeGreaterThan(0);
+  paced.close();
+  time.runUntil(1000);
+  expect(written).toHaveLength(before);
+});
