--- /dev/null
+++ b/test/door/keysLostDaemon.test.ts
@@ -0,0 +1,169 @@
+import { expect, test } from "vitest";
+import type { Job } from "../../src/door/job.js";
+import { Draw } from "../../src/rehearsal/draw.js";
+import { Profile } from "../../src/rehearsal/profile.js";
+import { Simulation } from "../../src/rehearsal/simulation.js";
+import { Task } from "../../src/runtime/task.js";
+
+/** Within which two runs of one key are a fault; the rule's, in the settings of these fleets. */
+const keyWindowMs = 60_000;
+
+type Machine = Simulation["machines"][number];
+
+/** What a caller saw of one request: no code while it waits, 0 where its connection broke. */
+interface Call {
+  code: number | undefined;
+  text: string;
+}
+
+/** A simulated fleet in calm, with the means to send keyed requests and to hurt it. */
+const calmFleet = (seed = 7) => {
+  const simulation = new Simulation(Profile.all.rastro, seed, 0.0001);
+  simulation.begin();
+  simulation.start(simulation.day.putConfig());
+  const wait = (forMs: number): void => simulation.time.runUntil(simulation.time.nowMs() + forMs);
+  wait(6000);
+  const edges = simulation.machines.filter(({ settings }) => settings.callers !== undefined);
+  const core = simulation.machines.filter(({ settings }) => settings.dataFolder !== undefined);
+  const send = (through: Machine, key: string, patienceMs = 9000): Call => {
+    const seen: Call = { code: undefined, text: "" };
+    const job: Job = {
+      method: "POST",
+      target: "/issues/5/resolve",
+      headers: { "idempotency-key": key, "x-caller": `${through.settings.machine} ${key}` },
+      body: Buffer.from("{}"),
+    };
+    Task.start(
+      simulation.call(through.settings.machine, job, patienceMs),
+      (error) => {
+        throw error;
+      },
+      (end) => {
+        seen.code = end.code;
+        seen.text = end.body.toString();
+      },
+    );
+    return seen;
+  };
+  const runs = (key: string): number[] =>
+    simulation.ledger.runs.filter((run) => run.key === key).map(({ atMs }) => atMs);
+  const until = (holds: () => boolean): void => {
+    for (let passedMs = 0; !holds(); passedMs += 1) {
+      if (passedMs > 20_000) throw new Error("It doesn't hold after 20 s.");
+      wait(1);
+    }
+  };
+  const leader = (): Machine | undefined =>
+    core.find(({ daemon }) => daemon?.recorder?.status.role === "leader");
+  const committed = (): number =>
+    Math.max(...simulation.machines.map(({ daemon }) => daemon?.recorder?.status.committed ?? 0));
+  return { simulation, edges, core, wait, send, runs, until, leader, committed };
+};
+
+const two = (edges: readonly Machine[]): [Machine, Machine] => {
+  const [first, second] = edges;
+  if (!first || !second) throw new Error("There are too few edges.");
+  return [first, second];
+};
+
+test("an edge dies with a claim that it holds, and the leader that gave it loses power at once: a repeat elsewhere gets 409 and doesn't run", () => {
+  const { simulation, edges, wait, send, runs, until, leader, committed } = calmFleet();
+  const [first, second] = two(edges);
+  const before = committed();
+  send(first, "k");
+  until(() => committed() > before);
+  simulation.kill(first);
+  const leading = leader();
+  if (!leading) throw new Error("There is no leader.");
+  simulation.kill(leading, true);
+  wait(3000);
+  const codes: Array<number | undefined> = [];
+  for (let round = 0; round < 8; round += 1) {
+    const again = send(second, "k");
+    wait(5000);
+    codes.push(again.code);
+  }
+  expect(new Set(codes)).toEqual(new Set([409]));
+  expect(runs("k")).toEqual([]);
+});
+
+test("a caller who hangs up while its keyed request runs and comes to another edge gets 409, then the first's answer", () => {
+  const { simulation, edges, wait, send, runs, until } = calmFleet();
+  const [first, second] = two(edges);
+  for (const standIn of simulation.standIns) standIn.behave({ slowFactor: 60 });
+  send(first, "k", 250);
+  until(() => runs("k").length === 1);
+  wait(300);
+  const early = send(second, "k", 2000);
+  wait(2000);
+  for (const standIn of simulation.standIns) standIn.behave({ slowFactor: 1 });
+  until(() => {
+    const late = send(second, "k");
+    wait(1000);
+    return late.code === 201;
+  });
+  expect([409, 201]).toContain(early.code);
+  expect(runs("k").length).toBe(1);
+});
+
+test("an edge that is cut off from the core while its keyed request runs: no repeat elsewhere runs, and once it is back they get the first's answer", () => {
+  const { simulation, edges, core, wait, send, runs, until } = calmFleet();
+  const [first, second] = two(edges);
+  for (const standIn of simulation.standIns) standIn.behave({ slowFactor: 60 });
+  const one = send(first, "k");
+  until(() => runs("k").length === 1);
+  for (const other of [...core, ...edges.slice(1)]) {
+    simulation.network.cut(first.settings.machine, other.settings.machine);
+    simulation.network.cut(other.settings.machine, first.settings.machine);
+  }
+  until(() => one.code !== undefined);
+  expect(one.code).toBe(201);
+  const meanwhile = send(second, "k");
+  wait(2500);
+  expect(meanwhile.code).toBe(409);
+  simulation.network.heal();
+  wait(5000);
+  const after = send(second, "k");
+  wait(3000);
+  expect([after.code, after.text]).toEqual([201, one.text]);
+  expect(runs("k").length).toBe(1);
+});
+
+test.each([1, 2, 3, 4])(
+  "edges and leaders that die at any moment of keyed requests, with repeats through all edges: none runs twice within the window, and equal successes (seed %i)",
+  (seed) => {
+    const { simulation, edges, core, wait, send, runs, leader } = calmFleet(seed);
+    const draw = Draw.of(seed * 101);
+    const pick = <T>(from: readonly T[]): T | undefined => from[Math.floor(draw() * from.length)];
+    const calls = new Map<string, Call[]>();
+    for (let round = 0; round < 14; round += 1) {
+      const key = `key-${round}`;
+      const mine: Call[] = [];
+      calls.set(key, mine);
+      const first = pick(edges);
+      if (!first) throw new Error("There are no edges.");
+      for (const standIn of simulation.standIns)
+        standIn.behave({ slowFactor: draw() < 0.5 ? 30 : 1 });
+      mine.push(send(first, key, draw() < 0.3 ? 100 : 9000));
+      wait(Math.floor(draw() * (draw() < 0.5 ? 12 : 250)));
+      const hurt = [draw() < 0.7 ? first : undefined, draw() < 0.4 ? leader() : undefined];
+      for (const machine of hurt) if (machine) simulation.kill(machine, draw() < 0.5);
+      for (let repeat = 0; repeat < 6; repeat += 1) {
+        wait(Math.floor(draw() * 700));
+        const through = pick(edges);
+        if (through?.daemon) mine.push(send(through, key));
+      }
+      for (const machine of [...edges, ...core]) simulation.boot(machine);
+      wait(1500);
+    }
+    wait(10_000);
+    for (const [key, mine] of calls) {
+      const [one, next] = runs(key);
+      if (one !== undefined && next !== undefined)
+        expect([key, next - one >= keyWindowMs]).toEqual([key, true]);
+      const texts = new Set(mine.filter(({ code }) => code === 201).map(({ text }) => text));
+      expect([key, texts.size <= 1]).toEqual([key, true]);
+    }
+    expect([...calls.keys()].filter((key) => runs(key).length > 0).length).toBeGreaterThan(5);
+  },
+);
