--- a/src/record/joining.ts
+++ b/src/record/joining.ts
@@ -25,6 +25,8 @@
   readonly self: string;
   /** The command that the leader must carry out for this member, or nothing while the member belongs. */
   readonly request: string | undefined;
+  /** How many snapshots this member was given: the entry that it waits for may be in one, where it can't be seen. */
+  readonly snapshots: number;
   /** Addresses that may lead or know who does, the likeliest first. */
   readonly contacts: readonly string[];
 }
@@ -64,6 +66,7 @@
   private *applying(request: string): Task {
     const { clock } = this.world;
     const sinceMs = clock.nowMs();
+    const { snapshots } = this.applicant;
     let rounds = 0;
     while (this.taken !== request && this.applicant.request === request) {
       rounds += 1;
@@ -75,7 +78,9 @@
     if (this.taken !== request) return;
     const tookMs = Math.round(clock.nowMs() - sinceMs);
     this.log.say("The leader has taken this member in.", { rounds, tookMs });
-    yield* this.resting(settleMs, () => this.applicant.request !== request);
+    const isOver = (): boolean =>
+      this.applicant.request !== request || this.applicant.snapshots !== snapshots;
+    yield* this.resting(settleMs, isOver);
     this.taken = "";
   }
 
--- a/src/record/recorder.ts
+++ b/src/record/recorder.ts
@@ -167,6 +167,7 @@
   private readonly newLearners: Array<{ machine: string; done: (known: boolean) => void }> = [];
   private promises = new Map<number, { term: number; done: (proposed: Proposed) => void }>();
   private checkpointing = false;
+  private snapshotsTaken = 0;
   /** Set right before the process ends: what is acknowledged then can't be counted on. */
   private isRetired = false;
   /** Members that told this leader that they are about to stop, and until when that holds unless they say so again. */
@@ -466,11 +467,15 @@
       ...this.place.seeds(),
     ];
     const request = (): string | undefined => this.membershipRequest;
+    const snapshots = (): number => this.snapshotsTaken;
     return new Joining(this.world, this.link, {
       self: this.self,
       get request() {
         return request();
       },
+      get snapshots() {
+        return snapshots();
+      },
       get contacts() {
         return contacts();
       },
@@ -868,6 +873,7 @@
       entries: [...entries],
     };
     this.agreed = installSnapshot(this.agreed, ask, this.book.restore(ask.text), entries);
+    this.snapshotsTaken += 1;
     this.applied = lastIndex;
     const pending = { term, cuts: this.agreed.cuts, counts, matched: lastIndex };
     this.writer.checkpoint(standing, () => {
--- a/test/record/replacement.test.ts
+++ b/test/record/replacement.test.ts
@@ -1,4 +1,5 @@
 import { expect, test } from "vitest";
+import { Deed } from "../../src/record/book.js";
 import { configText, FleetStage, type StageMachine } from "./fleetStage.js";
 
 const isLed = (stage: FleetStage) => (): boolean =>
@@ -132,3 +133,25 @@
   stage.boot(learner, later);
   stage.until(() => stage.leader.record?.learners.includes(learner.peer) === true, catchUpMs);
 });
+
+test("a successor that is given a snapshot counts as soon as one that is given the log", () => {
+  for (const beforeMs of [0, 10, 30]) {
+    const stage = fleetOf(4, 3, 1);
+    const { daemon } = stage.leader;
+    const text = Deed.text({ kind: "note", text: "n".repeat(3000) });
+    const outcomes: unknown[] = [];
+    for (let count = 0; count < 2500; count += 1)
+      stage.start(
+        (function* () {
+          outcomes.push(yield* daemon?.recorder?.propose(text) ?? []);
+        })(),
+      );
+    stage.until(() => outcomes.length === 2500, 10_000);
+    stage.wait(beforeMs);
+    stage.kill(voterOther(stage), true);
+    const successor = stage.at(3);
+    bootSuccessor(stage, successor);
+    stage.until(() => successor.record?.state === "formed", 700);
+    stage.until(() => isVoter(stage, successor), catchUpMs - startMs);
+  }
+});
