A key's claim that arrives twice doesn't undo what its request came to

Cause: a claim is asked again by another way where its first answer is slow. Where the first asking was held up on the network and came after the request had been settled, it set the key back to "in hand" and dropped the response that was kept (and left its bytes counted). Repeats then got 409 for the rest of the key's time in place of the first's answer. No second run: the key stayed held by the same request.

Change: a claim of the request that holds the key changes nothing.

Test: record/book, "a claim that arrives again"; it failed before.

--- a/src/record/book.ts
+++ b/src/record/book.ts
@@ -475,7 +475,7 @@
         return { known: true };
       case "claim": {
         const known = this.keys.get(deed.scope);
-        if (known && known.job !== deed.job) return { held: known };
+        if (known) return known.job === deed.job ? { claimed: true } : { held: known };
         this.keys.set(deed.scope, {
           bodyHash: deed.bodyHash,
           job: deed.job,
--- a/test/record/book.test.ts
+++ b/test/record/book.test.ts
@@ -47,6 +47,20 @@
   book.apply(6, Deed.text({ kind: "forget", scopes: ["k"], upTo: 1 }));
   expect(claim(7, "two")).toEqual({ claimed: true });
 });
+test("a claim that arrives again after its request was settled leaves the outcome as it is", () => {
+  const book = new Book();
+  const apply = (index: number, deed: Deed): unknown =>
+    JSON.parse(book.apply(index, Deed.text(deed)));
+  const claim: Deed = { kind: "claim", scope: "k", bodyHash: "h", job: "one" };
+  const kept = { code: 201, headers: {}, body: "b" };
+  apply(1, claim);
+  expect(apply(2, claim)).toEqual({ claimed: true });
+  apply(3, { kind: "settle", scope: "k", job: "one", verdict: "ran", return: kept });
+  apply(4, claim);
+  expect(apply(5, { ...claim, job: "other" })).toMatchObject({
+    held: { verdict: "ran", return: kept },
+  });
+});
 test("kept returns are bounded all together: the oldest go, their keys stay, on a restored copy too", () => {
   let book = new Book();
   const body = "x".repeat(64 * 1024);
