A configuration that is read back travels packed, so that a thin link brings it in time

Cause: 'get' is answered within 0.8 s, but a large configuration went from the leader to the daemon as plain text: at 3 Mbit/s that alone takes longer, and the read ended in 503. Ruled out: a longer wait (whoever calls has gone after a second). Change: the text travels deflated where it is long, made once for all readers of one configuration (src/contract/travellingText.ts). The virtual network can be given a rate.

--- a/src/contract/registry.ts
+++ b/src/contract/registry.ts
@@ -20,6 +20,7 @@
   type GrantedView,
   type Machine,
 } from "./order.js";
+import { TravellingText } from "./travellingText.js";
 
 /** The waits by which the leader keeps contracts, keys and grants. */
 export interface Terms {
@@ -85,6 +86,8 @@
   private readonly orders = new Map<string, number>();
   /** Since when this recorder knows, or last heard, of each instance that is gone for good. */
   private readonly goneSince = new Map<string, number>();
+  /** The config that was read back last, as it travels. */
+  private readBack: { sequence: number; text: TravellingText } = { sequence: -1, text: {} };
   /** Polls that are held until there is news. */
   private readonly waitingForNews = new Set<() => void>();
   private isTelling = false;
@@ -632,11 +635,18 @@
         version: versionOf(found),
         changeId: found.changeId,
         acceptedAt: found.acceptedAt,
-        text: found.text,
+        ...this.travellingText(found),
       },
     }));
   }
 
+  /** The text of a config as it is read back, packed once for all readers where it is long. */
+  private travellingText({ sequence, text }: AcceptedConfig): TravellingText {
+    if (this.readBack.sequence !== sequence)
+      this.readBack = { sequence, text: TravellingText.of(text) };
+    return this.readBack.text;
+  }
+
   /** The accepted config of a version: versions rise with the sequences, so that few are looked at. */
   private *ofVersion(
     version: number,
--- a/src/operator/operators.ts
+++ b/src/operator/operators.ts
@@ -28,6 +28,7 @@
 } from "../contract/config.js";
 import type { Ferry } from "../contract/ferry.js";
 import type { ChangeOrder, Order } from "../contract/order.js";
+import { TravellingText } from "../contract/travellingText.js";
 import type { View } from "../contract/view.js";
 import type { Job } from "../door/job.js";
 import { Job as Jobs } from "../door/job.js";
@@ -93,7 +94,8 @@
       version: number(),
       changeId: string(),
       acceptedAt: string(),
-      text: string(),
+      text: optional(string()),
+      packedText: optional(string()),
     }),
   ),
   noLongerKept: optional(boolean()),
@@ -244,7 +246,7 @@
         `Config ${version} is no longer kept: the oldest go first when the disk's share for them is full.`,
       );
     if (!found) return fault(404, `No config ${version} is kept.`);
-    const config: unknown = JSON.parse(found.text);
+    const config: unknown = JSON.parse(TravellingText.read(found));
     return Return.json(
       200,
       {
@@ -438,7 +440,7 @@
     const text = yield* this.ferry.command({ kind: "get" }, answerMs);
     if (text === undefined) return noLeader();
     const { found } = create(JSON.parse(text), foundShape);
-    const config = found ? Config.check(JSON.parse(found.text)) : undefined;
+    const config = found ? Config.check(JSON.parse(TravellingText.read(found))) : undefined;
     if (!config || "faults" in config || !Object.hasOwn(config.config.routes, route))
       return fault(404, `No route "${route}" is in force.`);
     return yield* this.enter({ kind: "patch", changeId: World.nonce(this.world), value });
--- a/src/rehearsal/virtualNetwork.ts
+++ b/src/rehearsal/virtualNetwork.ts
@@ -26,6 +26,8 @@
   >();
   private readonly ends = new Set<End>();
   private readonly cuts = new Map<string, number>();
+  /** How many bytes a connection carries in a millisecond; without end unless a test makes links thin. */
+  bytesPerMs = Infinity;
   /** How much longer a way takes at most, how much longer a connection does, and which part of pieces must be sent again. */
   weather = { slowMs: 0, slowConnectMs: 0, lossPart: 0 };
 
@@ -153,7 +155,8 @@
       send: (bytes) => {
         if (!own.isOpen || !other.isOpen) return this.close(own, other);
         const nowMs = this.clock.nowMs();
-        const arriveMs = Math.max(other.lastMs + 0.001, nowMs + this.tripMs());
+        const firstMs = Math.max(other.lastMs + 0.001, nowMs + this.tripMs());
+        const arriveMs = firstMs + bytes.length / this.bytesPerMs;
         other.lastMs = arriveMs;
         this.travel(own, other, bytes, arriveMs - nowMs, nowMs);
       },
--- a/test/platform/orders.test.ts
+++ b/test/platform/orders.test.ts
@@ -1,7 +1,14 @@
 import { expect, test } from "vitest";
 import { Deed } from "../../src/record/book.js";
 import { configText, type StageMachine } from "../record/fleetStage.js";
-import { itemOrder, OrderStage, wholeOrder, type Call, type OrderBytes } from "./orderStage.js";
+import {
+  itemOrder,
+  OrderStage,
+  routeTo,
+  wholeOrder,
+  type Call,
+  type OrderBytes,
+} from "./orderStage.js";
 
 const machines = ["e:a", "e:b", "d:a", "d:b", "d:c"];
 
@@ -192,3 +199,21 @@
   stage.wait(1000);
   for (const read of reads) expect(read.code, read.body).toBe(503);
 });
+
+test("a large configuration is read back in time through a daemon on a thin link", () => {
+  const stage = begun();
+  const routes = Array.from({ length: 2500 }, (_, at) => routeTo(`route-${at}`, "one"));
+  const { base, body } = wholeOrder(3, 5);
+  const whole = JSON.stringify({
+    ver: "r5",
+    objs: [...routes, ...JSON.parse(body).objs.slice(1)],
+  });
+  expect(stage.untilClear({ target: "config/put", base, body: whole })).toBe(200);
+  stage.wait(3000);
+  // 3 Mbit/s: the text as it is would take longer than an answer may.
+  stage.network.bytesPerMs = 375;
+  expect(whole.length / stage.network.bytesPerMs).toBeGreaterThan(800);
+  expect(stage.machines.map((machine) => stage.newest(machine))).toEqual(
+    stage.machines.map(() => "r5"),
+  );
+});
