--- a/test/door/outcomeTable.test.ts
+++ b/test/door/outcomeTable.test.ts
@@ -1,3 +1,4 @@
+import { readFileSync } from "node:fs";
 import { expect, test } from "vitest";
 import { headFault } from "../../src/door/answerCheck.js";
 import { Dialect } from "../../src/door/dialect.js";
@@ -73,3 +74,12 @@
   const expected = { dialect: strict, id: "me", echoHeader: "name" };
   expect(headFault({ code, headers }, expected)).toBe(fault);
 });
+
+test("docs/control.md has a row for each way in which a try can end", () => {
+  const page = readFileSync(new URL("../../docs/control.md", import.meta.url), "utf8");
+  const missing = [...tryCauses.keys()].filter(
+    (cause) =>
+      !page.split("\n").some((line) => line.startsWith("|") && line.includes(`\`${cause}\``)),
+  );
+  expect(missing).toEqual([]);
+});
--- a/test/platform/outcomes.test.ts
+++ b/test/platform/outcomes.test.ts
@@ -306,3 +306,45 @@
   const connections = stage.backEnds.map(({ sockets }) => sockets.length);
   expect(Math.max(...connections)).toBeLessThanOrEqual(2);
 });
+
+const broken = rows.filter(({ way }) => /^a (reset|close)|^garbled/u.test(way));
+test.each(
+  broken.flatMap(({ way, act }) =>
+    ["GET", "PUT", "DELETE"].map((method) => ({ way, act, method })),
+  ),
+)(
+  "$way: a $method that its route calls unsafe is not repeated either, by the library least of all",
+  async ({ act, method }) => {
+    const stage = await ready(3);
+    await stage.useConnections();
+    stage.act = act;
+    const seen = await stage.ask(method, "/thriceUnsafe/x", { "deadline-ms": "400" });
+    await stage.wait(40);
+    expect(seen.code).toBe(502);
+    expect(stage.heads.filter(({ path }) => path === "/thriceUnsafe/x").length).toBe(1);
+  },
+);
+
+test.each([
+  ["at once", 0],
+  ["a moment later", 1],
+])(
+  "an answer that a back end sends %s, before any request, belongs to no request",
+  async (_when, waitMs) => {
+    const stage = await ready(2);
+    for (const one of stage.backEnds) {
+      one.onConnection = (socket) => {
+        const write = (): unknown => socket.write(success(other, "theirs"));
+        if (waitMs === 0) write();
+        else setTimeout(write, waitMs);
+      };
+    }
+    for (let round = 0; round < 20; round += 1) {
+      const seen = await stage.ask("POST", `/unsafe/${round}`, { "deadline-ms": "400" });
+      const arrivals = stage.heads.filter(({ path }) => path === `/unsafe/${round}`).length;
+      expect(seen.body.toString()).not.toContain("theirs");
+      expect(arrivals).toBeLessThanOrEqual(seen.code === 503 ? 0 : 1);
+      expect([200, 502, 503]).toContain(seen.code);
+    }
+  },
+);
