--- a/src/link/kind.ts
+++ b/src/link/kind.ts
@@ -114,4 +114,27 @@
     ask: new r.Struct({ from: r.uint32 }),
     return: new r.Struct({ configs: new r.Buffer(r.uint32) }),
   },
+  /**
+   * A leader sends one piece of its snapshot, deflated, to a member that is behind its log; without bytes it asks how much the
+   * member has received. A build that doesn't know of pieces closes the link; it is sent the whole as `checkpoint`.
+   */
+  snapshotPiece: {
+    number: 10,
+    ask: new r.Struct({
+      term: r.uint32,
+      leader: text,
+      lastIndex: r.uint32,
+      lastTerm: r.uint32,
+      totalBytes: r.uint32,
+      checksum: r.uint32,
+      offset: r.uint32,
+      bytes: new r.Buffer(r.uint32),
+    }),
+    return: new r.Struct({
+      term: r.uint32,
+      counts: flag,
+      matched: r.uint32,
+      receivedBytes: r.uint32,
+    }),
+  },
 };
--- a/src/record/recorder.ts
+++ b/src/record/recorder.ts
@@ -70,6 +70,8 @@
 import type { Members } from "./members.js";
 import { Membership, type MembershipView } from "./membership.js";
 import { Place } from "./place.js";
+import { SnapshotReceiver } from "./snapshotReceiver.js";
+import { SharedSnapshot, SnapshotSender, type SnapshotMessage } from "./snapshotSender.js";
 import { Store, type Standing } from "./store.js";
 import { Writer } from "./writer.js";
 
@@ -108,10 +110,14 @@
 type CheckpointAsk = Held<typeof Kind.checkpoint.ask>;
 type CheckpointReturn = Held<typeof Kind.checkpoint.return>;
 
+type PieceAsk = Held<typeof Kind.snapshotPiece.ask>;
+type PieceReturn = Held<typeof Kind.snapshotPiece.return>;
+
 type Command =
   | { kind: "vote"; ask: VoteRequest; done: (ret: VoteReply) => void }
   | { kind: "append"; ask: AppendRequest; done: (ret: AppendReply) => void }
   | { kind: "checkpoint"; ask: CheckpointAsk; done: (ret: CheckpointReturn) => void }
+  | { kind: "snapshotPiece"; ask: PieceAsk; done: (ret: PieceReturn) => void }
   | { kind: "handOver"; term: number; done: (taken: boolean) => void }
   | { kind: "propose"; texts: string[]; done: (outcomes: Proposed[]) => void }
   | { kind: "acked"; acknowledgment: Acknowledgment }
@@ -136,6 +142,10 @@
 export const batch = { entries: 1024, bytes: 256 * 1024 };
 /** What is kept of the log behind a checkpoint, for followers that lag a little. */
 const kept = { entries: 2000, bytes: 16 * 1024 * 1024 };
+/** What is kept of it at most while a snapshot is being transferred, so that entries can follow on the snapshot. */
+const heldForTransfers = { entries: 20_000, bytes: 32 * 1024 * 1024 };
+/** How long an answer to a piece of a snapshot, or to a whole one, is waited for. */
+const snapshotWaitMs = 5000;
 
 /** A recorder: it replicates the record under a leader that a majority elected, and applies it to its book. */
 export class Recorder {
@@ -151,6 +161,8 @@
   private readonly writer: Writer;
   private readonly holding = new Holding<Command>();
   private readonly historyKeeper: HistoryKeeper;
+  private readonly snapshotReceiver = new SnapshotReceiver();
+  private snapshotSender = new SnapshotSender();
 
   private state: Exclude<MemberStage, "unborn"> = "loading";
   private fleet = "";
@@ -241,6 +253,11 @@
     };
   }
 
+  /** How much of a leader's snapshot has been received that is not whole yet. */
+  get receivedSnapshotBytes(): number {
+    return this.snapshotReceiver.receivedBytes;
+  }
+
   /** The mark that must be committed before this recorder counts again, or an empty word. */
   get nonce(): string {
     return this.agreed.rejoinNonce;
@@ -339,6 +356,7 @@
     this.serve();
     World.start(this.world, "record", this.writer.own());
     const loaded = yield* this.store.load();
+    for (const piece of this.store.snapshotPart.takeLoaded()) this.snapshotReceiver.take(piece);
     if (loaded.kind === "whole") this.adopt(loaded.standing);
     else {
       if (loaded.kind === "damaged") {
@@ -388,6 +406,12 @@
         holding.put({ kind: "checkpoint", ask, done }),
       );
     });
+    this.link.serve(Kind.snapshotPiece, function* (ask) {
+      if (closed()) return { term: 0, counts: false, matched: 0, receivedBytes: 0 };
+      return yield* Task.wait<PieceReturn>((done) =>
+        holding.put({ kind: "snapshotPiece", ask, done }),
+      );
+    });
     this.link.serve(Kind.handOver, function* ({ term }) {
       if (closed()) return { taken: false };
       return {
@@ -594,6 +618,7 @@
     const { term } = this.agreed;
     this.nudges = new Map();
     this.promises = new Map();
+    this.snapshotSender = new SnapshotSender();
     this.log.say("Leads the record.", { term });
     this.add([leadsText(this.agreed)], () => undefined);
     for (const hook of this.leaderHooks) hook(true);
@@ -615,6 +640,7 @@
         this.reviewMembership(startedMs);
       }
     }
+    this.snapshotSender = new SnapshotSender();
     for (const { done } of this.newLearners.splice(0)) done(false);
     for (const promise of this.promises.values()) promise.done("unknown");
     this.promises = new Map();
@@ -702,28 +728,20 @@
 
   private *replicating(peer: string, term: number, nudge: Holding<true>): Task {
     let progress = initialProgress(this.agreed);
+    // A snapshot goes only to a member that answers.
+    let answers = false;
     while (this.isLeading(term) && this.isMember(peer)) {
-      const sentMs = this.world.clock.nowMs();
-      if (needsSnapshot(this.agreed, progress)) {
-        const standing = {
-          term,
-          leader: this.self,
-          lastIndex: this.applied,
-          lastTerm: this.agreed.log.termAt(this.applied) ?? 0,
-          text: this.book.checkpoint(membersAt(this.agreed, this.applied)),
-        };
-        const ret = yield* this.link.ask(peer, Kind.checkpoint, standing, 5000);
-        if (ret) {
-          const { matched, counts } = ret;
-          this.holding.put({
-            kind: "acked",
-            acknowledgment: { peer, term, sentMs, matched, counts },
-          });
-          if (ret.term > term) this.holding.put({ kind: "outdated", term: ret.term });
-          if (ret.matched >= standing.lastIndex) progress = { ...progress, next: ret.matched + 1 };
-        }
+      if (answers && needsSnapshot(this.agreed, progress)) {
+        const installedIndex = yield* this.sendSnapshot(peer, term);
+        answers = installedIndex !== undefined;
+        if (installedIndex !== undefined && installedIndex > 0)
+          progress = { ...progress, next: installedIndex + 1 };
+        if (answers) continue;
       } else {
-        const ask = appendRequestFor(this.agreed, progress, batch);
+        const sentMs = this.world.clock.nowMs();
+        const { baseIndex } = this.agreed.log;
+        const asked = { ...progress, next: Math.max(progress.next, baseIndex + 1) };
+        const ask = appendRequestFor(this.agreed, asked, batch);
         const ret = yield* this.link.ask(peer, Kind.append, ask, appendWaitMs(ask, this.waits));
         if (ret && ret.term > term) this.holding.put({ kind: "outdated", term: ret.term });
         else if (ret && ret.term === term) {
@@ -733,14 +751,67 @@
             kind: "acked",
             acknowledgment: { peer, term, sentMs, matched, counts },
           });
-          progress = progressAfter(progress, ret);
+          answers = true;
+          progress = progressAfter(asked, ret);
           if (!fits || this.agreed.log.lastIndex >= progress.next) continue;
         }
       }
       nudge.drain();
       yield* nudge.takeUntil(this.world.clock, this.world.clock.nowMs() + this.waits.heartbeatMs);
     }
-    if (this.nudges.get(peer) === nudge) this.nudges.delete(peer);
+    if (this.nudges.get(peer) === nudge) {
+      this.nudges.delete(peer);
+      this.snapshotSender.ended(peer);
+    }
+  }
+
+  /** Sends a member one piece of the snapshot; tells up to where it then holds the log, 0 while the transfer goes on, nothing where it came no further. */
+  private *sendSnapshot(peer: string, term: number): Task<number | undefined> {
+    const { snapshotSender } = this;
+    const sentMs = this.world.clock.nowMs();
+    const { baseIndex } = this.agreed.log;
+    const message = snapshotSender.next(peer, baseIndex, sentMs, () => this.makeSnapshot());
+    const ret = yield* this.snapshotAnswer(peer, term, message);
+    if (ret && ret.term > term) this.holding.put({ kind: "outdated", term: ret.term });
+    if (ret?.term !== term) {
+      snapshotSender.lost(peer);
+      return undefined;
+    }
+    const { matched, counts } = ret;
+    this.holding.put({ kind: "acked", acknowledgment: { peer, term, sentMs, matched, counts } });
+    const isInstalled = matched >= message.snapshot.identity.lastIndex;
+    if (isInstalled) {
+      snapshotSender.ended(peer);
+      return matched;
+    }
+    if (message.kind === "whole") return undefined;
+    const nowMs = this.world.clock.nowMs();
+    return snapshotSender.answered(peer, ret.receivedBytes, nowMs) ? 0 : undefined;
+  }
+
+  private *snapshotAnswer(
+    peer: string,
+    term: number,
+    message: SnapshotMessage,
+  ): Task<PieceReturn | undefined> {
+    const leader = this.self;
+    if (message.kind === "piece")
+      return yield* this.link.ask(
+        peer,
+        Kind.snapshotPiece,
+        { term, leader, ...message.piece },
+        snapshotWaitMs,
+      );
+    const { lastIndex, lastTerm } = message.snapshot.identity;
+    const whole = { term, leader, lastIndex, lastTerm, text: message.snapshot.text };
+    const ret = yield* this.link.ask(peer, Kind.checkpoint, whole, snapshotWaitMs);
+    return ret && { ...ret, receivedBytes: 0 };
+  }
+
+  private makeSnapshot(): SharedSnapshot {
+    const lastTerm = this.agreed.log.termAt(this.applied) ?? 0;
+    const text = this.book.checkpoint(membersAt(this.agreed, this.applied));
+    return new SharedSnapshot(this.applied, lastTerm, text);
   }
 
   private isMember(peer: string): boolean {
@@ -775,6 +846,8 @@
         return this.handleAppend(command.ask, command.done);
       case "checkpoint":
         return this.handleCheckpoint(command.ask, command.done);
+      case "snapshotPiece":
+        return this.handleSnapshotPiece(command.ask, command.done);
       case "handOver": {
         const state = takeHandOver(this.agreed, command.term, this.facts);
         const taken = state !== undefined;
@@ -855,6 +928,35 @@
     this.take(this.agreed);
   }
 
+  private handleSnapshotPiece(ask: PieceAsk, done: (ret: PieceReturn) => void): void {
+    const decision = decideSnapshot(this.agreed, ask, this.facts);
+    this.agreed = decision.state;
+    if (decision.kind === "answer") return done({ ...decision.reply, receivedBytes: 0 });
+    const received = this.snapshotReceiver.take(ask);
+    const { term } = this.agreed;
+    const { counts } = decision;
+    const { snapshotPart } = this.store;
+    if (received.kind === "partial") {
+      if (received.isAdded)
+        this.writer.attempt(
+          () => snapshotPart.add(ask),
+          () => undefined,
+        );
+      return done({ term, counts, matched: 0, receivedBytes: received.receivedBytes });
+    }
+    const { leader, lastIndex, lastTerm } = ask;
+    const whole = { term: ask.term, leader, lastIndex, lastTerm, text: received.text };
+    this.handleCheckpoint(whole, (ret) => done({ ...ret, receivedBytes: ask.totalBytes }));
+    this.removeSnapshotPart();
+  }
+
+  private removeSnapshotPart(): void {
+    this.writer.attempt(
+      () => this.store.snapshotPart.remove(),
+      () => undefined,
+    );
+  }
+
   private handleCheckpoint(ask: CheckpointAsk, done: (ret: CheckpointReturn) => void): void {
     const decision = decideSnapshot(this.agreed, ask, this.facts);
     this.agreed = decision.state;
@@ -929,11 +1031,15 @@
     };
     const applied = log.entriesFrom(log.baseIndex + 1, lastIndex - log.baseIndex).reverse();
     const keptCount = applied.length > 0 ? countWithin(applied, kept) : 0;
-    this.agreed = compactLog(this.agreed, lastIndex - keptCount);
+    const heldIndex = this.snapshotSender.heldIndex(this.world.clock.nowMs()) ?? lastIndex;
+    const heldCount = applied.length > 0 ? countWithin(applied, heldForTransfers) : 0;
+    const neededCount = Math.min(lastIndex - heldIndex, heldCount);
+    this.agreed = compactLog(this.agreed, lastIndex - Math.max(keptCount, neededCount));
     this.writer.checkpoint(standing, () => {
       this.checkpointing = false;
       if (then === "rejoined") this.holding.put({ kind: "rejoined" });
     });
     this.historyKeeper.keep();
+    if (this.snapshotReceiver.dropUpTo(lastIndex)) this.removeSnapshotPart();
   }
 }
--- a/src/record/store.ts
+++ b/src/record/store.ts
@@ -5,6 +5,7 @@
 import { exactly } from "../link/frame.js";
 import { History } from "./history.js";
 import { seal, sealBytes, unseal } from "./seal.js";
+import { SnapshotPartFile } from "./snapshotPartFile.js";
 
 const entryShape = object({ index: number(), term: number(), text: string() });
 
@@ -80,6 +81,8 @@
   private readonly disk: Disk;
   /** Accepted configs, beside the slots, as far back as there is room. */
   readonly history: History;
+  /** What has been received of a leader's snapshot. */
+  readonly snapshotPart: SnapshotPartFile;
   private sequence = 0;
   private logBytes = 0;
   private torn = false;
@@ -88,6 +91,7 @@
   constructor(disk: Disk, historyBytes = Infinity) {
     this.disk = disk;
     this.history = new History(disk, historyBytes);
+    this.snapshotPart = new SnapshotPartFile(disk);
   }
 
   /** How much has been added to the log since the last checkpoint. */
@@ -98,6 +102,7 @@
   /** Reads what the disk holds; a torn tail is cut, damage before it is told. */
   *load(): Task<Loaded> {
     const names = yield* this.disk.list();
+    yield* this.snapshotPart.load(names);
     if (names.includes(clearing)) return { kind: "damaged", why: "The disk was being cleared." };
     let best: { sequence: number; standing: Standing } | undefined;
     let broken = 0;
--- /dev/null
+++ b/test/record/snapshotPieces.test.ts
@@ -0,0 +1,104 @@
+import { expect, test } from "vitest";
+import { Draw } from "../../src/rehearsal/draw.js";
+import { SnapshotReceiver } from "../../src/record/snapshotReceiver.js";
+import {
+  SharedSnapshot,
+  SnapshotSender,
+  snapshotPieceBytes,
+  type SnapshotMessage,
+} from "../../src/record/snapshotSender.js";
+
+const random = Draw.of(3);
+const textOf = (bytes: number): string => {
+  let text = "";
+  while (text.length < bytes) text += random().toString(36).slice(2);
+  return `${text.slice(0, bytes - 2)}é`;
+};
+const pieceIn = (message: SnapshotMessage) => {
+  if (message.kind === "whole") throw new Error("A whole snapshot was to be sent.");
+  return message.piece;
+};
+
+test("whatever pieces and answers are lost or doubled, the text arrives whole, each piece about once", () => {
+  const snapshot = new SharedSnapshot(50, 3, textOf(2_000_000));
+  const sender = new SnapshotSender();
+  const receiver = new SnapshotReceiver();
+  let sent = 0;
+  let text = "";
+  for (let round = 0; text === "" && round < 200; round += 1) {
+    const piece = pieceIn(sender.next("a", 40, round, () => snapshot));
+    sent += piece.bytes.length > 0 ? 1 : 0;
+    if (random() < 0.2) {
+      sender.lost("a");
+      continue;
+    }
+    if (random() < 0.2) receiver.take(piece);
+    const received = receiver.take(piece);
+    if (received.kind === "whole") text = received.text;
+    else if (random() < 0.2) sender.lost("a");
+    else sender.answered("a", received.receivedBytes, round);
+  }
+  expect(text === snapshot.text).toBe(true);
+  expect(sent).toBeLessThan(2 * Math.ceil(2_000_000 / snapshotPieceBytes));
+});
+
+test("two transfers share one snapshot; a new one is made only once the log has moved past it", () => {
+  const sender = new SnapshotSender();
+  let made = 0;
+  const make = (): SharedSnapshot => {
+    made += 1;
+    return new SharedSnapshot(100 * made, 1, textOf(600_000));
+  };
+  const of = (peer: string, baseIndex: number): number =>
+    pieceIn(sender.next(peer, baseIndex, 0, make)).lastIndex;
+  expect([of("a", 50), of("b", 90), of("a", 100), made]).toEqual([100, 100, 100, 1]);
+  expect(sender.heldIndex(0)).toBe(100);
+  expect([of("a", 101), made, sender.heldIndex(0)]).toEqual([200, 2, 200]);
+  sender.ended("a");
+  sender.answered("b", 0, 5000);
+  expect(sender.heldIndex(9000)).toBe(200);
+  expect(sender.heldIndex(60_000)).toBeUndefined();
+});
+
+test("another snapshot begins anew, and pieces that can't be read or don't follow change nothing", () => {
+  const receiver = new SnapshotReceiver();
+  const one = new SharedSnapshot(10, 1, textOf(700_000));
+  const other = new SharedSnapshot(11, 2, textOf(700_000));
+  expect(receiver.take(one.piece(0))).toMatchObject({
+    kind: "partial",
+    receivedBytes: snapshotPieceBytes,
+  });
+  expect(
+    receiver.take({ ...one.piece(snapshotPieceBytes), bytes: Buffer.from("no deflate") }),
+  ).toMatchObject({
+    kind: "partial",
+    receivedBytes: snapshotPieceBytes,
+  });
+  expect(receiver.take(one.piece(2 * snapshotPieceBytes))).toMatchObject({
+    kind: "partial",
+    receivedBytes: snapshotPieceBytes,
+  });
+  expect(receiver.take(other.question)).toMatchObject({ kind: "partial", receivedBytes: 0 });
+  for (const offset of [0, snapshotPieceBytes]) receiver.take(other.piece(offset));
+  expect(receiver.take(other.piece(2 * snapshotPieceBytes))).toEqual({
+    kind: "whole",
+    text: other.text,
+  });
+  const huge = { ...one.question, totalBytes: 2 ** 31 };
+  expect(receiver.take(huge)).toMatchObject({ kind: "partial", receivedBytes: 0 });
+});
+
+test("a member that answers no piece is sent the whole as one message now and then, until it answers one", () => {
+  const sender = new SnapshotSender();
+  const make = (): SharedSnapshot => new SharedSnapshot(100, 1, "x".repeat(1000));
+  const kinds = Array.from({ length: 8 }, () => {
+    const { kind } = sender.next("a", 0, 0, make);
+    sender.lost("a");
+    return kind;
+  });
+  expect(kinds.filter((kind) => kind === "whole")).toHaveLength(2);
+  sender.answered("a", 0, 0);
+  expect(Array.from({ length: 9 }, () => sender.next("a", 0, 0, make).kind).includes("whole")).toBe(
+    false,
+  );
+});
