A large view is sent once and taken though it comes late; news is paced by how many it goes to

A poll waited 450 ms, then its answer was of no use and the poll was sent again, for ever: 7 MB each half second, and no daemon had a lease from second -7 on.

- A poll's return is taken also after the poll was sent again: its lease counts from that poll's sending, so it is safe however late it comes.
Capacities for retries are taken only from the return of the newest poll, since the leader takes a later poll as proof that they weren't taken.
A return that comes through another member, or from one that isn't known to lead, is taken late too.
- The leader sends a large view (over 4 KiB) once to a daemon that asks again by the same state: it answers 'under way' for a lease, then sends it again, then waits twice as long, and so on.
- A poll's wait is derived from the lease: what it is held, and for the way a part of the lease, 130 ms at the least.
Both are tested over the bounds.
- News is told at most so often that each poll it goes to has 0.75 ms, so that a start with 242 announcements takes a part of the leader's processor; within half of what a poll is held.

Weighed: a longer wait (the loss of a leader is seen later), the size told first (a round trip more for each view), a link's rate in the settings (the leader's queue counts too, and other traffic).

--- a/src/contract/ferry.ts
+++ b/src/contract/ferry.ts
@@ -1,5 +1,5 @@
 import { Kind } from "../link/kind.js";
-import type { Held, Link } from "../link/link.js";
+import type { Held, LateReturn, Link } from "../link/link.js";
 import { Clock } from "../runtime/clock.js";
 import { Holding } from "../runtime/holding.js";
 import { Task } from "../runtime/task.js";
@@ -101,7 +101,12 @@
     World.start(
       this.world,
       "contract",
-      this.link.ask(leader, kind, { ferried: true, text }, oneAskMs + text.length / slowBytesMs),
+      this.link.ask(
+        leader,
+        kind,
+        { ferried: true, text },
+        Math.max("waitMs" in kind ? kind.waitMs : 0, oneAskMs + text.length / slowBytesMs),
+      ),
       (ret) => ended.put(ret ?? { leader, text: breakdownReturn("unknown") }),
     );
     for (;;) {
@@ -112,11 +117,15 @@
     }
   }
 
-  /** Asks the leader, by the way that last worked; then by others, until one returns or `waitMs` are over. */
+  /**
+   * Asks the leader, by the way that last worked; then by others, until one returns or `waitMs` are over. With `late`, what
+   * the leader returns after that is handed on too.
+   */
   *once(
     kind: typeof Kind.command | typeof Kind.poll,
     text: string,
     waitMs: number,
+    late?: LateReturn<string>,
   ): Task<string | undefined> {
     const { clock } = this.world;
     const untilMs = clock.nowMs() + waitMs;
@@ -132,6 +141,7 @@
         kind,
         { ferried: !ferries, text },
         Math.min(untilMs - clock.nowMs(), leads || ferries ? waitMs : strangerMs),
+        late && this.lateFrom(target, late),
       );
       if (ret === undefined) {
         if (leads && this.link.hasHeard(target, sentMs)) return undefined;
@@ -160,6 +170,18 @@
     return undefined;
   }
 
+  /** Takes what comes after its time: a return of the leader, or only who leads. */
+  private lateFrom(target: string, late: LateReturn<string>): LateReturn<Returned> {
+    return {
+      waitMs: late.waitMs,
+      take: ({ leader, text }) => {
+        this.silentUntilMs.delete(target);
+        if (this.leader === "") this.leader = leader;
+        if (!isBreakdown(text)) late.take(text);
+      },
+    };
+  }
+
   private noteSilent(target: string): void {
     this.silentUntilMs.set(target, this.world.clock.nowMs() + silentMs);
   }
--- a/src/contract/registry.ts
+++ b/src/contract/registry.ts
@@ -11,7 +11,9 @@
 import { amend, Config, ConfigReader, mergePatch } from "./config.js";
 import { ConfigChanges } from "./configChanges.js";
 import { DirectoryChanges } from "./directoryChanges.js";
+import { LargeViews } from "./largeViews.js";
 import {
+  longText,
   breakdownReturn,
   isBreakdown,
   Order,
@@ -65,7 +67,12 @@
 
 const configOutcome = union([object({ accepted: number() }), object({ lost: number() })]);
 const numbered = type({ number: optional(number()), gone: optional(literal(true)) });
+/** What a poll returns whose large view was sent just before. */
+const underWay = JSON.stringify({ granted: false, why: "the view is under way" });
+/** How long changes are gathered at the least before held polls are told of them. */
 const gatherNewsMs = 5;
+/** How much time news is given for each poll that it goes to, so that changes in a row take only a part of the leader. */
+const newsMsPerPoll = 0.75;
 /** By how much more than their time instances are kept, so that many are forgotten in one entry. */
 const goneSlack = 1.1;
 
@@ -91,7 +98,10 @@
   /** Polls that are held until there is news. */
   private readonly waitingForNews = new Set<() => void>();
   private isTelling = false;
+  /** Before when no further news is told. */
+  private nextNewsMs = -Infinity;
   private readonly configChanges: ConfigChanges;
+  private readonly largeViews: LargeViews;
   private readonly directory: DirectoryChanges;
   /** Since when this leader has seen a number rest. */
   private readonly restingSince = new Map<number, number>();
@@ -117,6 +127,7 @@
     this.allowance = allowance;
     this.log = world.logbook.part("contract");
     this.directory = new DirectoryChanges(book);
+    this.largeViews = new LargeViews(terms.grantMs);
     this.configChanges = new ConfigChanges(book, () => this.configInForce());
     book.onApplied((deed, index) => {
       if (deed.kind === "claim")
@@ -247,7 +258,12 @@
       parts.push(this.configChanges.viewPart(poll.configSequence));
     if (poll.directorySequence !== this.book.directorySequence)
       parts.push(this.directory.viewPart(poll.directorySequence));
-    return `${parts.join(",")}}`;
+    const viewText = `${parts.join(",")}}`;
+    if (viewText.length <= longText) return viewText;
+    const sentMs = this.world.clock.nowMs();
+    if (this.largeViews.isUnderWay(poll, sentMs)) return underWay;
+    this.largeViews.note(poll, sentMs);
+    return viewText;
   }
 
   /** The owner of configs: one change after another. */
@@ -318,6 +334,7 @@
     this.goneSince.clear();
     for (const instance of this.book.gone.keys()) this.goneSince.set(instance, nowMs);
     this.configChanges.reset();
+    this.largeViews.reset();
     this.keyAges = [...this.book.keys].map(([scope, { atIndex }]) => ({
       scope,
       index: atIndex,
@@ -359,12 +376,19 @@
     this.waitingForNews.delete(hear);
   }
 
-  /** Lets held polls go a little later, so that changes that come together are told together. */
+  /**
+   * Lets held polls go a little later, so that changes that come together are told together: the later, the more polls the
+   * last news went to and the more lately.
+   */
   private tellNews(): void {
     if (this.waitingForNews.size === 0 || this.isTelling) return;
     this.isTelling = true;
-    this.world.clock.after(gatherNewsMs, () => {
+    const quietMs = this.nextNewsMs - this.world.clock.nowMs();
+    this.world.clock.after(Math.max(gatherNewsMs, quietMs), () => {
       this.isTelling = false;
+      this.nextNewsMs =
+        this.world.clock.nowMs() +
+        Math.min(this.waitingForNews.size * newsMsPerPoll, this.terms.holdMs / 2);
       for (const hear of [...this.waitingForNews]) hear();
     });
   }
--- a/src/contract/view.ts
+++ b/src/contract/view.ts
@@ -13,6 +13,8 @@
 import { Poll, type GrantedView, type Machine, type Order } from "./order.js";
 import type { TryCapacities } from "./tryCapacities.js";
 
+/** How long a poll is waited for until it is sent again, where bounds don't say otherwise. */
+const usualPollWaitMs = 450;
 /** How old an announcement may be and still be told as heard. */
 const heardForMs = 2000;
 /** How many orders are remembered beyond those of instances in the directory. */
@@ -30,6 +32,12 @@
   announceMs: number;
 }
 
+/** What announced itself at this daemon: the newest order, and when. */
+interface AnnouncedHere {
+  readonly order: number;
+  readonly atMs: number;
+}
+
 /** What a daemon knows of the fleet, and until when it may serve by it. */
 export class View {
   private readonly world: World;
@@ -38,6 +46,7 @@
   private readonly budget: TryCapacities;
   private readonly log: PartLog;
   private untilMs = -Infinity;
+  private lastSentMs = -Infinity;
   private heard = false;
   private readonly directory = new DirectoryCopy();
   private byService = new Map<string, Contract[]>();
@@ -46,7 +55,7 @@
   /** The numbers of the contracts that stand, as far as is known here. */
   private standing = new Set<number>();
   /** What announced itself here and is yet to be told to the leader, by contract. */
-  private readonly announced = new Map<number, { order: number; atMs: number }>();
+  private readonly announced = new Map<number, AnnouncedHere>();
   /** The newest order heard here of each instance. */
   private readonly orders = new Map<string, number>();
   private announceMs = 1000;
@@ -180,21 +189,19 @@
     this.arrange();
   }
 
-  /** Polls for as long as the daemon runs. */
-  *own(pollMs: number): Task {
+  /** Polls for as long as the daemon runs; one that isn't answered within `waitMs` is sent again. */
+  *own(pollMs: number, waitMs = usualPollWaitMs): Task {
     for (;;) {
       const sentMs = this.world.clock.nowMs();
       const text = this.poll(sentMs);
       const told = new Map(this.announced);
-      const ret = yield* this.ferry.once(Kind.poll, text, Kind.poll.waitMs);
-      if (ret !== undefined) {
-        const view = Poll.readReturn(ret);
-        if (view.granted) {
-          this.take(view, sentMs);
-          for (const [number, one] of told)
-            if (this.announced.get(number) === one) this.announced.delete(number);
-        }
-      }
+      this.lastSentMs = sentMs;
+      const receive = (ret: string): void => this.receive(ret, sentMs, told);
+      const ret = yield* this.ferry.once(Kind.poll, text, waitMs, {
+        waitMs: Kind.poll.waitMs,
+        take: receive,
+      });
+      if (ret !== undefined) receive(ret);
       if (this.heard && !this.isGranted) {
         this.heard = false;
         this.log.warn("The grant is over; requests are dropped until a new one comes.");
@@ -204,6 +211,16 @@
     }
   }
 
+  /** Takes what a poll returned, which may come after its time: its lease counts from the poll's sending. */
+  private receive(ret: string, sentMs: number, told: ReadonlyMap<number, AnnouncedHere>): void {
+    const view = Poll.readReturn(ret);
+    if (!view.granted) return;
+    this.take(view, sentMs);
+    for (const [number, one] of told)
+      if (this.announced.get(number) === one) this.announced.delete(number);
+    if (!this.isGranted) this.nudge.putOnce(true);
+  }
+
   private poll(nowMs: number): string {
     this.polls += 1;
     if (nowMs > this.untilMs + this.budget.rules.windowMs / 2) {
@@ -243,12 +260,10 @@
     this.announceMs = view.announceMs ?? this.announceMs;
     this.collectors = view.collectors;
     this.ferry.know(view.recorders);
-    this.budget.setCapacities(
-      new Map(view.capacities.map(({ service, capacity }) => [service, capacity])),
-      this.world.clock.nowMs(),
-    );
-    this.grantNumber = view.grantNumber;
-    this.untilMs = sentMs + view.grantMs;
+    // The leader takes a later poll as proof that the capacities of the ones before weren't taken.
+    if (sentMs === this.lastSentMs) this.takeCapacities(view);
+    this.untilMs = Math.max(this.untilMs, sentMs + view.grantMs);
+    if (!this.isGranted) return;
     if (!couldServe && this.canServe) this.onLease();
     this.grants += 1;
     if (!this.heard) this.log.say("Granted.", { sequence: view.configSequence });
@@ -270,6 +285,14 @@
     return false;
   }
 
+  private takeCapacities({ capacities, grantNumber }: GrantedView): void {
+    this.budget.setCapacities(
+      new Map(capacities.map(({ service, capacity }) => [service, capacity])),
+      this.world.clock.nowMs(),
+    );
+    this.grantNumber = grantNumber;
+  }
+
   private takeConfig(): void {
     this.mappings = new Mappings(this.config.config, this.mappings);
     for (const [name, number] of this.config.numbers) this.names.set(number, name);
--- a/src/link/kind.ts
+++ b/src/link/kind.ts
@@ -5,7 +5,7 @@
   readonly number: number;
   readonly ask: r.Coder<A>;
   readonly return: r.Coder<R>;
-  /** How long who asks waits for the return, where later it is of no use. */
+  /** How long after an ask its return may still be of use. */
   readonly waitMs?: number;
 }
 
@@ -92,7 +92,8 @@
   /** An edge or collector asks for a fresh view; the return is its grant. */
   poll: {
     number: 6,
-    waitMs: 450,
+    /** A large view over a thin link is taken though the poll was asked again meanwhile; the leader sends it once. */
+    waitMs: 30_000,
     ask: new r.Struct({ ferried: flag, text }),
     return: new r.Struct({ leader: text, text }),
   },
--- a/src/link/link.ts
+++ b/src/link/link.ts
@@ -23,6 +23,12 @@
   channel: Channel | undefined;
 }
 
+/** How a return that comes after its time is taken, and for how long it is waited for. */
+export interface LateReturn<R> {
+  readonly waitMs: number;
+  take(ret: R): void;
+}
+
 /** What takes asks of one kind, and how long a return is of use. */
 interface Server {
   readonly handle: (body: Uint8Array) => Task<Uint8Array>;
@@ -85,8 +91,17 @@
     );
   }
 
-  /** Asks a peer and waits for its return; `undefined` when none came in time or the link broke. */
-  *ask<A, R>(address: string, kind: Kind<A, R>, ask: A, waitMs: number): Task<R | undefined> {
+  /**
+   * Asks a peer and waits for its return; `undefined` when none came in time or the link broke. With `late`, a return that
+   * comes afterwards is handed on.
+   */
+  *ask<A, R>(
+    address: string,
+    kind: Kind<A, R>,
+    ask: A,
+    waitMs: number,
+    late?: LateReturn<R>,
+  ): Task<R | undefined> {
     const peer = this.peer(address);
     const job = this.nextJob;
     this.nextJob = (this.nextJob + 1) % 2 ** 32;
@@ -113,6 +128,7 @@
         peer.failedMs = this.world.clock.nowMs();
         peer.channel.close();
       }
+      if (late) this.takeLate(peer, job, late, (found) => exactly(kind.return, found));
       return undefined;
     }
     try {
@@ -133,6 +149,23 @@
     return (this.peers.get(address)?.failedMs ?? -Infinity) >= sinceMs;
   }
 
+  /** Waits on for a return that didn't come in time, beside whatever is asked next. */
+  private takeLate<R>(
+    peer: Peer,
+    job: number,
+    late: LateReturn<R>,
+    read: (body: Uint8Array) => R,
+  ): void {
+    const forget = (): void => {
+      peer.waiting.delete(job);
+    };
+    peer.waiting.set(job, (body) => {
+      forget();
+      if (body !== undefined) late.take(read(body));
+    });
+    this.world.clock.after(late.waitMs, forget);
+  }
+
   private peer(address: string): Peer {
     const known = this.peers.get(address);
     if (known) return known;
--- a/src/machine/bounds.ts
+++ b/src/machine/bounds.ts
@@ -29,6 +29,9 @@
 
 /** How long a poll is held at most; who asks waits longer. */
 const mostHoldMs = 320;
+/** How much longer than it is held a poll is waited for: the way there and back and the leader's work, as part of a lease. */
+const pollWayPart = 0.08;
+const leastPollWayMs = 130;
 /** Which part of a bound a lease may last; the rest is for what is under way. */
 const leasePart = 0.8;
 const leastBoundMs = 600;
@@ -55,6 +58,8 @@
   readonly leaseMs: number;
   /** How often an edge asks for a new lease. */
   readonly pollMs: number;
+  /** How long an edge waits until it asks again; longer than the leader holds a poll. */
+  readonly pollWaitMs: number;
   readonly terms: Terms;
   readonly waits: Waits;
   readonly budget: RetryRules;
@@ -129,6 +134,7 @@
     } = figures;
     const leaseMs = leasePart * Math.min(applyMs, drainMs);
     const pollMs = leaseMs / 4;
+    const holdMs = Math.min(leaseMs / 5, mostHoldMs);
     const heartbeatMs = settings.heartbeatMs ?? usualHeartbeatMs;
     const pace = paceOf(leaseMs, figures);
     const paced = (ms: number): number => Math.round(ms * pace);
@@ -136,13 +142,14 @@
       figures,
       leaseMs,
       pollMs,
+      pollWaitMs: holdMs + Math.max(leaseMs * pollWayPart, leastPollWayMs),
       terms: {
         ...Terms.usual,
         grantMs: leaseMs,
         announceMs: heartbeatMs,
         // What one daemon hears reaches the leader with its polls.
         lapseMs: 3.5 * heartbeatMs + 2 * pollMs,
-        holdMs: Math.min(leaseMs / 5, mostHoldMs),
+        holdMs,
         leaveHoldMs: drainMs + 500,
         keyMs: keyWindowMs + 10_000,
         silentMs: Math.max(leaseMs + 400, (contactMs * 5) / 6),
--- a/src/machine/daemon.ts
+++ b/src/machine/daemon.ts
@@ -221,7 +221,7 @@
       World.start(world, "contract", registry.ownTime());
     }
     if (!recorder) World.start(world, "record", this.meeting.own());
-    World.start(world, "contract", this.view.own(this.bounds.pollMs));
+    World.start(world, "contract", this.view.own(this.bounds.pollMs, this.bounds.pollWaitMs));
     if (collector) World.start(world, "zone", collector.own(pushMs));
     if (this.roles.includes("edge")) World.start(world, "zone", this.edgeCounts.pushing(pushMs));
     this.log.say("Runs.", { roles: this.roles, zone: this.settings.zone });
--- a/src/rehearsal/scaleHollow.ts
+++ b/src/rehearsal/scaleHollow.ts
@@ -37,6 +37,7 @@
   private readonly ferry: Ferry;
   private readonly edgeCounts: EdgeCounts;
   private readonly pollMs: number;
+  private readonly pollWaitMs: number;
   private writes = 0;
   /** When the directory last changed here. */
   directoryChanges = 0;
@@ -50,6 +51,7 @@
     const shares = new LoadBalancer(place.zone, () => world.random());
     this.world = world;
     this.pollMs = bounds.pollMs;
+    this.pollWaitMs = bounds.pollWaitMs;
     this.ferry = new Ferry(world, link, () => seeds);
     this.view = new View(
       world,
@@ -80,7 +82,7 @@
 
   /** Begins to poll and to push. */
   start(): void {
-    World.start(this.world, "contract", this.view.own(this.pollMs));
+    World.start(this.world, "contract", this.view.own(this.pollMs, this.pollWaitMs));
     World.start(this.world, "zone", this.edgeCounts.pushing(pushMs));
   }
 
--- a/test/contract/configChanges.test.ts
+++ b/test/contract/configChanges.test.ts
@@ -213,7 +213,7 @@
   expect(text).toContain('"configChanges"');
   expect(text).toContain('"route-3"');
   expect(text).not.toContain('"route-4"');
-  const known = poll();
+  const known = poll({ directorySequence, configSequence });
   simulation.kill(leader());
   wait(3000);
   for (let at = 0; at < 4; at += 1)
--- /dev/null
+++ b/test/contract/largeViews.test.ts
@@ -0,0 +1,96 @@
+import { expect, test } from "vitest";
+import { Bounds } from "../../src/machine/bounds.js";
+import { Gate } from "../../src/rehearsal/gate.js";
+import { HollowDaemon } from "../../src/rehearsal/scaleHollow.js";
+import { ScaleWire } from "../../src/rehearsal/scaleWire.js";
+import { virtualWorld } from "../../src/rehearsal/virtualWorld.js";
+import { LargeViews } from "../../src/contract/largeViews.js";
+import type { Poll } from "../../src/contract/order.js";
+import { Kind } from "../../src/link/kind.js";
+import { Draw } from "../../src/rehearsal/draw.js";
+import { FleetStage } from "../record/fleetStage.js";
+import { stage } from "./directoryStage.js";
+
+const pollOf = (incarnation: string, configSequence: number): Poll => ({
+  machine: { name: "m", zone: "z", roles: [], peer: "p", incarnation, draining: false },
+  configSequence,
+  directorySequence: 1,
+  grantNumber: "",
+  capacities: [],
+  wished: [],
+  refused: [],
+});
+
+test("a large view is under way for a while, for twice that the next time, and not for another process or state", () => {
+  const views = new LargeViews(1000);
+  expect(views.isUnderWay(pollOf("one", 0), 0)).toBe(false);
+  views.note(pollOf("one", 0), 0);
+  expect(views.isUnderWay(pollOf("one", 0), 999)).toBe(true);
+  expect(views.isUnderWay(pollOf("two", 0), 999)).toBe(false);
+  expect(views.isUnderWay(pollOf("one", 1), 999)).toBe(false);
+  expect(views.isUnderWay(pollOf("one", 0), 1000)).toBe(false);
+  views.note(pollOf("one", 0), 1000);
+  expect(views.isUnderWay(pollOf("one", 0), 2999)).toBe(true);
+  expect(views.isUnderWay(pollOf("one", 0), 3000)).toBe(false);
+  views.note(pollOf("one", 1), 3000);
+  expect(views.isUnderWay(pollOf("one", 1), 4000)).toBe(false);
+  views.note(pollOf("one", 1), 4000);
+  views.reset();
+  expect(views.isUnderWay(pollOf("one", 1), 4001)).toBe(false);
+});
+
+test("the leader sends a large view once to whoever asks again at once", () => {
+  const { exchange, pollText, poll, daemons, wait } = stage({ holdMs: 50 });
+  const [one] = daemons(1);
+  const draw = Draw.of(7);
+  const routes = Object.fromEntries(
+    Array.from({ length: 600 }, () => [
+      `route-${draw()}`,
+      { match: { path: `/${draw()}` }, service: "s" },
+    ]),
+  );
+  one?.daemon?.operators.put({
+    job: {
+      method: "PUT",
+      target: "/config",
+      headers: {},
+      body: Buffer.from(JSON.stringify({ services: { s: {} }, routes })),
+    },
+    give: () => undefined,
+  });
+  wait(600);
+  const first = exchange(Kind.poll, pollText())[0]?.text ?? "";
+  expect(first).toContain('"packedConfig"');
+  for (let round = 0; round < 3; round += 1)
+    expect(exchange(Kind.poll, pollText())[0]?.text).toContain("under way");
+  expect(poll({ configSequence: 1 }).configSequence).toBe(1);
+  wait(1600);
+  expect(exchange(Kind.poll, pollText())[0]?.text).toContain('"packedConfig"');
+});
+
+test("a daemon whose views take longer than a poll is waited for has its lease from the poll's sending", () => {
+  const fleet = new FleetStage(["d:zone-1", "d:zone-2", "d:zone-3"], [0, 1, 2]);
+  fleet.bootAll();
+  fleet.wait(4000);
+  const gate = new Gate();
+  const clock = gate.clock(fleet.time.clock());
+  const wire = new ScaleWire(fleet.network.wire("far", gate), clock, () => 350);
+  const world = virtualWorld({ clock, wire, random: fleet.random });
+  const bounds = Bounds.of({});
+  const daemon = new HollowDaemon(
+    world,
+    { machine: "far", zone: "zone-9", peer: "10.9.0.1:7000" },
+    [fleet.at(0).peer],
+    bounds,
+  );
+  daemon.start();
+  fleet.wait(6000);
+  expect(2 * 350).toBeGreaterThan(bounds.pollWaitMs);
+  let granted = 0;
+  for (let at = 0; at < 100; at += 1) {
+    fleet.wait(40);
+    if (daemon.view.isGranted) granted += 1;
+    expect(daemon.view.leaseLeftMs).toBeLessThanOrEqual(bounds.leaseMs - 700);
+  }
+  expect(granted).toBeGreaterThan(95);
+});
--- a/test/machine/bounds.test.ts
+++ b/test/machine/bounds.test.ts
@@ -26,12 +26,14 @@
     [600, 9000],
     [9000, 9000],
   ] as const) {
-    const { leaseMs, pollMs, terms } = Bounds.of({ bounds: { applyMs, drainMs } });
+    const { leaseMs, pollMs, pollWaitMs, terms } = Bounds.of({ bounds: { applyMs, drainMs } });
     expect(leaseMs).toBeLessThan(Math.min(applyMs, drainMs));
     expect(terms.grantMs).toBe(leaseMs);
     expect(pollMs * 4).toBeLessThanOrEqual(leaseMs);
     expect(terms.silentMs).toBeGreaterThan(leaseMs);
     expect(terms.holdMs).toBeLessThan(400);
+    expect(pollWaitMs - terms.holdMs).toBeGreaterThanOrEqual(130);
+    expect(2 * pollWaitMs).toBeLessThan(leaseMs);
   }
 });
 
