A client whose large body went to no back end can send the rest

Cause: a body over 256 KiB is handed on in part, its rest to be read by whoever sends it on. Where nobody did (404, 503 before any send), the rest was never read: the client had its answer, but its connection stood still for good.

Change: once such a request is answered, what is left of its body is read and thrown away, up to the limit on bodies.

Test: platform/uploads, "a large body to … that goes to no back end"; both failed before.

--- a/src/machine/httpServer.ts
+++ b/src/machine/httpServer.ts
@@ -54,7 +54,9 @@
   request: IncomingMessage,
   heldBytes: number,
   limitBytes: number,
+  begun: () => void,
 ): AsyncGenerator<Uint8Array> {
+  begun();
   let sumBytes = heldBytes;
   try {
     for await (const piece of request.iterator({ destroyOnReturn: false })) {
@@ -217,7 +219,14 @@
       isOver = true;
       request.off("data", hear);
       request.pause();
-      hand(Buffer.concat(pieces), restOf(request, heldBytes, bodyBytes));
+      let isRead = false;
+      response.once("close", () => {
+        if (!isRead) readOut(request, heldBytes, bodyBytes);
+      });
+      const begun = (): void => {
+        isRead = true;
+      };
+      hand(Buffer.concat(pieces), restOf(request, heldBytes, bodyBytes, begun));
     };
     request.on("data", hear);
     request.on("end", () => {
--- a/test/platform/uploads.test.ts
+++ b/test/platform/uploads.test.ts
@@ -74,6 +74,24 @@
   expect([client.answers, errors]).toEqual([2, []]);
 });
 
+test.each(["/nowhere/up", "/unsafe/up"])(
+  "a large body to %s that goes to no back end: the client gets its answer and can go on",
+  async (path) => {
+    for (const one of edge.raw.backEnds) await one.close();
+    const client = edge.client();
+    client.request("POST", path, "try-up", stated, start);
+    for (let at = 0; at < rest.length; at += 8192) {
+      if (!client.isClosed) client.socket.write(rest.subarray(at, at + 8192));
+      await edge.raw.wait(1);
+    }
+    await edge.raw.until(() => client.answers === 1 || client.isClosed);
+    expect(client.heard).toMatch(/^HTTP\/1.1 (404|503) /);
+    client.request("GET", "/nowhere/next", "try-next");
+    await edge.raw.until(() => client.answers === 2 || client.isClosed, 3000);
+    expect(client.answers).toBe(2);
+  },
+);
+
 test("a client that goes on without an end behind an early answer is let go at the limit on bodies", async () => {
   edge.server.bound({ bodyBytes: wholeBytes });
   for (const one of edge.raw.backEnds)
