A silent voter that may come back stays until a proven learner has joined

The leader alone held a group of two voters, and nothing brought it back, though the voter that was cut came back. Change: where the learner has answered this leader for catchUpMs, it is promoted before the silent voter is demoted; then the one that comes back completes the majority. A successor that has just started goes on to be promoted last. The state of the agreement notes since when a member is proven; the explorer's model uses the same. Tests: replacement.test, 23 moments around the change, fails without the rule; membership.test. Still left: the same two troubles at once while the learner isn't proven; joint consensus would close it (docs/control.md).

--- a/src/explorer/modelMember.ts
+++ b/src/explorer/modelMember.ts
@@ -190,7 +190,16 @@
 
   /** What tells two situations of a member apart, with times taken from now. */
   get fingerprint(): string {
-    const { log, matched, ackedSentMs, votes, heardLeaderMs, heardAppendMs, ...rest } = this.state;
+    const {
+      log,
+      matched,
+      ackedSentMs,
+      provenSinceMs,
+      votes,
+      heardLeaderMs,
+      heardAppendMs,
+      ...rest
+    } = this.state;
     const now = this.nowMs;
     const age = (atMs: number): number => Math.min(5000, Math.round(now - atMs));
     const parts = [
@@ -201,6 +210,7 @@
       log.entriesFrom(log.baseIndex + 1),
       [...matched],
       [...ackedSentMs].map(([peer, atMs]) => [peer, age(atMs)]),
+      [...provenSinceMs].map(([peer, atMs]) => [peer, age(atMs)]),
       [...votes].sort(),
       age(heardLeaderMs),
       age(heardAppendMs),
@@ -418,15 +428,17 @@
       committedIndex,
       progressOf: (member) =>
         member === this.name
-          ? { silentMs: 0, answered: true, matchedIndex: syncedIndex }
+          ? { silentMs: 0, answered: true, provenMs: 0, matchedIndex: syncedIndex }
           : {
               silentMs: now - Math.max(since, ackedSentMs.get(member) ?? since),
               answered: ackedSentMs.has(member),
+              provenMs: now - (this.state.provenSinceMs.get(member) ?? now),
               matchedIndex: matched.get(member) ?? 0,
             },
       waits: {
         answersWithinMs: settings.waits.electionMaxMs,
         replaceAfterMs: settings.replaceAfterMs,
+        provenAfterMs: settings.provenAfterMs,
         forgetAfterMs: settings.forgetAfterMs,
       },
     });
--- a/src/explorer/settings.ts
+++ b/src/explorer/settings.ts
@@ -12,6 +12,7 @@
   readonly seed: number;
   readonly waits: ElectionWaits;
   readonly replaceAfterMs: number;
+  readonly provenAfterMs: number;
   readonly forgetAfterMs: number;
   readonly rules: SafetyRules;
 }
@@ -36,6 +37,7 @@
       seed,
       waits: { ...Waits.usual, ...change.waits },
       replaceAfterMs: Waits.usual.replaceAfterMs,
+      provenAfterMs: Waits.usual.provenAfterMs,
       forgetAfterMs: Waits.usual.forgetAfterMs,
       rules: { ...safetyRules, ...change.rules },
     };
--- a/src/machine/bounds.ts
+++ b/src/machine/bounds.ts
@@ -166,6 +166,7 @@
           2 * paced(Waits.usual.electionMaxMs),
           Math.round(Math.min(mostReplaceMs, catchUpMs * replacePart)),
         ),
+        provenAfterMs: catchUpMs,
         forgetAfterMs: forgetTimes * catchUpMs,
       },
       budget: RetryRules.of(retryRatio, retryExtra, retryWindowMs),
--- a/src/record/consensus/commit.ts
+++ b/src/record/consensus/commit.ts
@@ -58,13 +58,19 @@
 ): ConsensusState => {
   const { peer, term, matched, counts } = acknowledgment;
   if (state.role !== "leader" || state.term !== term) return state;
-  if (!counts) return advanceCommit(state, { rules });
+  const provenSinceMs = new Map(state.provenSinceMs);
+  if (!counts) {
+    provenSinceMs.delete(peer);
+    return advanceCommit({ ...state, provenSinceMs }, { rules });
+  }
+  if (!provenSinceMs.has(peer)) provenSinceMs.set(peer, nowMs);
   const sentMs = rules.leaseFromSending ? acknowledgment.sentMs : nowMs;
   const matchedSoFar = state.matched.get(peer) ?? 0;
   const sentSoFar = state.ackedSentMs.get(peer) ?? Number.NEGATIVE_INFINITY;
   return advanceCommit(
     {
       ...state,
+      provenSinceMs,
       matched: new Map(state.matched).set(peer, Math.max(matchedSoFar, matched)),
       ackedSentMs: new Map(state.ackedSentMs).set(peer, Math.max(sentSoFar, sentMs)),
     },
--- a/src/record/consensus/leadership.ts
+++ b/src/record/consensus/leadership.ts
@@ -13,6 +13,7 @@
   knownLeader: state.self,
   matched: new Map(),
   ackedSentMs: new Map(),
+  provenSinceMs: new Map(),
   leadingSinceIndex: state.log.lastIndex + 1,
 });
 
--- a/src/record/consensus/state.ts
+++ b/src/record/consensus/state.ts
@@ -42,6 +42,8 @@
   readonly matched: ReadonlyMap<string, number>;
   /** When the newest heartbeat that each other member acknowledged was sent. */
   readonly ackedSentMs: ReadonlyMap<string, number>;
+  /** Since when each other member has acknowledged this leader's requests, without having lost its disk meanwhile. */
+  readonly provenSinceMs: ReadonlyMap<string, number>;
 }
 
 /** The waits by which members elect, on a monotonic clock. */
@@ -130,6 +132,7 @@
   leadingSinceIndex: 0,
   matched: new Map(),
   ackedSentMs: new Map(),
+  provenSinceMs: new Map(),
 });
 
 /** The state once what the disk holds, or what was formed or is to be rejoined, is taken over. */
--- a/src/record/membership.ts
+++ b/src/record/membership.ts
@@ -2,10 +2,10 @@
  * Decides which member of the replicated-log group is replaced when. Pure: it sees what the leader knows at one moment and
  * names the next change of membership, one member at a time.
  *
- * Order matters for availability. A voter that is lost is demoted before a learner is promoted: of 2f + 1 voters f + 1 are a
- * majority, and so they are of the 2f that remain, so that no step needs more members than answer already, nor the new one.
- * A voter that still answers is replaced the other way round: of 2f + 2 voters f + 2 are a majority, which are left after the
- * loss of any f. Two groups that follow on each other differ by one voter, so any two of their majorities share a member.
+ * Order matters for availability. A voter that is lost is demoted before its successor, which has just started, is promoted: of
+ * 2f + 1 voters f + 1 are a majority, and so they are of the 2f that remain, so that no step needs more members than answer
+ * already, nor the new one. A voter that may still come back, or still answers, is replaced the other way round where the
+ * learner is proven: of 2f + 2 voters f + 2 are a majority, which are left after the loss of any f. Two groups that follow on each other differ by one voter, so any two of their majorities share a member.
  */
 
 /** What the leader knows of a member since it began to lead; of itself, that it answers and what its own disk holds. */
@@ -14,6 +14,8 @@
   readonly silentMs: number;
   /** Whether the member acknowledged anything under this leader; only those that hold all they ever acknowledged do. */
   readonly answered: boolean;
+  /** For how long the member has acknowledged this leader's requests, from the first one on. */
+  readonly provenMs: number;
   /** Up to which index the member's log is known to be the leader's. */
   readonly matchedIndex: number;
 }
@@ -24,6 +26,8 @@
   readonly answersWithinMs: number;
   /** How long a voter is silent until it is replaced. */
   readonly replaceAfterMs: number;
+  /** How long a learner must have answered so that its own loss would count as one more. */
+  readonly provenAfterMs: number;
   /** How long a learner is silent until it is removed from the group. */
   readonly forgetAfterMs: number;
 }
@@ -101,6 +105,8 @@
 /** A voter that is lost or leaves gives its place to a learner that is ready. */
 const exchange = (view: MembershipView, ready: string): MembershipChange | undefined => {
   const lost = view.voters.find((voter) => isLost(view, voter));
+  if (lost !== undefined && view.progressOf(ready).provenMs >= view.waits.provenAfterMs)
+    return promotion(view, ready, `it takes the place of ${lost}, which is silent`);
   if (lost !== undefined)
     return demotion(view, lost, `it is silent, and ${ready} is ready to take its place`);
   const leaving = view.voters.find((voter) => voter !== view.self && view.leaving.has(voter));
--- a/src/record/recorder.ts
+++ b/src/record/recorder.ts
@@ -85,6 +85,8 @@
   stallMs: number;
   /** How long a voter is silent before a learner takes its place. */
   replaceAfterMs: number;
+  /** How long a learner must have answered so that its own loss would count as one more. */
+  provenAfterMs: number;
   /** How long a learner is silent before it is removed from the members. */
   forgetAfterMs: number;
   /** How long the log grows until a checkpoint is written. */
@@ -99,6 +101,7 @@
     leaderGrantMs: 240,
     stallMs: 700,
     replaceAfterMs: 1000,
+    provenAfterMs: 4000,
     forgetAfterMs: 60_000,
     checkpointBytes: 4 * 1024 * 1024,
   },
@@ -688,16 +691,18 @@
       committedIndex: this.agreed.committedIndex,
       progressOf: (member) =>
         member === this.self
-          ? { silentMs: 0, answered: true, matchedIndex: this.agreed.syncedIndex }
+          ? { silentMs: 0, answered: true, provenMs: 0, matchedIndex: this.agreed.syncedIndex }
           : {
               silentMs:
                 nowMs - Math.max(startedMs, this.agreed.ackedSentMs.get(member) ?? startedMs),
               answered: this.agreed.ackedSentMs.has(member),
+              provenMs: nowMs - (this.agreed.provenSinceMs.get(member) ?? nowMs),
               matchedIndex: this.agreed.matched.get(member) ?? 0,
             },
       waits: {
         answersWithinMs: this.waits.electionMaxMs,
         replaceAfterMs: this.waits.replaceAfterMs,
+        provenAfterMs: this.waits.provenAfterMs,
         forgetAfterMs: this.waits.forgetAfterMs,
       },
     };
--- a/test/record/membership.test.ts
+++ b/test/record/membership.test.ts
@@ -5,9 +5,14 @@
   type MembershipView,
 } from "../../src/record/membership.js";
 
-const waits = { answersWithinMs: 500, replaceAfterMs: 1000, forgetAfterMs: 60_000 };
-const well: MemberProgress = { silentMs: 60, answered: true, matchedIndex: 100 };
-const lost: MemberProgress = { silentMs: 2000, answered: false, matchedIndex: 0 };
+const waits = {
+  answersWithinMs: 500,
+  replaceAfterMs: 1000,
+  provenAfterMs: 4000,
+  forgetAfterMs: 60_000,
+};
+const well: MemberProgress = { silentMs: 60, answered: true, provenMs: 1000, matchedIndex: 100 };
+const lost: MemberProgress = { silentMs: 2000, answered: false, provenMs: 0, matchedIndex: 0 };
 
 /** A view of a leader "a" whose members answer, but for those whose progress is given. */
 const viewOf = (
@@ -46,6 +51,14 @@
   expect(next(viewOf("abd", "c", { c: lost }))).toBe("none");
 });
 
+test("a lost voter, which may come back, stays until a proven learner has joined it", () => {
+  const progress = { c: lost, d: { provenMs: 4000 } };
+  expect(next(viewOf("abc", "d", progress))).toBe("promote d");
+  expect(next(viewOf("abcd", "", progress))).toBe("demote c");
+  expect(next(viewOf("abd", "c", progress))).toBe("none");
+  expect(next(viewOf("abc", "d", { ...progress, b: { silentMs: 600 } }))).toBe("none");
+});
+
 test("two lost voters of five are replaced one after the other", () => {
   const five = { wantedVoters: 5 };
   const progress = { d: lost, e: lost };
--- a/test/record/replacement.test.ts
+++ b/test/record/replacement.test.ts
@@ -155,3 +155,28 @@
     stage.until(() => isVoter(stage, successor), catchUpMs - startMs);
   }
 });
+
+test("a voter comes back right after another lost its disk, in the middle of its own replacement by a proven learner", () => {
+  for (let afterMs = 940; afterMs <= 1160; afterMs += 10) {
+    const stage = fleetOf(4, 4, 1);
+    stage.wait(catchUpMs + 1000);
+    expect(stage.commit(1)).toBe(true);
+    const { leader } = stage;
+    const away = voterOther(stage);
+    const others = stage.disks.filter((machine) => machine !== away);
+    const before = leader.record?.voters.join();
+    for (const other of others) stage.cut(away, other);
+    stage.wait(afterMs);
+    const wiped = others.find(
+      (machine) => machine !== leader && before?.includes(machine.peer) === true,
+    );
+    if (!wiped) throw new Error("There is no third voter.");
+    stage.kill(wiped, true);
+    for (const other of others) stage.cut(away, other, true);
+    stage.wait(500);
+    bootSuccessor(stage, wiped);
+    stage.wait(2000);
+    stage.until(isLed(stage), 4000);
+    expect(stage.commit(2)).toBe(true);
+  }
+});
