--- a/src/rehearsal/faults/replacementFaults.ts
+++ b/src/rehearsal/faults/replacementFaults.ts
@@ -85,6 +85,8 @@
   simulation: Simulation,
   losses: ReadonlyArray<readonly [name: string, lose: Loss]>,
 ): Task {
+  // Whoever was lost before counts as lost for so long.
+  yield* Clock.rest(simulation.clock, syncMs(simulation));
   if (!allFormed(simulation)) return;
   simulation.isLosingDisk = true;
   for (const [name, lose] of losses) yield* loseAtOnce(simulation, lose, name);
--- a/src/rehearsal/rehearsal.ts
+++ b/src/rehearsal/rehearsal.ts
@@ -2,6 +2,7 @@
 import type { Waits } from "../record/recorder.js";
 import type { Task } from "../runtime/task.js";
 import { Draw } from "./draw.js";
+import { FaultDraw } from "./faultDraw.js";
 import { faults } from "./faults.js";
 import { judge, servedPart, worstRepeats, type Breach } from "./judge.js";
 import type { Profile } from "./profile.js";
@@ -37,6 +38,7 @@
 
 const settleMs = 8000;
 const tailMs = 19_000;
+const nothingDrawnMs = 1000;
 
 /** Rehearses one day: a fleet comes up, failures strike by seed, one last fault, then recovery; and judges it. */
 export const rehearse = ({
@@ -51,13 +53,15 @@
   const simulation = new Simulation(profile, seed, rateFactor, waits);
   const random = Draw.of(seed + 7919);
   const struck: string[] = [];
-  const names = only && only.length > 0 ? only : Object.keys(faults);
+  const draw = new FaultDraw(only ?? [], random);
 
   const strike = function* (): Task {
-    const name = names[Math.floor(random() * names.length)] ?? "";
+    const name = draw.begin();
+    if (name === undefined) return yield* Clock.rest(simulation.clock, nothingDrawnMs);
     struck.push(name);
     simulation.ledger.world.push({ kind: "fault", atMs: simulation.time.nowMs(), what: name });
     yield* faults[name]?.(simulation) ?? Clock.rest(simulation.clock, 1);
+    draw.end(name);
   };
   const striking = function* (): Task {
     while (simulation.time.nowMs() < settleMs + dayMs) {
