A response is let go on only after the calls that led there have returned

A turn of the link that is given while the bytes of one connection are parsed may let another connection go on, and the HTTP client's parser must not run inside another.

Change: the connection goes on in a microtask, and only if its response has not ended by then.

The new test plays forty large responses at once; it passes without the change too, so that it does not show the cause yet.

--- a/src/door/backEnds.ts
+++ b/src/door/backEnds.ts
@@ -218,9 +218,16 @@
     if (!isGiven) this.cancelTurn = cancel;
   }
 
+  /**
+   * Lets the back end go on, once the calls that led here have returned: they may come from within the parser of another
+   * connection, and the library raises an error where one parser runs inside another.
+   */
   private resume(): void {
-    if (this.controller?.paused !== true || this.cancelTurn) return;
-    if (this.heldBytes <= heldLimitBytes / 2) this.controller.resume();
+    queueMicrotask(() => {
+      const { controller } = this;
+      if (controller?.paused !== true || this.cancelTurn || this.last !== undefined) return;
+      if (this.heldBytes <= heldLimitBytes / 2) controller.resume();
+    });
   }
 
   private wake(): void {
--- a/test/door/pacedBackEnds.test.ts
+++ b/test/door/pacedBackEnds.test.ts
@@ -101,3 +101,16 @@
   server.close();
   server.closeAllConnections();
 });
+
+test("many large responses at once are all read whole, whichever connection's bytes let another go on", async () => {
+  const largeBytes = 300_000;
+  const server = createServer((_incoming, outgoing) => outgoing.end(Buffer.alloc(largeBytes, "x")));
+  const port = await serving(server);
+  const backEnds = BackEnds.http(clock, { proof: "request", pacers: LinkPacers.of(clock, 100) });
+  const all = Array.from({ length: 40 }, (_none, place) => sent(backEnds, port, `/${place}`));
+  for (const { text, bytes } of await Promise.all(all))
+    expect({ text, bytes }).toEqual({ text: "end", bytes: largeBytes });
+  backEnds.close();
+  server.close();
+  server.closeAllConnections();
+});
