Polls name only services with wishes; views tell capacities and members once

A poll named a wish for every service, and each view told all capacities, collectors and members of the replicated log. Now a poll names services with wishes and with capacities above zero; a view tells capacities only under a grant number that the poll didn't name, and members only where the poll's digest of them is another. An edge goes on applying the capacities that it was told last.

Left: what is held is still named in each poll (a new leader must know all of it at once).

Test: contract/pollBytes. A test of the directory's bytes passed without a reply; it now needs one.

--- a/src/contract/order.ts
+++ b/src/contract/order.ts
@@ -133,7 +133,10 @@
   /** The newest grant of capacities that was taken, and what is held. */
   grantNumber: string(),
   capacities: array(object({ service: string(), capacity: number() })),
+  /** Services with wishes for further tries; none for any other. */
   wished: array(object({ service: string(), count: number() })),
+  /** The members that are known here, by their digest. */
+  membersDigest: optional(string()),
   /** Contracts whose address refused a connection: nobody listens there. */
   refused: array(object({ address: string(), number: number() })),
   /** Contracts whose back ends announced themselves here since the last poll, with the newest order of each. */
@@ -165,6 +168,15 @@
 
 const registrationsShape = define<Contract[]>("directory", Contract.areAll);
 
+const membersShape = object({
+  digest: string(),
+  collectors: array(object({ zone: string(), peer: string() })),
+  recorders: array(string()),
+});
+
+/** Whom a daemon reaches of the control plane: collectors and members of the replicated log. */
+export type KnownMembers = Infer<typeof membersShape>;
+
 const viewShape = object({
   granted: literal(true),
   grantMs: number(),
@@ -192,9 +204,10 @@
   /** What the copy must add up to, once this is taken. */
   directoryDigest: optional(string()),
   grantNumber: string(),
-  capacities: array(object({ service: string(), capacity: number() })),
-  collectors: array(object({ zone: string(), peer: string() })),
-  recorders: array(string()),
+  /** What the grant of capacities says; left out where the poll named that grant. */
+  capacities: optional(array(object({ service: string(), capacity: number() }))),
+  /** The members of the control plane; left out where the poll named their digest. */
+  members: optional(membersShape),
 });
 
 /** The view that a poll returns: it is a grant to serve under it. */
--- a/src/contract/registry.ts
+++ b/src/contract/registry.ts
@@ -7,6 +7,7 @@
 import type { AcceptedConfig, Book, Contract } from "../record/book.js";
 import { Deed, heldKeys, versionOf } from "../record/book.js";
 import type { Recorder } from "../record/recorder.js";
+import { itemHash } from "./setDigest.js";
 import type { CapacityGrants } from "./capacityGrants.js";
 import { amend, Config, ConfigReader, mergePatch } from "./config.js";
 import { ConfigChanges } from "./configChanges.js";
@@ -20,6 +21,7 @@
   Poll,
   type ChangeOrder,
   type GrantedView,
+  type KnownMembers,
   type Machine,
 } from "./order.js";
 import { TravellingText } from "./travellingText.js";
@@ -239,6 +241,7 @@
       yield* this.news(this.terms.holdMs);
       if (!this.recorder.hasGrant) return breakdownReturn("noGrant");
     }
+    const members = this.knownMembers();
     const view: GrantedView = {
       granted: true,
       grantMs: this.terms.grantMs,
@@ -247,11 +250,14 @@
       directorySequence: this.book.directorySequence,
       directoryDigest: this.directory.digest,
       grantNumber: granted.number,
-      capacities: [...granted.capacities].map(([service, capacity]) => ({ service, capacity })),
-      collectors: [...this.machines.values()]
-        .filter((one) => one.machine.roles.includes("collector") && !one.silent)
-        .map((one) => ({ zone: one.machine.zone, peer: one.machine.peer })),
-      recorders: [...this.recorder.currentMembers.voters, ...this.recorder.currentMembers.learners],
+      ...(granted.number === poll.grantNumber
+        ? {}
+        : {
+            capacities: [...granted.capacities]
+              .filter(([, capacity]) => capacity > 0)
+              .map(([service, capacity]) => ({ service, capacity })),
+          }),
+      ...(members.digest === poll.membersDigest ? {} : { members }),
     };
     const parts = [JSON.stringify(view).slice(0, -1)];
     if (this.book.inForce && poll.configSequence !== this.book.inForce.sequence)
@@ -359,6 +365,18 @@
     World.start(this.world, "contract", this.enter(deed), ended);
   }
 
+  /** Whom daemons reach of the control plane, by what is heard and agreed now. */
+  private knownMembers(): KnownMembers {
+    const collectors = [...this.machines.values()]
+      .filter((one) => one.machine.roles.includes("collector") && !one.silent)
+      .map(({ machine }) => ({ zone: machine.zone, peer: machine.peer }))
+      .sort((a, b) => (a.peer < b.peer ? -1 : 1));
+    const { voters, learners } = this.recorder.currentMembers;
+    const recorders = [...voters, ...learners];
+    const digest = itemHash(JSON.stringify([collectors, recorders])).toString(36);
+    return { digest, collectors, recorders };
+  }
+
   private hasNewsFor(poll: Poll): boolean {
     return (
       poll.configSequence !== (this.book.inForce?.sequence ?? 0) ||
--- a/src/contract/view.ts
+++ b/src/contract/view.ts
@@ -10,7 +10,7 @@
 import { DirectoryCopy } from "./directoryCopy.js";
 import type { Ferry } from "./ferry.js";
 import { Mappings } from "./mappings.js";
-import { Poll, type GrantedView, type Machine, type Order } from "./order.js";
+import { Poll, type GrantedView, type KnownMembers, type Machine, type Order } from "./order.js";
 import type { TryCapacities } from "./tryCapacities.js";
 
 /** How long a poll is waited for until it is sent again, where bounds don't say otherwise. */
@@ -68,7 +68,10 @@
   private readonly config = new ConfigCopy();
   private readonly names = new Map<number, string>();
   mappings = new Mappings(Config.empty);
-  collectors: GrantedView["collectors"] = [];
+  collectors: KnownMembers["collectors"] = [];
+  private membersDigest = "";
+  /** What the grant of capacities says that `grantNumber` names. */
+  private toldCapacities: ReadonlyMap<string, number> = new Map();
   private refused: Contract[] = [];
   private grantNumber = "";
   private readonly nudge = new Holding<true>();
@@ -224,7 +227,8 @@
   private poll(nowMs: number): string {
     this.polls += 1;
     if (nowMs > this.untilMs + this.budget.rules.windowMs / 2) {
-      this.budget.setCapacities(new Map(), nowMs);
+      this.toldCapacities = new Map();
+      this.budget.setCapacities(this.toldCapacities, nowMs);
       this.grantNumber = "";
     }
     for (const [number, { atMs }] of this.announced)
@@ -234,11 +238,13 @@
       configSequence: this.config.knownSequence,
       directorySequence: this.directory.knownSequence,
       grantNumber: this.grantNumber,
-      capacities: [...this.budget.capacities].map(([service, capacity]) => ({ service, capacity })),
-      wished: this.services.map((service) => ({
-        service,
-        count: this.budget.wished(service, nowMs),
-      })),
+      capacities: [...this.budget.capacities]
+        .filter(([, capacity]) => capacity > 0)
+        .map(([service, capacity]) => ({ service, capacity })),
+      wished: this.services
+        .map((service) => ({ service, count: this.budget.wished(service, nowMs) }))
+        .filter(({ count }) => count > 0),
+      membersDigest: this.membersDigest,
       refused: this.refused.map(({ address, number }) => ({ address, number })),
       heard: [...this.announced].map(([number, { order }]) => ({ number, order })),
     };
@@ -258,8 +264,7 @@
     const couldServe = this.canServe;
     if (!this.takeCopies(view)) return;
     this.announceMs = view.announceMs ?? this.announceMs;
-    this.collectors = view.collectors;
-    this.ferry.know(view.recorders);
+    if (view.members) this.takeMembers(view.members);
     // The leader takes a later poll as proof that the capacities of the ones before weren't taken.
     if (sentMs === this.lastSentMs) this.takeCapacities(view);
     this.untilMs = Math.max(this.untilMs, sentMs + view.grantMs);
@@ -285,11 +290,16 @@
     return false;
   }
 
+  private takeMembers({ digest, collectors, recorders }: KnownMembers): void {
+    this.membersDigest = digest;
+    this.collectors = collectors;
+    this.ferry.know(recorders);
+  }
+
   private takeCapacities({ capacities, grantNumber }: GrantedView): void {
-    this.budget.setCapacities(
-      new Map(capacities.map(({ service, capacity }) => [service, capacity])),
-      this.world.clock.nowMs(),
-    );
+    if (capacities)
+      this.toldCapacities = new Map(capacities.map(({ service, capacity }) => [service, capacity]));
+    this.budget.setCapacities(this.toldCapacities, this.world.clock.nowMs());
     this.grantNumber = grantNumber;
   }
 
--- a/test/contract/configChanges.test.ts
+++ b/test/contract/configChanges.test.ts
@@ -55,7 +55,7 @@
     const sequence = this.book.inForce?.sequence ?? 0;
     const part = known === sequence ? "" : `,${this.changes.viewPart(known)}`;
     const view = Poll.readReturn(
-      `{"granted":true,"grantMs":1,"configSequence":${sequence},"directorySequence":0,"grantNumber":"","capacities":[],"collectors":[],"recorders":[]${part}}`,
+      `{"granted":true,"grantMs":1,"configSequence":${sequence},"directorySequence":0,"grantNumber":"","capacities":[]${part}}`,
     );
     if (!view.granted) throw new Error("The view grants nothing.");
     return view;
--- a/test/contract/directoryChanges.test.ts
+++ b/test/contract/directoryChanges.test.ts
@@ -10,7 +10,7 @@
 
 const viewOf = (changes: DirectoryChanges, known: number): GrantedView => {
   const view = Poll.readReturn(
-    `{"granted":true,"grantMs":1,"configSequence":0,"grantNumber":"","capacities":[],"collectors":[],"recorders":[],${[
+    `{"granted":true,"grantMs":1,"configSequence":0,"grantNumber":"","capacities":[],${[
       `"directorySequence":${changes.sequence}`,
       `"directoryDigest":"${changes.digest}"`,
       ...(known === changes.sequence ? [] : [changes.viewPart(known)]),
@@ -120,9 +120,15 @@
   const known = poll();
   announce("late", { address: "10.9.2.1:80" });
   const { directorySequence, configSequence } = known;
-  const bytesOf = (sequence: number): number =>
-    exchange(Kind.poll, pollText({ directorySequence: sequence, configSequence }))[0]?.text
-      .length ?? Infinity;
+  const bytesOf = (sequence: number): number => {
+    const text = exchange(
+      Kind.poll,
+      pollText({ directorySequence: sequence, configSequence }),
+      600,
+    )[0]?.text;
+    expect(text).toContain('"granted":true');
+    return text?.length ?? 0;
+  };
   const unchangedBytes = bytesOf(poll().directorySequence);
   expect(bytesOf(directorySequence) - unchangedBytes).toBeLessThan(400);
   expect(poll({ directorySequence }).directoryChanges?.put).toHaveLength(1);
--- /dev/null
+++ b/test/contract/pollBytes.test.ts
@@ -0,0 +1,72 @@
+import { expect, test } from "vitest";
+import { Bounds } from "../../src/machine/bounds.js";
+import { Kind } from "../../src/link/kind.js";
+import { Gate } from "../../src/rehearsal/gate.js";
+import { HollowDaemon } from "../../src/rehearsal/scaleHollow.js";
+import { ScaleWire } from "../../src/rehearsal/scaleWire.js";
+import { virtualWorld } from "../../src/rehearsal/virtualWorld.js";
+import { Task } from "../../src/runtime/task.js";
+import { FleetStage } from "../record/fleetStage.js";
+import { stage } from "./directoryStage.js";
+
+const servicesCount = 40;
+
+test("an idle daemon's polls and views don't grow with services: without wishes none is named", () => {
+  const fleet = new FleetStage(["d:zone-1", "d:zone-2", "d:zone-3"], [0, 1, 2]);
+  fleet.bootAll();
+  fleet.wait(4000);
+  const gate = new Gate();
+  const clock = gate.clock(fleet.time.clock());
+  const wire = new ScaleWire(fleet.network.wire("one", gate), clock, () => 1);
+  const world = virtualWorld({ clock, wire, random: fleet.random });
+  const daemon = new HollowDaemon(
+    world,
+    { machine: "one", zone: "zone-1", peer: "10.9.0.1:7000" },
+    [fleet.at(0).peer],
+    Bounds.of({}),
+  );
+  daemon.start();
+  fleet.wait(2000);
+  const run = (task: Task<unknown>): void =>
+    Task.start(task, (error) => {
+      throw error;
+    });
+  const bytesInASecond = (): { out: number; in: number } => {
+    const before = { ...wire.tally };
+    fleet.wait(2500);
+    return {
+      out: (wire.tally.bytesOut - before.bytesOut) / 2.5,
+      in: (wire.tally.bytesIn - before.bytesIn) / 2.5,
+    };
+  };
+  const bare = bytesInASecond();
+  for (let at = 0; at < servicesCount; at += 1)
+    run(
+      daemon.hear({
+        address: `10.8.0.${at + 1}:80`,
+        service: `service-${at}`,
+        zone: "zone-1",
+      }),
+    );
+  fleet.wait(1000);
+  expect(daemon.view.services.length).toBe(servicesCount);
+  const many = bytesInASecond();
+  expect(many.out - bare.out).toBeLessThan(servicesCount * 10);
+  expect(many.in - bare.in).toBeLessThan(servicesCount * 10);
+});
+
+test("members and capacities that a poll names aren't told again", () => {
+  const { poll, exchange, pollText } = stage({ holdMs: 50 });
+  const first = poll();
+  const { members, grantNumber, configSequence, directorySequence } = first;
+  expect(members?.recorders.length).toBeGreaterThan(2);
+  expect(members?.collectors.length).toBeGreaterThan(2);
+  const known = { configSequence, directorySequence, grantNumber };
+  const text = exchange(Kind.poll, pollText({ ...known, membersDigest: members?.digest }), 600)[0]
+    ?.text;
+  expect(text).toContain('"granted":true');
+  expect(text).not.toMatch(/"members"|"capacities"/);
+  expect(text?.length).toBeLessThan(260);
+  const other = exchange(Kind.poll, pollText({ ...known, membersDigest: "another" }), 600)[0]?.text;
+  expect(other).toContain('"members"');
+});
