--- a/src/rehearsal/faults/catchUpFaults.ts
+++ b/src/rehearsal/faults/catchUpFaults.ts
@@ -12,9 +12,13 @@
 const downMs = 2500;
 const orderAfterMs = 300;
 
-const changeManyTimes = function* (simulation: Simulation): Task {
+const changesBeforeRestart = 60;
+/** Processes that are killed together come back within so long. */
+const mostRestartMs = 900;
+
+const changeManyTimes = function* (simulation: Simulation, changes: number): Task {
   const untilMs = simulation.time.nowMs() + mostChangingMs;
-  for (let made = 0; made < changesMeanwhile && simulation.time.nowMs() < untilMs; made += 1)
+  for (let made = 0; made < changes && simulation.time.nowMs() < untilMs; made += 1)
     yield* simulation.day.putConfig();
 };
 
@@ -25,7 +29,7 @@
     const away = pick(simulation, disks(simulation));
     if (!away) return;
     simulation.kill(away, true);
-    yield* changeManyTimes(simulation);
+    yield* changeManyTimes(simulation, changesMeanwhile);
     simulation.boot(away);
     yield* Clock.rest(simulation.clock, catchUpMs);
     for (const other of disks(simulation).filter((one) => one !== away)) {
@@ -38,4 +42,17 @@
     }
     yield* rest(simulation, 200, 500);
   },
+  *restartAllWithMemberBehind(simulation) {
+    const away = pick(simulation, disks(simulation));
+    if (!away) return;
+    simulation.kill(away, true);
+    yield* changeManyTimes(simulation, changesBeforeRestart);
+    const others = disks(simulation);
+    for (const other of others) simulation.kill(other);
+    simulation.boot(away);
+    yield* rest(simulation, 300, mostRestartMs);
+    for (const other of others) simulation.boot(other);
+    simulation.start(timedOrder(simulation, "all restarted, one of them behind"));
+    yield* rest(simulation, 3000, 4000);
+  },
 };
--- a/test/rehearsal/controlSide.test.ts
+++ b/test/rehearsal/controlSide.test.ts
@@ -1,4 +1,5 @@
 import { expect, test } from "vitest";
+import { safetyRules } from "../../src/record/consensus/safetyRules.js";
 import type { Breach } from "../../src/rehearsal/judge.js";
 import type { ConfigOrderRecord, OrderAttempt } from "../../src/rehearsal/ledger.js";
 import { Profile } from "../../src/rehearsal/profile.js";
@@ -95,6 +96,14 @@
   expect(orders.filter(({ waitedMs }) => waitedMs > ackMs)).toEqual([]);
 });
 
+test("all are killed at once, and a member that is behind by 60 changes is back before the others", () => {
+  const day = dayOf("restartAllWithMemberBehind");
+  const orders = day.simulation.ledger.of("orderedDuring");
+  expect(day.breaches).toEqual([]);
+  expect(orders.length).toBeGreaterThan(0);
+  expect(orders.filter(({ waitedMs }) => waitedMs > ackMs)).toEqual([]);
+});
+
 test("answers come garbled, twice, late or not at all while edges stop and addresses change hands", () => {
   const day = dayOf("garbleDuringStops", { rateFactor: 0.15 });
   const { ledger } = day.simulation;
@@ -112,3 +121,12 @@
   const day = dayOf("cutMemberForLong", { waits: { leaderGrantMs: 60_000 } });
   expect(brokenRules(day)).toContain("operators see one register of configs");
 });
+test("with votes for whoever stands, a member that is behind leads with an old state", () => {
+  const kept = { ...safetyRules };
+  Object.assign(safetyRules, { voteOnlyForUpToDateLog: false });
+  const broken = [18, 19, 20, 21].flatMap((seed) =>
+    brokenRules(dayOf("restartAllWithMemberBehind", { seed })),
+  );
+  Object.assign(safetyRules, kept);
+  expect(broken).toContain("operators see one register of configs");
+});
