--- a/src/explorer/randomWalk.ts
+++ b/src/explorer/randomWalk.ts
@@ -1,4 +1,5 @@
 import type { Group } from "./group.js";
+import { PhaseWalk } from "./phaseWalk.js";
 import { RandomSource } from "./random.js";
 import type { Step } from "./step.js";
 
@@ -82,15 +83,18 @@
 export class RandomWalk {
   private readonly random: RandomSource;
   private readonly climate: Climate;
+  private readonly phases: PhaseWalk | undefined;
   /** Steps that belong together and come one after the other. */
   private planned: Step[] = [];
 
   constructor(seed: number) {
     this.random = new RandomSource(seed);
     this.climate = climateOf(this.random);
+    this.phases = this.random.chance(0.5) ? new PhaseWalk(this.random) : undefined;
   }
 
   next(group: Group): Step {
+    if (this.phases !== undefined) return this.phases.next(group);
     const planned = this.planned.shift();
     return planned ?? this.failure(group) ?? this.call(group) ?? this.progress(group);
   }
