A response that ends its connection is never paused: its end would end the process

Since responses are read at the link's rate, a backend is often made to wait by pausing the library's parser. Where the response says 'Connection: close', the library finishes its parser at the end, the reset or the close of the connection, and asserts that it isn't paused: an error that nobody can catch. Change: such a response is read as it comes; what is held of it is bounded at 8 MiB, beyond which it is broken off. Its bytes still count on the link.

--- a/src/door/backEnds.ts
+++ b/src/door/backEnds.ts
@@ -70,6 +70,8 @@
 const drainMs = 250;
 /** How much of a response is held before the back end is made to wait. */
 const heldLimitBytes = 256 * 1024;
+/** How much is held of a response that ends its connection and so can't be made to wait; a larger one is broken off. */
+const closingHeldLimitBytes = 8 * 1024 * 1024;
 
 /** About how many bytes a request's head takes beside its headers. */
 const requestHeadBytes = 100;
@@ -96,6 +98,14 @@
 
 type Connected = Socket | "refused" | "unreached";
 
+/** Whether a connection goes on after a response with these headers, so that its end is no part of the response. */
+const isKeptOpenAfter = (headers: Record<string, string>): boolean => {
+  const says = (headers["connection"] ?? "").toLowerCase().split(",");
+  if (says.some((word) => word.trim() === "close")) return false;
+  const isChunked = headers["transfer-encoding"]?.toLowerCase().trim() === "chunked";
+  return isChunked || headers["content-length"] !== undefined;
+};
+
 /** One response as it arrives. */
 class Receiving implements Dispatcher.DispatchHandler {
   /** Whether the library has begun to write the request: before that, and only before that, nothing of it can have left. */
@@ -111,6 +121,11 @@
   private readonly transfer: Transfer;
   /** What may come before the next turn; it is counted already. */
   private creditBytes = 0;
+  /**
+   * Whether the back end may be made to wait. The library raises an assertion, which ends the process, where the connection
+   * of a paused response ends, if that response said that it would: such a response is read as it comes.
+   */
+  private mayPause = false;
   /** Undone once the link may take more; set while the back end is made to wait for that. */
   private cancelTurn: (() => void) | undefined;
   private controller: Dispatcher.DispatchController | undefined;
@@ -147,6 +162,7 @@
       const value = headers[name];
       if (value !== undefined) flat[name] = typeof value === "string" ? value : value.join(", ");
     }
+    this.mayPause = isKeptOpenAfter(flat);
     this.head({ code, headers: flat });
   }
 
@@ -156,8 +172,8 @@
     this.receivedBytes += piece.length;
     this.ingress.note(Math.max(0, piece.length - this.creditBytes));
     this.creditBytes = Math.max(0, this.creditBytes - piece.length);
-    if (this.receivedBytes > this.ingress.smallBytes && this.creditBytes === 0) this.awaitTurn();
-    if (this.heldBytes > heldLimitBytes || this.cancelTurn) controller.pause();
+    if (this.mayPause) this.makeWait(controller);
+    else if (this.heldBytes > closingHeldLimitBytes) this.breakOff(controller);
     this.wake();
   }
 
@@ -204,6 +220,20 @@
     this.wake();
   }
 
+  /** Makes the back end wait while too much is held here, or until the link may take more. */
+  private makeWait(controller: Dispatcher.DispatchController): void {
+    if (this.receivedBytes > this.ingress.smallBytes && this.creditBytes === 0) this.awaitTurn();
+    if (this.heldBytes > heldLimitBytes || this.cancelTurn) controller.pause();
+  }
+
+  /** Gives up on a response that can't be made to wait and grows over what may be held. */
+  private breakOff(controller: Dispatcher.DispatchController): void {
+    queueMicrotask(() => {
+      if (this.last === undefined)
+        controller.abort(new ConnectionOverError("More than may be held of a closing response."));
+    });
+  }
+
   /** Makes the back end wait for a turn among all that is received over the link. */
   private awaitTurn(): void {
     if (this.cancelTurn) return;
