Entries of the log carry configurations as changes of their text, not whole

Cause: each accepted configuration was one entry with its whole text as JSON within JSON (697 KB at 1,500 routes), sent to every member, synced, parsed and compared again.

Ruled out: a full disk (no line says so), a cut (it begins seven seconds after the last acknowledgement).

Change: an entry names the change of the text and of the numbered names since the configuration that it builds on; the first and those that differ too much travel deflated. The history writes the same change without comparing the texts again, and takes configurations from memory as their text grows, not only with a checkpoint.

--- a/src/contract/registry.ts
+++ b/src/contract/registry.ts
@@ -6,6 +6,8 @@
 import { World } from "../runtime/world.js";
 import type { AcceptedConfig, Book, Contract } from "../record/book.js";
 import { Deed, heldKeys, versionOf } from "../record/book.js";
+import { Numbering, type NameChanges } from "../record/numbering.js";
+import { RecordedText } from "../record/recordedText.js";
 import type { Recorder } from "../record/recorder.js";
 import { itemHash } from "./setDigest.js";
 import type { CapacityGrants } from "./capacityGrants.js";
@@ -613,15 +615,15 @@
       if ("faults" in checked) return JSON.stringify({ faults: checked.faults });
       const { config } = checked;
       const text = JSON.stringify(config);
+      const { inForce } = this.book;
       const outcome = yield* this.enter({
         kind: "config",
-        expected: this.book.inForce?.sequence ?? 0,
+        expected: inForce?.sequence ?? 0,
         ...(order.version === undefined ? {} : { version: order.version }),
         changeId: order.changeId,
         acceptedAt: this.world.wallTime().toISOString(),
-        text,
-        services: Object.keys(config.services),
-        routes: Object.keys(config.routes),
+        ...RecordedText.of(inForce?.text, text),
+        names: this.nameChanges(config),
         rested: this.rested(),
       });
       const [failed, read] = configOutcome.validate(JSON.parse(outcome));
@@ -631,6 +633,19 @@
     return breakdownReturn("notLeader");
   }
 
+  /** What a configuration changes of the names that have numbers; one that could get none before is tried again. */
+  private nameChanges({ services, routes }: Config): NameChanges {
+    const { inForce } = this.book.numbering;
+    const present = new Set([
+      ...Object.keys(services).map((service) => Numbering.serviceName(service)),
+      ...Object.keys(routes).map((route) => Numbering.routeName(route)),
+    ]);
+    return {
+      added: [...present].filter((name) => !inForce.has(name)),
+      removed: [...inForce.keys()].filter((name) => !present.has(name)),
+    };
+  }
+
   /** The whole config that an order makes of the one in force. */
   private changed(order: ChangeOrder): unknown {
     if (order.kind === "put") return order.value;
--- a/src/record/book.ts
+++ b/src/record/book.ts
@@ -20,6 +20,8 @@
 import { kindOf } from "../runtime/kindOf.js";
 import { Numbering } from "./numbering.js";
 import type { Members } from "./members.js";
+import { RecordedText, recordedTextFields } from "./recordedText.js";
+import type { TextDelta } from "./textDelta.js";
 
 const contractShape = object({
   address: string(),
@@ -119,7 +121,27 @@
 });
 
 /** A configuration as it was accepted; it names its version where that isn't its sequence. */
-export type AcceptedConfig = Infer<typeof acceptedConfigShape>;
+export type AcceptedConfig = Infer<typeof acceptedConfigShape> & {
+  /** How its text came from the one before, where the entry said so; in memory only. */
+  readonly delta?: TextDelta;
+};
+
+/** A configuration without what is held in memory only. */
+export const storedConfig = ({
+  sequence,
+  version,
+  index,
+  changeId,
+  acceptedAt,
+  text,
+}: AcceptedConfig): Infer<typeof acceptedConfigShape> => ({
+  sequence,
+  ...(version === undefined ? {} : { version }),
+  index,
+  changeId,
+  acceptedAt,
+  text,
+});
 
 /** The version under which operators know a config: always above the one before. */
 export const versionOf = ({
@@ -176,9 +198,12 @@
     version: optional(number()),
     changeId: string(),
     acceptedAt: string(),
-    text: string(),
-    services: array(string()),
-    routes: array(string()),
+    ...recordedTextFields,
+    /** All names in force; entries that name only changes leave them out. */
+    services: optional(array(string())),
+    routes: optional(array(string())),
+    /** Names of services and routes, as the numbering has them, that come into force and that go. */
+    names: optional(object({ added: array(string()), removed: array(string()) })),
     rested: optional(array(number())),
   }),
   contract: object({
@@ -220,6 +245,8 @@
 /** One entry of the record, as it is written. */
 export type Deed = Infer<(typeof deedShapes)[keyof typeof deedShapes]>;
 
+type ConfigDeed = Extract<Deed, { kind: "config" }>;
+
 const isDeedKind = (kind: string): kind is keyof typeof deedShapes =>
   Object.hasOwn(deedShapes, kind);
 
@@ -350,7 +377,7 @@
   checkpoint(members: Members, historyUpTo = 0): string {
     return JSON.stringify({
       ...members,
-      configs: this.after(historyUpTo),
+      configs: this.after(historyUpTo).map(storedConfig),
       recent: this.recent,
       changes: [...this.changes].map(([changeId, numbers]) => ({ changeId, ...numbers })),
       contracts: [...this.contracts.values()],
@@ -426,7 +453,7 @@
           index,
           changeId: deed.changeId,
           acceptedAt: deed.acceptedAt,
-          text: deed.text,
+          ...RecordedText.read(deed, this.inForce?.text),
         });
         this.recent = [
           ...this.recent.slice(1 - keptRecent),
@@ -437,13 +464,7 @@
           if (this.changes.size <= keptChanges) break;
           this.changes.delete(changeId);
         }
-        this.numbering.adopt(
-          [
-            ...deed.services.map((service) => `service ${service}`),
-            ...deed.routes.map((route) => `route ${route}`),
-          ],
-          deed.rested ?? [],
-        );
+        this.numberNames(deed);
         this.note(index, `Config ${version} is in force (change ${deed.changeId}).`);
         return { accepted: version };
       }
@@ -513,6 +534,18 @@
     }
   }
 
+  /** Gives numbers to the names that a configuration brings into force. */
+  private numberNames({ services = [], routes = [], names, rested = [] }: ConfigDeed): void {
+    if (names) return this.numbering.change(names, rested);
+    this.numbering.adopt(
+      [
+        ...services.map((service) => Numbering.serviceName(service)),
+        ...routes.map((route) => Numbering.routeName(route)),
+      ],
+      rested,
+    );
+  }
+
   private enterContract(
     index: number,
     deed: Extract<Deed, { kind: "contract" }>,
--- a/src/record/historyFormat.ts
+++ b/src/record/historyFormat.ts
@@ -1,6 +1,6 @@
 import { deflateRawSync, inflateRawSync } from "node:zlib";
 import { create, omit, assign, object } from "superstruct";
-import { acceptedConfigShape, type AcceptedConfig } from "./book.js";
+import { acceptedConfigShape, storedConfig, type AcceptedConfig } from "./book.js";
 import { seal, sealBytes, unseal } from "./seal.js";
 import { TextDelta, textDeltaShape } from "./textDelta.js";
 
@@ -22,8 +22,8 @@
 
 /** The record of a change upon the config before it. */
 const encodeChange = (former: AcceptedConfig, config: AcceptedConfig): Buffer => {
-  const { text, ...rest } = config;
-  return sealedJson({ ...rest, delta: TextDelta.between(former.text, text) });
+  const { text, delta, ...rest } = config;
+  return sealedJson({ ...rest, delta: delta ?? TextDelta.between(former.text, text) });
 };
 
 const decodeChange = (former: AcceptedConfig, body: Buffer): AcceptedConfig => {
@@ -34,12 +34,12 @@
 export const HistoryFormat = {
   /** The record of a config by itself. */
   whole(config: AcceptedConfig): Buffer {
-    return sealedJson(config);
+    return sealedJson(storedConfig(config));
   },
 
   /** The record of a config that follows another in a file of changes. */
   following(former: AcceptedConfig | undefined, config: AcceptedConfig): Buffer {
-    return former === undefined ? sealedJson(config) : encodeChange(former, config);
+    return former === undefined ? HistoryFormat.whole(config) : encodeChange(former, config);
   },
 
   /** How many whole records begin a file, and how many bytes they take; they are counted without being inflated. */
--- a/src/record/historyKeeper.ts
+++ b/src/record/historyKeeper.ts
@@ -14,6 +14,8 @@
 const failedMs = 3000;
 /** A member that learns rests this many times as long as an exchange took, so that those who are asked have time for other work. */
 const restsPerExchange = 3;
+/** Which part of the text that may wait for the disk is held in memory until it is written. */
+const keepPart = 1 / 4;
 
 /** What became of looking for an accepted config. */
 export type ConfigRead =
@@ -55,6 +57,8 @@
   private damaged: SequenceRange[] = [];
   /** Whether configs wait for the disk to take them. */
   private isOwing = false;
+  /** Whether the disk is taking configs now. */
+  private isKeeping = false;
   /** Whether older configs were missing when it was last looked for them. */
   private isLacking = false;
   /** Configs up to this one are kept by no voter. */
@@ -98,6 +102,14 @@
     }
   }
 
+  /** Has the disk keep configs once those that the state machine holds have grown to a part of what may wait. */
+  keepWhenMany(): void {
+    if (this.isKeeping || !this.terms.isFormed()) return;
+    const { configs } = this.book;
+    const bytes = configs.reduce((sum, { text }) => sum + text.length, 0);
+    if (configs.length > 1 && bytes > this.terms.unkeptBytes * keepPart) this.keep();
+  }
+
   /** Has the disk keep the configs that the state machine still holds; it lets go of them once they are kept. */
   keep(): void {
     const { configs } = this.book;
@@ -108,7 +120,9 @@
     const add = function* (): Task {
       yield* history.add(configs);
     };
+    this.isKeeping = true;
     this.writer.attempt(add, (succeeded) => {
+      this.isKeeping = false;
       this.isOwing = !succeeded;
       if (succeeded) this.terms.kept(newest);
       else this.boundUnkept();
--- a/src/record/numbering.ts
+++ b/src/record/numbering.ts
@@ -9,6 +9,12 @@
   next: number;
 }
 
+/** What a configuration changes of the names in force. */
+export interface NameChanges {
+  readonly added: string[];
+  readonly removed: string[];
+}
+
 /**
  * Gives each name in force a number of its own. A number whose name is out of force rests until the leader says that no window
  * holds it any more; only then may another name have it.
@@ -40,29 +46,55 @@
     this.next = next;
   }
 
+  /** The name by which a service is numbered. */
+  static serviceName(service: string): string {
+    return `service ${service}`;
+  }
+
+  /** The name by which a route is numbered. */
+  static routeName(route: string): string {
+    return `route ${route}`;
+  }
+
   /** A config with these names comes in force; numbers that were said to be rested are free. */
   adopt(names: readonly string[], rested: readonly number[]): void {
+    const wanted = new Set(names);
+    const removed = [...this.names.keys()].filter((name) => !wanted.has(name));
+    this.change({ added: [...wanted], removed }, rested);
+  }
+
+  /** Some names come into force and others go; numbers that were said to be rested are free. */
+  change({ added, removed }: NameChanges, rested: readonly number[]): void {
+    this.release(rested);
+    for (const name of removed) this.rest(name);
+    for (const name of added) this.number(name);
+  }
+
+  private release(rested: readonly number[]): void {
+    if (rested.length === 0) return;
     const free = new Set(rested);
     for (const [name, number] of this.rests) {
       if (!free.has(number)) continue;
       this.rests.delete(name);
       this.free.push(number);
     }
-    const wanted = new Set(names);
-    for (const [name, number] of this.names) {
-      if (wanted.has(name)) continue;
-      this.names.delete(name);
-      this.rests.set(name, number);
-    }
-    for (const name of wanted) {
-      if (this.names.has(name)) continue;
-      const number =
-        this.rests.get(name) ??
-        this.free.pop() ??
-        (this.next < numberLimit ? this.next++ : undefined);
-      if (number === undefined) continue;
-      this.rests.delete(name);
-      this.names.set(name, number);
-    }
+  }
+
+  private rest(name: string): void {
+    const number = this.names.get(name);
+    if (number === undefined) return;
+    this.names.delete(name);
+    this.rests.set(name, number);
+  }
+
+  private number(name: string): void {
+    if (this.names.has(name)) return;
+    const number =
+      this.rests.get(name) ??
+      this.free.pop() ??
+      (this.next < numberLimit ? this.next++ : undefined);
+    if (number === undefined) return;
+    this.rests.delete(name);
+    this.names.set(name, number);
   }
 }
--- a/src/record/recorder.ts
+++ b/src/record/recorder.ts
@@ -219,6 +219,9 @@
       unkeptBytes: waits.checkpointBytes,
       kept: (upTo) => this.holding.put({ kind: "kept", upTo }),
     });
+    book.onApplied(({ kind }) => {
+      if (kind === "config") this.historyKeeper.keepWhenMany();
+    });
     this.agreed = initialState(this.self, world.clock.nowMs());
     meeting.attend(this);
   }
--- /dev/null
+++ b/test/record/configEntries.test.ts
@@ -0,0 +1,59 @@
+import { expect, test } from "vitest";
+import { itemOrder, OrderStage, routeTo, type OrderBytes } from "../platform/orderStage.js";
+
+const machines = ["d:a", "d:b", "d:c", "e:a"];
+const manyRoutes = 1500;
+
+const service = { type: "services", meta: { name: "one" }, spec: { maxConns: 66 } };
+
+const largeOrder = (base: number, version: number, routes: number): OrderBytes => ({
+  target: "config/put",
+  base: base === 0 ? "0" : `r${base}`,
+  body: JSON.stringify({
+    ver: `r${version}`,
+    objs: [...Array.from({ length: routes }, (_, at) => routeTo(`r${at}`, "one")), service],
+  }),
+});
+
+const logBytes = (stage: OrderStage): number[] =>
+  stage.disks.map(({ disk }) => disk?.heldBytes ?? 0);
+
+const begun = (): OrderStage => {
+  const stage = new OrderStage(machines, [0, 1, 2]);
+  stage.bootAll();
+  stage.wait(4000);
+  expect(stage.untilClear(largeOrder(0, 1, manyRoutes))).toBe(200);
+  stage.wait(2000);
+  return stage;
+};
+
+test("what a change adds to every member's disk follows the change, not the configuration", () => {
+  const stage = begun();
+  // The history takes its first configuration whole, once.
+  for (const base of [1, 2, 3, 4])
+    expect(stage.untilClear(itemOrder(base, base + 1, { name: `r${base}`, svc: "one" }))).toBe(200);
+  stage.wait(500);
+  const before = logBytes(stage);
+  expect(stage.untilClear(itemOrder(5, 6, { name: "r7", svc: "one" }))).toBe(200);
+  expect(stage.untilClear(itemOrder(6, 7, { name: "added", svc: "one" }))).toBe(200);
+  stage.wait(500);
+  for (const [at, bytes] of logBytes(stage).entries())
+    expect(bytes - (before[at] ?? 0)).toBeLessThan(16 * 1024);
+});
+
+test("a member that is restarted has the configuration that changes of the log make", () => {
+  const stage = begun();
+  expect(stage.untilClear(itemOrder(1, 2, { name: "added", svc: "one" }))).toBe(200);
+  expect(stage.untilClear(largeOrder(2, 3, 2500))).toBe(200);
+  expect(stage.untilClear(itemOrder(3, 4, { name: "r9", svc: "one" }))).toBe(200);
+  stage.wait(1000);
+  const texts = stage.disks.map((machine) => stage.config(machine, 4));
+  for (const machine of stage.disks) stage.kill(machine);
+  for (const machine of stage.disks) stage.boot(machine, { bootstrap: false });
+  stage.wait(4000);
+  for (const [at, machine] of stage.disks.entries()) {
+    expect(stage.config(machine, 4)).toBe(texts[0]);
+    expect(texts[at]).toBe(texts[0]);
+  }
+  expect(stage.newest(stage.at(3))).toBe("r4");
+});
