A view that comes late is passed over; it no longer has the whole configuration asked for

Change: changes since an older state grant nothing and leave the copy as it is; only changes since a state ahead of it, or a wrong digest, say that the copy differs. Test fails before.

--- a/src/contract/configCopy.ts
+++ b/src/contract/configCopy.ts
@@ -1,12 +1,10 @@
 import { Packed } from "../runtime/packed.js";
 import { Config, ConfigReader } from "./config.js";
+import type { CopyUpdate } from "./copyUpdate.js";
 import { ConfigItems, type ConfigSection, type NumberedConfig } from "./configItems.js";
 import { Poll, type ConfigUpdate, type GrantedView } from "./order.js";
 import { SetDigest } from "./setDigest.js";
 
-/** What a view did to a daemon's copy of the configuration. */
-export type ConfigCopyUpdate = "same" | "changed" | "differs";
-
 const without = <T>(section: Record<string, T>, gone: ReadonlySet<string>): Record<string, T> =>
   gone.size === 0
     ? section
@@ -38,7 +36,7 @@
   }
 
   /** Takes what a view tells. Where the copy differs afterwards, the view must not be served by. */
-  take(view: GrantedView): ConfigCopyUpdate {
+  take(view: GrantedView): CopyUpdate {
     const text =
       view.config ?? (view.packedConfig === undefined ? undefined : Packed.text(view.packedConfig));
     if (text !== undefined) {
@@ -49,6 +47,8 @@
     }
     const isNews = view.configSequence !== this.sequence;
     const update = isNews ? Poll.configUpdate(view) : undefined;
+    if (isNews && this.isSound && update !== undefined && update.base < this.sequence)
+      return "outdated";
     if (isNews && update?.base !== this.sequence) return this.differ();
     if (update) this.takeUpdate(update);
     const digest = view.configDigest;
--- a/src/contract/directoryCopy.ts
+++ b/src/contract/directoryCopy.ts
@@ -1,10 +1,8 @@
 import type { Contract } from "../record/book.js";
+import type { CopyUpdate } from "./copyUpdate.js";
 import type { GrantedView } from "./order.js";
 import { itemHash, SetDigest } from "./setDigest.js";
 
-/** What a view did to a daemon's copy of the directory. */
-export type DirectoryUpdate = "same" | "changed" | "differs";
-
 /** The hash of a registration: over its number and all of its state. */
 export const registrationHash = (one: Contract): bigint =>
   itemHash(
@@ -48,7 +46,7 @@
   }
 
   /** Takes what a view tells. Where the copy differs afterwards, the view must not be served by. */
-  take(view: DirectoryPart): DirectoryUpdate {
+  take(view: DirectoryPart): CopyUpdate {
     if (view.directory) {
       this.takeWhole(view.directory);
       this.sequence = view.directorySequence;
@@ -57,6 +55,8 @@
     }
     const changes = view.directoryChanges;
     const isNews = view.directorySequence !== this.sequence;
+    if (isNews && this.isSound && changes !== undefined && changes.base < this.sequence)
+      return "outdated";
     if (isNews && changes?.base !== this.sequence) return this.differ();
     if (isNews && changes) this.takeChanges(changes.put, changes.removed);
     this.sequence = view.directorySequence;
--- a/src/contract/view.ts
+++ b/src/contract/view.ts
@@ -281,7 +281,8 @@
     const config = this.config.take(view);
     if (directory === "changed") this.takeDirectory();
     if (config === "changed") this.takeConfig();
-    if (directory !== "differs" && config !== "differs") return true;
+    if (directory !== "differs" && config !== "differs")
+      return directory !== "outdated" && config !== "outdated";
     this.log.warn("A copy differs from the leader's; the whole is asked for.", {
       directory,
       config,
--- a/test/contract/configChanges.test.ts
+++ b/test/contract/configChanges.test.ts
@@ -182,6 +182,21 @@
   expect(copy.take(missed)).toBe("changed");
 });
 
+test("changes since a state that the copy has left behind grant nothing, and don't have the whole asked for", () => {
+  const leader = new Leader();
+  leader.enter(large(20));
+  const copy = new ConfigCopy();
+  copy.take(leader.view(copy.knownSequence));
+  const former = copy.knownSequence;
+  leader.patch({ routes: { "route-7": { service: "two" } } });
+  expect(copy.take(leader.view(former))).toBe("changed");
+  leader.patch({ routes: { "route-8": { service: "two" } } });
+  expect(copy.take(leader.view(former))).toBe("outdated");
+  expect([copy.sequence, copy.knownSequence]).toEqual([2, 2]);
+  expect(copy.take(leader.view(copy.knownSequence))).toBe("changed");
+  expectSame(copy, leader);
+});
+
 test("routes in another order travel whole, since the first of two alike wins", () => {
   const leader = new Leader();
   const alike = { match: { path: "/x" }, service: "one" };
