Each daemon keeps to a few backends of a service, spread evenly on a ring

Cause: 72 to 87 daemons chose blindly among all backends of a service.

Weighed: rendezvous hashing (loads differ by a fifth and more at these sizes), preferring idle connections (sets too small and uneven at ten requests a second), pools shared between daemons (another hop). Chosen: deterministic aperture. The leader tells each edge its place among the edges of its zone; the daemons of a zone begin at evenly spread places of the same ring and use the first eight that are well and have room, three near ones for each far one. What a backend bears (maxConnections) is shared out among the daemons, and where it is too little for eight, fewer are used.

--- /dev/null
+++ b/src/contract/edgePlaces.ts
@@ -0,0 +1,35 @@
+import { number, object, type Infer } from "superstruct";
+import type { Machine } from "./order.js";
+
+/** The shape of an edge's place as it travels. */
+export const edgePlaceShape = object({
+  /** The place among the edges of the same zone, from 0, and how many those are. */
+  zoneIndex: number(),
+  zoneCount: number(),
+  /** How many edges there are in all zones. */
+  count: number(),
+});
+
+/** An edge's place among all that send requests to backends; from it follows which backends it uses. */
+export type EdgePlace = Infer<typeof edgePlaceShape>;
+
+/** A machine that may send requests to backends. */
+export type PlacedMachine = Pick<Machine, "name" | "zone" | "roles" | "draining">;
+
+const isEdge = ({ roles, draining }: PlacedMachine): boolean => roles.includes("edge") && !draining;
+
+/** Gives every edge its place by name, so that one that restarts has the same place and few places move when one goes. */
+export const edgePlacesOf = (machines: Iterable<PlacedMachine>): ReadonlyMap<string, EdgePlace> => {
+  const edges = [...machines].filter(isEdge).sort((a, b) => (a.name < b.name ? -1 : 1));
+  const zoneCounts = new Map<string, number>();
+  for (const { zone } of edges) zoneCounts.set(zone, (zoneCounts.get(zone) ?? 0) + 1);
+  const seen = new Map<string, number>();
+  const places = new Map<string, EdgePlace>();
+  for (const { name, zone } of edges) {
+    const zoneIndex = seen.get(zone) ?? 0;
+    seen.set(zone, zoneIndex + 1);
+    const zoneCount = zoneCounts.get(zone) ?? 0;
+    places.set(name, { zoneIndex, zoneCount, count: edges.length });
+  }
+  return places;
+};
--- a/src/contract/order.ts
+++ b/src/contract/order.ts
@@ -1,4 +1,5 @@
 import { configShape, itemsShape, namesShape, type Config } from "./config.js";
+import { edgePlaceShape } from "./edgePlaces.js";
 import { Guarded } from "./guarded.js";
 import { FrameError } from "../link/frame.js";
 import { kindOf } from "../runtime/kindOf.js";
@@ -208,6 +209,8 @@
   capacities: optional(array(object({ service: string(), capacity: number() }))),
   /** The members of the control plane; left out where the poll named their digest. */
   members: optional(membersShape),
+  /** The place of the edge that polled; left out until the leader has heard of all edges. */
+  place: optional(edgePlaceShape),
 });
 
 /** The view that a poll returns: it is a grant to serve under it. */
--- a/src/contract/registry.ts
+++ b/src/contract/registry.ts
@@ -13,6 +13,7 @@
 import type { CapacityGrants } from "./capacityGrants.js";
 import { amend, Config, ConfigReader, mergePatch } from "./config.js";
 import { ConfigChanges } from "./configChanges.js";
+import { edgePlacesOf, type EdgePlace } from "./edgePlaces.js";
 import { DirectoryChanges } from "./directoryChanges.js";
 import { LargeViews } from "./largeViews.js";
 import {
@@ -115,6 +116,9 @@
   private readonly parting = new Set<string>();
   /** Leads, but has given no edge its view yet. */
   private isNew = true;
+  private leadsSinceMs = Infinity;
+  /** The places of all edges, until one comes or goes. */
+  private edgePlaces: ReadonlyMap<string, EdgePlace> | undefined;
   private readonly allowance: CapacityGrants;
 
   constructor(
@@ -212,6 +216,8 @@
     }
     const { machine } = poll;
     const known = this.machines.get(machine.name);
+    if (!known || known.silent || known.machine.draining !== machine.draining)
+      this.edgePlaces = undefined;
     if (!known || known.silent || known.machine.incarnation !== machine.incarnation)
       this.log.say("A machine shows itself.", { machine: machine.name, zone: machine.zone });
     this.machines.set(machine.name, { machine, heardMs: nowMs, silent: false });
@@ -260,6 +266,7 @@
               .map(([service, capacity]) => ({ service, capacity })),
           }),
       ...(members.digest === poll.membersDigest ? {} : { members }),
+      ...this.placeFor(machine),
     };
     const parts = [JSON.stringify(view).slice(0, -1)];
     if (this.book.inForce && poll.configSequence !== this.book.inForce.sequence)
@@ -305,6 +312,7 @@
       for (const heard of this.machines.values()) {
         if (heard.silent || nowMs - heard.heardMs < this.terms.silentMs) continue;
         heard.silent = true;
+        this.edgePlaces = undefined;
         this.log.warn("A machine fell silent.", { machine: heard.machine.name });
         this.tell({
           kind: "note",
@@ -332,6 +340,8 @@
   private lead(): void {
     const nowMs = this.world.clock.nowMs();
     this.isNew = true;
+    this.leadsSinceMs = nowMs;
+    this.edgePlaces = undefined;
     this.restingSince.clear();
     this.entering.clear();
     this.parting.clear();
@@ -379,6 +389,16 @@
     return { digest, collectors, recorders };
   }
 
+  /** An edge's place, once this leader has led for as long as a lease, so that every live edge has polled it. */
+  private placeFor({ name }: Machine): Pick<GrantedView, "place"> {
+    if (this.world.clock.nowMs() - this.leadsSinceMs < this.terms.grantMs) return {};
+    this.edgePlaces ??= edgePlacesOf(
+      [...this.machines.values()].filter(({ silent }) => !silent).map(({ machine }) => machine),
+    );
+    const place = this.edgePlaces.get(name);
+    return place === undefined ? {} : { place };
+  }
+
   private hasNewsFor(poll: Poll): boolean {
     return (
       poll.configSequence !== (this.book.inForce?.sequence ?? 0) ||
--- a/src/contract/view.ts
+++ b/src/contract/view.ts
@@ -8,6 +8,7 @@
 import { Config } from "./config.js";
 import { ConfigCopy } from "./configCopy.js";
 import { DirectoryCopy } from "./directoryCopy.js";
+import type { EdgePlace } from "./edgePlaces.js";
 import type { Ferry } from "./ferry.js";
 import { Mappings } from "./mappings.js";
 import { Poll, type GrantedView, type KnownMembers, type Machine, type Order } from "./order.js";
@@ -63,6 +64,8 @@
   onDirectory: (contracts: readonly Contract[]) => void = () => undefined;
   /** Hears that there is a lease and a config to serve by, where one was missing. */
   onLease: () => void = () => undefined;
+  /** Hears of this edge's place among all edges, whenever it has changed. */
+  onPlace: (place: EdgePlace) => void = () => undefined;
   /** Hears of each config that comes into force here. */
   onConfig: (mappings: Mappings) => void = () => undefined;
   private readonly config = new ConfigCopy();
@@ -70,6 +73,7 @@
   mappings = new Mappings(Config.empty);
   collectors: KnownMembers["collectors"] = [];
   private membersDigest = "";
+  private place: EdgePlace | undefined;
   /** What the grant of capacities says that `grantNumber` names. */
   private toldCapacities: ReadonlyMap<string, number> = new Map();
   private refused: Contract[] = [];
@@ -265,6 +269,7 @@
     if (!this.takeCopies(view)) return;
     this.announceMs = view.announceMs ?? this.announceMs;
     if (view.members) this.takeMembers(view.members);
+    if (view.place) this.takePlace(view.place);
     // The leader takes a later poll as proof that the capacities of the ones before weren't taken.
     if (sentMs === this.lastSentMs) this.takeCapacities(view);
     this.untilMs = Math.max(this.untilMs, sentMs + view.grantMs);
@@ -297,6 +302,14 @@
     this.ferry.know(recorders);
   }
 
+  private takePlace(place: EdgePlace): void {
+    const { count, zoneIndex, zoneCount } = this.place ?? {};
+    if (count === place.count && zoneIndex === place.zoneIndex && zoneCount === place.zoneCount)
+      return;
+    this.place = place;
+    this.onPlace(place);
+  }
+
   private takeCapacities({ capacities, grantNumber }: GrantedView): void {
     if (capacities)
       this.toldCapacities = new Map(capacities.map(({ service, capacity }) => [service, capacity]));
--- a/src/door/door.ts
+++ b/src/door/door.ts
@@ -437,10 +437,13 @@
         return giveUp(`No back end of ${service} took this in time.`);
       const contract = this.shares.pick(
         this.view.backEnds(service),
-        tried,
-        mapping.inHandLimit,
+        {
+          tried,
+          inHandLimit: mapping.inHandLimit,
+          maxConnections: this.view.mappings.service(service)?.maxConnections,
+          route: mapping.name,
+        },
         nowMs,
-        mapping.name,
       );
       if (!contract) return giveUp(`No back end of ${service} can take this now.`);
       const isFurther = sends > 0;
--- a/src/machine/daemon.ts
+++ b/src/machine/daemon.ts
@@ -118,6 +118,7 @@
     this.view = new View(world, this.ferry, () => this.machine(), this.budget);
     this.shares = new LoadBalancer(settings.zone, () => world.random());
     this.view.onLease = () => this.door.leased();
+    this.view.onPlace = (place) => this.shares.setPlace(place);
     this.view.onConfig = ({ limits }) => this.onLimits(limits);
     this.view.onDirectory = (contracts) => {
       options.backEnds.keepOnly(new Set(contracts.map(poolOf)));
--- a/src/traffic/loadBalancer.ts
+++ b/src/traffic/loadBalancer.ts
@@ -1,4 +1,5 @@
 import type { Backend } from "./backend.js";
+import { connectionShare, ringRanks, subsetSizeFor, type RingPlace } from "./backendRing.js";
 import { BackendStats } from "./backendStats.js";
 import { RouteStatsTable, unseenBytes, type RouteStats } from "./routeStats.js";
 import type { TryOutcome } from "./tryOutcome.js";
@@ -25,6 +26,17 @@
   readonly why: string;
 }
 
+/** What bounds the choice of a backend for one request. */
+export interface PickTerms {
+  /** Addresses that the request was sent to already. */
+  readonly tried: ReadonlySet<string>;
+  /** How many requests this daemon may have in hand at one backend. */
+  readonly inHandLimit: number;
+  /** How many connections one backend bears from all daemons together. */
+  readonly maxConnections?: number | undefined;
+  readonly route?: string;
+}
+
 /** Chooses among a service's backends by what this daemon has seen of them, steered toward the goals. */
 export class LoadBalancer {
   private readonly zone: string;
@@ -32,6 +44,9 @@
   private readonly statsByKey = new Map<string, BackendStats>();
   private known = new WeakMap<Backend, BackendStats>();
   private readonly routes = new RouteStatsTable();
+  private place: RingPlace | undefined;
+  /** The ring order of lists of backends, as places in the list. */
+  private orders = new WeakMap<readonly Backend[], readonly number[]>();
 
   /** `random` gives 0 to 1. */
   constructor(zone: string, random: () => number) {
@@ -39,19 +54,32 @@
     this.random = random;
   }
 
-  /** Chooses a backend: of two drawn by share, the one that should be done sooner. */
+  /** Learns this daemon's place among all; until then every backend is as good as another. */
+  setPlace(place: RingPlace): void {
+    this.place = place;
+    this.orders = new WeakMap();
+  }
+
+  /**
+   * Chooses a backend: of two drawn by share, the one that should be done sooner. They are drawn from this daemon's subset: the
+   * first of its ring order that are well and have room, so that connections are used again and no backend meets all daemons.
+   */
   pick<B extends Backend>(
     backends: readonly B[],
-    tried: ReadonlySet<string>,
-    inHandLimit: number,
+    { tried, inHandLimit, maxConnections, route = "" }: PickTerms,
     nowMs: number,
-    route = "",
   ): B | undefined {
-    const open = backends.filter(
-      (backend) => !tried.has(backend.address) && this.stats(backend, nowMs).inHand < inHandLimit,
+    const sharing = {
+      maxConnections,
+      backendCount: backends.length,
+      daemonCount: this.daemonCount,
+    };
+    const limit = Math.min(inHandLimit, connectionShare(sharing));
+    const open = this.ordered(backends).filter(
+      (backend) => !tried.has(backend.address) && this.stats(backend, nowMs).inHand < limit,
     );
     const well = open.filter((backend) => BackendStats.isWell(this.stats(backend, nowMs), nowMs));
-    const from = well.length > 0 ? well : open;
+    const from = this.subset(well.length > 0 ? well : open, subsetSizeFor(sharing), nowMs);
     const weights = from.map((backend) => this.weight(backend, nowMs));
     const first = this.draw(from, weights, undefined);
     const second = this.draw(from, weights, first);
@@ -126,6 +154,32 @@
     this.known = new WeakMap();
   }
 
+  /** How many daemons share the backends; one until this daemon has been told its place. */
+  private get daemonCount(): number {
+    return this.place?.count ?? 1;
+  }
+
+  /** Backends in this daemon's ring order, worked out once for each list. */
+  private ordered<B extends Backend>(backends: readonly B[]): readonly B[] {
+    if (!this.place) return backends;
+    const ranks = this.orders.get(backends) ?? ringRanks(backends, this.zone, this.place);
+    this.orders.set(backends, ranks);
+    return ranks.flatMap((rank) => backends[rank] ?? []);
+  }
+
+  /** The first backends that this daemon doesn't keep busy by itself; busy ones too where there are too few of those. */
+  private subset<B extends Backend>(
+    backends: readonly B[],
+    size: number,
+    nowMs: number,
+  ): readonly B[] {
+    if (!this.place || backends.length <= size) return backends;
+    const free = backends.filter(
+      (backend) => this.stats(backend, nowMs).inHand < Math.max(1, backend.capacity),
+    );
+    return (free.length >= size ? free : backends).slice(0, size);
+  }
+
   private key(backend: Backend): string {
     return `${backend.address} ${backend.number}`;
   }
--- a/test/traffic/loadBalancer.test.ts
+++ b/test/traffic/loadBalancer.test.ts
@@ -22,7 +22,7 @@
   const backends = [backend("well"), backend("slow"), backend("failing"), backend("far", "b")];
   const taken = new Map<string, number>();
   for (let nowMs = 0; nowMs < 20_000; nowMs += 10) {
-    const one = shares.pick(backends, new Set(), 100, nowMs);
+    const one = shares.pick(backends, { tried: new Set(), inHandLimit: 100 }, nowMs);
     if (!one) throw new Error("nothing was picked");
     taken.set(one.address, (taken.get(one.address) ?? 0) + 1);
     shares.began(one, nowMs);
--- a/test/traffic/silence.test.ts
+++ b/test/traffic/silence.test.ts
@@ -31,7 +31,9 @@
     new Set(
       Array.from(
         { length: 200 },
-        () => shares.pick([dark, well], new Set(), 100, nowMs, "r")?.address ?? "",
+        () =>
+          shares.pick([dark, well], { tried: new Set(), inHandLimit: 100, route: "r" }, nowMs)
+            ?.address ?? "",
       ),
     );
   expect(picked(150)).toEqual(new Set(["dark", "well"]));
@@ -57,9 +59,9 @@
         );
       }
   const farPart = (route: string): number =>
-    Array.from({ length: 400 }, () => shares.pick([near, far], new Set(), 100, 5000, route)).filter(
-      (one) => one === far,
-    ).length / 400;
+    Array.from({ length: 400 }, () =>
+      shares.pick([near, far], { tried: new Set(), inHandLimit: 100, route }, 5000),
+    ).filter((one) => one === far).length / 400;
   expect(farPart("large")).toBeLessThan(0.1);
   expect(farPart("small")).toBeGreaterThan(0.9);
 });
