A configuration that a slow link can't return in time is read at a member of the log

Weighed: fewer bytes (the answer is what was sent, and callers take no encoding), control addresses on members alone (every beat of every backend would come to five machines). Chosen: a daemon whose link would take longer than 0.2 s answers 307 with the operators' address of a member that doesn't lead; members are the machines with faster links.

--- a/src/contract/order.ts
+++ b/src/contract/order.ts
@@ -122,6 +122,8 @@
   peer: string(),
   incarnation: string(),
   draining: boolean(),
+  /** Where it serves operators. */
+  operators: optional(string()),
 });
 
 /** A machine as it shows itself to the fleet. */
@@ -173,6 +175,8 @@
   digest: string(),
   collectors: array(object({ zone: string(), peer: string() })),
   recorders: array(string()),
+  /** Where members of the log that don't lead serve operators. */
+  operators: optional(array(string())),
 });
 
 /** Whom a daemon reaches of the control plane: collectors and members of the replicated log. */
--- a/src/contract/registry.ts
+++ b/src/contract/registry.ts
@@ -385,8 +385,18 @@
       .sort((a, b) => (a.peer < b.peer ? -1 : 1));
     const { voters, learners } = this.recorder.currentMembers;
     const recorders = [...voters, ...learners];
-    const digest = itemHash(JSON.stringify([collectors, recorders])).toString(36);
-    return { digest, collectors, recorders };
+    const operators = this.followerOperators(new Set(recorders));
+    const digest = itemHash(JSON.stringify([collectors, recorders, operators])).toString(36);
+    return { digest, collectors, recorders, operators };
+  }
+
+  /** Where members that follow serve operators; the leader has enough to do. */
+  private followerOperators(recorders: ReadonlySet<string>): string[] {
+    return [...this.machines.values()]
+      .filter(({ silent, machine }) => !silent && !machine.draining && recorders.has(machine.peer))
+      .filter(({ machine }) => machine.peer !== this.recorder.self)
+      .flatMap(({ machine }) => machine.operators ?? [])
+      .sort();
   }
 
   /** An edge's place, once this leader has led for as long as a lease, so that every live edge has polled it. */
--- a/src/contract/view.ts
+++ b/src/contract/view.ts
@@ -72,6 +72,8 @@
   private readonly names = new Map<number, string>();
   mappings = new Mappings(Config.empty);
   collectors: KnownMembers["collectors"] = [];
+  /** Where members of the log that don't lead serve operators. */
+  memberOperators: readonly string[] = [];
   private membersDigest = "";
   private place: EdgePlace | undefined;
   /** What the grant of capacities says that `grantNumber` names. */
@@ -296,7 +298,8 @@
     return false;
   }
 
-  private takeMembers({ digest, collectors, recorders }: KnownMembers): void {
+  private takeMembers({ digest, collectors, recorders, operators = [] }: KnownMembers): void {
+    this.memberOperators = operators;
     this.membersDigest = digest;
     this.collectors = collectors;
     this.ferry.know(recorders);
--- a/src/machine/daemon.ts
+++ b/src/machine/daemon.ts
@@ -99,7 +99,7 @@
     this.roles = Settings.roles(settings);
     this.log = world.logbook.part("machine");
     this.incarnation = World.nonce(world);
-    const pacers = options.pacers ?? LinkPacers.of(world.clock, undefined);
+    const pacers = options.pacers ?? LinkPacers.of(world.clock, settings.limits?.linkMbps);
     this.link = new Link(world, settings.peers, undefined, pacers);
     this.seeds = settings.seeds;
     this.ferry = new Ferry(world, this.link, () => [...this.seeds, ...this.meeting.recorders]);
@@ -181,6 +181,8 @@
       this.ferry,
       this.view,
       this.shares,
+      pacers.egress,
+      settings.operators,
       {
         status: () => this.status(),
         notReady: () => this.notReady(),
@@ -286,7 +288,7 @@
   }
 
   private machine(): Machine {
-    const { machine, zone, peers } = this.settings;
+    const { machine, zone, peers, operators } = this.settings;
     return {
       name: machine,
       zone,
@@ -294,6 +296,7 @@
       peer: peers,
       incarnation: this.incarnation,
       draining: this.draining,
+      operators,
     };
   }
 
--- a/src/operator/operators.ts
+++ b/src/operator/operators.ts
@@ -33,6 +33,7 @@
 import type { Job } from "../door/job.js";
 import { Job as Jobs } from "../door/job.js";
 import { Return } from "../door/verdict.js";
+import type { LinkPacer } from "../runtime/linkPacer.js";
 import type { Task } from "../runtime/task.js";
 import { World } from "../runtime/world.js";
 import type { RetryRules } from "../traffic/retryRules.js";
@@ -46,6 +47,8 @@
  * that would come later is given as "not known" in time; the same call sent again, to any daemon, tells more.
  */
 const answerMs = 800;
+/** Answers that would take longer to leave the link are given by a daemon with a faster one. */
+const slowAnswerMs = 200;
 /** How many bytes of an order a slow link takes in a millisecond; callers wait longer for large bodies. */
 const slowBytesMs = 100;
 /** When to come back, in seconds: an election is over by then. */
@@ -155,6 +158,9 @@
   private readonly ferry: Ferry;
   private readonly view: View;
   private readonly shares: LoadBalancer;
+  private readonly egress: LinkPacer;
+  /** Where this daemon serves operators. */
+  private readonly ownAddress: string;
   private readonly desk: Desk;
   private readonly orderMs: number;
   private readonly rules: RetryRules;
@@ -164,6 +170,8 @@
     ferry: Ferry,
     view: View,
     shares: LoadBalancer,
+    egress: LinkPacer,
+    ownAddress: string,
     desk: Desk,
     bounds: { readonly orderMs: number; readonly budget: RetryRules } = {
       orderMs: 4000,
@@ -174,6 +182,8 @@
     this.ferry = ferry;
     this.view = view;
     this.shares = shares;
+    this.egress = egress;
+    this.ownAddress = ownAddress;
     this.desk = desk;
     this.orderMs = bounds.orderMs;
     this.rules = bounds.budget;
@@ -246,7 +256,15 @@
         `Config ${version} is no longer kept: the oldest go first when the disk's share for them is full.`,
       );
     if (!found) return fault(404, `No config ${version} is kept.`);
-    const config: unknown = JSON.parse(TravellingText.read(found));
+    const configText = TravellingText.read(found);
+    const elsewhere = this.elsewhereFor(configText);
+    if (elsewhere !== undefined)
+      return Return.json(
+        307,
+        { error: "This daemon's link is too slow for it; a member of the log has it." },
+        { location: `http://${elsewhere}/config${version === undefined ? "" : `/${version}`}` },
+      );
+    const config: unknown = JSON.parse(configText);
     return Return.json(
       200,
       {
@@ -260,6 +278,13 @@
     );
   }
 
+  /** Where a text is better read that this daemon's own link would take too long for: the machines of members are the stronger ones. */
+  private elsewhereFor(text: string): string | undefined {
+    if (this.egress.waitMs(text.length) <= slowAnswerMs) return undefined;
+    const others = this.view.memberOperators.filter((address) => address !== this.ownAddress);
+    return others[Math.floor(this.world.random() * others.length)];
+  }
+
   private *change(job: Job): Task<Return> {
     const parsed = parse(job.body);
     if (!parsed)
--- a/test/platform/orderStage.ts
+++ b/test/platform/orderStage.ts
@@ -9,6 +9,7 @@
   readonly sentMs: number;
   answeredMs: number | undefined;
   code: number | undefined;
+  headers: Record<string, string>;
   body: string;
 }
 
@@ -96,10 +97,12 @@
       sentMs: this.time.nowMs(),
       answeredMs: undefined,
       code: undefined,
+      headers: {},
       body: "",
     };
     const give = (ret: Return): void => {
       call.code = ret.code;
+      call.headers = ret.headers;
       call.body = Buffer.from(ret.body).toString();
       call.answeredMs = this.time.nowMs();
     };
