Late answers are no evidence of a cut: a lapsed lease is not served by while members are heard

A peer that had rested for more than a second was taken for silent at its first late answer, and stayed so for all of contact, also after it was heard again: under an overloaded control side half of the members soon counted as gone, and the lapsed lease was served by.

Ruled out: bytes held back after the check (the request came 0.17 s after the lease had ended).

Change: silence counts from the first ask that waits for an answer, and whoever was heard after a failure is not out of reach. The history's learner asks the same.

Tests: an overloaded peer after a rest, a cut peer until it is heard again; both fail before. The same cause was looked for wherever a connection's failure is read: LapsedLease and HistoryKeeper.

--- a/src/door/lapsedLease.ts
+++ b/src/door/lapsedLease.ts
@@ -4,8 +4,8 @@
 export interface CoreContact {
   /** The members as last heard of, by their addresses. */
   readonly members: readonly string[];
-  /** Whether no connection to a member could be had, or one went silent, since a moment. */
-  hasFailed(member: string, sinceMs: number): boolean;
+  /** Whether no connection to a member could be had, or one went silent, since a moment, and it was not heard after that. */
+  isOutOfReach(member: string, sinceMs: number): boolean;
 }
 
 /** How long a daemon may go on without a lease, and how long a failed connection says that the core is not settled. */
@@ -18,7 +18,7 @@
  * Decides whether requests are still served by a view whose lease is over. A lapse alone proves nothing: a leader that is
  * overloaded, a full link or a majority that our own members have lost bring it too, while the bound on old configurations holds.
  * So it takes evidence that the core is not settled, or that this machine is cut off from it: connections to half of the members
- * or more failed within `contactMs`.
+ * or more failed within `contactMs` and nothing was heard of them since. A member that answers late is not out of reach.
  */
 export class LapsedLease {
   private readonly clock: Clock;
@@ -39,7 +39,7 @@
   private isCoreUnsettled(): boolean {
     const { members } = this.core;
     const sinceMs = this.clock.nowMs() - this.bounds.contactMs;
-    const failed = members.filter((member) => this.core.hasFailed(member, sinceMs));
+    const failed = members.filter((member) => this.core.isOutOfReach(member, sinceMs));
     return members.length > 0 && failed.length * 2 >= members.length;
   }
 }
--- a/src/link/link.ts
+++ b/src/link/link.ts
@@ -16,6 +16,8 @@
   readonly outgoing: Holding<Uint8Array>;
   readonly waiting: Map<number, (body: Uint8Array | undefined) => void>;
   heardMs: number;
+  /** Since when an ask has waited though nothing was heard; undefined once something is. */
+  unansweredSinceMs: number | undefined;
   /** When a connection to it last failed or went silent. */
   failedMs: number;
   /** The frames that are tried on this peer: the newest, until it turns them down. */
@@ -105,7 +107,7 @@
     const peer = this.peer(address);
     const job = this.nextJob;
     this.nextJob = (this.nextJob + 1) % 2 ** 32;
-    const sentMs = this.world.clock.nowMs();
+    peer.unansweredSinceMs ??= this.world.clock.nowMs();
     const body = yield* Clock.within<Uint8Array | undefined>(this.world.clock, waitMs, (done) => {
       peer.waiting.set(job, done);
       const frame = Frame.encode({
@@ -120,14 +122,7 @@
     });
     peer.waiting.delete(job);
     if (body === undefined) {
-      if (
-        peer.channel &&
-        peer.heardMs < sentMs &&
-        this.world.clock.nowMs() - peer.heardMs > silentMs
-      ) {
-        peer.failedMs = this.world.clock.nowMs();
-        peer.channel.close();
-      }
+      this.closeIfSilent(peer);
       if (late) this.takeLate(peer, job, late, (found) => exactly(kind.return, found));
       return undefined;
     }
@@ -144,9 +139,25 @@
     return (this.peers.get(address)?.heardMs ?? -Infinity) >= sinceMs;
   }
 
-  /** Whether a connection to a peer failed or went silent since a moment. */
-  hasFailed(address: string, sinceMs: number): boolean {
-    return (this.peers.get(address)?.failedMs ?? -Infinity) >= sinceMs;
+  /** Whether a connection to a peer failed or went silent since a moment, and nothing was heard of it after that. */
+  isOutOfReach(address: string, sinceMs: number): boolean {
+    const peer = this.peers.get(address);
+    return peer !== undefined && peer.failedMs >= sinceMs && peer.failedMs > peer.heardMs;
+  }
+
+  /** Gives a connection up on which an ask has waited for so long that nobody can be there; a slow answer is no silence. */
+  private closeIfSilent(peer: Peer): void {
+    const nowMs = this.world.clock.nowMs();
+    const { channel, unansweredSinceMs } = peer;
+    if (!channel || unansweredSinceMs === undefined || nowMs - unansweredSinceMs <= silentMs)
+      return;
+    peer.failedMs = nowMs;
+    channel.close();
+  }
+
+  private noteHeard(peer: Peer): void {
+    peer.heardMs = this.world.clock.nowMs();
+    peer.unansweredSinceMs = undefined;
   }
 
   /** Waits on for a return that didn't come in time, beside whatever is asked next. */
@@ -174,6 +185,7 @@
       outgoing: new Holding(),
       waiting: new Map(),
       heardMs: -Infinity,
+      unansweredSinceMs: undefined,
       failedMs: -Infinity,
       sequence: this.newest,
       channel: undefined,
@@ -189,7 +201,8 @@
       const connected = yield* this.world.wire.connect(peer.address);
       if (connected) {
         const channel = new PacedChannel(connected, this.pacers.egress, this.world.clock);
-        peer.heardMs = this.world.clock.nowMs();
+        this.noteHeard(peer);
+        peer.unansweredSinceMs = peer.heardMs;
         peer.channel = channel;
         channel.send(first);
         for (const frame of peer.outgoing.drain()) channel.send(frame);
@@ -213,7 +226,7 @@
     for (;;) {
       const piece = yield* channel.incoming.take();
       if (piece === "closed") return heard;
-      peer.heardMs = this.world.clock.nowMs();
+      this.noteHeard(peer);
       this.pacers.ingress.note(piece.length);
       try {
         for (const frame of reader.read(piece)) {
--- a/src/machine/daemon.ts
+++ b/src/machine/daemon.ts
@@ -282,7 +282,7 @@
       get members() {
         return ferry.recorders;
       },
-      hasFailed: (member: string, sinceMs: number) => link.hasFailed(member, sinceMs),
+      isOutOfReach: (member: string, sinceMs: number) => link.isOutOfReach(member, sinceMs),
     };
     return new LapsedLease(this.world.clock, core, this.bounds.figures);
   }
--- a/src/record/historyKeeper.ts
+++ b/src/record/historyKeeper.ts
@@ -174,8 +174,7 @@
   }
 
   private isGone(peer: string): boolean {
-    const sinceMs = this.world.clock.nowMs() - failedMs;
-    return this.link.hasFailed(peer, sinceMs) && !this.link.hasHeard(peer, sinceMs);
+    return this.link.isOutOfReach(peer, this.world.clock.nowMs() - failedMs);
   }
 
   /** Learns some of the newest configs that are missing here, while there is room for them. */
--- a/test/door/lapsedLease.test.ts
+++ b/test/door/lapsedLease.test.ts
@@ -11,7 +11,7 @@
     time.clock(),
     {
       members,
-      hasFailed: (member, sinceMs) => (failedMs.get(member) ?? -Infinity) >= sinceMs,
+      isOutOfReach: (member, sinceMs) => (failedMs.get(member) ?? -Infinity) >= sinceMs,
     },
     bounds,
   );
--- a/test/link/link.test.ts
+++ b/test/link/link.test.ts
@@ -32,12 +32,12 @@
     Task.start(link.listen(), fail);
     return link;
   };
-  const ask = (from: Link, to: { readonly self: string }): boolean | undefined => {
+  const ask = (from: Link, to: { readonly self: string }, waitMs = 500): boolean | undefined => {
     const returns: Array<boolean | undefined> = [];
-    Task.start(from.ask(to.self, Kind.handOver, { term: 7 }, 500), fail, (ret) =>
+    Task.start(from.ask(to.self, Kind.handOver, { term: 7 }, waitMs), fail, (ret) =>
       returns.push(ret?.taken),
     );
-    time.runUntil(time.nowMs() + 600);
+    time.runUntil(time.nowMs() + waitMs + 100);
     return returns[0];
   };
   return { time, network, linkAt, ask };
@@ -90,9 +90,42 @@
   const gone = { self: "10.0.0.9:1" };
   const sinceMs = time.nowMs();
   expect(ask(asking, slow)).toBeUndefined();
-  expect(asking.hasFailed(slow.self, sinceMs)).toBe(false);
+  expect(asking.isOutOfReach(slow.self, sinceMs)).toBe(false);
   expect(ask(asking, gone)).toBeUndefined();
   time.runUntil(time.nowMs() + 2000);
-  expect(asking.hasFailed(gone.self, sinceMs)).toBe(true);
-  expect(asking.hasFailed(gone.self, time.nowMs())).toBe(false);
+  expect(asking.isOutOfReach(gone.self, sinceMs)).toBe(true);
+  expect(asking.isOutOfReach(gone.self, time.nowMs())).toBe(false);
+});
+
+test("a peer that rested for long and then answers late, as an overloaded one does, is not out of reach", () => {
+  const { time, linkAt, ask } = stage();
+  const asking = linkAt("10.0.0.1:1", 3);
+  const slow = linkAt("10.0.0.2:1", 3);
+  expect(ask(asking, slow)).toBe(true);
+  slow.serve(Kind.handOver, function* () {
+    yield* Clock.rest(time.clock(), 600);
+    return { taken: true };
+  });
+  for (let round = 0; round < 10; round += 1) {
+    time.runUntil(time.nowMs() + 5000);
+    expect(ask(asking, slow, 200)).toBeUndefined();
+    expect(asking.isOutOfReach(slow.self, 0)).toBe(false);
+  }
+});
+
+test("a peer that says nothing for a second while it is asked is out of reach until it is heard again", () => {
+  const { time, network, linkAt, ask } = stage();
+  const [asking, peer] = [linkAt("10.0.0.1:1", 3), linkAt("10.0.0.2:1", 3)];
+  expect(ask(asking, peer)).toBe(true);
+  const sinceMs = time.nowMs();
+  const ways = [
+    [asking.self, peer.self],
+    [peer.self, asking.self],
+  ] as const;
+  for (const [from, to] of ways) network.cut(from, to);
+  while (time.nowMs() < sinceMs + 2500) ask(asking, peer, 200);
+  expect(asking.isOutOfReach(peer.self, sinceMs)).toBe(true);
+  for (const [from, to] of ways) network.mend(from, to);
+  while (ask(asking, peer, 200) === undefined && time.nowMs() < sinceMs + 9000);
+  expect(asking.isOutOfReach(peer.self, sinceMs)).toBe(false);
 });
