What may be repeated is broken off once its client has left; nothing is sent for one that has

Cause: a try always ran to its end, so that backends worked on for clients that had gone, and a request whose client left while its connection was opened still reached one (GONE).

Change: a client's leaving breaks off safe requests and downloads at their backend and says nothing of the backend; keyed and unsafe ones go on, since they may run only once. Right before the first byte it is asked whether the client is still there.

--- a/src/door/backEnds.ts
+++ b/src/door/backEnds.ts
@@ -47,6 +47,8 @@
   readonly dueMs?: number | undefined;
   /** Whether it must run once at most: it then uses no connection on which a response named no request. */
   readonly isOnce?: boolean;
+  /** Calls back once nobody waits for the response any more, where it may then be broken off; returns a cancel function. */
+  onUnwanted?(run: () => void): () => void;
   /** Whether it may still be sent; asked when the connection stands, right before the first byte. */
   mayStill(): boolean;
 }
@@ -439,12 +441,13 @@
 
     const dispatched = function* (
       line: Line,
-      { job, untilMs, dueMs = untilMs }: BackTry,
+      { job, untilMs, dueMs = untilMs, onUnwanted }: BackTry,
     ): Task<Opened | "over"> {
       return yield* Task.wait<Opened | "over">((done) => {
         let isLate = false;
         let isOver = false;
         let cancelDrain = (): void => undefined;
+        let cancelUnwanted = (): void => undefined;
         const receiving = new Receiving(
           (outcome) => {
             if ("error" in outcome) {
@@ -461,6 +464,7 @@
           (isWhole) => {
             isOver = true;
             cancelTimer();
+            cancelUnwanted();
             cancelDrain();
             if (isWhole) rest(line);
             else over(line);
@@ -485,6 +489,7 @@
           rest(line);
           return done("unreached");
         }
+        cancelUnwanted = onUnwanted?.(drop) ?? cancelUnwanted;
         pacers.egress.note(headBytesOf(job));
         line.client.dispatch(
           {
--- a/src/door/door.ts
+++ b/src/door/door.ts
@@ -85,6 +85,8 @@
   "proxy-connection",
 ]);
 
+const noCancel = (): void => undefined;
+
 const passedOn = (headers: Record<string, string>): Record<string, string> => {
   const passed: Record<string, string> = {};
   const named = headers["connection"];
@@ -493,6 +495,7 @@
     const claimEnds = passage.claim?.sendUntilMs ?? Infinity;
     const mapping = this.find(passage);
     const may =
+      !passage.caller.isGone &&
       mapping !== undefined &&
       mapping.takes(service) &&
       this.mayServe(passage, mapping) &&
@@ -542,6 +545,7 @@
     const id = passage.id ?? `${service}/${this.incarnation}-${this.tries}`;
     const untilMs =
       this.dialect.deadline === undefined ? startedMs + mapping.giveUpMs : passage.untilMs;
+    const { caller } = passage;
     const { method, target, body, rest } = passage.job;
     this.shares.began(contract, startedMs, mapping.name);
     const opened = yield* this.backEnds.send({
@@ -558,6 +562,9 @@
       untilMs,
       dueMs: passage.caller.dueMs,
       isOnce: !mapping.repeatable,
+      ...(mapping.repeatable && caller.onGone
+        ? { onUnwanted: (run) => caller.onGone?.(run) ?? noCancel }
+        : {}),
       mayStill: () => this.mayStill(passage, service, contract, isFurther),
     });
     if (opened === "refused" || opened === "foreign") this.view.noteRefused(contract);
@@ -568,6 +575,11 @@
     const isSent = typeof opened !== "string" || outcomeOf(opened).isSent;
     const ending = yield* this.receive(passage, mapping, contract, opened, id);
     const nowMs = clock.nowMs();
+    // What a caller broke off by leaving tells nothing of the backend.
+    if (ending.why !== "" && caller.isGone && mapping.repeatable) {
+      this.shares.withdrew(contract, nowMs);
+      return { ending, isSent };
+    }
     const whole =
       typeof ending.ret === "string"
         ? ending.ret === "streamed"
--- a/src/door/job.ts
+++ b/src/door/job.ts
@@ -15,6 +15,8 @@
 /** The way back to a caller. */
 export interface Caller {
   readonly isGone: boolean;
+  /** Calls back once the caller has left; returns a cancel function. Absent where nothing is heard of it. */
+  onGone?(run: () => void): () => void;
   /** Waits until all that came before on its connection is answered; false where that closed the connection. Absent where requests come one at a time. */
   turn?(): Task<boolean>;
   /** When the response should have ended: of two large ones, that which is due first goes first. */
--- a/src/machine/httpCaller.ts
+++ b/src/machine/httpCaller.ts
@@ -67,6 +67,12 @@
     return this.connection.isOver;
   }
 
+  onGone(run: () => void): () => void {
+    const { over } = this.connection;
+    over.add(run);
+    return () => over.delete(run);
+  }
+
   /** Waits until all that came before on the connection is answered; false where the connection ends before. */
   *turn(): Task<boolean> {
     const { connection } = this;
