A staged fleet whose machines have a share of a core and a link of their own rate

The simulator had neither: every machine was infinitely fast, so that no test of ours could fail for what fails at size. In the staged fleet for tests each machine now has a processor (events wait while it is busy; wake-ups, messages, KiB and connections are charged) and a link with one queue each way. The charges are estimates; the links are the deployments' own rates.

First test: 6 members and 30 edges at the grown deployments' rates, 2,500 routes, a storm of changes through edges, one keyed write claimed every 20 ms.

--- a/test/record/fleetStage.ts
+++ b/test/record/fleetStage.ts
@@ -1,5 +1,7 @@
 import { Daemon } from "../../src/machine/daemon.js";
 import type { Settings } from "../../src/machine/settings.js";
+import type { Clock } from "../../src/runtime/clock.js";
+import type { Wire } from "../../src/runtime/wire.js";
 import { Task } from "../../src/runtime/task.js";
 import { Deed } from "../../src/record/book.js";
 import { Draw } from "../../src/rehearsal/draw.js";
@@ -39,6 +41,13 @@
   }
 }
 
+/** What the process of a staged machine runs on. */
+export interface MachineLife {
+  readonly gate: Gate;
+  readonly clock: Clock;
+  readonly wire: Wire;
+}
+
 /** Daemons on a virtual network: `d` is a machine with a disk, `e` one without; each letter pair names kind and zone. */
 export class FleetStage {
   readonly time = new VirtualClock();
@@ -93,13 +102,13 @@
   boot(machine: StageMachine, more: Partial<Settings> = {}): void {
     if (machine.daemon) return;
     machine.settings = { ...machine.settings, ...more };
-    machine.gate = new Gate();
-    const clock = machine.gate.clock(this.time.clock());
+    const { gate, clock, wire } = this.lifeOf(machine);
+    machine.gate = gate;
     machine.disk?.restart(clock);
     const name = machine.settings.machine;
     const world = virtualWorld({
       clock,
-      wire: this.network.wire(name, machine.gate),
+      wire,
       disk: machine.disk,
       random: this.random,
       lines: (line) => this.lines.push(`${this.time.nowMs().toFixed(0)} ${name} ${line}`),
@@ -108,6 +117,13 @@
     this.start(machine.daemon.start());
   }
 
+  /** What a machine's next life runs on. */
+  protected lifeOf({ settings }: StageMachine): MachineLife {
+    const gate = new Gate();
+    const clock = gate.clock(this.time.clock());
+    return { gate, clock, wire: this.network.wire(settings.machine, gate) };
+  }
+
   bootAll(): void {
     for (const machine of this.machines) this.boot(machine);
   }
--- /dev/null
+++ b/test/scale/configStorm.test.ts
@@ -0,0 +1,95 @@
+import { expect, test } from "vitest";
+import { Ferry } from "../../src/contract/ferry.js";
+import { Link } from "../../src/link/link.js";
+import { Gate } from "../../src/rehearsal/gate.js";
+import { virtualWorld } from "../../src/rehearsal/virtualWorld.js";
+import { Clock } from "../../src/runtime/clock.js";
+import type { Task } from "../../src/runtime/task.js";
+import { itemOrder, routeTo, type OrderBytes } from "../platform/orderStage.js";
+import type { StageMachine } from "../record/fleetStage.js";
+import { LimitedStage } from "./limitedStage.js";
+
+const zones = ["a", "b", "c"];
+const word = (kind: string, count: number): string[] =>
+  Array.from({ length: count }, (_, at) => `${kind}:${zones[at % zones.length]}`);
+
+const service = { type: "services", meta: { name: "one" }, spec: { maxConns: 66 } };
+const largeOrder = (routes: number): OrderBytes => ({
+  target: "config/put",
+  base: "0",
+  body: JSON.stringify({
+    ver: "r1",
+    objs: [...Array.from({ length: routes }, (_, at) => routeTo(`r${at}`, "one")), service],
+  }),
+});
+
+/** Bounds of the grown deployments: a change is in force everywhere, and acknowledged, within these. */
+const applyMs = 2000;
+const ackMs = 4000;
+/** How long a first try of a keyed write waits for its claim: a fifth of a goal of 900 ms. */
+const claimMs = 180;
+const claimEveryMs = 20;
+
+const begun = (): LimitedStage => {
+  const stage = new LimitedStage([...word("d", 6), ...word("e", 30)], [0, 1, 2], {
+    tolerate: { machines: 2, zones: 0 },
+  });
+  stage.bootAll();
+  stage.wait(5000);
+  return stage;
+};
+
+/** A daemon's way to the leader, on a machine of its own that is never short of anything. */
+const ferryOf = (stage: LimitedStage): Ferry => {
+  const world = virtualWorld({
+    clock: stage.time.clock(),
+    wire: stage.network.wire("caller", new Gate()),
+    random: stage.random,
+  });
+  const link = new Link(world, "10.0.9.9:7000");
+  return new Ferry(world, link, () => stage.disks.map(({ peer }) => peer));
+};
+
+/** Claims one key after another, for as long as the stage runs; how long each claim took. */
+const claiming = (stage: LimitedStage): number[] => {
+  const tookMs: number[] = [];
+  const clock = stage.time.clock();
+  const ferry = ferryOf(stage);
+  const claim = function* (at: number): Task {
+    const sentMs = stage.time.nowMs();
+    const order = { kind: "claim", scope: `key-${at}`, bodyHash: "h", job: `job-${at}` } as const;
+    const text = yield* ferry.command(order, 5000);
+    tookMs.push(text === '{"claimed":true}' ? stage.time.nowMs() - sentMs : Infinity);
+  };
+  stage.start(
+    (function* (): Task {
+      for (let at = 0; ; at += 1) {
+        stage.start(claim(at));
+        yield* Clock.rest(clock, claimEveryMs);
+      }
+    })(),
+  );
+  return tookMs;
+};
+
+test("on links and processors of the grown size, a configuration of 2,500 routes and a storm of changes hold up neither each other nor keyed writes, and cost no leader its lead", () => {
+  const stage = begun();
+  const leaders = stage.changesOfLeader;
+  expect(stage.untilClear(largeOrder(2500), 6)).toBe(200);
+  stage.wait(2000);
+  const edges = stage.machines.filter(({ disk }) => !disk);
+  const claimsTookMs = claiming(stage);
+  for (let version = 1; version <= 10; version += 1) {
+    const through = edges[version % edges.length] ?? stage.at(0);
+    const change = itemOrder(version, version + 1, { name: `s${version}`, svc: "one" });
+    const call = stage.order(through, change);
+    stage.until(() => call.code !== undefined, ackMs);
+    expect(call.code).toBe(200);
+    const isBehind = ({ daemon }: StageMachine): boolean =>
+      daemon?.standing.isGranted !== true || daemon.standing.configSequence < version + 1;
+    stage.until(() => !edges.some(isBehind), applyMs);
+  }
+  expect(stage.changesOfLeader).toBe(leaders);
+  expect(claimsTookMs.length).toBeGreaterThan(20);
+  expect(Math.max(...claimsTookMs)).toBeLessThan(claimMs);
+}, 120_000);
--- /dev/null
+++ b/test/scale/limitedStage.ts
@@ -0,0 +1,61 @@
+import type { Settings } from "../../src/machine/settings.js";
+import { OrderStage } from "../platform/orderStage.js";
+import type { MachineLife, StageMachine } from "../record/fleetStage.js";
+import {
+  LimitedGate,
+  limitedWire,
+  LinkQueue,
+  Processor,
+  usualCharges,
+  type MachineLimits,
+} from "./machineLimits.js";
+
+/** Machines with a disk, and those without, as the grown deployments have them. */
+const memberLimits: MachineLimits = { cpuShare: 0.675, linkMbps: 100 };
+const edgeLimits: MachineLimits = { cpuShare: 0.27, linkMbps: 3.5 };
+
+/** A staged fleet in which every machine has a share of a core and a link of its own rate. */
+export class LimitedStage extends OrderStage {
+  private readonly processors = new Map<StageMachine, Processor>();
+
+  constructor(machines: readonly string[], seeds: readonly number[], more: Partial<Settings> = {}) {
+    super(machines, seeds, more);
+    for (const machine of this.machines) {
+      const { linkMbps } = this.limitsOf(machine);
+      machine.settings = { ...machine.settings, limits: { linkMbps } };
+    }
+  }
+
+  /** The processor of a machine's present life. */
+  processor(machine: StageMachine): Processor {
+    const known = this.processors.get(machine);
+    if (!known) throw new Error("The machine was never started.");
+    return known;
+  }
+
+  /** How often another machine has come to lead. */
+  get changesOfLeader(): number {
+    return this.lines.filter((line) => line.includes("Leads the record.")).length;
+  }
+
+  protected override lifeOf(machine: StageMachine): MachineLife {
+    const time = this.time.clock();
+    const { cpuShare, linkMbps } = this.limitsOf(machine);
+    const processor = new Processor(time, cpuShare);
+    this.processors.set(machine, processor);
+    const gate = new LimitedGate(time, processor, usualCharges);
+    const clock = gate.clock(time);
+    const wire = limitedWire(this.network.wire(machine.settings.machine, gate), {
+      clock,
+      processor,
+      egress: new LinkQueue(clock, linkMbps),
+      ingress: new LinkQueue(clock, linkMbps),
+      charges: usualCharges,
+    });
+    return { gate, clock, wire };
+  }
+
+  private limitsOf(machine: StageMachine): MachineLimits {
+    return machine.disk ? memberLimits : edgeLimits;
+  }
+}
--- /dev/null
+++ b/test/scale/machineLimits.ts
@@ -0,0 +1,177 @@
+import type { Clock } from "../../src/runtime/clock.js";
+import { Holding } from "../../src/runtime/holding.js";
+import { Task } from "../../src/runtime/task.js";
+import type { Channel, Wire } from "../../src/runtime/wire.js";
+import { Gate } from "../../src/rehearsal/gate.js";
+
+/** What a machine of a simulated fleet may use. */
+export interface MachineLimits {
+  /** The share of a core that its process gets. */
+  readonly cpuShare: number;
+  /** The rate of its link, each way. */
+  readonly linkMbps: number;
+}
+
+/** What a whole core takes for each thing that a process does. */
+export interface Charges {
+  readonly wakeUpMs: number;
+  readonly messageMs: number;
+  readonly kibibyteMs: number;
+  readonly connectionMs: number;
+}
+
+/** Estimates, not yet calibrated against the real program; what tests assert must not hang on them alone. */
+export const usualCharges: Charges = {
+  wakeUpMs: 0.02,
+  messageMs: 0.06,
+  kibibyteMs: 0.02,
+  connectionMs: 0.4,
+};
+
+const bytesPerMsOfMbps = 125;
+const kibibyte = 1024;
+
+/** One process's share of a core: work is done one piece after another, and what comes while it is busy waits. */
+export class Processor {
+  private readonly clock: Clock;
+  private readonly share: number;
+  private freeAtMs = 0;
+  /** How much work was done, in milliseconds of a whole core. */
+  usedMs = 0;
+
+  constructor(clock: Clock, share: number) {
+    this.clock = clock;
+    this.share = share;
+  }
+
+  /** How long new work waits. */
+  get waitMs(): number {
+    return Math.max(0, this.freeAtMs - this.clock.nowMs());
+  }
+
+  /** Counts work that takes so long on a whole core. */
+  charge(coreMs: number): void {
+    this.usedMs += coreMs;
+    this.freeAtMs = Math.max(this.freeAtMs, this.clock.nowMs()) + coreMs / this.share;
+  }
+}
+
+/** A gate whose events wait for the processor. */
+export class LimitedGate extends Gate {
+  private readonly queue: Array<() => void> = [];
+  private isWaiting = false;
+  private readonly processor: Processor;
+  private readonly charges: Charges;
+  private readonly time: Clock;
+
+  constructor(time: Clock, processor: Processor, charges: Charges) {
+    super();
+    this.time = time;
+    this.processor = processor;
+    this.charges = charges;
+  }
+
+  override pass(run: () => void): void {
+    this.queue.push(run);
+    this.serve();
+  }
+
+  override kill(): void {
+    this.queue.splice(0);
+    super.kill();
+  }
+
+  private serve(): void {
+    while (!this.isWaiting && this.queue.length > 0) {
+      const { waitMs } = this.processor;
+      if (waitMs > 0) {
+        this.isWaiting = true;
+        this.time.after(waitMs, () => {
+          this.isWaiting = false;
+          this.serve();
+        });
+        return;
+      }
+      const next = this.queue.shift();
+      this.processor.charge(this.charges.wakeUpMs);
+      if (next) super.pass(next);
+    }
+  }
+}
+
+/** One direction of a machine's link: bytes leave one after another at its rate. */
+export class LinkQueue {
+  private readonly clock: Clock;
+  private readonly bytesPerMs: number;
+  private emptyAtMs = 0;
+
+  constructor(clock: Clock, mbps: number) {
+    this.clock = clock;
+    this.bytesPerMs = mbps * bytesPerMsOfMbps;
+  }
+
+  /** Queues bytes; tells in how long the last of them has left. */
+  queueMs(bytes: number): number {
+    const nowMs = this.clock.nowMs();
+    this.emptyAtMs = Math.max(this.emptyAtMs, nowMs) + bytes / this.bytesPerMs;
+    return this.emptyAtMs - nowMs;
+  }
+}
+
+/** What one machine's traffic passes. */
+export interface MachineParts {
+  readonly clock: Clock;
+  readonly processor: Processor;
+  readonly egress: LinkQueue;
+  readonly ingress: LinkQueue;
+  readonly charges: Charges;
+}
+
+const fail = (error: unknown): void => {
+  throw error;
+};
+
+const limitedChannel = (inner: Channel, parts: MachineParts): Channel => {
+  const { clock, processor, egress, ingress, charges } = parts;
+  const incoming = new Holding<Uint8Array | "closed">();
+  const chargeFor = (bytes: number): void =>
+    processor.charge(charges.messageMs + (bytes / kibibyte) * charges.kibibyteMs);
+  const receiving = function* (): Task {
+    for (;;) {
+      const piece = yield* inner.incoming.take();
+      if (piece === "closed") {
+        incoming.put("closed");
+        return;
+      }
+      const waitMs = ingress.queueMs(piece.length);
+      clock.after(waitMs, () => {
+        chargeFor(piece.length);
+        incoming.put(piece);
+      });
+    }
+  };
+  Task.start(receiving(), fail);
+  return {
+    incoming,
+    send(bytes) {
+      chargeFor(bytes.length);
+      clock.after(egress.queueMs(bytes.length), () => inner.send(bytes));
+    },
+    close: () => inner.close(),
+  };
+};
+
+/** A wire whose bytes take processor time at this machine, and time on its link. */
+export const limitedWire = (inner: Wire, parts: MachineParts): Wire => ({
+  *connect(address) {
+    parts.processor.charge(parts.charges.connectionMs);
+    const channel = yield* inner.connect(address);
+    return channel && limitedChannel(channel, parts);
+  },
+  *listen(address, accept) {
+    yield* inner.listen(address, (channel) => {
+      parts.processor.charge(parts.charges.connectionMs);
+      accept(limitedChannel(channel, parts));
+    });
+  },
+});
