--- /dev/null
+++ b/test/platform/invalidOrders.test.ts
@@ -0,0 +1,179 @@
+import { expect, test } from "vitest";
+import { OrderStage, routeTo, wholeOrder, type OrderBytes } from "./orderStage.js";
+
+const machines = ["e:a", "d:a", "d:b", "d:c"];
+type Spec = Record<string, unknown>;
+
+const service = { type: "services", meta: { name: "one" }, spec: { maxConns: 66 } };
+
+/** A route whose spec differs from a proper one in some fields. */
+const bent = (fields: Spec): unknown => {
+  const route = routeTo("bent", "one");
+  return { ...route, spec: { ...route.spec, ...fields } };
+};
+const split = (weights: Array<[svc: string, wt: number]>): Spec => ({
+  svc: undefined,
+  split: weights.map(([svc, wt]) => ({ svc, wt })),
+});
+
+/** What the platform's pages call invalid: routes, each wrong in one thing. */
+const invalidRoutes: Record<string, unknown> = {
+  "an unknown service": bent({ svc: "nowhere" }),
+  "an unknown service of weight 0 in a split": bent(
+    split([
+      ["one", 1],
+      ["nowhere", 0],
+    ]),
+  ),
+  "a weight below 0": bent(
+    split([
+      ["one", 2],
+      ["one", -1],
+    ]),
+  ),
+  "a weight a little below 0": bent(
+    split([
+      ["one", 2],
+      ["one", -0.000_1],
+    ]),
+  ),
+  "a deadline over ten minutes": bent({ deadline: "600001ms" }),
+  "a deadline of eleven minutes in seconds": bent({ deadline: "660s" }),
+  "no tries": bent({ tries: 0 }),
+  "a kind that is none": bent({ kind: "sometimes" }),
+  "a kind in other letters": bent({ kind: "Safe" }),
+  "no deadline": bent({ deadline: undefined }),
+  "a deadline without sense": bent({ deadline: "soon" }),
+  "tries below 0": bent({ tries: -1 }),
+};
+
+const put = (base: number, version: string, objs: readonly unknown[]): OrderBytes => ({
+  target: "config/put",
+  base: `r${base}`,
+  body: JSON.stringify({ ver: version, objs }),
+});
+const patch = (base: number, version: string, change: Spec): OrderBytes => ({
+  target: "config/patch",
+  base: `r${base}`,
+  body: JSON.stringify({ ver: version, ...change }),
+});
+
+/** All orders upon a version that are invalid, by what is wrong. */
+const invalidOrders = (base: number): Array<[string, OrderBytes]> => {
+  const next = `r${base + 2}`;
+  const proper = put(base, next, [routeTo("x", "one"), service]);
+  const routes = Object.entries(invalidRoutes);
+  return [
+    ...routes.map(([what, route]): [string, OrderBytes] => [
+      `put: ${what}`,
+      put(base, next, [routeTo("x", "one"), route, service]),
+    ]),
+    ...routes.map(([what, route]): [string, OrderBytes] => [
+      `patch: ${what}`,
+      patch(base, next, { upsert: { objs: [route] } }),
+    ]),
+    [
+      "patch: a service goes that a route needs",
+      patch(base, next, { remove: { services: ["one"] } }),
+    ],
+    ["put: the version in force", put(base, `r${base}`, [routeTo("y", "one"), service])],
+    ["put: an older version", put(base, `r${base - 1}`, [routeTo("y", "one"), service])],
+    [
+      "patch: the version in force",
+      patch(base, `r${base}`, { upsert: { objs: [routeTo("y", "one")] } }),
+    ],
+    ["put: no version", put(base, "12", [routeTo("y", "one"), service])],
+    ["put: a stale base", { ...proper, base: `r${base - 1}` }],
+    ["put: a base still to come", { ...proper, base: `r${base + 1}` }],
+    ...[1, 9, Math.floor(proper.body.length / 2), proper.body.length - 1].map(
+      (bytes): [string, OrderBytes] => [
+        `put: cut short after ${bytes} bytes`,
+        { ...proper, body: proper.body.slice(0, bytes) },
+      ],
+    ),
+  ];
+};
+
+const begun = (): OrderStage => {
+  const stage = new OrderStage(machines, [0, 1, 2]);
+  stage.bootAll();
+  stage.wait(4000);
+  expect(stage.untilClear(wholeOrder(0, 3, "first"))).toBe(200);
+  return stage;
+};
+
+const code = (stage: OrderStage, order: OrderBytes, at: number): number | undefined => {
+  const call = stage.order(stage.at(at % machines.length), order);
+  stage.until(() => call.code !== undefined, 1000);
+  return call.code;
+};
+
+test("each invalid order is refused through every daemon, sent again too, and leaves what is in force", () => {
+  const stage = begun();
+  for (const [what, order] of invalidOrders(3))
+    for (let at = 0; at < machines.length; at += 1) {
+      const expected = what.includes("base") ? [412] : [400, 412];
+      expect(expected, `${what}, through ${at}`).toContain(code(stage, order, at));
+    }
+  expect(stage.newest(stage.at(0))).toBe("r3");
+});
+
+test("raced against a proper one upon the same version, no invalid order wins, whichever comes first", () => {
+  const stage = begun();
+  let base = 3;
+  for (const [at, [what]] of invalidOrders(base).entries()) {
+    const invalid = invalidOrders(base)[at]?.[1];
+    if (!invalid) throw new Error("There is no such order.");
+    const proper = wholeOrder(base, base + 2, `p${at}`);
+    const pair = at % 2 === 0 ? [invalid, proper] : [proper, invalid];
+    const calls = pair.map((order, place) =>
+      stage.order(stage.at((at + place) % machines.length), order),
+    );
+    stage.until(() => calls.every(({ code: answer }) => answer !== undefined), 1000);
+    const [first, second] = calls.map(({ code: answer }) => answer);
+    const [ofInvalid, ofProper] = at % 2 === 0 ? [first, second] : [second, first];
+    expect([400, 412], what).toContain(ofInvalid);
+    expect(ofProper, what).toBe(200);
+    base += 2;
+    expect(stage.newest(stage.at(0)), what).toBe(`r${base}`);
+  }
+});
+
+test("an order that is proper by itself and invalid upon the one before it in the queue is refused", () => {
+  const stage = begun();
+  expect(
+    code(stage, patch(3, "r4", { upsert: { objs: [{ ...service, meta: { name: "two" } }] } }), 0),
+  ).toBe(200);
+  const goes = stage.order(stage.at(1), patch(4, "r5", { remove: { services: ["two"] } }));
+  const needs = stage.order(
+    stage.at(2),
+    patch(4, "r6", { upsert: { objs: [routeTo("needs", "two")] } }),
+  );
+  stage.until(() => goes.code !== undefined && needs.code !== undefined, 1000);
+  expect([goes.code, needs.code].sort()).toEqual([200, 412]);
+  const version = goes.code === 200 ? 5 : 6;
+  const refused =
+    goes.code === 200
+      ? patch(5, "r9", { upsert: { objs: [routeTo("needs", "two")] } })
+      : patch(6, "r9", { remove: { services: ["two"] } });
+  expect(code(stage, refused, 3)).toBe(400);
+  expect(stage.newest(stage.at(0))).toBe(`r${version}`);
+});
+
+test("during a change of leader no invalid order is acknowledged, and what can't be known is no refusal", () => {
+  const stage = begun();
+  const former = stage.leader;
+  const followers = stage.machines.filter((machine) => machine !== former);
+  stage.kill(former);
+  for (const [at, [what, order]] of invalidOrders(3).entries()) {
+    const through = followers[at % followers.length];
+    if (!through) throw new Error("There is no follower.");
+    const call = stage.order(through, order);
+    stage.wait(30);
+    if (call.code === undefined) stage.until(() => call.code !== undefined, 1000);
+    expect([400, 412, 503, 504], what).toContain(call.code);
+  }
+  stage.until(() => stage.disks.some(({ daemon }) => daemon?.recorder?.hasGrant === true), 5000);
+  stage.wait(1000);
+  expect(followers.map((machine) => stage.newest(machine))).toEqual(followers.map(() => "r3"));
+});
