--- /dev/null
+++ b/test/scale/overload.test.ts
@@ -0,0 +1,105 @@
+import { expect, test } from "vitest";
+import { LapsedLease } from "../../src/door/lapsedLease.js";
+import { Kind } from "../../src/link/kind.js";
+import { Link } from "../../src/link/link.js";
+import { Gate } from "../../src/rehearsal/gate.js";
+import { virtualWorld } from "../../src/rehearsal/virtualWorld.js";
+import { Clock } from "../../src/runtime/clock.js";
+import type { Task } from "../../src/runtime/task.js";
+import { itemOrder, wholeOrder } from "../platform/orderStage.js";
+import type { StageMachine } from "../record/fleetStage.js";
+import { LimitedStage } from "./limitedStage.js";
+
+const machines = [
+  ...["d:a", "d:b", "d:c", "d:a", "d:b"],
+  ...Array.from({ length: 15 }, (_, at) => `e:${["a", "b", "c"][at % 3]}`),
+];
+const bounds = { staleMs: 5000, contactMs: 3000 };
+/** A change is in force at all that serve within this time. */
+const applyMs = 2000;
+
+const begun = (): LimitedStage => {
+  const stage = new LimitedStage(machines, [0, 1, 2], { tolerate: { machines: 2, zones: 0 } });
+  stage.bootAll();
+  stage.wait(5000);
+  expect(stage.untilClear(wholeOrder(0, 3, "first"), 6)).toBe(200);
+  stage.wait(1000);
+  return stage;
+};
+
+/** Keeps the processors of some machines busy, so that what comes waits for a fifth of a second and more. */
+const burden = (stage: LimitedStage, busy: readonly StageMachine[], forMs: number): void => {
+  const untilMs = stage.time.nowMs() + forMs;
+  const clock = stage.time.clock();
+  stage.start(
+    (function* (): Task {
+      while (stage.time.nowMs() < untilMs) {
+        for (const machine of busy) stage.processor(machine).charge(180);
+        yield* Clock.rest(clock, 300);
+      }
+    })(),
+  );
+};
+
+/** An edge's link to the members: it asks one after another, as one does whose leader answers late. */
+const askingAll = (stage: LimitedStage): Link => {
+  const world = virtualWorld({
+    clock: stage.time.clock(),
+    wire: stage.network.wire("asking", new Gate()),
+    random: stage.random,
+  });
+  const link = new Link(world, "10.0.9.8:7000");
+  const asking = function* (): Task {
+    for (;;)
+      for (const { peer } of stage.disks) {
+        yield* link.ask(peer, Kind.handOver, { term: 0 }, 200);
+        yield* Clock.rest(world.clock, 350);
+      }
+  };
+  stage.start(asking());
+  return link;
+};
+
+test("members whose processors are overloaded are never taken for a core that is out of reach", () => {
+  const stage = begun();
+  const link = askingAll(stage);
+  const lease = new LapsedLease(
+    stage.time.clock(),
+    {
+      members: stage.disks.map(({ peer }) => peer),
+      isOutOfReach: (member, sinceMs) => link.isOutOfReach(member, sinceMs),
+    },
+    bounds,
+  );
+  burden(stage, stage.disks, 12_000);
+  const untilMs = stage.time.nowMs() + 12_000;
+  let allowed = 0;
+  while (stage.time.nowMs() < untilMs) {
+    stage.wait(20);
+    if (lease.allows(1)) allowed += 1;
+  }
+  expect(allowed).toBe(0);
+});
+
+test("under an overloaded leader a change that is acknowledged is in force in time wherever a lease holds, also when that leader is killed", () => {
+  const stage = begun();
+  const edges = stage.machines.filter(({ disk }) => !disk);
+  for (let base = 3, round = 0; round < 6; round += 1) {
+    const { leader } = stage;
+    burden(stage, [leader], 1500);
+    expect(
+      stage.untilClear(itemOrder(base, base + 2, { name: `r${round}`, svc: "one" }), 6 + round),
+    ).toBe(200);
+    base += 2;
+    if (round % 2 === 1) {
+      stage.kill(leader);
+      stage.boot(leader, { bootstrap: false });
+    }
+    stage.wait(applyMs);
+    for (const { daemon } of edges)
+      if (daemon?.standing.isGranted === true)
+        expect(daemon.standing.configSequence).toBeGreaterThanOrEqual(round + 2);
+    stage.wait(3000);
+    expect(edges.filter(({ daemon }) => daemon?.standing.isGranted === true)).toHaveLength(15);
+  }
+});
