--- /dev/null
+++ b/test/contract/edgePlaces.test.ts
@@ -0,0 +1,77 @@
+import { expect, test } from "vitest";
+import { edgePlacesOf, type EdgePlace, type PlacedMachine } from "../../src/contract/edgePlaces.js";
+import { Ferry } from "../../src/contract/ferry.js";
+import { Poll } from "../../src/contract/order.js";
+import { Kind } from "../../src/link/kind.js";
+import { Link } from "../../src/link/link.js";
+import { Gate } from "../../src/rehearsal/gate.js";
+import { virtualWorld } from "../../src/rehearsal/virtualWorld.js";
+import { FleetStage } from "../record/fleetStage.js";
+
+const edge = (name: string, zone: string, more: Partial<PlacedMachine> = {}): PlacedMachine => ({
+  name,
+  zone,
+  roles: ["edge"],
+  draining: false,
+  ...more,
+});
+
+test("edges have places by name within their zone; members without the role and those that drain have none", () => {
+  const places = edgePlacesOf([
+    edge("c", "z"),
+    edge("a", "z"),
+    edge("b", "y"),
+    edge("d", "z", { draining: true }),
+    edge("e", "y", { roles: ["recorder"] }),
+  ]);
+  expect(Object.fromEntries(places)).toEqual({
+    a: { zoneIndex: 0, zoneCount: 2, count: 3 },
+    c: { zoneIndex: 1, zoneCount: 2, count: 3 },
+    b: { zoneIndex: 0, zoneCount: 1, count: 3 },
+  });
+});
+
+/** What the leader tells an edge of its place, if anything. */
+const toldPlace = (stage: FleetStage, name: string, zone: string): EdgePlace | undefined => {
+  const told: Array<EdgePlace | undefined> = [];
+  const peer = "10.0.9.7:7000";
+  const world = virtualWorld({
+    clock: stage.time.clock(),
+    wire: stage.network.wire(`poll-${stage.time.nowMs()}`, new Gate()),
+    random: stage.random,
+  });
+  const link = new Link(world, peer);
+  const ferry = new Ferry(world, link, () => stage.disks.map((machine) => machine.peer));
+  const poll: Poll = {
+    machine: { name, zone, roles: ["edge"], peer, incarnation: "1", draining: false },
+    configSequence: -1,
+    directorySequence: -2,
+    grantNumber: "",
+    capacities: [],
+    wished: [],
+    refused: [],
+  };
+  stage.start(
+    (function* () {
+      const text = yield* ferry.once(Kind.poll, JSON.stringify(poll), 450);
+      const view = text === undefined ? undefined : Poll.readReturn(text);
+      told.push(view?.granted === true ? view.place : undefined);
+    })(),
+  );
+  stage.until(() => told.length > 0, 2000);
+  return told[0];
+};
+
+test("a leader tells places once it has led for a lease, and counts edges that fell silent no longer", () => {
+  const stage = new FleetStage(["d:a", "d:b", "d:c", "e:a", "e:b", "e:c", "e:a"], [0, 1, 2]);
+  stage.bootAll();
+  stage.wait(6000);
+  expect(toldPlace(stage, "edge-0", "a")).toEqual({ zoneIndex: 0, zoneCount: 3, count: 5 });
+  const former = stage.leader;
+  stage.kill(former);
+  stage.until(() => stage.disks.some(({ daemon }) => daemon?.recorder?.hasGrant === true), 5000);
+  expect(toldPlace(stage, "edge-0", "a")).toBeUndefined();
+  stage.kill(stage.at(6));
+  stage.wait(6000);
+  expect(toldPlace(stage, "edge-0", "a")).toEqual({ zoneIndex: 0, zoneCount: 2, count: 4 });
+});
