--- a/src/contract/edgePlaces.ts
+++ b/src/contract/edgePlaces.ts
@@ -1,5 +1,4 @@
 import { number, object, type Infer } from "superstruct";
-import type { Machine } from "./order.js";
 
 /** The shape of an edge's place as it travels. */
 export const edgePlaceShape = object({
@@ -14,7 +13,12 @@
 export type EdgePlace = Infer<typeof edgePlaceShape>;
 
 /** A machine that may send requests to backends. */
-export type PlacedMachine = Pick<Machine, "name" | "zone" | "roles" | "draining">;
+export interface PlacedMachine {
+  readonly name: string;
+  readonly zone: string;
+  readonly roles: readonly string[];
+  readonly draining: boolean;
+}
 
 const isEdge = ({ roles, draining }: PlacedMachine): boolean => roles.includes("edge") && !draining;
 
