One type for an edge's place; the ring's doc comment in lines that fit

RingPlace repeated EdgePlace, which the layer below has. Types and comments only: the bundle has the same bytes (by its digest). Type check, lint and the tests of the load balancer and the ring pass.

--- a/src/traffic/backendRing.ts
+++ b/src/traffic/backendRing.ts
@@ -1,12 +1,6 @@
+import type { EdgePlace } from "../contract/edgePlaces.js";
 import type { Backend } from "./backend.js";
 
-/** A daemon's place among the daemons of its zone, and how many there are in all. */
-export interface RingPlace {
-  readonly zoneIndex: number;
-  readonly zoneCount: number;
-  readonly count: number;
-}
-
 /** How many backends of its own zone a daemon uses for each one of another zone. */
 const nearPerFar = 3;
 /** How many backends of a service a daemon uses while they are well and have room, unless all daemons together were too many. */
@@ -45,16 +39,15 @@
 };
 
 /**
- * The order in which a daemon prefers the backends of a service, as places in the list (deterministic aperture, as known from client-side load
- * balancers). The daemons of a zone see the same ring and begin at evenly spread places, so that the first few of each
- * cover every backend about equally often; a daemon or a backend that comes or goes
- * moves starts by as many places as a daemon has backends to itself, at most. Those
- * of the own zone stand three to one among the first.
+ * The order in which a daemon prefers the backends of a service, as places in the list: the deterministic aperture of
+ * client-side load balancing. The daemons of a zone see the same ring and begin at evenly spread places, so that the first few
+ * of each cover every backend about equally often. A daemon or a backend that comes or goes moves starts by as many places as
+ * a daemon has backends to itself, at most. Those of the own zone stand three to one among the first.
  */
 export const ringRanks = (
   backends: readonly Backend[],
   ownZone: string,
-  { zoneIndex, zoneCount }: RingPlace,
+  { zoneIndex, zoneCount }: EdgePlace,
 ): number[] => {
   const points = backends.map(({ address, zone }, rank) => ({
     rank,
--- a/src/traffic/loadBalancer.ts
+++ b/src/traffic/loadBalancer.ts
@@ -1,5 +1,6 @@
+import type { EdgePlace } from "../contract/edgePlaces.js";
 import type { Backend } from "./backend.js";
-import { connectionShare, ringRanks, subsetSizeFor, type RingPlace } from "./backendRing.js";
+import { connectionShare, ringRanks, subsetSizeFor } from "./backendRing.js";
 import { BackendStats } from "./backendStats.js";
 import { RouteStatsTable, unseenBytes, type RouteStats } from "./routeStats.js";
 import type { TryOutcome } from "./tryOutcome.js";
@@ -44,7 +45,7 @@
   private readonly statsByKey = new Map<string, BackendStats>();
   private known = new WeakMap<Backend, BackendStats>();
   private readonly routes = new RouteStatsTable();
-  private place: RingPlace | undefined;
+  private place: EdgePlace | undefined;
   /** The ring order of lists of backends, as places in the list. */
   private orders = new WeakMap<readonly Backend[], readonly number[]>();
 
@@ -55,7 +56,7 @@
   }
 
   /** Learns this daemon's place among all; until then every backend is as good as another. */
-  setPlace(place: RingPlace): void {
+  setPlace(place: EdgePlace): void {
     this.place = place;
     this.orders = new WeakMap();
   }
--- a/test/traffic/backendRing.test.ts
+++ b/test/traffic/backendRing.test.ts
@@ -1,12 +1,7 @@
 import { expect, test } from "vitest";
-import { edgePlacesOf } from "../../src/contract/edgePlaces.js";
+import { edgePlacesOf, type EdgePlace } from "../../src/contract/edgePlaces.js";
 import type { Backend } from "../../src/traffic/backend.js";
-import {
-  connectionShare,
-  ringRanks,
-  subsetSizeFor,
-  type RingPlace,
-} from "../../src/traffic/backendRing.js";
+import { connectionShare, ringRanks, subsetSizeFor } from "../../src/traffic/backendRing.js";
 import { LoadBalancer } from "../../src/traffic/loadBalancer.js";
 import { Draw } from "../../src/rehearsal/draw.js";
 
@@ -25,7 +20,7 @@
 const backendsOf = (count: number): Backend[] =>
   Array.from({ length: count }, (_, at) => backend(at));
 
-const placesOf = (count: number): Array<{ zone: string; place: RingPlace }> => {
+const placesOf = (count: number): Array<{ zone: string; place: EdgePlace }> => {
   const machines = Array.from({ length: count }, (_, at) => ({
     name: `edge-${String(at).padStart(3, "0")}`,
     zone: zones[at % 3] ?? "",
@@ -39,7 +34,7 @@
   });
 };
 
-const subset = (backends: Backend[], zone: string, place: RingPlace): string[] =>
+const subset = (backends: Backend[], zone: string, place: EdgePlace): string[] =>
   ringRanks(backends, zone, place)
     .slice(0, usualSize)
     .map((rank) => backends[rank]?.address ?? "");
