--- /dev/null
+++ b/src/contract/commandMeter.ts
@@ -0,0 +1,53 @@
+import type { Clock } from "../runtime/clock.js";
+import type { PartLog } from "../runtime/logbook.js";
+
+/** How often a leader tells what it carried out. */
+const periodMs = 5000;
+
+interface Figures {
+  count: number;
+  sumMs: number;
+  mostMs: number;
+}
+
+/** Counts the commands that a leader carries out, by kind, with the time that each took until its answer; logs them now and then. */
+export class CommandMeter {
+  private readonly clock: Clock;
+  private readonly log: PartLog;
+  private readonly byKind = new Map<string, Figures>();
+  private sinceMs: number;
+
+  constructor(clock: Clock, log: PartLog) {
+    this.clock = clock;
+    this.log = log;
+    this.sinceMs = clock.nowMs();
+  }
+
+  /** Notes one that was begun at a moment of the clock and is answered now. */
+  note(kind: string, startedMs: number): void {
+    const nowMs = this.clock.nowMs();
+    const tookMs = nowMs - startedMs;
+    const { count, sumMs, mostMs } = this.byKind.get(kind) ?? { count: 0, sumMs: 0, mostMs: 0 };
+    this.byKind.set(kind, {
+      count: count + 1,
+      sumMs: sumMs + tookMs,
+      mostMs: Math.max(mostMs, tookMs),
+    });
+    if (nowMs - this.sinceMs >= periodMs) this.tell(nowMs);
+  }
+
+  private tell(nowMs: number): void {
+    const kinds = [...this.byKind].map(([kind, { count, sumMs, mostMs }]) => ({
+      kind,
+      count,
+      meanMs: Math.round(sumMs / count),
+      mostMs: Math.round(mostMs),
+    }));
+    this.log.say("Commands carried out as the leader.", {
+      forMs: Math.round(nowMs - this.sinceMs),
+      kinds,
+    });
+    this.byKind.clear();
+    this.sinceMs = nowMs;
+  }
+}
--- a/src/contract/ferry.ts
+++ b/src/contract/ferry.ts
@@ -26,6 +26,19 @@
 const lookMs = 20;
 const notLeader = breakdownReturn("notLeader");
 
+const endingOf = (text: string | undefined): AskAttempt["ending"] => {
+  if (text === undefined) return "silent";
+  if (text === notLeader) return "notLeader";
+  return isBreakdown(text) ? "failed" : "answered";
+};
+
+/** One ask on the way of a command: whom, how it ended, and how long that took. */
+export interface AskAttempt {
+  readonly peer: string;
+  readonly ending: "answered" | "silent" | "notLeader" | "failed";
+  readonly tookMs: number;
+}
+
 /** Brings commands and polls to whoever leads, through any daemon. */
 export class Ferry {
   private readonly world: World;
@@ -119,13 +132,14 @@
 
   /**
    * Asks the leader, by the way that last worked; then by others, until one returns or `waitMs` are over. With `late`, what
-   * the leader returns after that is handed on too.
+   * the leader returns after that is handed on too. `attempts` hears of each ask.
    */
   *once(
     kind: typeof Kind.command | typeof Kind.poll,
     text: string,
     waitMs: number,
     late?: LateReturn<string>,
+    attempts?: (attempt: AskAttempt) => void,
   ): Task<string | undefined> {
     const { clock } = this.world;
     const untilMs = clock.nowMs() + waitMs;
@@ -143,6 +157,11 @@
         Math.min(untilMs - clock.nowMs(), leads || ferries ? waitMs : strangerMs),
         late && this.lateFrom(target, late),
       );
+      attempts?.({
+        peer: target,
+        ending: endingOf(ret?.text),
+        tookMs: Math.round(clock.nowMs() - sentMs),
+      });
       if (ret === undefined) {
         if (leads && this.link.hasHeard(target, sentMs)) return undefined;
         if (leads || ferries) this.leader = "";
@@ -208,7 +227,11 @@
   }
 
   /** Has a command carried out. Each is safe to repeat, so it is, until `waitMs` are over: then its fate is unknown. */
-  *command(order: Order, waitMs: number): Task<string | undefined> {
+  *command(
+    order: Order,
+    waitMs: number,
+    attempts?: (attempt: AskAttempt) => void,
+  ): Task<string | undefined> {
     const untilMs = this.world.clock.nowMs() + waitMs;
     const text = Order.text(order);
     for (;;) {
@@ -218,6 +241,8 @@
         Kind.command,
         text,
         Math.min(oneAskMs + text.length / slowBytesMs, leftMs),
+        undefined,
+        attempts,
       );
       if (ret !== undefined) return ret;
       yield* Clock.rest(
--- a/src/contract/registry.ts
+++ b/src/contract/registry.ts
@@ -12,6 +12,7 @@
 import { itemHash } from "./setDigest.js";
 import type { CapacityGrants } from "./capacityGrants.js";
 import { amend, Config, ConfigReader, mergePatch } from "./config.js";
+import { CommandMeter } from "./commandMeter.js";
 import { ConfigChanges } from "./configChanges.js";
 import { edgePlacesOf, type EdgePlace } from "./edgePlaces.js";
 import { DirectoryChanges } from "./directoryChanges.js";
@@ -120,6 +121,7 @@
   /** The places of all edges, until one comes or goes. */
   private edgePlaces: ReadonlyMap<string, EdgePlace> | undefined;
   private readonly allowance: CapacityGrants;
+  private readonly meter: CommandMeter;
 
   constructor(
     world: World,
@@ -134,6 +136,7 @@
     this.terms = terms;
     this.allowance = allowance;
     this.log = world.logbook.part("contract");
+    this.meter = new CommandMeter(world.clock, this.log);
     this.directory = new DirectoryChanges(book);
     this.largeViews = new LargeViews(terms.grantMs);
     this.configChanges = new ConfigChanges(book, () => this.configInForce());
@@ -157,7 +160,14 @@
 
   /** Carries out one command at the leader and tells the outcome as JSON. */
   *command(text: string): Task<string> {
+    const startedMs = this.world.clock.nowMs();
     const order = Order.read(text);
+    const outcome = yield* this.carryOut(order);
+    this.meter.note(order.kind, startedMs);
+    return outcome;
+  }
+
+  private *carryOut(order: Order): Task<string> {
     switch (order.kind) {
       case "announce":
         return yield* this.announce(order);
--- a/src/machine/run.ts
+++ b/src/machine/run.ts
@@ -11,6 +11,7 @@
 import { HttpServer } from "./httpServer.js";
 import { LinkPacers } from "../runtime/linkPacer.js";
 import { Logbook } from "../runtime/logbook.js";
+import { monitorProcess } from "./processMonitor.js";
 import { Settings } from "./settings.js";
 import { SettingsError } from "./settingsError.js";
 import { SettingsFile } from "./settingsFile.js";
@@ -121,6 +122,7 @@
         }
       };
       Task.start(looking(), fail);
+      Task.start(monitorProcess(clock, log), fail);
       const signals = new Source<"SIGTERM" | "SIGINT" | "SIGHUP">();
       for (const name of ["SIGTERM", "SIGINT", "SIGHUP"] as const)
         process.on(name, () => signals.put(name));
--- a/src/operator/operators.ts
+++ b/src/operator/operators.ts
@@ -26,7 +26,7 @@
   nameShape,
   type Fault,
 } from "../contract/config.js";
-import type { Ferry } from "../contract/ferry.js";
+import type { AskAttempt, Ferry } from "../contract/ferry.js";
 import type { ChangeOrder, Order } from "../contract/order.js";
 import { TravellingText } from "../contract/travellingText.js";
 import type { View } from "../contract/view.js";
@@ -35,6 +35,7 @@
 import { Return } from "../door/verdict.js";
 import type { LinkPacer } from "../runtime/linkPacer.js";
 import type { Task } from "../runtime/task.js";
+import type { PartLog } from "../runtime/logbook.js";
 import { World } from "../runtime/world.js";
 import type { RetryRules } from "../traffic/retryRules.js";
 import type { Counts } from "../traffic/counts.js";
@@ -54,6 +55,8 @@
 /** When to come back, in seconds: an election is over by then. */
 const retryAfter = { "retry-after": "1" };
 const heavyPhi = 0.1;
+/** From which time on an acknowledged leave is logged as late. */
+const slowLeaveMs = 400;
 
 const address = define<string>(
   "address",
@@ -164,6 +167,7 @@
   private readonly desk: Desk;
   private readonly orderMs: number;
   private readonly rules: RetryRules;
+  private readonly log: PartLog;
 
   constructor(
     world: World,
@@ -187,6 +191,7 @@
     this.desk = desk;
     this.orderMs = bounds.orderMs;
     this.rules = bounds.budget;
+    this.log = world.logbook.part("operator");
   }
 
   *handle(job: Job): Task<Return> {
@@ -362,10 +367,14 @@
     const announced = { ...told, warmth: told.warmth ?? 1 };
     const heard = this.view.hear(announced);
     if (heard) return Return.json(200, { ...heard });
-    const text = yield* this.ferry.command(
-      { kind: "announce", ...announced, seen: Math.max(0, this.view.directorySequence) },
-      answerMs,
-    );
+    const order: Order = {
+      kind: "announce",
+      ...announced,
+      seen: Math.max(0, this.view.directorySequence),
+    };
+    const text = announced.draining
+      ? yield* this.leaving(order)
+      : yield* this.ferry.command(order, answerMs);
     if (text === undefined) return noLeader();
     return is(JSON.parse(text), behindShape)
       ? Return.json(503, { error: "This daemon is behind; ask another." }, retryAfter)
@@ -380,7 +389,28 @@
         : validate(value, leaving);
     if (failure)
       return fault(400, "The notice is refused.", { faults: faultsOf(failure.failures()) });
-    return yield* this.read({ kind: "leave", ...told });
+    const text = yield* this.leaving({ kind: "leave", ...told });
+    return text === undefined ? noLeader() : asSent(text);
+  }
+
+  /** Has the leader told that a backend leaves; one that it doesn't acknowledge in time is logged with every ask that was made. */
+  private *leaving(order: Order): Task<string | undefined> {
+    const startedMs = this.world.clock.nowMs();
+    const attempts: AskAttempt[] = [];
+    const text = yield* this.ferry.command(order, answerMs, (attempt) => attempts.push(attempt));
+    const tookMs = Math.round(this.world.clock.nowMs() - startedMs);
+    if (text === undefined || tookMs > slowLeaveMs)
+      this.log.warn(
+        text === undefined
+          ? "A backend's leave is not acknowledged."
+          : "A backend's leave is acknowledged late.",
+        {
+          instance: "instance" in order ? order.instance : undefined,
+          tookMs,
+          attempts,
+        },
+      );
+    return text;
   }
 
   private *ask(line: string): Task<Return> {
--- a/src/record/recorder.ts
+++ b/src/record/recorder.ts
@@ -556,9 +556,15 @@
       if (this.agreed.heardLeaderMs !== heardMs)
         untilMs = this.agreed.heardLeaderMs + this.electionWaitMs();
       else if (this.world.clock.nowMs() >= untilMs) {
+        const { knownLeader } = this.agreed;
         this.agreed = onElectionWaitOver(this.agreed, this.facts);
         if (this.agreed.role === "follower")
           untilMs = this.world.clock.nowMs() + this.electionWaitMs();
+        else
+          this.log.say("The leader was not heard in time.", {
+            leader: knownLeader,
+            unheardMs: Math.round(this.world.clock.nowMs() - heardMs),
+          });
       }
     }
   }
@@ -1027,6 +1033,7 @@
     const lastIndex = this.applied;
     const { term, votedFor, rejoinNonce, log } = this.agreed;
     const members = membersAt(this.agreed, lastIndex);
+    const startedMs = this.world.clock.nowMs();
     const standing: Standing = {
       fleet: this.fleet,
       rejoining: then === "rejoined" ? "" : rejoinNonce,
@@ -1043,8 +1050,14 @@
     const heldCount = applied.length > 0 ? countWithin(applied, heldForTransfers) : 0;
     const neededCount = Math.min(lastIndex - heldIndex, heldCount);
     this.agreed = compactLog(this.agreed, lastIndex - Math.max(keptCount, neededCount));
+    const madeMs = this.world.clock.nowMs();
     this.writer.checkpoint(standing, () => {
       this.checkpointing = false;
+      this.log.say("Wrote a snapshot.", {
+        bytes: standing.book.length,
+        madeInMs: Math.round(madeMs - startedMs),
+        writtenInMs: Math.round(this.world.clock.nowMs() - madeMs),
+      });
       if (then === "rejoined") this.holding.put({ kind: "rejoined" });
     });
     this.historyKeeper.keep();
