--- /dev/null
+++ b/test/scale/keyedLoad.test.ts
@@ -0,0 +1,216 @@
+import { expect, test } from "vitest";
+import { dialect } from "../../platform/dialect.js";
+import type { BackEnds } from "../../src/door/backEnds.js";
+import type { Caller } from "../../src/door/job.js";
+import type { DaemonOptions } from "../../src/machine/daemon.js";
+import { Clock } from "../../src/runtime/clock.js";
+import type { Task } from "../../src/runtime/task.js";
+import type { Call, OrderBytes } from "../platform/orderStage.js";
+import type { StageMachine } from "../record/fleetStage.js";
+import { LimitedStage } from "./limitedStage.js";
+
+const zones = ["a", "b", "c"];
+const machinesOf = (kind: string, count: number): string[] =>
+  Array.from({ length: count }, (_, at) => `${kind}:${zones[at % zones.length]}`);
+
+/** Figures of the grown deployments: how soon a leave is acknowledged, and how soon a keyed write is to be answered. */
+const ackMs = 4000;
+const aimMs = 900;
+const deadlineMs = 3300;
+/** Whoever calls a control address goes on to another daemon after a second of silence. */
+const patienceMs = 1000;
+/** Grown Rastro has some 400 keyed writes a second at its peak. */
+const writesPerSecond = 600;
+const workMs = 160;
+const responseBytes = 5000;
+const backEndCount = 20;
+const beatMs = 1000;
+
+const configuration: OrderBytes = {
+  target: "config/put",
+  base: "0",
+  body: JSON.stringify({
+    ver: "r1",
+    objs: [
+      {
+        type: "routes",
+        meta: { name: "write" },
+        spec: {
+          host: "a.example",
+          pfx: "/write/",
+          kind: "idempotent",
+          deadline: `${deadlineMs}ms`,
+          target_time: `${aimMs}ms`,
+          prio: 1,
+          svc: "ledger",
+          tries: 2,
+        },
+      },
+      { type: "services", meta: { name: "ledger" }, spec: { maxConns: 500 } },
+    ],
+  }),
+};
+
+/** Backends that answer each request after some work with a body of usual size. */
+const answering = (clock: Clock): BackEnds => ({
+  *send({ job, mayStill }) {
+    if (!mayStill()) return "withdrawn";
+    yield* Clock.rest(clock, workMs);
+    const pieces = [Buffer.alloc(responseBytes, "r")];
+    return {
+      code: 200,
+      headers: {
+        "try-id": job.headers["try-id"] ?? "",
+        seal: "seal",
+        "content-length": String(responseBytes),
+      },
+      *next() {
+        return pieces.shift() ?? "end";
+      },
+      cancel: () => undefined,
+    };
+  },
+  keepOnly: () => undefined,
+  close: () => undefined,
+});
+
+interface Written {
+  code: number | undefined;
+  tookMs: number;
+}
+
+class KeyedStage extends LimitedStage {
+  readonly written: Written[] = [];
+  private readonly leaving = new Set<number>();
+
+  constructor() {
+    super([...machinesOf("d", 6), ...machinesOf("e", 30)], [0, 1, 2], {
+      tolerate: { machines: 2, zones: 0 },
+    });
+  }
+
+  protected override daemonOptions(): DaemonOptions {
+    return { backEnds: answering(this.time.clock()), dialect };
+  }
+
+  get edges(): StageMachine[] {
+    return this.machines.filter(({ disk }) => !disk);
+  }
+
+  /** Sends keyed writes at a rate, each with a key of its own, to all edges in turn. */
+  write(perSecond: number, forMs: number): void {
+    const { time, edges } = this;
+    const untilMs = time.nowMs() + forMs;
+    const writing = function* (stage: KeyedStage): Task {
+      for (let at = 0; time.nowMs() < untilMs; at += 1) {
+        stage.send(edges[at % edges.length], `key-${stage.written.length}`);
+        yield* Clock.rest(time.clock(), 1000 / perSecond);
+      }
+    };
+    this.start(writing(this));
+  }
+
+  private send(edge: StageMachine | undefined, key: string): void {
+    const sentMs = this.time.nowMs();
+    const written: Written = { code: undefined, tookMs: Infinity };
+    this.written.push(written);
+    const caller: Caller = {
+      isGone: false,
+      whole: ({ code }) => {
+        written.code = code;
+        written.tookMs = this.time.nowMs() - sentMs;
+      },
+      begin: () => undefined,
+      *piece() {
+        return true;
+      },
+      end: () => undefined,
+      cut: () => undefined,
+    };
+    const headers = {
+      host: "a.example",
+      "try-id": `try-${key}`,
+      "op-key": key,
+      "deadline-ms": String(deadlineMs),
+    };
+    const job = { method: "POST", target: `/write/${key}`, headers, body: Buffer.from(key) };
+    edge?.daemon?.callers.put({ job, caller });
+  }
+
+  /** Has backends announce themselves through one edge after another, until they leave. */
+  announce(ids: readonly number[]): void {
+    const clock = this.time.clock();
+    const announcing = function* (stage: KeyedStage, id: number): Task {
+      for (let calls = 1; !stage.leaving.has(id); calls += 1) {
+        const edge = stage.edges[(id + calls) % stage.edges.length];
+        if (edge) stage.beat(edge, id, calls, "up");
+        yield* Clock.rest(clock, beatMs);
+      }
+    };
+    for (const id of ids) this.start(announcing(this, id));
+  }
+
+  /** A heartbeat of a backend, as the platform's backends send them. */
+  beat(at: StageMachine, id: number, calls: number, state: "up" | "draining"): Call {
+    const body = {
+      svc: "ledger",
+      addr: `10.1.0.${id}:90`,
+      zone: "a",
+      ver: "1",
+      capacity: 2,
+      state,
+      warmLeft: "0ms",
+      calls,
+    };
+    return this.call(at, "POST", `backends/${id}/heartbeat`, JSON.stringify(body));
+  }
+
+  /** Has backends leave, each calling one daemon after another until it is acknowledged; how long each took. */
+  leave(ids: readonly number[]): number[] {
+    const tookMs = ids.map(() => Infinity);
+    const clock = this.time.clock();
+    const leaving = function* (stage: KeyedStage, id: number, place: number): Task {
+      const startedMs = clock.nowMs();
+      stage.leaving.add(id);
+      for (let calls = 1000; ; calls += 1) {
+        const edge = stage.edges[Math.floor(stage.random() * stage.edges.length)];
+        if (!edge) return;
+        const call = stage.beat(edge, id, calls, "draining");
+        const untilMs = clock.nowMs() + patienceMs;
+        while (call.code === undefined && clock.nowMs() < untilMs) yield* Clock.rest(clock, 5);
+        if (call.code === 200) {
+          tookMs[place] = clock.nowMs() - startedMs;
+          return;
+        }
+        yield* Clock.rest(clock, 50);
+      }
+    };
+    for (const [place, id] of ids.entries()) this.start(leaving(this, id, place));
+    this.wait(ackMs);
+    return tookMs;
+  }
+}
+
+const begun = (): KeyedStage => {
+  const stage = new KeyedStage();
+  stage.bootAll();
+  stage.wait(5000);
+  expect(stage.untilClear(configuration, 6)).toBe(200);
+  stage.announce(Array.from({ length: backEndCount }, (_, id) => id));
+  stage.wait(3000);
+  return stage;
+};
+
+test("under one and a half times the keyed writes of a grown deployment's peak the leader keeps its lead, writes are answered in time, and every backend that leaves is acknowledged", () => {
+  const stage = begun();
+  const leaders = stage.changesOfLeader;
+  stage.write(writesPerSecond, 6000);
+  stage.wait(3000);
+  const ids = Array.from({ length: backEndCount / 2 }, (_, id) => id);
+  const tookMs = stage.leave(ids);
+  stage.wait(deadlineMs);
+  expect(stage.changesOfLeader).toBe(leaders);
+  expect(Math.max(...tookMs)).toBeLessThan(ackMs);
+  const inTime = stage.written.filter((one) => one.code === 200 && one.tookMs < aimMs);
+  expect(inTime.length).toBeGreaterThan(stage.written.length * 0.9);
+}, 120_000);
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -1,9 +1,13 @@
 import { defineConfig } from "vitest/config";
+import { greenPattern } from "./tools/knownRed.mjs";
+
+const testNamePattern = greenPattern();
 
 export default defineConfig({
   test: {
     include: ["test/**/*.test.ts"],
     testTimeout: 120_000,
     reporters: ["default", "./.ci/closingLine.js"],
+    ...(testNamePattern ? { testNamePattern } : {}),
   },
 });
