Keyed writes: the log holds one claim each; what became of them is kept beside it

Cause: two entries a keyed write, the second with the response's body in base 64, through one leader to all members.

Ruled out: the daemons that the backends call (asks went out at once), the way to the leader (it was found, and answered that it has no lease).

Change: a claim names the daemon that the request goes through and a member that is to keep its response; a repeat asks these. Claims that came to nothing are no longer released in a loop, but taken over by name. A leader whose oldest claim waits for more than 150 ms refuses further ones at once, and that answer is final. Texts of frames are counted by the runtime: the library's own loop was a third of the leader's work in a profile.

Where nobody can tell what became of a key's request, the answer is 502 instead of 409: such a key is not at work. The test of the bound of kept responses moves to the store that holds them.

--- a/src/contract/ferry.ts
+++ b/src/contract/ferry.ts
@@ -4,7 +4,7 @@
 import { Holding } from "../runtime/holding.js";
 import { Task } from "../runtime/task.js";
 import { World } from "../runtime/world.js";
-import { breakdownReturn, isBreakdown, Order } from "./order.js";
+import { breakdownReturn, isBreakdown, Order, overloadedReturn } from "./order.js";
 
 type Asked = Held<typeof Kind.command.ask>;
 type Returned = Held<typeof Kind.command.return>;
@@ -172,7 +172,7 @@
         continue;
       }
       this.silentUntilMs.delete(target);
-      if (!isBreakdown(ret.text)) {
+      if (!isBreakdown(ret.text) || ret.text === overloadedReturn) {
         this.leader = ret.leader;
         this.way = ret.leader !== target && this.isSilent(ret.leader) ? target : "";
         return ret.text;
--- a/src/contract/order.ts
+++ b/src/contract/order.ts
@@ -15,7 +15,6 @@
   number,
   object,
   optional,
-  record,
   string,
   type,
   union,
@@ -23,8 +22,6 @@
   type Infer,
 } from "superstruct";
 
-const returnShape = object({ code: number(), headers: record(string(), string()), body: string() });
-
 /** What every change of the config tells: who sends it, upon which version, and the version it is to have. */
 const changeFields = { changeId: string(), base: optional(number()), version: optional(number()) };
 
@@ -54,13 +51,15 @@
   amend: object({ kind: literal("amend"), ...changeFields, put: itemsShape, remove: namesShape }),
   get: object({ kind: literal("get"), version: optional(number()) }),
   history: object({ kind: literal("history") }),
-  claim: object({ kind: literal("claim"), scope: string(), bodyHash: string(), job: string() }),
-  settle: object({
-    kind: literal("settle"),
+  claim: object({
+    kind: literal("claim"),
     scope: string(),
+    bodyHash: string(),
     job: string(),
-    verdict: union([literal("ran"), literal("mayHaveRun")]),
-    return: optional(returnShape),
+    /** The daemons that will know what became of the request. */
+    holders: optional(array(string())),
+    /** The request whose claim this one takes over, since it never ran and never will. */
+    replaces: optional(string()),
   }),
   release: object({ kind: literal("release"), scope: string(), job: string() }),
   rejoin: object({ kind: literal("rejoin"), machine: string(), nonce: string() }),
@@ -261,7 +260,7 @@
       bodyHash: string(),
       job: string(),
       verdict: union([literal("inHand"), literal("ran"), literal("mayHaveRun")]),
-      return: optional(returnShape),
+      holders: optional(array(string())),
     }),
   }),
 ]);
@@ -283,3 +282,6 @@
 
 /** Whether a return only says that the command wasn't carried out, or perhaps wasn't. */
 export const isBreakdown = (text: string): boolean => text.startsWith('{"breakdown":');
+
+/** A leader's refusal of what it can't carry out in time. It says so at once, and asking again would only add to its work. */
+export const overloadedReturn = breakdownReturn("overloaded");
--- a/src/contract/registry.ts
+++ b/src/contract/registry.ts
@@ -12,6 +12,7 @@
 import { itemHash } from "./setDigest.js";
 import type { CapacityGrants } from "./capacityGrants.js";
 import { amend, Config, ConfigReader, mergePatch } from "./config.js";
+import { ClaimAdmission } from "./claimAdmission.js";
 import { CommandMeter } from "./commandMeter.js";
 import { ConfigChanges } from "./configChanges.js";
 import { edgePlacesOf, type EdgePlace } from "./edgePlaces.js";
@@ -122,6 +123,7 @@
   private edgePlaces: ReadonlyMap<string, EdgePlace> | undefined;
   private readonly allowance: CapacityGrants;
   private readonly meter: CommandMeter;
+  private readonly claims: ClaimAdmission;
 
   constructor(
     world: World,
@@ -137,6 +139,7 @@
     this.allowance = allowance;
     this.log = world.logbook.part("contract");
     this.meter = new CommandMeter(world.clock, this.log);
+    this.claims = new ClaimAdmission(world.clock);
     this.directory = new DirectoryChanges(book);
     this.largeViews = new LargeViews(terms.grantMs);
     this.configChanges = new ConfigChanges(book, () => this.configInForce());
@@ -196,12 +199,11 @@
         }));
       case "claim": {
         const known = this.book.keys.get(order.scope);
-        if (known && known.job !== order.job && this.recorder.hasGrant)
-          return JSON.stringify({ held: known });
+        const isFree = !known || known.job === order.job || known.job === order.replaces;
+        if (!isFree && this.recorder.hasGrant) return JSON.stringify({ held: known });
         if (!known && this.book.keys.size >= heldKeys) return this.granted(() => ({ full: true }));
-        return yield* this.enter(order);
+        return yield* this.claims.admit(this.enter(order));
       }
-      case "settle":
       case "release":
         return yield* this.enterText(JSON.stringify(order));
       case "rejoin":
--- a/src/door/door.ts
+++ b/src/door/door.ts
@@ -18,6 +18,7 @@
 import { Job, type Caller } from "./job.js";
 import { Keys, type Claim } from "./keys.js";
 import type { LapsedLease } from "./lapsedLease.js";
+import type { KeyedOutcomeKeeper } from "./keyedOutcomeKeeper.js";
 import { endingOf, maySendOn, outcomeOf, type FailureCause } from "./outcomeTable.js";
 import { Ending, Return, type Verdict } from "./verdict.js";
 
@@ -136,6 +137,8 @@
   readonly dialect: Dialect;
   /** Whether requests that may be repeated are still served by a view whose lease is over. */
   readonly lapsedLease: LapsedLease;
+  /** Where it is kept what became of keyed requests. */
+  readonly outcomes: KeyedOutcomeKeeper;
   /** The link by which requests leave. */
   readonly egress: LinkPacer;
 }
@@ -185,7 +188,13 @@
     this.lapsedLease = parts.lapsedLease;
     this.egress = parts.egress;
     this.bulk = new BulkAdmission(parts.egress, wholeBytes);
-    this.keys = new Keys(world, ferry, incarnation, dialect.tellsParts ? after.led : undefined);
+    this.keys = new Keys(
+      world,
+      ferry,
+      parts.outcomes,
+      incarnation,
+      dialect.tellsParts ? after.led : undefined,
+    );
     this.log = world.logbook.part("door");
   }
 
--- a/src/door/keys.ts
+++ b/src/door/keys.ts
@@ -1,26 +1,33 @@
 import { createHash } from "node:crypto";
 import { hostName } from "../contract/mappings.js";
-import { ClaimReturn, type Order } from "../contract/order.js";
+import { ClaimReturn, overloadedReturn, type Order } from "../contract/order.js";
 import type { Ferry } from "../contract/ferry.js";
 import { Clock } from "../runtime/clock.js";
 import type { Task } from "../runtime/task.js";
 import { World } from "../runtime/world.js";
 import { Job } from "./job.js";
-import { Ending, type Return } from "./verdict.js";
+import type { KeyedOutcome, KeyedRequest } from "./keyedOutcome.js";
+import type { KeyedOutcomeKeeper } from "./keyedOutcomeKeeper.js";
+import { Ending } from "./verdict.js";
 
 /** A key that this daemon holds: it may send until a moment of its own clock. */
-export interface Claim {
-  readonly scope: string;
-  readonly job: string;
+export interface Claim extends KeyedRequest {
   readonly sendUntilMs: number;
+  /** Who is to know what becomes of it. */
+  readonly holders: readonly string[];
 }
 
+/** A key that another request claimed before. */
+type Held = Extract<ClaimReturn, { held: unknown }>["held"];
+
 const claimWaitMs = 2500;
 /** Which part of the time that is left a claim may take. */
 const claimPart = 0.5;
 const sendMs = 3000;
 const inHandWaitMs = 1500;
-const settleMs = 8000;
+/** How often a request that is in hand is asked after. */
+const askAgainMs = 100;
+const releaseMs = 8000;
 const keptBodyBytes = 64 * 1024;
 
 const hash = (...parts: Array<string | Uint8Array>): string => {
@@ -29,19 +36,61 @@
   return sum.digest("hex");
 };
 
-/** Claims keys in the record before the first send, and settles or releases them after. */
+const noClaim = (afterMs: number): Ending =>
+  Ending.drop("The key could not be claimed in the record.", afterMs);
+
+/** What a repeat is answered with once it is known what became of the first request. */
+const repeated = (outcome: KeyedOutcome, afterMs: number): Ending | undefined => {
+  switch (outcome.kind) {
+    case "ran": {
+      const { code, headers, body } = outcome.response;
+      return Ending.returned({
+        code,
+        headers: { ...headers, "x-daledoor-repeated": "true" },
+        body,
+      });
+    }
+    case "ranNotKept":
+      return Ending.breakdown(
+        502,
+        "The first request with this key ran; its response is not kept.",
+        "ran",
+        afterMs,
+      );
+    case "mayHaveRun":
+      return Ending.breakdown(
+        502,
+        "Nobody can tell whether the first request with this key ran.",
+        "mayHaveRun",
+        afterMs,
+      );
+    case "inHand":
+    case "neverRan":
+      return undefined;
+  }
+};
+
+/** Claims keys in the record before the first send, and keeps what becomes of their requests. */
 export class Keys {
   private readonly world: World;
   private readonly ferry: Ferry;
+  private readonly outcomes: KeyedOutcomeKeeper;
   private readonly incarnation: string;
-  private readonly afterMs: number | undefined;
+  private readonly afterMs: number;
   private claims = 0;
-  /** Settlements and releases under way. */
+  /** Outcomes that are being shared, and releases under way. */
   inHand = 0;
 
-  constructor(world: World, ferry: Ferry, incarnation: string, afterMs?: number) {
+  constructor(
+    world: World,
+    ferry: Ferry,
+    outcomes: KeyedOutcomeKeeper,
+    incarnation: string,
+    afterMs = 2000,
+  ) {
     this.world = world;
     this.ferry = ferry;
+    this.outcomes = outcomes;
     this.incarnation = incarnation;
     this.afterMs = afterMs;
   }
@@ -53,94 +102,96 @@
     this.claims += 1;
     const scope = hash(hostName(job.headers["host"] ?? ""), job.method, Job.path(job), key);
     const bodyHash = hash(job.target, job.body);
-    const name = `${this.incarnation}/${this.claims}`;
+    const request: KeyedRequest = { scope, job: `${this.incarnation}/${this.claims}` };
+    const holders = this.outcomes.holdersFor(scope);
+    this.outcomes.note(request, { kind: "inHand" });
+    let replaces: string | undefined;
     for (;;) {
       const askedMs = clock.nowMs();
       const waitMs = Math.min(mostMs, (untilMs - askedMs) * claimPart);
-      const text = yield* this.ferry.command({ kind: "claim", scope, bodyHash, job: name }, waitMs);
-      if (text === undefined) {
-        this.release({ scope, job: name });
-        return Ending.drop("The key could not be claimed in the record.", this.afterMs ?? 2000);
-      }
+      const order: Order = {
+        kind: "claim",
+        ...request,
+        bodyHash,
+        holders,
+        ...(replaces === undefined ? {} : { replaces }),
+      };
+      const text = yield* this.ferry.command(order, waitMs);
+      if (text === undefined || text === overloadedReturn) return this.giveUp(request);
       const ret = ClaimReturn.read(text);
-      if ("claimed" in ret) return { scope, job: name, sendUntilMs: askedMs + sendMs };
+      if ("claimed" in ret) return { ...request, holders, sendUntilMs: askedMs + sendMs };
       if ("full" in ret) return Ending.drop("Too many keys are held.", 30_000);
-      if (ret.held.bodyHash !== bodyHash)
+      const { held } = ret;
+      if (held.bodyHash !== bodyHash) {
+        this.outcomes.note(request, { kind: "neverRan" });
         return Ending.refusal(422, "This key came before with another body.");
-      if (ret.held.verdict === "mayHaveRun")
-        return Ending.breakdown(
-          502,
-          "The first request with this key may have run; its return was lost.",
-          "mayHaveRun",
-          120_000,
-        );
-      if (ret.held.verdict === "ran") {
-        const kept = ret.held.return;
-        if (!kept)
-          return Ending.breakdown(
-            502,
-            "The first request with this key ran; its return was not kept.",
-            "ran",
-            120_000,
-          );
-        const headers = { ...kept.headers, "x-daledoor-repeated": "true" };
-        return Ending.returned({
-          code: kept.code,
-          headers,
-          body: Buffer.from(kept.body, "base64"),
-        });
       }
-      if (clock.nowMs() - startedMs > Math.min(inHandWaitMs, (untilMs - startedMs) / 2))
-        return Ending.breakdown(
-          409,
-          "The first request with this key is still in hand.",
-          "mayHaveRun",
-          this.afterMs ?? 2000,
-        );
-      yield* Clock.rest(clock, 100);
+      const givenMs = Math.min(inHandWaitMs, (untilMs - startedMs) / 2);
+      const outcome = yield* this.outcomeOf(scope, held, startedMs + givenMs);
+      if (outcome.kind !== "neverRan") {
+        this.outcomes.note(request, { kind: "neverRan" });
+        return repeated(outcome, this.afterMs) ?? this.stillInHand();
+      }
+      replaces = held.job;
     }
   }
 
-  /** Says in the record how the request ended. */
+  /** Notes how a claimed request ended, and has the response kept. */
   conclude(claim: Claim, ending: Ending): void {
-    const { scope, job } = claim;
-    if (ending.verdict === "neverRan") return this.release(claim);
-    const kept =
-      ending.verdict === "ran" && typeof ending.ret !== "string"
-        ? this.keep(ending.ret)
-        : undefined;
-    this.tell({
-      kind: "settle",
-      scope,
-      job,
-      verdict: ending.verdict,
-      ...(kept ? { return: kept } : {}),
-    });
+    const { verdict, ret } = ending;
+    if (verdict === "neverRan") {
+      this.outcomes.note(claim, { kind: "neverRan" });
+      this.start(this.release(claim));
+      return;
+    }
+    if (verdict === "ran" && typeof ret !== "string" && ret.body.length <= keptBodyBytes) {
+      const outcome: KeyedOutcome = { kind: "ran", response: ret };
+      this.outcomes.note(claim, outcome);
+      this.start(this.outcomes.share(claim, outcome, claim.holders));
+      return;
+    }
+    this.outcomes.note(claim, { kind: verdict === "ran" ? "ranNotKept" : "mayHaveRun" });
   }
 
-  private release({ scope, job }: Pick<Claim, "scope" | "job">): void {
-    this.tell({ kind: "release", scope, job });
+  /** A request whose claim came to nothing in time is never sent: whoever asks after it may take its claim over. */
+  private giveUp(request: KeyedRequest): Ending {
+    this.outcomes.note(request, { kind: "neverRan" });
+    return noClaim(this.afterMs);
   }
 
-  private keep(
-    ret: Return,
-  ): { code: number; headers: Record<string, string>; body: string } | undefined {
-    if (ret.body.length > keptBodyBytes) return undefined;
-    return { code: ret.code, headers: ret.headers, body: Buffer.from(ret.body).toString("base64") };
+  private stillInHand(): Ending {
+    return Ending.breakdown(
+      409,
+      "The first request with this key is still in hand.",
+      "mayHaveRun",
+      this.afterMs,
+    );
+  }
+
+  /** What became of the request that holds a key, which is waited for while it is in hand or nobody can tell. */
+  private *outcomeOf(scope: string, held: Held, untilMs: number): Task<KeyedOutcome> {
+    if (held.verdict === "mayHaveRun") return { kind: "mayHaveRun" };
+    if (held.verdict === "ran") return { kind: "ranNotKept" };
+    const { clock } = this.world;
+    for (;;) {
+      const request = { scope, job: held.job };
+      const outcome = yield* this.outcomes.find(request, held.holders ?? []);
+      if (outcome === "unknown") return { kind: "mayHaveRun" };
+      const isInHand = outcome !== "unreachable" && outcome.kind === "inHand";
+      if (outcome !== "unreachable" && !isInHand) return outcome;
+      if (clock.nowMs() + askAgainMs > untilMs) return { kind: isInHand ? "inHand" : "mayHaveRun" };
+      yield* Clock.rest(clock, askAgainMs);
+    }
+  }
+
+  private *release({ scope, job }: KeyedRequest): Task {
+    yield* this.ferry.command({ kind: "release", scope, job }, releaseMs);
   }
 
-  private tell(order: Order): void {
+  private start(task: Task): void {
     this.inHand += 1;
-    const { ferry } = this;
-    World.start(
-      this.world,
-      "door",
-      (function* () {
-        yield* ferry.command(order, settleMs);
-      })(),
-      () => {
-        this.inHand -= 1;
-      },
-    );
+    World.start(this.world, "door", task, () => {
+      this.inHand -= 1;
+    });
   }
 }
--- a/src/link/kind.ts
+++ b/src/link/kind.ts
@@ -1,4 +1,5 @@
 import * as r from "restructure";
+import { Utf8Text } from "./utf8Text.js";
 
 /** One kind of exchange between processes: what is asked and what is returned. */
 export interface Kind<A, R> {
@@ -9,9 +10,18 @@
   readonly waitMs?: number;
 }
 
-const text = new r.String(r.uint32, "utf8");
+const text = new Utf8Text();
 const flag = new r.Boolean(r.uint8);
 const texts = new r.Array(text, r.uint32);
+/** A keyed request is named by the scope of its key and by its own name. */
+const keyedRequest = { scope: text, job: text };
+/** What became of it, as door/keyedOutcome numbers it, and the response if there is one: status, headers as JSON, body. */
+const keyedOutcome = {
+  state: r.uint8,
+  code: r.uint16,
+  headers: text,
+  body: new r.Buffer(r.uint32),
+};
 const entry = new r.Struct({ index: r.uint32, term: r.uint32, text });
 
 /** One entry of the record as it travels and as it lies on disk. */
@@ -115,6 +125,18 @@
     ask: new r.Struct({ from: r.uint32 }),
     return: new r.Struct({ configs: new r.Buffer(r.uint32) }),
   },
+  /** A daemon has another keep what became of a keyed request. */
+  keepOutcome: {
+    number: 11,
+    ask: new r.Struct({ ...keyedRequest, ...keyedOutcome }),
+    return: new r.Struct({ isKept: flag }),
+  },
+  /** A daemon asks another what became of a keyed request. */
+  keyedOutcome: {
+    number: 12,
+    ask: new r.Struct(keyedRequest),
+    return: new r.Struct(keyedOutcome),
+  },
   /**
    * A leader sends one piece of its snapshot, deflated, to a member that is behind its log; without bytes it asks how much the
    * member has received. A build that doesn't know of pieces closes the link; it is sent the whole as `checkpoint`.
--- a/src/machine/daemon.ts
+++ b/src/machine/daemon.ts
@@ -8,6 +8,8 @@
 import { Door } from "../door/door.js";
 import type { Caller, Job } from "../door/job.js";
 import { LapsedLease } from "../door/lapsedLease.js";
+import { KeyedOutcomeKeeper } from "../door/keyedOutcomeKeeper.js";
+import { KeyedOutcomeStore } from "../door/keyedOutcomeStore.js";
 import type { Return } from "../door/verdict.js";
 import { Kind } from "../link/kind.js";
 import { Link } from "../link/link.js";
@@ -82,6 +84,7 @@
   private readonly edgeCounts: EdgeCounts;
   private readonly desk: Operators;
   readonly door: Door;
+  private readonly outcomes: KeyedOutcomeKeeper;
   readonly recorder: Recorder | undefined;
   private readonly registry: Registry | undefined;
   private readonly collector: Collector | undefined;
@@ -133,6 +136,15 @@
       self,
       bounds.budget,
     );
+    this.outcomes = new KeyedOutcomeKeeper(
+      this.link,
+      new KeyedOutcomeStore(world.clock, bounds.terms.keyMs),
+      () => ({
+        members: this.view.collectors,
+        leader: this.ferry.leader,
+        zone: settings.zone,
+      }),
+    );
     this.door = new Door(world, {
       view: this.view,
       backEnds: options.backEnds,
@@ -143,6 +155,7 @@
       incarnation: this.incarnation,
       dialect: options.dialect ?? Dialect.own,
       lapsedLease: this.lapsedLease(),
+      outcomes: this.outcomes,
       egress: pacers.egress,
     });
     if (this.roles.includes("recorder") && world.disk) {
@@ -216,6 +229,7 @@
       this.ferry.serveWay();
       this.meeting.serve();
     }
+    this.outcomes.serve();
     yield* this.link.listen();
     if (recorder && registry) {
       World.start(world, "record", recorder.own());
--- a/src/record/book.ts
+++ b/src/record/book.ts
@@ -10,7 +10,6 @@
   number,
   object,
   optional,
-  record,
   string,
   tuple,
   type,
@@ -98,16 +97,14 @@
 /** How many instances that are gone for good are kept at most; beyond that the oldest go. */
 export const keptGone = 20_000;
 
-/** A return that was kept for duplicates; the body in base 64. */
-const returnShape = object({ code: number(), headers: record(string(), string()), body: string() });
-
-/** A key that is claimed, and the return it got. */
+/** A key that is claimed, and who knows what became of its request. */
 export interface KeyClaim {
   bodyHash: string;
   job: string;
-  /** What is known of the first request: in hand, or how it ended. */
+  /** How the request ended where a former build noted it here; else in hand. */
   verdict: "inHand" | "ran" | "mayHaveRun";
-  return?: Infer<typeof returnShape>;
+  /** The daemons that know what became of the request: that is no part of the agreed state. */
+  holders?: readonly string[];
   atIndex: number;
 }
 
@@ -156,6 +153,8 @@
 ): Pick<AcceptedConfig, "sequence" | "version"> =>
   version === sequence ? { sequence } : { sequence, version };
 
+const holdersShape = array(string());
+
 const isKeyClaim = (value: unknown): value is KeyClaim =>
   typeof value === "object" &&
   value !== null &&
@@ -167,7 +166,16 @@
   (value.verdict === "inHand" || value.verdict === "ran" || value.verdict === "mayHaveRun") &&
   "atIndex" in value &&
   typeof value.atIndex === "number" &&
-  (!("return" in value) || returnShape.is(value.return));
+  (!("holders" in value) || holdersShape.is(value.holders));
+
+/** A claim without what a former build put beside it. */
+const storedClaim = ({ bodyHash, job, verdict, holders, atIndex }: KeyClaim): KeyClaim => ({
+  bodyHash,
+  job,
+  verdict,
+  ...(holders ? { holders } : {}),
+  atIndex,
+});
 
 /** The table of keys is large, so that it is checked in one go. */
 const keysShape = define<Array<{ scope: string; claim: KeyClaim }>>(
@@ -227,13 +235,22 @@
   end: object({ kind: literal("end"), address: string(), number: number(), why: string() }),
   purge: object({ kind: literal("purge"), address: string(), number: number() }),
   forgetGone: object({ kind: literal("forgetGone"), instances: array(string()) }),
-  claim: object({ kind: literal("claim"), scope: string(), bodyHash: string(), job: string() }),
+  claim: object({
+    kind: literal("claim"),
+    scope: string(),
+    bodyHash: string(),
+    job: string(),
+    holders: optional(holdersShape),
+    replaces: optional(string()),
+  }),
+  /** How a keyed request ended; only logs of a former build have it. */
   settle: object({
     kind: literal("settle"),
     scope: string(),
     job: string(),
     verdict: union([literal("ran"), literal("mayHaveRun")]),
-    return: optional(returnShape),
+    /** The response itself; it is let go. */
+    return: optional(type({ code: number() })),
   }),
   release: object({ kind: literal("release"), scope: string(), job: string() }),
   forget: object({ kind: literal("forget"), scopes: array(string()), upTo: number() }),
@@ -293,15 +310,12 @@
   }),
   journal: array(object({ index: number(), text: string() })),
   holders: optional(array(string())),
-  returns: array(string()),
 });
 
 const keptRecent = 200;
 /** How many accepted changes are kept in mind by their ids, so that each is known when it is sent again. */
 const keptChanges = 2000;
 const keptJournal = 1000;
-/** How many bytes of returns are kept for duplicates, all together; beyond that the oldest go. */
-export const keptReturnBytes = 8 * 1024 * 1024;
 
 /** The tables that the record keeps, the same on every recorder that has applied the same entries. */
 export class Book {
@@ -319,9 +333,6 @@
   journal: Array<{ index: number; text: string }> = [];
   /** The edges that may hold a part of a pool of further tries, so that a new leader knows whom to wait for. */
   holders = new Set<string>();
-  /** The keys whose returns are kept, in the order in which they came, with the bytes of each. */
-  private returns = new Map<string, number>();
-  private returnBytes = 0;
   private changes = new Map<string, Pick<AcceptedConfig, "sequence" | "version">>();
   private applied = new Set<(deed: Deed, index: number) => void>();
 
@@ -384,7 +395,6 @@
       gone: [...this.gone],
       directorySequence: this.directorySequence,
       keys: [...this.keys].map(([scope, claim]) => ({ scope, claim })),
-      returns: [...this.returns.keys()],
       numbering: this.numbering.state,
       journal: this.journal,
       holders: [...this.holders],
@@ -411,11 +421,7 @@
     this.contracts = Table(kept.contracts.map((contract) => [contract.address, contract]));
     this.gone = new Map(kept.gone ?? []);
     this.directorySequence = kept.directorySequence;
-    this.keys = new Map(kept.keys.map(({ scope, claim }) => [scope, claim]));
-    this.returns = new Map(
-      kept.returns.map((scope) => [scope, this.keys.get(scope)?.return?.body.length ?? 0]),
-    );
-    this.returnBytes = [...this.returns.values()].reduce((sum, bytes) => sum + bytes, 0);
+    this.keys = new Map(kept.keys.map(({ scope, claim }) => [scope, storedClaim(claim)]));
     this.numbering.restore(kept.numbering);
     this.journal = kept.journal;
     this.holders = new Set(kept.holders ?? []);
@@ -496,11 +502,13 @@
         return { known: true };
       case "claim": {
         const known = this.keys.get(deed.scope);
-        if (known) return known.job === deed.job ? { claimed: true } : { held: known };
+        if (known?.job === deed.job) return { claimed: true };
+        if (known && known.job !== deed.replaces) return { held: known };
         this.keys.set(deed.scope, {
           bodyHash: deed.bodyHash,
           job: deed.job,
           verdict: "inHand",
+          ...(deed.holders ? { holders: deed.holders } : {}),
           atIndex: index,
         });
         return { claimed: true };
@@ -511,14 +519,12 @@
         this.keys.set(deed.scope, {
           ...known,
           verdict: deed.verdict,
-          ...(deed.return ? { return: deed.return } : {}),
         });
-        if (deed.return) this.boundReturns(deed.scope, deed.return.body.length);
         return { known: true };
       }
       case "release": {
         const known = this.keys.get(deed.scope);
-        if (known?.job === deed.job && known.verdict === "inHand") this.forgetKey(deed.scope);
+        if (known?.job === deed.job && known.verdict === "inHand") this.keys.delete(deed.scope);
         return { known: true };
       }
       case "holder":
@@ -529,7 +535,7 @@
         return {};
       case "forget":
         for (const scope of deed.scopes)
-          if ((this.keys.get(scope)?.atIndex ?? Infinity) <= deed.upTo) this.forgetKey(scope);
+          if ((this.keys.get(scope)?.atIndex ?? Infinity) <= deed.upTo) this.keys.delete(scope);
         return { known: true };
     }
   }
@@ -651,31 +657,6 @@
     }
   }
 
-  /** Notes a kept return; the oldest ones go where all together are too large. */
-  private boundReturns(scope: string, bodyBytes: number): void {
-    this.returns.set(scope, bodyBytes);
-    this.returnBytes += bodyBytes;
-    for (const [oldest, bytes] of this.returns) {
-      if (this.returnBytes <= keptReturnBytes) return;
-      this.returns.delete(oldest);
-      this.returnBytes -= bytes;
-      const claim = this.keys.get(oldest);
-      if (claim)
-        this.keys.set(oldest, {
-          bodyHash: claim.bodyHash,
-          job: claim.job,
-          verdict: claim.verdict,
-          atIndex: claim.atIndex,
-        });
-    }
-  }
-
-  private forgetKey(scope: string): void {
-    this.keys.delete(scope);
-    this.returnBytes -= this.returns.get(scope) ?? 0;
-    this.returns.delete(scope);
-  }
-
   private note(index: number, text: string): Record<string, unknown> {
     this.journal.push({ index, text });
     if (this.journal.length > keptJournal)
--- a/src/record/store.ts
+++ b/src/record/store.ts
@@ -3,6 +3,7 @@
 import type { Disk } from "../runtime/disk.js";
 import { Task } from "../runtime/task.js";
 import { exactly } from "../link/frame.js";
+import { Utf8Text } from "../link/utf8Text.js";
 import { History } from "./history.js";
 import { seal, sealBytes, unseal } from "./seal.js";
 import { SnapshotPartFile } from "./snapshotPartFile.js";
@@ -38,7 +39,7 @@
   kind: r.uint8,
   term: r.uint32,
   index: r.uint32,
-  text: new r.String(r.uint32, "utf8"),
+  text: new Utf8Text(),
 });
 const encode = (record: LogRecord): Uint8Array => {
   switch (record.kind) {
--- /dev/null
+++ b/test/door/calmFleet.ts
@@ -0,0 +1,65 @@
+import type { Job } from "../../src/door/job.js";
+import { Profile } from "../../src/rehearsal/profile.js";
+import { Simulation } from "../../src/rehearsal/simulation.js";
+import { Task } from "../../src/runtime/task.js";
+
+/** Within which two runs of one key are a fault; the rule's, in the settings of these fleets. */
+export const keyWindowMs = 60_000;
+
+export type Machine = Simulation["machines"][number];
+
+/** What a caller saw of one request: no code while it waits, 0 where its connection broke. */
+export interface Call {
+  code: number | undefined;
+  text: string;
+}
+
+/** A simulated fleet in calm, with the means to send keyed requests and to hurt it. */
+export const calmFleet = (seed = 7) => {
+  const simulation = new Simulation(Profile.all.rastro, seed, 0.0001);
+  simulation.begin();
+  simulation.start(simulation.day.putConfig());
+  const wait = (forMs: number): void => simulation.time.runUntil(simulation.time.nowMs() + forMs);
+  wait(6000);
+  const edges = simulation.machines.filter(({ settings }) => settings.callers !== undefined);
+  const core = simulation.machines.filter(({ settings }) => settings.dataFolder !== undefined);
+  const send = (through: Machine, key: string, patienceMs = 9000): Call => {
+    const seen: Call = { code: undefined, text: "" };
+    const job: Job = {
+      method: "POST",
+      target: "/issues/5/resolve",
+      headers: { "idempotency-key": key, "x-caller": `${through.settings.machine} ${key}` },
+      body: Buffer.from("{}"),
+    };
+    Task.start(
+      simulation.call(through.settings.machine, job, patienceMs),
+      (error) => {
+        throw error;
+      },
+      (end) => {
+        seen.code = end.code;
+        seen.text = end.body.toString();
+      },
+    );
+    return seen;
+  };
+  const runs = (key: string): number[] =>
+    simulation.ledger.runs.filter((run) => run.key === key).map(({ atMs }) => atMs);
+  const until = (holds: () => boolean): void => {
+    for (let passedMs = 0; !holds(); passedMs += 1) {
+      if (passedMs > 20_000) throw new Error("It doesn't hold after 20 s.");
+      wait(1);
+    }
+  };
+  const leader = (): Machine | undefined =>
+    core.find(({ daemon }) => daemon?.recorder?.status.role === "leader");
+  const committed = (): number =>
+    Math.max(...simulation.machines.map(({ daemon }) => daemon?.recorder?.status.committed ?? 0));
+  return { simulation, edges, core, wait, send, runs, until, leader, committed };
+};
+
+export const two = (edges: readonly Machine[]): [Machine, Machine] => {
+  const [first, second] = edges;
+  if (!first || !second) throw new Error("There are too few edges.");
+  return [first, second];
+};
--- /dev/null
+++ b/test/door/keyedOutcomeStore.test.ts
@@ -0,0 +1,42 @@
+import { expect, test } from "vitest";
+import { KeyedOutcomeStore } from "../../src/door/keyedOutcomeStore.js";
+import type { KeyedOutcome } from "../../src/door/keyedOutcome.js";
+import { VirtualClock } from "../../src/rehearsal/virtualClock.js";
+
+const response = (bytes: number): KeyedOutcome => ({
+  kind: "ran",
+  response: { code: 201, headers: {}, body: Buffer.alloc(bytes, "b") },
+});
+
+test("a response is found by its scope and the request that ran, and by no other", () => {
+  const store = new KeyedOutcomeStore(new VirtualClock().clock(), 1000);
+  store.note({ scope: "s", job: "one" }, response(10));
+  expect(store.find({ scope: "s", job: "one" })).toEqual(response(10));
+  expect(store.find({ scope: "s", job: "other" })).toBeUndefined();
+  expect(store.find({ scope: "t", job: "one" })).toBeUndefined();
+});
+
+test("responses are bounded all together: the oldest go first", () => {
+  const mostBytes = 100_000;
+  const store = new KeyedOutcomeStore(new VirtualClock().clock(), 1000, mostBytes);
+  for (let at = 0; at < 200; at += 1) {
+    store.note({ scope: `s${at}`, job: "j" }, response(9_800));
+    expect(store.bytes).toBeLessThanOrEqual(mostBytes);
+  }
+  const isKept = (at: number): boolean => store.find({ scope: `s${at}`, job: "j" }) !== undefined;
+  expect(Array.from({ length: 200 }, (_, at) => at).filter(isKept)).toEqual([
+    190, 191, 192, 193, 194, 195, 196, 197, 198, 199,
+  ]);
+});
+
+test("what is older than a key is kept goes with the next one, and what replaces a response counts once", () => {
+  const time = new VirtualClock();
+  const store = new KeyedOutcomeStore(time.clock(), 1000);
+  store.note({ scope: "old", job: "j" }, response(500));
+  time.runUntil(1500);
+  store.note({ scope: "new", job: "j" }, response(500));
+  expect(store.find({ scope: "old", job: "j" })).toBeUndefined();
+  const oneBytes = store.bytes;
+  store.note({ scope: "new", job: "j" }, response(500));
+  expect(store.bytes).toBe(oneBytes);
+});
--- /dev/null
+++ b/test/door/keyedOutcomes.test.ts
@@ -0,0 +1,71 @@
+import { expect, test } from "vitest";
+import { calmFleet, two, type Machine } from "./calmFleet.js";
+
+const responded = 201;
+
+/** A keyed request that ran through the first edge, and who keeps its response. */
+const ranThroughFirst = () => {
+  const fleet = calmFleet();
+  const [first, second] = two(fleet.edges);
+  const one = fleet.send(first, "k");
+  fleet.wait(2000);
+  expect(one.code).toBe(responded);
+  expect(fleet.runs("k").length).toBe(1);
+  return { ...fleet, first, second, one };
+};
+
+type Ran = ReturnType<typeof ranThroughFirst>;
+
+/** What a repeat through another edge is answered with. */
+const repeat = ({ send, wait, second }: Ran): { code: number | undefined; text: string } => {
+  const again = send(second, "k");
+  wait(4000);
+  return again;
+};
+
+const dies = ({ simulation, wait }: Ran, machines: readonly Machine[]): void => {
+  for (const machine of machines) simulation.kill(machine);
+  wait(4000);
+};
+
+test("a repeat through another edge gets the first response, also once the edge that ran it is gone", () => {
+  const ran = ranThroughFirst();
+  expect(repeat(ran)).toEqual({ code: responded, text: ran.one.text });
+  dies(ran, [ran.first]);
+  expect(repeat(ran)).toEqual({ code: responded, text: ran.one.text });
+  expect(ran.runs("k").length).toBe(1);
+});
+
+test("a repeat gets the first response once all members restarted at the same moment, from the edge that ran it", () => {
+  const ran = ranThroughFirst();
+  dies(ran, ran.core);
+  for (const machine of ran.core) ran.simulation.boot(machine);
+  ran.wait(8000);
+  expect(repeat(ran)).toEqual({ code: responded, text: ran.one.text });
+  expect(ran.runs("k").length).toBe(1);
+});
+
+test("once all who kept a response are gone, a repeat gets 502 and doesn't run", () => {
+  const ran = ranThroughFirst();
+  const kept = [ran.first, ...ran.core];
+  dies(ran, kept);
+  for (const machine of kept) ran.simulation.boot(machine);
+  ran.wait(8000);
+  for (let round = 0; round < 5; round += 1) expect(repeat(ran).code).toBe(502);
+  expect(ran.runs("k").length).toBe(1);
+});
+
+test("a request whose claim came to nothing in time has its key taken over by the next one, which runs once", () => {
+  const { simulation, edges, core, send, wait, runs } = calmFleet();
+  const [first, second] = two(edges);
+  // The first edge is heard by the members, and hears nothing: its claim is taken, and it never learns that.
+  for (const other of core) simulation.network.cut(other.settings.machine, first.settings.machine);
+  const one = send(first, "k");
+  wait(3000);
+  expect(one.code).toBe(503);
+  expect(runs("k")).toEqual([]);
+  const next = send(second, "k");
+  wait(4000);
+  expect(next.code).toBe(responded);
+  expect(runs("k").length).toBe(1);
+});
--- a/types/restructure.d.ts
+++ b/types/restructure.d.ts
@@ -17,8 +17,15 @@
   export class Boolean extends Base<boolean> {
     constructor(type: Coder<number>);
   }
+  /** What values are written into: the next byte goes to `pos`. */
+  export interface EncodeStream {
+    readonly buffer: Uint8Array;
+    pos: number;
+    writeUInt32BE(value: number): void;
+  }
   export class String extends Base<string> {
     constructor(length: Coder<number>, encoding: "utf8");
+    encode(stream: EncodeStream, value: string): void;
   }
   export class Buffer extends Base<Uint8Array> {
     constructor(length: Coder<number>);
