--- a/src/record/recorder.ts
+++ b/src/record/recorder.ts
@@ -122,7 +122,8 @@
   | { kind: "checkpoint"; ask: CheckpointAsk; done: (ret: CheckpointReturn) => void }
   | { kind: "snapshotPiece"; ask: PieceAsk; done: (ret: PieceReturn) => void }
   | { kind: "handOver"; term: number; done: (taken: boolean) => void }
-  | { kind: "propose"; texts: string[]; done: (outcomes: Proposed[]) => void }
+  | { kind: "propose"; text: string; done: (proposed: Proposed) => void }
+  | { kind: "addProposals" }
   | { kind: "acked"; acknowledgment: Acknowledgment }
   | { kind: "voted"; received: ReceivedVote }
   | { kind: "written"; term: number; index: number }
@@ -143,6 +144,8 @@
 
 /** What one frame of entries carries at most, unless a single entry is larger. Exported for its test. */
 export const batch = { entries: 1024, bytes: 256 * 1024 };
+/** For how long proposals are gathered after the last ones were added: one write and one round to the others carry many. */
+const gatherProposalsMs = 8;
 /** What is kept of the log behind a checkpoint, for followers that lag a little. */
 const kept = { entries: 2000, bytes: 16 * 1024 * 1024 };
 /** What is kept of it at most while a snapshot is being transferred, so that entries can follow on the snapshot. */
@@ -181,6 +184,10 @@
   /** Machines that asked to learn, until a change of membership may be made. */
   private readonly newLearners: Array<{ machine: string; done: (known: boolean) => void }> = [];
   private promises = new Map<number, { term: number; done: (proposed: Proposed) => void }>();
+  /** What was proposed and is yet to be added to the log. */
+  private readonly proposals: Array<{ text: string; done: (proposed: Proposed) => void }> = [];
+  private addedProposalsMs = -Infinity;
+  private willAddProposals = false;
   private checkpointing = false;
   private snapshotsTaken = 0;
   /** Set right before the process ends: what is acknowledged then can't be counted on. */
@@ -313,10 +320,7 @@
 
   /** Asks the record to take an entry; ends once its fate is known, or known to be unknown. */
   *propose(text: string): Task<Proposed> {
-    const outcomes = yield* Task.wait<Proposed[]>((done) =>
-      this.holding.put({ kind: "propose", texts: [text], done }),
-    );
-    return outcomes[0] ?? "unknown";
+    return yield* Task.wait<Proposed>((done) => this.holding.put({ kind: "propose", text, done }));
   }
 
   /** Has a recorder learn the record, unless it already does or votes; false where this one ceases to lead. */
@@ -632,7 +636,7 @@
     this.promises = new Map();
     this.snapshotSender = new SnapshotSender();
     this.log.say("Leads the record.", { term });
-    this.add([leadsText(this.agreed)], () => undefined);
+    this.add([leadsText(this.agreed)]);
     for (const hook of this.leaderHooks) hook(true);
     const startedMs = this.world.clock.nowMs();
     while (this.isLeading(term)) {
@@ -656,6 +660,7 @@
     for (const { done } of this.newLearners.splice(0)) done(false);
     for (const promise of this.promises.values()) promise.done("unknown");
     this.promises = new Map();
+    for (const { done } of this.proposals.splice(0)) done("notLeader");
     for (const nudge of this.nudges.values()) nudge.put(true);
     for (const hook of this.leaderHooks) hook(false);
     this.log.say("Leads no more.", { term });
@@ -728,7 +733,7 @@
   }
 
   private changeMembers(members: Members): void {
-    this.add([membersText(members)], () => undefined);
+    this.add([membersText(members)]);
   }
 
   private keepReplicating(term: number): void {
@@ -833,19 +838,42 @@
     return voters.includes(peer) || learners.includes(peer);
   }
 
-  private add(texts: string[], done: (outcomes: Proposed[]) => void): void {
+  /** Has the proposals that wait added: at once after a pause, else together with those that come shortly after. */
+  private gatherProposals(): void {
+    if (this.willAddProposals) return;
+    const waitMs = this.addedProposalsMs + gatherProposalsMs - this.world.clock.nowMs();
+    if (waitMs <= 0) return this.addProposals();
+    this.willAddProposals = true;
+    this.world.clock.after(waitMs, () => this.holding.put({ kind: "addProposals" }));
+  }
+
+  private addProposals(): void {
+    this.willAddProposals = false;
+    const proposals = this.proposals.splice(0);
+    if (this.agreed.role !== "leader") {
+      for (const { done } of proposals) done("notLeader");
+      return;
+    }
+    if (proposals.length === 0) return;
+    this.addedProposalsMs = this.world.clock.nowMs();
+    this.add(
+      proposals.map(({ text }) => text),
+      proposals.map(({ done }) => done),
+    );
+  }
+
+  /** Adds entries to the own log as its leader; `hear` tells each of them, by its place, what became of it. */
+  private add(
+    texts: readonly string[],
+    hear: ReadonlyArray<(proposed: Proposed) => void> = [],
+  ): void {
     const { state, entries, records } = addOwnEntries(this.agreed, texts);
     this.agreed = state;
     const { term, log } = state;
-    const outcomes: Proposed[] = [];
-    for (const { index } of entries)
-      this.promises.set(index, {
-        term,
-        done: (proposed) => {
-          outcomes.push(proposed);
-          if (outcomes.length === texts.length) done(outcomes);
-        },
-      });
+    for (const [at, { index }] of entries.entries()) {
+      const done = hear[at];
+      if (done) this.promises.set(index, { term, done });
+    }
     this.writer.append([...records], () =>
       this.holding.put({ kind: "written", term, index: log.lastIndex }),
     );
@@ -869,8 +897,11 @@
         return command.done(taken);
       }
       case "propose":
-        if (this.agreed.role === "leader") return this.add(command.texts, command.done);
-        return command.done(command.texts.map(() => "notLeader"));
+        if (this.agreed.role !== "leader") return command.done("notLeader");
+        this.proposals.push(command);
+        return this.gatherProposals();
+      case "addProposals":
+        return this.addProposals();
       case "acked":
         return this.take(noteAcknowledgment(this.agreed, command.acknowledgment, this.facts));
       case "voted":
