--- a/src/contract/registry.ts
+++ b/src/contract/registry.ts
@@ -2,6 +2,7 @@
 import { Clock } from "../runtime/clock.js";
 import { Holding } from "../runtime/holding.js";
 import type { PartLog } from "../runtime/logbook.js";
+import { StepTimer } from "../runtime/stepTimer.js";
 import { Task } from "../runtime/task.js";
 import { World } from "../runtime/world.js";
 import type { AcceptedConfig, Book, Contract } from "../record/book.js";
@@ -123,6 +124,7 @@
   private edgePlaces: ReadonlyMap<string, EdgePlace> | undefined;
   private readonly allowance: CapacityGrants;
   private readonly meter: CommandMeter;
+  private readonly steps: StepTimer;
   private readonly claims: ClaimAdmission;
 
   constructor(
@@ -139,6 +141,7 @@
     this.allowance = allowance;
     this.log = world.logbook.part("contract");
     this.meter = new CommandMeter(world.clock, this.log);
+    this.steps = new StepTimer(world.clock, this.log);
     this.claims = new ClaimAdmission(world.clock);
     this.directory = new DirectoryChanges(book);
     this.largeViews = new LargeViews(terms.grantMs);
@@ -164,7 +167,7 @@
   /** Carries out one command at the leader and tells the outcome as JSON. */
   *command(text: string): Task<string> {
     const startedMs = this.world.clock.nowMs();
-    const order = Order.read(text);
+    const order = this.steps.run("readOrder", () => Order.read(text));
     const outcome = yield* this.carryOut(order);
     this.meter.note(order.kind, startedMs);
     return outcome;
@@ -234,7 +237,7 @@
       this.log.say("A machine shows itself.", { machine: machine.name, zone: machine.zone });
     this.machines.set(machine.name, { machine, heardMs: nowMs, silent: false });
     this.hearAll(poll, nowMs);
-    const { services } = this.configChanges;
+    const services = this.steps.run("observeConfig", () => this.configChanges.services);
     const isEdge = machine.roles.includes("edge") && !machine.draining;
     const edge = `${machine.name} ${machine.incarnation}`;
     const holds = this.book.holders.has(edge);
@@ -282,9 +285,13 @@
     };
     const parts = [JSON.stringify(view).slice(0, -1)];
     if (this.book.inForce && poll.configSequence !== this.book.inForce.sequence)
-      parts.push(this.configChanges.viewPart(poll.configSequence));
+      parts.push(
+        this.steps.run("viewOfConfig", () => this.configChanges.viewPart(poll.configSequence)),
+      );
     if (poll.directorySequence !== this.book.directorySequence)
-      parts.push(this.directory.viewPart(poll.directorySequence));
+      parts.push(
+        this.steps.run("viewOfDirectory", () => this.directory.viewPart(poll.directorySequence)),
+      );
     const viewText = `${parts.join(",")}}`;
     if (viewText.length <= longText) return viewText;
     const sentMs = this.world.clock.nowMs();
@@ -654,15 +661,15 @@
           faults: [{ path: "version", expected: `a version above ${version}` }],
         });
       const { inForce } = this.book;
-      const changed = this.changed(order);
+      const changed = this.steps.run("changeItems", () => this.changed(order));
       yield* this.otherWork();
-      const checked = Config.check(changed);
+      const checked = this.steps.run("checkConfig", () => Config.check(changed));
       if ("faults" in checked) return JSON.stringify({ faults: checked.faults });
       const { config } = checked;
       yield* this.otherWork();
-      const text = JSON.stringify(config);
+      const text = this.steps.run("writeConfig", () => JSON.stringify(config));
       yield* this.otherWork();
-      const recorded = RecordedText.of(inForce?.text, text);
+      const recorded = this.steps.run("compareTexts", () => RecordedText.of(inForce?.text, text));
       yield* this.otherWork();
       const outcome = yield* this.enter({
         kind: "config",
--- a/src/contract/view.ts
+++ b/src/contract/view.ts
@@ -2,6 +2,7 @@
 import { Clock } from "../runtime/clock.js";
 import { Holding } from "../runtime/holding.js";
 import type { PartLog } from "../runtime/logbook.js";
+import { StepTimer } from "../runtime/stepTimer.js";
 import type { Task } from "../runtime/task.js";
 import type { World } from "../runtime/world.js";
 import type { Contract } from "../record/book.js";
@@ -46,6 +47,7 @@
   private readonly machine: () => Machine;
   private readonly budget: TryCapacities;
   private readonly log: PartLog;
+  private readonly steps: StepTimer;
   private untilMs = -Infinity;
   private lastSentMs = -Infinity;
   private heard = false;
@@ -91,6 +93,7 @@
     this.machine = machine;
     this.budget = budget;
     this.log = world.logbook.part("contract");
+    this.steps = new StepTimer(world.clock, this.log);
     budget.onShort = () => {
       this.nudge.putOnce(true);
     };
@@ -284,10 +287,10 @@
 
   /** Brings the copies up to a view; tells whether they are what the leader has. */
   private takeCopies(view: GrantedView): boolean {
-    const directory = this.directory.take(view);
-    const config = this.config.take(view);
-    if (directory === "changed") this.takeDirectory();
-    if (config === "changed") this.takeConfig();
+    const directory = this.steps.run("copyDirectory", () => this.directory.take(view));
+    const config = this.steps.run("copyConfig", () => this.config.take(view));
+    if (directory === "changed") this.steps.run("takeDirectory", () => this.takeDirectory());
+    if (config === "changed") this.steps.run("takeConfig", () => this.takeConfig());
     if (directory !== "differs" && config !== "differs")
       return directory !== "outdated" && config !== "outdated";
     this.log.warn("A copy differs from the leader's; the whole is asked for.", {
--- a/src/record/recorder.ts
+++ b/src/record/recorder.ts
@@ -1,5 +1,6 @@
 import { Holding } from "../runtime/holding.js";
 import type { PartLog } from "../runtime/logbook.js";
+import { StepTimer } from "../runtime/stepTimer.js";
 import { Task } from "../runtime/task.js";
 import { World } from "../runtime/world.js";
 import { Kind } from "../link/kind.js";
@@ -162,6 +163,7 @@
   private readonly meeting: Meeting;
   private readonly waits: Waits;
   private readonly log: PartLog;
+  private readonly steps: StepTimer;
   private readonly book: Book;
   private readonly store: Store;
   private readonly writer: Writer;
@@ -214,6 +216,7 @@
     this.book = book;
     this.store = store;
     this.log = world.logbook.part("record");
+    this.steps = new StepTimer(world.clock, this.log);
     this.writer = new Writer(world.clock, store, this.log);
     this.historyKeeper = new HistoryKeeper(world, link, book, store.history, this.writer, {
       isFormed: () => this.state === "formed",
@@ -1040,7 +1043,7 @@
         throw new RecordError(`Entry ${this.applied + 1} is not where it should be.`);
       this.applied = entry.index;
       this.noteRejoined(entry.text);
-      const outcome = this.book.apply(entry.index, entry.text);
+      const outcome = this.steps.run("applyEntry", () => this.book.apply(entry.index, entry.text));
       const promise = this.promises.get(entry.index);
       this.promises.delete(entry.index);
       promise?.done(promise.term === entry.term ? { index: entry.index, outcome } : "unknown");
@@ -1072,7 +1075,9 @@
       votedFor,
       lastIndex,
       lastTerm: log.termAt(lastIndex) ?? 0,
-      book: this.book.checkpoint(members, this.store.history.newest),
+      book: this.steps.run("makeSnapshot", () =>
+        this.book.checkpoint(members, this.store.history.newest),
+      ),
       entries: log.entriesFrom(lastIndex + 1),
     };
     const applied = log.entriesFrom(log.baseIndex + 1, lastIndex - log.baseIndex).reverse();
