--- a/src/contract/ferry.ts
+++ b/src/contract/ferry.ts
@@ -1,7 +1,7 @@
 import { Kind } from "../link/kind.js";
 import type { Held, LateReturn, Link } from "../link/link.js";
 import { Clock } from "../runtime/clock.js";
-import { Holding } from "../runtime/holding.js";
+import { Queue } from "../runtime/queue.js";
 import { Task } from "../runtime/task.js";
 import { World } from "../runtime/world.js";
 import { breakdownReturn, isBreakdown, Order, overloadedReturn } from "./order.js";
@@ -110,7 +110,7 @@
     leadership: Leadership,
   ): Task<Returned | undefined> {
     const { clock } = this.world;
-    const ended = new Holding<Returned>();
+    const ended = new Queue<Returned>();
     World.start(
       this.world,
       "contract",
--- a/src/contract/registry.ts
+++ b/src/contract/registry.ts
@@ -1,6 +1,6 @@
 import { create, literal, number, object, optional, type, union } from "superstruct";
 import { Clock } from "../runtime/clock.js";
-import { Holding } from "../runtime/holding.js";
+import { Queue } from "../runtime/queue.js";
 import type { PartLog } from "../runtime/logbook.js";
 import { StepTimer } from "../runtime/stepTimer.js";
 import { Task } from "../runtime/task.js";
@@ -92,7 +92,7 @@
   private readonly book: Book;
   private readonly terms: Terms;
   private readonly log: PartLog;
-  private readonly configs = new Holding<{ order: ChangeOrder; done: (text: string) => void }>();
+  private readonly configs = new Queue<{ order: ChangeOrder; done: (text: string) => void }>();
   /** The config that was read last, beside its text. */
   private parsed: { text: string; value: Config } = { text: "", value: Config.empty };
   private readonly heardBackEnds = new Map<string, { heardMs: number; leftMs: number }>();
--- a/src/contract/view.ts
+++ b/src/contract/view.ts
@@ -1,6 +1,6 @@
 import { Kind } from "../link/kind.js";
 import { Clock } from "../runtime/clock.js";
-import { Holding } from "../runtime/holding.js";
+import { Queue } from "../runtime/queue.js";
 import type { PartLog } from "../runtime/logbook.js";
 import { StepTimer } from "../runtime/stepTimer.js";
 import type { Task } from "../runtime/task.js";
@@ -82,7 +82,7 @@
   private toldCapacities: ReadonlyMap<string, number> = new Map();
   private refused: Contract[] = [];
   private grantNumber = "";
-  private readonly nudge = new Holding<true>();
+  private readonly nudge = new Queue<true>();
   /** How many polls were sent, and how many brought a grant. */
   polls = 0;
   grants = 0;
--- a/src/link/link.ts
+++ b/src/link/link.ts
@@ -1,7 +1,7 @@
 import type * as r from "restructure";
 import { StructError } from "superstruct";
 import { Clock } from "../runtime/clock.js";
-import { Holding } from "../runtime/holding.js";
+import { Queue } from "../runtime/queue.js";
 import { LinkPacers } from "../runtime/linkPacer.js";
 import type { PartLog } from "../runtime/logbook.js";
 import { Task } from "../runtime/task.js";
@@ -13,7 +13,7 @@
 
 interface Peer {
   readonly address: string;
-  readonly outgoing: Holding<Uint8Array>;
+  readonly outgoing: Queue<Uint8Array>;
   readonly waiting: Map<number, (body: Uint8Array | undefined) => void>;
   heardMs: number;
   /** Since when an ask has waited though nothing was heard; undefined once something is. */
@@ -182,7 +182,7 @@
     if (known) return known;
     const peer: Peer = {
       address,
-      outgoing: new Holding(),
+      outgoing: new Queue(),
       waiting: new Map(),
       heardMs: -Infinity,
       unansweredSinceMs: undefined,
--- a/src/link/pacedChannel.ts
+++ b/src/link/pacedChannel.ts
@@ -1,5 +1,5 @@
 import type { Clock } from "../runtime/clock.js";
-import type { Holding } from "../runtime/holding.js";
+import type { Queue } from "../runtime/queue.js";
 import type { LinkPacer, Transfer, TransferRank } from "../runtime/linkPacer.js";
 import type { Channel } from "../runtime/wire.js";
 
@@ -26,7 +26,7 @@
  * once: before large ones that wait, and after the one that has begun.
  */
 export class PacedChannel implements Channel {
-  readonly incoming: Holding<Uint8Array | "closed">;
+  readonly incoming: Queue<Uint8Array | "closed">;
   private readonly channel: Channel;
   private readonly egress: LinkPacer;
   private readonly clock: Clock;
--- a/src/operator/archive.ts
+++ b/src/operator/archive.ts
@@ -3,7 +3,7 @@
 import { join } from "node:path";
 import type { AcceptedConfig } from "../record/book.js";
 import type { PartLog } from "../runtime/logbook.js";
-import { Holding } from "../runtime/holding.js";
+import { Queue } from "../runtime/queue.js";
 import { Task } from "../runtime/task.js";
 
 /** Loaded only where configs are kept. */
@@ -18,7 +18,7 @@
 export class Archive {
   private readonly folder: string;
   private readonly log: PartLog;
-  private readonly holding = new Holding<AcceptedConfig>();
+  private readonly queue = new Queue<AcceptedConfig>();
   private newest = 0;
 
   constructor(folder: string, log: PartLog) {
@@ -28,7 +28,7 @@
 
   /** Takes note of an accepted config; it is kept when there is time. */
   keep(config: AcceptedConfig): void {
-    this.holding.put(config);
+    this.queue.put(config);
   }
 
   /** Keeps configs one after another; what can't be kept is told and left out. */
@@ -39,7 +39,7 @@
         why: String(begun.error),
       });
     for (;;) {
-      const config = yield* this.holding.take();
+      const config = yield* this.queue.take();
       if (config.sequence <= this.newest) continue;
       const kept = yield* Task.settle(this.commit(config));
       if ("error" in kept)
--- a/src/record/membership.ts
+++ b/src/record/membership.ts
@@ -156,12 +156,12 @@
   /** Whether a majority of the voters holds what is committed, and all up to an index, without counting one of them. */
   isHeldWithout(view: MembershipView, leaver: string, index: number): boolean {
     const heldIndex = Math.max(view.committedIndex, index);
-    const holding = view.voters.filter(
+    const holders = view.voters.filter(
       (voter) =>
         voter !== leaver &&
         answers(view, voter) &&
         view.progressOf(voter).matchedIndex >= heldIndex,
     );
-    return holding.length >= majorityOf(view.voters.length);
+    return holders.length >= majorityOf(view.voters.length);
   },
 };
--- a/src/record/recorder.ts
+++ b/src/record/recorder.ts
@@ -1,4 +1,4 @@
-import { Holding } from "../runtime/holding.js";
+import { Queue } from "../runtime/queue.js";
 import type { PartLog } from "../runtime/logbook.js";
 import { StepTimer } from "../runtime/stepTimer.js";
 import { Task } from "../runtime/task.js";
@@ -167,7 +167,7 @@
   private readonly book: Book;
   private readonly store: Store;
   private readonly writer: Writer;
-  private readonly holding = new Holding<Command>();
+  private readonly queue = new Queue<Command>();
   private readonly historyKeeper: HistoryKeeper;
   private readonly snapshotReceiver = new SnapshotReceiver();
   private snapshotSender = new SnapshotSender();
@@ -178,11 +178,11 @@
   private isOpen = false;
   /** Set while the disk takes what was formed or is to be rejoined. */
   private isTurning = false;
-  private readonly opening = new Holding<true>();
+  private readonly opening = new Queue<true>();
   /** What this member knows of the agreement; every decision on it is made in `consensus/`. */
   private agreed: ConsensusState;
   private applied = 0;
-  private nudges = new Map<string, Holding<true>>();
+  private nudges = new Map<string, Queue<true>>();
   /** Machines that asked to learn, until a change of membership may be made. */
   private readonly newLearners: Array<{ machine: string; done: (known: boolean) => void }> = [];
   private promises = new Map<number, { term: number; done: (proposed: Proposed) => void }>();
@@ -227,7 +227,7 @@
         ...meeting.recorders,
       ],
       unkeptBytes: waits.checkpointBytes,
-      kept: (upTo) => this.holding.put({ kind: "kept", upTo }),
+      kept: (upTo) => this.queue.put({ kind: "kept", upTo }),
     });
     book.onApplied(({ kind }) => {
       if (kind === "config") this.historyKeeper.keepWhenMany();
@@ -323,24 +323,24 @@
 
   /** Asks the record to take an entry; ends once its fate is known, or known to be unknown. */
   *propose(text: string): Task<Proposed> {
-    return yield* Task.wait<Proposed>((done) => this.holding.put({ kind: "propose", text, done }));
+    return yield* Task.wait<Proposed>((done) => this.queue.put({ kind: "propose", text, done }));
   }
 
   /** Has a recorder learn the record, unless it already does or votes; false where this one ceases to lead. */
   *addLearner(machine: string): Task<boolean> {
-    return yield* Task.wait<boolean>((done) => this.holding.put({ kind: "learn", machine, done }));
+    return yield* Task.wait<boolean>((done) => this.queue.put({ kind: "learn", machine, done }));
   }
 
   /** Steps down in favour of the follower that is furthest. */
   *yieldLeadership(): Task {
     if (this.agreed.role === "leader")
-      yield* Task.wait<true>((done) => this.holding.put({ kind: "yield", done }));
+      yield* Task.wait<true>((done) => this.queue.put({ kind: "yield", done }));
   }
 
   /** Hears, as the leader, that a member is about to stop; tells how it stands, or nothing where this one doesn't lead. */
   *memberStops(machine: string, lastIndex: number): Task<LeavingAnswer | undefined> {
     return yield* Task.wait<LeavingAnswer | undefined>((done) =>
-      this.holding.put({ kind: "stopping", machine, lastIndex, done }),
+      this.queue.put({ kind: "stopping", machine, lastIndex, done }),
     );
   }
 
@@ -402,33 +402,33 @@
   }
 
   private serve(): void {
-    const { holding } = this;
+    const { queue } = this;
     this.meeting.serve();
     const closed = (): boolean => !this.rights.takePart;
     this.link.serve(Kind.vote, function* (ask) {
       if (closed()) return { term: 0, granted: false };
-      return yield* Task.wait<VoteReply>((done) => holding.put({ kind: "vote", ask, done }));
+      return yield* Task.wait<VoteReply>((done) => queue.put({ kind: "vote", ask, done }));
     });
     this.link.serve(Kind.append, function* (ask) {
       if (closed()) return { term: 0, fits: false, counts: false, matched: 0 };
-      return yield* Task.wait<AppendReply>((done) => holding.put({ kind: "append", ask, done }));
+      return yield* Task.wait<AppendReply>((done) => queue.put({ kind: "append", ask, done }));
     });
     this.link.serve(Kind.checkpoint, function* (ask) {
       if (closed()) return { term: 0, counts: false, matched: 0 };
       return yield* Task.wait<CheckpointReturn>((done) =>
-        holding.put({ kind: "checkpoint", ask, done }),
+        queue.put({ kind: "checkpoint", ask, done }),
       );
     });
     this.link.serve(Kind.snapshotPiece, function* (ask) {
       if (closed()) return { term: 0, counts: false, matched: 0, receivedBytes: 0 };
       return yield* Task.wait<PieceReturn>((done) =>
-        holding.put({ kind: "snapshotPiece", ask, done }),
+        queue.put({ kind: "snapshotPiece", ask, done }),
       );
     });
     this.link.serve(Kind.handOver, function* ({ term }) {
       if (closed()) return { taken: false };
       return {
-        taken: yield* Task.wait<boolean>((done) => holding.put({ kind: "handOver", term, done })),
+        taken: yield* Task.wait<boolean>((done) => queue.put({ kind: "handOver", term, done })),
       };
     });
     this.historyKeeper.serve();
@@ -557,7 +557,7 @@
   private *following(): Task {
     let untilMs = this.agreed.heardLeaderMs + this.electionWaitMs();
     while (this.agreed.role === "follower") {
-      const command = yield* this.holding.takeUntil(this.world.clock, untilMs);
+      const command = yield* this.queue.takeUntil(this.world.clock, untilMs);
       const heardMs = this.agreed.heardLeaderMs;
       if (command) this.handle(command);
       if (this.agreed.heardLeaderMs !== heardMs)
@@ -582,7 +582,7 @@
     else this.campaign();
     const untilMs = this.world.clock.nowMs() + this.electionWaitMs();
     while (this.agreed.role === role) {
-      const command = yield* this.holding.takeUntil(this.world.clock, untilMs);
+      const command = yield* this.queue.takeUntil(this.world.clock, untilMs);
       if (command) this.handle(command);
       if (this.agreed.role === role && this.world.clock.nowMs() >= untilMs)
         this.agreed = giveUpElection(this.agreed, this.facts);
@@ -606,7 +606,7 @@
   private askForVotes(request: VoteRequest): void {
     const { isPreVote, term } = request;
     const reply: VoteReply = { term, granted: true };
-    this.holding.put({ kind: "voted", received: { peer: this.self, isPreVote, term, reply } });
+    this.queue.put({ kind: "voted", received: { peer: this.self, isPreVote, term, reply } });
     for (const peer of this.agreed.members.voters.filter((voter) => voter !== this.self))
       World.start(this.world, "record", this.asking(peer, request));
   }
@@ -615,7 +615,7 @@
     const ret = yield* this.link.ask(peer, Kind.vote, ask, this.waits.electionMinMs);
     if (!ret) return;
     const { isPreVote, term } = ask;
-    this.holding.put({ kind: "voted", received: { peer, isPreVote, term, reply: ret } });
+    this.queue.put({ kind: "voted", received: { peer, isPreVote, term, reply: ret } });
   }
 
   /** Adds the machines that asked to learn, each once the change of membership before it is committed. */
@@ -644,7 +644,7 @@
     const startedMs = this.world.clock.nowMs();
     while (this.isLeading(term)) {
       this.keepReplicating(term);
-      const command = yield* this.holding.takeUntil(
+      const command = yield* this.queue.takeUntil(
         this.world.clock,
         this.world.clock.nowMs() + this.waits.heartbeatMs,
       );
@@ -742,13 +742,13 @@
   private keepReplicating(term: number): void {
     for (const peer of [...this.agreed.members.voters, ...this.agreed.members.learners]) {
       if (peer === this.self || this.nudges.has(peer)) continue;
-      const nudge = new Holding<true>();
+      const nudge = new Queue<true>();
       this.nudges.set(peer, nudge);
       World.start(this.world, "record", this.replicating(peer, term, nudge));
     }
   }
 
-  private *replicating(peer: string, term: number, nudge: Holding<true>): Task {
+  private *replicating(peer: string, term: number, nudge: Queue<true>): Task {
     let progress = initialProgress(this.agreed);
     // A snapshot goes only to a member that answers.
     let answers = false;
@@ -765,11 +765,11 @@
         const asked = { ...progress, next: Math.max(progress.next, baseIndex + 1) };
         const ask = appendRequestFor(this.agreed, asked, batch);
         const ret = yield* this.link.ask(peer, Kind.append, ask, appendWaitMs(ask, this.waits));
-        if (ret && ret.term > term) this.holding.put({ kind: "outdated", term: ret.term });
+        if (ret && ret.term > term) this.queue.put({ kind: "outdated", term: ret.term });
         else if (ret && ret.term === term) {
           const { fits, counts } = ret;
           const matched = fits ? ret.matched : 0;
-          this.holding.put({
+          this.queue.put({
             kind: "acked",
             acknowledgment: { peer, term, sentMs, matched, counts },
           });
@@ -794,13 +794,13 @@
     const { baseIndex } = this.agreed.log;
     const message = snapshotSender.next(peer, baseIndex, sentMs, () => this.makeSnapshot());
     const ret = yield* this.snapshotAnswer(peer, term, message);
-    if (ret && ret.term > term) this.holding.put({ kind: "outdated", term: ret.term });
+    if (ret && ret.term > term) this.queue.put({ kind: "outdated", term: ret.term });
     if (ret?.term !== term) {
       snapshotSender.lost(peer);
       return undefined;
     }
     const { matched, counts } = ret;
-    this.holding.put({ kind: "acked", acknowledgment: { peer, term, sentMs, matched, counts } });
+    this.queue.put({ kind: "acked", acknowledgment: { peer, term, sentMs, matched, counts } });
     const isInstalled = matched >= message.snapshot.identity.lastIndex;
     if (isInstalled) {
       snapshotSender.ended(peer);
@@ -847,7 +847,7 @@
     const waitMs = this.addedProposalsMs + gatherProposalsMs - this.world.clock.nowMs();
     if (waitMs <= 0) return this.addProposals();
     this.willAddProposals = true;
-    this.world.clock.after(waitMs, () => this.holding.put({ kind: "addProposals" }));
+    this.world.clock.after(waitMs, () => this.queue.put({ kind: "addProposals" }));
   }
 
   private addProposals(): void {
@@ -878,7 +878,7 @@
       if (done) this.promises.set(index, { term, done });
     }
     this.writer.append([...records], () =>
-      this.holding.put({ kind: "written", term, index: log.lastIndex }),
+      this.queue.put({ kind: "written", term, index: log.lastIndex }),
     );
     for (const nudge of this.nudges.values()) nudge.put(true);
   }
@@ -1094,7 +1094,7 @@
         madeInMs: Math.round(madeMs - startedMs),
         writtenInMs: Math.round(this.world.clock.nowMs() - madeMs),
       });
-      if (then === "rejoined") this.holding.put({ kind: "rejoined" });
+      if (then === "rejoined") this.queue.put({ kind: "rejoined" });
     });
     this.historyKeeper.keep();
     if (this.snapshotReceiver.dropUpTo(lastIndex)) this.removeSnapshotPart();
--- a/src/record/writer.ts
+++ b/src/record/writer.ts
@@ -1,6 +1,6 @@
 import { Clock } from "../runtime/clock.js";
 import { DiskBreakdown } from "../runtime/disk.js";
-import { Holding } from "../runtime/holding.js";
+import { Queue } from "../runtime/queue.js";
 import type { PartLog } from "../runtime/logbook.js";
 import { Task } from "../runtime/task.js";
 import { RoomMaker } from "./roomMaker.js";
@@ -18,7 +18,7 @@
   private readonly clock: Clock;
   private readonly store: Store;
   private readonly log: PartLog;
-  private readonly holding = new Holding<Order>();
+  private readonly queue = new Queue<Order>();
   private readonly roomMaker: RoomMaker;
   private sinceMs: number | undefined;
   /** Why the disk takes nothing now, or nothing. */
@@ -44,24 +44,24 @@
   }
 
   append(records: LogRecord[], done: () => void): void {
-    this.holding.put({ records, done });
+    this.queue.put({ records, done });
   }
 
   checkpoint(standing: Standing, done: () => void): void {
-    this.holding.put({ standing, done });
+    this.queue.put({ standing, done });
   }
 
   /** Does what may fail without consequence, once, in its turn; tells whether the disk took it. */
   attempt(attempt: () => Task, done: (succeeded: boolean) => void): void {
-    this.holding.put({ attempt, done });
+    this.queue.put({ attempt, done });
   }
 
   *own(): Task {
     for (;;) {
-      const first = yield* this.holding.take();
+      const first = yield* this.queue.take();
       this.sinceMs = this.clock.nowMs();
       let group: Array<{ records: LogRecord[]; done: () => void }> = [];
-      for (const order of [first, ...this.holding.drain()]) {
+      for (const order of [first, ...this.queue.drain()]) {
         if ("records" in order) group.push(order);
         else {
           yield* this.appendGroup(group);
--- a/src/rehearsal/scaleWire.ts
+++ b/src/rehearsal/scaleWire.ts
@@ -1,5 +1,5 @@
 import { Clock } from "../runtime/clock.js";
-import { Holding } from "../runtime/holding.js";
+import { Queue } from "../runtime/queue.js";
 import { Task } from "../runtime/task.js";
 import type { Channel, Wire } from "../runtime/wire.js";
 
@@ -37,7 +37,7 @@
 
   private counted(channel: Channel, waitMs: number): Channel {
     const { tally } = this;
-    const incoming = new Holding<Uint8Array | "closed">();
+    const incoming = new Queue<Uint8Array | "closed">();
     const [away, back] = [this.inOrder(waitMs), this.inOrder(waitMs)];
     const pump = function* (): Task {
       for (;;) {
--- a/src/rehearsal/virtualNetwork.ts
+++ b/src/rehearsal/virtualNetwork.ts
@@ -1,5 +1,5 @@
 import type { Clock } from "../runtime/clock.js";
-import { Holding } from "../runtime/holding.js";
+import { Queue } from "../runtime/queue.js";
 import { Task } from "../runtime/task.js";
 import type { Channel, Wire } from "../runtime/wire.js";
 import type { Gate } from "./gate.js";
@@ -7,7 +7,7 @@
 interface End {
   readonly place: string;
   readonly gate: Gate;
-  readonly incoming: Holding<Uint8Array | "closed">;
+  readonly incoming: Queue<Uint8Array | "closed">;
   isOpen: boolean;
   /** When the last piece on its way to this end arrives, so that pieces keep their order. */
   lastMs: number;
@@ -130,11 +130,11 @@
     if (!listener?.gate.isAlive) return void give(undefined, 2 * this.tripMs());
     if (this.isCut(place, listener.place) || this.isCut(listener.place, place))
       return void give(undefined, 1000);
-    const near: End = { place, gate, incoming: new Holding(), isOpen: true, lastMs: 0 };
+    const near: End = { place, gate, incoming: new Queue(), isOpen: true, lastMs: 0 };
     const far: End = {
       place: listener.place,
       gate: listener.gate,
-      incoming: new Holding(),
+      incoming: new Queue(),
       isOpen: true,
       lastMs: 0,
     };
--- a/src/runtime/holding.ts
+++ b/src/runtime/queue.ts
@@ -4,7 +4,7 @@
 import { Task } from "./task.js";
 
 /** A queue of commands in front of the one owner of a table. */
-export class Holding<T> {
+export class Queue<T> {
   private readonly held: T[] = [];
   private takers: Array<(item: T) => boolean> = [];
 
--- a/src/runtime/wire.ts
+++ b/src/runtime/wire.ts
@@ -1,11 +1,11 @@
 import { createServer, connect as connectSocket, type Server, type Socket } from "node:net";
-import { Holding } from "./holding.js";
+import { Queue } from "./queue.js";
 import { Task } from "./task.js";
 
 /** A two-way flow of bytes between two processes. */
 export interface Channel {
   /** What arrives, in order; `undefined` once the channel has closed. */
-  readonly incoming: Holding<Uint8Array | "closed">;
+  readonly incoming: Queue<Uint8Array | "closed">;
   send(bytes: Uint8Array): void;
   close(): void;
 }
@@ -20,7 +20,7 @@
 export class ListenError extends Error {}
 
 const channelOf = (socket: Socket): Channel => {
-  const incoming = new Holding<Uint8Array | "closed">();
+  const incoming = new Queue<Uint8Array | "closed">();
   socket.setNoDelay(true);
   socket.on("data", (bytes: Buffer) => incoming.put(bytes));
   socket.on("error", () => socket.destroy());
--- a/src/traffic/collector.ts
+++ b/src/traffic/collector.ts
@@ -12,7 +12,7 @@
 import type { Held, Link } from "../link/link.js";
 import { Kind } from "../link/kind.js";
 import { Clock } from "../runtime/clock.js";
-import { Holding } from "../runtime/holding.js";
+import { Queue } from "../runtime/queue.js";
 import type { PartLog } from "../runtime/logbook.js";
 import { quick } from "../runtime/quick.js";
 import type { Task } from "../runtime/task.js";
@@ -109,7 +109,7 @@
   private packed:
     { of: Counts | undefined; withRoutes: boolean; bytes: Uint8Array; atMs: number } | undefined;
   private halfTripMs = 0;
-  private readonly nudge = new Holding<true>();
+  private readonly nudge = new Queue<true>();
   /** Children refused for what they sent. */
   refused = 0;
 
--- a/src/traffic/edgeCounts.ts
+++ b/src/traffic/edgeCounts.ts
@@ -1,7 +1,7 @@
 import type { View } from "../contract/view.js";
 import type { Link } from "../link/link.js";
 import { Kind } from "../link/kind.js";
-import { Holding } from "../runtime/holding.js";
+import { Queue } from "../runtime/queue.js";
 import { Clock } from "../runtime/clock.js";
 import type { PartLog } from "../runtime/logbook.js";
 import type { Task } from "../runtime/task.js";
@@ -32,7 +32,7 @@
   private parentSequence = 0;
   private pushes: Array<{ push: number; atMs: number }> = [];
   private lastPush = 0;
-  private readonly nudge = new Holding<true>();
+  private readonly nudge = new Queue<true>();
   private includedMs = -Infinity;
   private halfTripMs = 0;
   private routesMs = -Infinity;
--- a/test/link/link.test.ts
+++ b/test/link/link.test.ts
@@ -2,7 +2,7 @@
 import { Kind } from "../../src/link/kind.js";
 import { Link } from "../../src/link/link.js";
 import { Clock } from "../../src/runtime/clock.js";
-import { Holding } from "../../src/runtime/holding.js";
+import { Queue } from "../../src/runtime/queue.js";
 import { Task } from "../../src/runtime/task.js";
 import { Draw } from "../../src/rehearsal/draw.js";
 import { Gate } from "../../src/rehearsal/gate.js";
@@ -66,7 +66,7 @@
     (function* () {
       const channel = yield* network.wire("stranger", new Gate()).connect(one.self);
       channel?.send(Buffer.from("GET / HTTP/1.1\r\n\r\n"));
-      const word = yield* (channel?.incoming ?? new Holding<Uint8Array | "closed">()).take();
+      const word = yield* (channel?.incoming ?? new Queue<Uint8Array | "closed">()).take();
       heard.push(word === "closed" ? "closed" : "bytes");
     })(),
     (error) => {
--- a/test/link/pacedChannel.test.ts
+++ b/test/link/pacedChannel.test.ts
@@ -2,7 +2,7 @@
 import { Frame, FrameReader } from "../../src/link/frame.js";
 import { PacedChannel } from "../../src/link/pacedChannel.js";
 import { VirtualClock } from "../../src/rehearsal/virtualClock.js";
-import { Holding } from "../../src/runtime/holding.js";
+import { Queue } from "../../src/runtime/queue.js";
 import { LinkPacer } from "../../src/runtime/linkPacer.js";
 import type { Channel } from "../../src/runtime/wire.js";
 
@@ -21,7 +21,7 @@
     const heard: Array<{ job: number; atMs: number }> = [];
     const reader = new FrameReader();
     const wire: Channel = {
-      incoming: new Holding(),
+      incoming: new Queue(),
       send(bytes) {
         written.push({ atMs: time.nowMs(), bytes: bytes.length });
         for (const { job } of reader.read(bytes)) heard.push({ job, atMs: time.nowMs() });
--- a/test/scale/machineLimits.ts
+++ b/test/scale/machineLimits.ts
@@ -1,5 +1,5 @@
 import type { Clock } from "../../src/runtime/clock.js";
-import { Holding } from "../../src/runtime/holding.js";
+import { Queue } from "../../src/runtime/queue.js";
 import { Task } from "../../src/runtime/task.js";
 import type { Channel, Wire } from "../../src/runtime/wire.js";
 import { Gate } from "../../src/rehearsal/gate.js";
@@ -135,7 +135,7 @@
 
 const limitedChannel = (inner: Channel, parts: MachineParts): Channel => {
   const { clock, processor, egress, ingress, charges } = parts;
-  const incoming = new Holding<Uint8Array | "closed">();
+  const incoming = new Queue<Uint8Array | "closed">();
   const chargeFor = (bytes: number): void =>
     processor.charge(charges.messageMs + (bytes / kibibyte) * charges.kibibyteMs);
   const receiving = function* (): Task {
