--- a/src/contract/ferry.ts
+++ b/src/contract/forwarder.ts
@@ -9,7 +9,7 @@
 type Asked = Held<typeof Kind.command.ask>;
 type Returned = Held<typeof Kind.command.return>;
 
-/** What a recorder offers a ferry: itself as the leader, or the way to it. */
+/** What a recorder offers a forwarder: itself as the leader, or the way to it. */
 export interface Leadership {
   readonly leads: boolean;
   readonly leader: string;
@@ -22,7 +22,7 @@
 const strangerMs = 200;
 /** How long one that was silent is asked after the others only. */
 const silentMs = 3000;
-/** How often one that ferries on looks whether another leads by now. */
+/** How often one that forwards on looks whether another leads by now. */
 const lookMs = 20;
 const notLeader = breakdownReturn("notLeader");
 
@@ -40,7 +40,7 @@
 }
 
 /** Brings commands and polls to whoever leads, through any daemon. */
-export class Ferry {
+export class Forwarder {
   private readonly world: World;
   private readonly link: Link;
   private readonly contacts: () => readonly string[];
@@ -48,7 +48,7 @@
   private isRecorder = false;
   /** Who was silent, and until when others go before them. */
   private readonly silentUntilMs = new Map<string, number>();
-  /** Who ferries on to a leader that isn't reached from here, or nobody. */
+  /** Who forwards on to a leader that isn't reached from here, or nobody. */
   private way = "";
   /** Who led when last heard. */
   leader = "";
@@ -79,7 +79,7 @@
       });
   }
 
-  /** Serves a kind at a recorder: here if it leads, else ferried on once. */
+  /** Serves a kind at a recorder: here if it leads, else forwarded on once. */
   serve(
     kind: typeof Kind.command | typeof Kind.poll,
     leadership: Leadership,
@@ -87,13 +87,13 @@
   ): void {
     const { link } = this;
     this.isRecorder = true;
-    const ferry = (leader: string, text: string): Task<Returned | undefined> =>
-      this.ferryOn(kind, leader, text, leadership);
+    const forward = (leader: string, text: string): Task<Returned | undefined> =>
+      this.forwardOn(kind, leader, text, leadership);
     link.serve(kind, function* (ask: Asked): Task<Returned> {
       const { leader } = leadership;
       if (leadership.leads) return { leader, text: yield* handle(ask.text) };
-      if (!ask.ferried && leader && leader !== link.self) {
-        const ret = yield* ferry(leader, ask.text);
+      if (!ask.forwarded && leader && leader !== link.self) {
+        const ret = yield* forward(leader, ask.text);
         if (ret) return ret;
         if (leadership.leads) return { leader: link.self, text: yield* handle(ask.text) };
         return { leader: leadership.leader, text: notLeader };
@@ -103,7 +103,7 @@
   }
 
   /** Asks the leader on another's behalf; nothing once it turns out that another one leads. */
-  private *ferryOn(
+  private *forwardOn(
     kind: typeof Kind.command | typeof Kind.poll,
     leader: string,
     text: string,
@@ -117,7 +117,7 @@
       this.link.ask(
         leader,
         kind,
-        { ferried: true, text },
+        { forwarded: true, text },
         Math.max("waitMs" in kind ? kind.waitMs : 0, oneAskMs + text.length / slowBytesMs),
       ),
       (ret) => ended.put(ret ?? { leader, text: breakdownReturn("unknown") }),
@@ -144,7 +144,7 @@
     const { clock } = this.world;
     const untilMs = clock.nowMs() + waitMs;
     const asked = new Set<string>();
-    let ferries = this.way !== "";
+    let forwards = this.way !== "";
     let target = this.way || this.leader || this.next(asked);
     while (target !== "" && clock.nowMs() < untilMs) {
       asked.add(target);
@@ -153,8 +153,8 @@
       const ret = yield* this.link.ask(
         target,
         kind,
-        { ferried: !ferries, text },
-        Math.min(untilMs - clock.nowMs(), leads || ferries ? waitMs : strangerMs),
+        { forwarded: !forwards, text },
+        Math.min(untilMs - clock.nowMs(), leads || forwards ? waitMs : strangerMs),
         late && this.lateFrom(target, late),
       );
       attempts?.({
@@ -164,10 +164,10 @@
       });
       if (ret === undefined) {
         if (leads && this.link.hasHeard(target, sentMs)) return undefined;
-        if (leads || ferries) this.leader = "";
-        if (!ferries) this.noteSilent(target);
+        if (leads || forwards) this.leader = "";
+        if (!forwards) this.noteSilent(target);
         this.way = "";
-        ferries = false;
+        forwards = false;
         target = this.next(asked);
         continue;
       }
@@ -180,11 +180,11 @@
       const named = ret.text === notLeader && ret.leader !== target ? ret.leader : "";
       this.way = "";
       this.leader = "";
-      if (named === "" || (ferries && this.isSilent(named))) return undefined;
-      ferries = this.isSilent(named);
-      if (!ferries && asked.has(named)) return undefined;
-      if (!ferries) this.leader = named;
-      if (!ferries) target = named;
+      if (named === "" || (forwards && this.isSilent(named))) return undefined;
+      forwards = this.isSilent(named);
+      if (!forwards && asked.has(named)) return undefined;
+      if (!forwards) this.leader = named;
+      if (!forwards) target = named;
     }
     return undefined;
   }
--- a/src/contract/order.ts
+++ b/src/contract/order.ts
@@ -69,7 +69,7 @@
   drainBackEnd: object({ kind: literal("drainBackEnd"), address: string() }),
 };
 
-/** A command for the leader, as daemons ferry it. */
+/** A command for the leader, as daemons forwarder it. */
 export type Order = Infer<(typeof orderShapes)[keyof typeof orderShapes]>;
 
 /** A command that changes the config. */
--- a/src/contract/view.ts
+++ b/src/contract/view.ts
@@ -10,7 +10,7 @@
 import { ConfigCopy } from "./configCopy.js";
 import { DirectoryCopy } from "./directoryCopy.js";
 import type { EdgePlace } from "./edgePlaces.js";
-import type { Ferry } from "./ferry.js";
+import type { Forwarder } from "./forwarder.js";
 import { Mappings } from "./mappings.js";
 import { Poll, type GrantedView, type KnownMembers, type Machine, type Order } from "./order.js";
 import type { TryCapacities } from "./tryCapacities.js";
@@ -43,7 +43,7 @@
 /** What a daemon knows of the fleet, and until when it may serve by it. */
 export class View {
   private readonly world: World;
-  private readonly ferry: Ferry;
+  private readonly forwarder: Forwarder;
   private readonly machine: () => Machine;
   private readonly budget: TryCapacities;
   private readonly log: PartLog;
@@ -87,9 +87,9 @@
   polls = 0;
   grants = 0;
 
-  constructor(world: World, ferry: Ferry, machine: () => Machine, budget: TryCapacities) {
+  constructor(world: World, forwarder: Forwarder, machine: () => Machine, budget: TryCapacities) {
     this.world = world;
-    this.ferry = ferry;
+    this.forwarder = forwarder;
     this.machine = machine;
     this.budget = budget;
     this.log = world.logbook.part("contract");
@@ -209,7 +209,7 @@
       const told = new Map(this.announced);
       this.lastSentMs = sentMs;
       const receive = (ret: string): void => this.receive(ret, sentMs, told);
-      const ret = yield* this.ferry.once(Kind.poll, text, waitMs, {
+      const ret = yield* this.forwarder.once(Kind.poll, text, waitMs, {
         waitMs: Kind.poll.waitMs,
         take: receive,
       });
@@ -305,7 +305,7 @@
     this.memberOperators = operators;
     this.membersDigest = digest;
     this.collectors = collectors;
-    this.ferry.know(recorders);
+    this.forwarder.know(recorders);
   }
 
   private takePlace(place: EdgePlace): void {
--- a/src/door/door.ts
+++ b/src/door/door.ts
@@ -1,4 +1,4 @@
-import type { Ferry } from "../contract/ferry.js";
+import type { Forwarder } from "../contract/forwarder.js";
 import type { Mapping } from "../contract/mapping.js";
 import { poolOf, type View } from "../contract/view.js";
 import { Clock } from "../runtime/clock.js";
@@ -129,7 +129,7 @@
 export interface DoorParts {
   readonly view: View;
   readonly backEnds: BackEnds;
-  readonly ferry: Ferry;
+  readonly forwarder: Forwarder;
   readonly budget: RetryBudget;
   readonly counts: EdgeCounts;
   readonly shares: LoadBalancer;
@@ -176,7 +176,7 @@
   };
 
   constructor(world: World, parts: DoorParts) {
-    const { view, backEnds, ferry, budget, counts, shares, incarnation, dialect } = parts;
+    const { view, backEnds, forwarder, budget, counts, shares, incarnation, dialect } = parts;
     this.world = world;
     this.view = view;
     this.backEnds = backEnds;
@@ -190,7 +190,7 @@
     this.bulk = new BulkAdmission(parts.egress, wholeBytes);
     this.keys = new Keys(
       world,
-      ferry,
+      forwarder,
       parts.outcomes,
       incarnation,
       dialect.tellsParts ? after.led : undefined,
--- a/src/door/keys.ts
+++ b/src/door/keys.ts
@@ -1,7 +1,7 @@
 import { createHash } from "node:crypto";
 import { hostName } from "../contract/mappings.js";
 import { ClaimReturn, overloadedReturn, type Order } from "../contract/order.js";
-import type { Ferry } from "../contract/ferry.js";
+import type { Forwarder } from "../contract/forwarder.js";
 import { Clock } from "../runtime/clock.js";
 import type { Task } from "../runtime/task.js";
 import { World } from "../runtime/world.js";
@@ -73,7 +73,7 @@
 /** Claims keys in the record before the first send, and keeps what becomes of their requests. */
 export class Keys {
   private readonly world: World;
-  private readonly ferry: Ferry;
+  private readonly forwarder: Forwarder;
   private readonly outcomes: KeyedOutcomeKeeper;
   private readonly incarnation: string;
   private readonly afterMs: number;
@@ -83,13 +83,13 @@
 
   constructor(
     world: World,
-    ferry: Ferry,
+    forwarder: Forwarder,
     outcomes: KeyedOutcomeKeeper,
     incarnation: string,
     afterMs = 2000,
   ) {
     this.world = world;
-    this.ferry = ferry;
+    this.forwarder = forwarder;
     this.outcomes = outcomes;
     this.incarnation = incarnation;
     this.afterMs = afterMs;
@@ -116,7 +116,7 @@
         holders,
         ...(replaces === undefined ? {} : { replaces }),
       };
-      const text = yield* this.ferry.command(order, waitMs);
+      const text = yield* this.forwarder.command(order, waitMs);
       if (text === undefined || text === overloadedReturn) return this.giveUp(request);
       const ret = ClaimReturn.read(text);
       if ("claimed" in ret) return { ...request, holders, sendUntilMs: askedMs + sendMs };
@@ -185,7 +185,7 @@
   }
 
   private *release({ scope, job }: KeyedRequest): Task {
-    yield* this.ferry.command({ kind: "release", scope, job }, releaseMs);
+    yield* this.forwarder.command({ kind: "release", scope, job }, releaseMs);
   }
 
   private start(task: Task): void {
--- a/src/link/kind.ts
+++ b/src/link/kind.ts
@@ -104,13 +104,13 @@
     number: 6,
     /** A large view over a thin link is taken though the poll was asked again meanwhile; the leader sends it once. */
     waitMs: 30_000,
-    ask: new r.Struct({ ferried: flag, text }),
+    ask: new r.Struct({ forwarded: flag, text }),
     return: new r.Struct({ leader: text, text }),
   },
-  /** A command for the leader, ferried by whoever hears it. */
+  /** A command for the leader, forwarded by whoever hears it. */
   command: {
     number: 7,
-    ask: new r.Struct({ ferried: flag, text }),
+    ask: new r.Struct({ forwarded: flag, text }),
     return: new r.Struct({ leader: text, text }),
   },
   /** A sketch goes up, the fleet's merged one comes down. */
--- a/src/machine/daemon.ts
+++ b/src/machine/daemon.ts
@@ -1,4 +1,4 @@
-import { Ferry } from "../contract/ferry.js";
+import { Forwarder } from "../contract/forwarder.js";
 import type { Mappings } from "../contract/mappings.js";
 import type { Machine } from "../contract/order.js";
 import { Registry } from "../contract/registry.js";
@@ -75,7 +75,7 @@
   private readonly archive: Archive | undefined;
   private readonly incarnation: string;
   private readonly link: Link;
-  private readonly ferry: Ferry;
+  private readonly forwarder: Forwarder;
   private readonly meeting: Meeting;
   private seeds: readonly string[];
   private readonly budget: RetryBudget;
@@ -105,7 +105,10 @@
     const pacers = options.pacers ?? LinkPacers.of(world.clock, settings.limits?.linkMbps);
     this.link = new Link(world, settings.peers, undefined, pacers);
     this.seeds = settings.seeds;
-    this.ferry = new Ferry(world, this.link, () => [...this.seeds, ...this.meeting.recorders]);
+    this.forwarder = new Forwarder(world, this.link, () => [
+      ...this.seeds,
+      ...this.meeting.recorders,
+    ]);
     const place: Place = {
       self: settings.peers,
       machine: settings.machine,
@@ -115,10 +118,10 @@
       seeds: () => this.seeds,
     };
     this.meeting = new Meeting(world, this.link, place, {
-      leader: () => this.recorder?.leader || this.ferry.leader,
-      recorders: () => this.ferry.recorders,
+      leader: () => this.recorder?.leader || this.forwarder.leader,
+      recorders: () => this.forwarder.recorders,
     });
-    this.view = new View(world, this.ferry, () => this.machine(), this.budget);
+    this.view = new View(world, this.forwarder, () => this.machine(), this.budget);
     this.shares = new LoadBalancer(settings.zone, () => world.random());
     this.view.onLease = () => this.door.leased();
     this.view.onPlace = (place) => this.shares.setPlace(place);
@@ -141,14 +144,14 @@
       new KeyedOutcomeStore(world.clock, bounds.terms.keyMs),
       () => ({
         members: this.view.collectors,
-        leader: this.ferry.leader,
+        leader: this.forwarder.leader,
         zone: settings.zone,
       }),
     );
     this.door = new Door(world, {
       view: this.view,
       backEnds: options.backEnds,
-      ferry: this.ferry,
+      forwarder: this.forwarder,
       budget: this.budget,
       counts: this.edgeCounts,
       shares: this.shares,
@@ -187,11 +190,11 @@
         bounds.counts,
         settings.peers,
         this.incarnation,
-        () => this.recorder?.leader || this.ferry.leader,
+        () => this.recorder?.leader || this.forwarder.leader,
       );
     this.desk = new Operators(
       world,
-      this.ferry,
+      this.forwarder,
       this.view,
       this.shares,
       pacers.egress,
@@ -223,10 +226,10 @@
           return recorder.leader;
         },
       };
-      this.ferry.serve(Kind.command, leadership, (text) => registry.command(text));
-      this.ferry.serve(Kind.poll, leadership, (text) => registry.poll(text));
+      this.forwarder.serve(Kind.command, leadership, (text) => registry.command(text));
+      this.forwarder.serve(Kind.poll, leadership, (text) => registry.poll(text));
     } else {
-      this.ferry.serveWay();
+      this.forwarder.serveWay();
       this.meeting.serve();
     }
     this.outcomes.serve();
@@ -291,10 +294,10 @@
   }
 
   private lapsedLease(): LapsedLease {
-    const { ferry, link } = this;
+    const { forwarder, link } = this;
     const core = {
       get members() {
-        return ferry.recorders;
+        return forwarder.recorders;
       },
       isOutOfReach: (member: string, sinceMs: number) => link.isOutOfReach(member, sinceMs),
     };
--- a/src/operator/operators.ts
+++ b/src/operator/operators.ts
@@ -26,7 +26,7 @@
   nameShape,
   type Fault,
 } from "../contract/config.js";
-import type { AskAttempt, Ferry } from "../contract/ferry.js";
+import type { AskAttempt, Forwarder } from "../contract/forwarder.js";
 import type { ChangeOrder, Order } from "../contract/order.js";
 import { TravellingText } from "../contract/travellingText.js";
 import type { View } from "../contract/view.js";
@@ -158,7 +158,7 @@
 /** Answers operators, back ends and the platform over HTTP. */
 export class Operators {
   private readonly world: World;
-  private readonly ferry: Ferry;
+  private readonly forwarder: Forwarder;
   private readonly view: View;
   private readonly shares: LoadBalancer;
   private readonly egress: LinkPacer;
@@ -171,7 +171,7 @@
 
   constructor(
     world: World,
-    ferry: Ferry,
+    forwarder: Forwarder,
     view: View,
     shares: LoadBalancer,
     egress: LinkPacer,
@@ -183,7 +183,7 @@
     },
   ) {
     this.world = world;
-    this.ferry = ferry;
+    this.forwarder = forwarder;
     this.view = view;
     this.shares = shares;
     this.egress = egress;
@@ -241,12 +241,12 @@
   }
 
   private *read(order: Order): Task<Return> {
-    const text = yield* this.ferry.command(order, answerMs);
+    const text = yield* this.forwarder.command(order, answerMs);
     return text === undefined ? noLeader() : asSent(text);
   }
 
   private *readConfig(version: number | undefined): Task<Return> {
-    const text = yield* this.ferry.command(
+    const text = yield* this.forwarder.command(
       { kind: "get", ...(version === undefined ? {} : { version }) },
       answerMs,
     );
@@ -342,7 +342,7 @@
   /** Has a change taken; a large one is waited for longer, as its sender does. */
   private *enter(order: ChangeOrder, bodyBytes = 0): Task<Return> {
     const waitMs = Math.min(this.orderMs, answerMs + bodyBytes / slowBytesMs);
-    const text = yield* this.ferry.command(order, waitMs);
+    const text = yield* this.forwarder.command(order, waitMs);
     if (text === undefined) return unknownFate(order.changeId);
     const outcome = create(JSON.parse(text), outcomeShape);
     if ("forgottenUpTo" in outcome) return unknownFate(order.changeId);
@@ -374,7 +374,7 @@
     };
     const text = announced.draining
       ? yield* this.leaving(order)
-      : yield* this.ferry.command(order, answerMs);
+      : yield* this.forwarder.command(order, answerMs);
     if (text === undefined) return noLeader();
     return is(JSON.parse(text), behindShape)
       ? Return.json(503, { error: "This daemon is behind; ask another." }, retryAfter)
@@ -397,7 +397,9 @@
   private *leaving(order: Order): Task<string | undefined> {
     const startedMs = this.world.clock.nowMs();
     const attempts: AskAttempt[] = [];
-    const text = yield* this.ferry.command(order, answerMs, (attempt) => attempts.push(attempt));
+    const text = yield* this.forwarder.command(order, answerMs, (attempt) =>
+      attempts.push(attempt),
+    );
     const tookMs = Math.round(this.world.clock.nowMs() - startedMs);
     if (text === undefined || tookMs > slowLeaveMs)
       this.log.warn(
@@ -492,7 +494,7 @@
 
   private *patch(value: unknown, route: string): Task<Return> {
     // This daemon may be behind, so the leader is asked, not the view in hand.
-    const text = yield* this.ferry.command({ kind: "get" }, answerMs);
+    const text = yield* this.forwarder.command({ kind: "get" }, answerMs);
     if (text === undefined) return noLeader();
     const { found } = create(JSON.parse(text), foundShape);
     const config = found ? Config.check(JSON.parse(TravellingText.read(found))) : undefined;
@@ -502,7 +504,7 @@
   }
 
   private *showFleet(kind: "showMachines" | "showBackEnds"): Task<Return> {
-    const text = yield* this.ferry.command({ kind: "fleet" }, answerMs);
+    const text = yield* this.forwarder.command({ kind: "fleet" }, answerMs);
     if (text === undefined) return noLeader();
     const fleet = create(
       JSON.parse(text),
@@ -521,7 +523,7 @@
   }
 
   private *explain(): Task<Return> {
-    const text = yield* this.ferry.command({ kind: "history" }, answerMs);
+    const text = yield* this.forwarder.command({ kind: "history" }, answerMs);
     if (text === undefined) return noLeader();
     return Return.json(200, {
       journal: create(JSON.parse(text), historyShape).journal.slice(-100),
--- a/src/record/joining.ts
+++ b/src/record/joining.ts
@@ -95,11 +95,11 @@
     for (const peer of this.applicant.contacts) this.ask(peer, request, true);
   }
 
-  private ask(peer: string, request: string, ferried: boolean): void {
+  private ask(peer: string, request: string, forwarded: boolean): void {
     if (peer === "" || peer === this.applicant.self || this.pending.has(peer)) return;
     this.pending.add(peer);
     this.asked.add(peer);
-    const asking = this.link.ask(peer, Kind.command, { ferried, text: request }, askMs);
+    const asking = this.link.ask(peer, Kind.command, { forwarded, text: request }, askMs);
     World.start(this.world, "record", asking, (ret) => {
       this.pending.delete(peer);
       if (!ret) return;
--- a/src/record/leaving.ts
+++ b/src/record/leaving.ts
@@ -56,7 +56,7 @@
     const { leader, self, lastIndex } = this.leaver;
     if (leader === "" || leader === self) return undefined;
     const text = JSON.stringify({ kind: "stopping", machine: self, lastIndex });
-    const ret = yield* this.link.ask(leader, Kind.command, { ferried: true, text }, askMs);
+    const ret = yield* this.link.ask(leader, Kind.command, { forwarded: true, text }, askMs);
     return ret?.text.includes('"isHeld"') === true
       ? create(JSON.parse(ret.text), answerShape)
       : undefined;
--- a/src/rehearsal/scaleFleet.ts
+++ b/src/rehearsal/scaleFleet.ts
@@ -5,7 +5,7 @@
 import { join } from "node:path";
 import { array, boolean, create, number, string, type } from "superstruct";
 import { request } from "undici";
-import { Ferry } from "../contract/ferry.js";
+import { Forwarder } from "../contract/forwarder.js";
 import type { Order } from "../contract/order.js";
 import { Link } from "../link/link.js";
 import { Clock } from "../runtime/clock.js";
@@ -68,7 +68,7 @@
   private readonly children: ScaleChild[];
   private readonly world: World;
   private readonly tcp = Wire.tcp();
-  private readonly ferry: Ferry;
+  private readonly forwarder: Forwarder;
   private readonly backEnds: ScaleBackEnd[] = [];
   private nextBackEnd = 0;
   private nextDaemon = 0;
@@ -91,7 +91,11 @@
       random: Math.random,
       wallTime: () => new Date(),
     };
-    this.ferry = new Ferry(this.world, new Link(this.world, "127.0.0.1:1"), () => this.seeds);
+    this.forwarder = new Forwarder(
+      this.world,
+      new Link(this.world, "127.0.0.1:1"),
+      () => this.seeds,
+    );
   }
 
   /** Lays out the real daemons, starts them and waits until they serve. */
@@ -471,7 +475,9 @@
   }
 
   private command(order: Order): Promise<string | undefined> {
-    return new Promise((done, fail) => Task.start(this.ferry.command(order, orderMs), fail, done));
+    return new Promise((done, fail) =>
+      Task.start(this.forwarder.command(order, orderMs), fail, done),
+    );
   }
 
   private async fleet() {
--- a/src/rehearsal/scaleHollow.ts
+++ b/src/rehearsal/scaleHollow.ts
@@ -1,4 +1,4 @@
-import { Ferry } from "../contract/ferry.js";
+import { Forwarder } from "../contract/forwarder.js";
 import type { Order } from "../contract/order.js";
 import { View } from "../contract/view.js";
 import { Link } from "../link/link.js";
@@ -34,7 +34,7 @@
 export class HollowDaemon {
   readonly view: View;
   private readonly world: World;
-  private readonly ferry: Ferry;
+  private readonly forwarder: Forwarder;
   private readonly edgeCounts: EdgeCounts;
   private readonly pollMs: number;
   private readonly pollWaitMs: number;
@@ -52,10 +52,10 @@
     this.world = world;
     this.pollMs = bounds.pollMs;
     this.pollWaitMs = bounds.pollWaitMs;
-    this.ferry = new Ferry(world, link, () => seeds);
+    this.forwarder = new Forwarder(world, link, () => seeds);
     this.view = new View(
       world,
-      this.ferry,
+      this.forwarder,
       () => ({
         name: place.machine,
         zone: place.zone,
@@ -93,7 +93,7 @@
 
   /** Has the leader carry out an order. */
   *order(order: Order): Task<string | undefined> {
-    return yield* this.ferry.command(order, noticeWaitMs);
+    return yield* this.forwarder.command(order, noticeWaitMs);
   }
 
   /** Hears a back end's announcement once, as the operators' port does; tells whether it is known. */
--- a/test/contract/directory.test.ts
+++ b/test/contract/directory.test.ts
@@ -1,5 +1,5 @@
 import { expect, test, vi } from "vitest";
-import { Ferry } from "../../src/contract/ferry.js";
+import { Forwarder } from "../../src/contract/forwarder.js";
 import { Registry } from "../../src/contract/registry.js";
 import { View } from "../../src/contract/view.js";
 import { Kind } from "../../src/link/kind.js";
@@ -204,10 +204,10 @@
   const { world, link, leader, announce, wait, simulation } = stage();
   announce("one");
   announce("two", { address: "10.9.0.2:80" });
-  const ferry = new Ferry(world, link, () => [leader().settings.peers]);
+  const forwarder = new Forwarder(world, link, () => [leader().settings.peers]);
   const view = new View(
     world,
-    ferry,
+    forwarder,
     () => ({
       name: "stranger",
       zone: "x",
--- a/test/contract/directoryStage.ts
+++ b/test/contract/directoryStage.ts
@@ -47,7 +47,7 @@
   const exchange = (kind: typeof Kind.command | typeof Kind.poll, text: string, within = 300) => {
     const returns: Array<{ text: string; atMs: number }> = [];
     Task.start(
-      link.ask(leader().settings.peers, kind, { ferried: true, text }, 2000),
+      link.ask(leader().settings.peers, kind, { forwarded: true, text }, 2000),
       fail,
       (ret) => returns.push({ text: ret?.text ?? "", atMs: simulation.time.nowMs() }),
     );
--- a/test/contract/edgePlaces.test.ts
+++ b/test/contract/edgePlaces.test.ts
@@ -1,6 +1,6 @@
 import { expect, test } from "vitest";
 import { edgePlacesOf, type EdgePlace, type PlacedMachine } from "../../src/contract/edgePlaces.js";
-import { Ferry } from "../../src/contract/ferry.js";
+import { Forwarder } from "../../src/contract/forwarder.js";
 import { Poll } from "../../src/contract/order.js";
 import { Kind } from "../../src/link/kind.js";
 import { Link } from "../../src/link/link.js";
@@ -41,7 +41,7 @@
     random: stage.random,
   });
   const link = new Link(world, peer);
-  const ferry = new Ferry(world, link, () => stage.disks.map((machine) => machine.peer));
+  const forwarder = new Forwarder(world, link, () => stage.disks.map((machine) => machine.peer));
   const poll: Poll = {
     machine: { name, zone, roles: ["edge"], peer, incarnation: "1", draining: false },
     configSequence: -1,
@@ -53,7 +53,7 @@
   };
   stage.start(
     (function* () {
-      const text = yield* ferry.once(Kind.poll, JSON.stringify(poll), 450);
+      const text = yield* forwarder.once(Kind.poll, JSON.stringify(poll), 450);
       const view = text === undefined ? undefined : Poll.readReturn(text);
       told.push(view?.granted === true ? view.place : undefined);
     })(),
--- a/test/contract/registry.test.ts
+++ b/test/contract/registry.test.ts
@@ -26,7 +26,7 @@
   const order = (sent: Order): string => {
     const returns: string[] = [];
     Task.start(
-      link.ask(leader, Kind.command, { ferried: true, text: Order.text(sent) }, 2000),
+      link.ask(leader, Kind.command, { forwarded: true, text: Order.text(sent) }, 2000),
       fail,
       (ret) => returns.push(ret?.text ?? ""),
     );
--- a/test/scale/configStorm.test.ts
+++ b/test/scale/configStorm.test.ts
@@ -1,5 +1,5 @@
 import { expect, test } from "vitest";
-import { Ferry } from "../../src/contract/ferry.js";
+import { Forwarder } from "../../src/contract/forwarder.js";
 import { Link } from "../../src/link/link.js";
 import { Gate } from "../../src/rehearsal/gate.js";
 import { virtualWorld } from "../../src/rehearsal/virtualWorld.js";
@@ -40,25 +40,25 @@
 };
 
 /** A daemon's way to the leader, on a machine of its own that is never short of anything. */
-const ferryOf = (stage: LimitedStage): Ferry => {
+const forwarderOf = (stage: LimitedStage): Forwarder => {
   const world = virtualWorld({
     clock: stage.time.clock(),
     wire: stage.network.wire("caller", new Gate()),
     random: stage.random,
   });
   const link = new Link(world, "10.0.9.9:7000");
-  return new Ferry(world, link, () => stage.disks.map(({ peer }) => peer));
+  return new Forwarder(world, link, () => stage.disks.map(({ peer }) => peer));
 };
 
 /** Claims one key after another, for as long as the stage runs; how long each claim took. */
 const claiming = (stage: LimitedStage): number[] => {
   const tookMs: number[] = [];
   const clock = stage.time.clock();
-  const ferry = ferryOf(stage);
+  const forwarder = forwarderOf(stage);
   const claim = function* (at: number): Task {
     const sentMs = stage.time.nowMs();
     const order = { kind: "claim", scope: `key-${at}`, bodyHash: "h", job: `job-${at}` } as const;
-    const text = yield* ferry.command(order, 5000);
+    const text = yield* forwarder.command(order, 5000);
     tookMs.push(text === '{"claimed":true}' ? stage.time.nowMs() - sentMs : Infinity);
   };
   stage.start(
