--- a/src/record/historyFormat.ts
+++ b/src/record/historyFormat.ts
@@ -12,8 +12,13 @@
 
 const changeShape = assign(omit(acceptedConfigShape, ["text"]), object({ delta: textDeltaShape }));
 
+/** The level that takes a third of the usual one's time, for a few hundredths more bytes. */
+const deflateLevel = 3;
+
 const sealedJson = (value: unknown): Buffer =>
-  Buffer.from(seal(deflateRawSync(Buffer.from(JSON.stringify(value), "utf8"))));
+  Buffer.from(
+    seal(deflateRawSync(Buffer.from(JSON.stringify(value), "utf8"), { level: deflateLevel })),
+  );
 
 const jsonOf = (body: Buffer): unknown => {
   const value: unknown = JSON.parse(inflateRawSync(body).toString("utf8"));
--- a/src/record/historyKeeper.ts
+++ b/src/record/historyKeeper.ts
@@ -16,6 +16,8 @@
 const restsPerExchange = 3;
 /** Which part of the text that may wait for the disk is held in memory until it is written. */
 const keepPart = 1 / 4;
+/** Within which time members begin to keep what they hold by then. */
+const keepSpreadMs = 1000;
 
 /** What became of looking for an accepted config. */
 export type ConfigRead =
@@ -57,6 +59,8 @@
   private damaged: SequenceRange[] = [];
   /** Whether configs wait for the disk to take them. */
   private isOwing = false;
+  /** Whether configs are to be kept shortly. */
+  private isKeepPlanned = false;
   /** Whether the disk is taking configs now. */
   private isKeeping = false;
   /** Whether older configs were missing when it was last looked for them. */
@@ -102,12 +106,23 @@
     }
   }
 
-  /** Has the disk keep configs once those that the state machine holds have grown to a part of what may wait. */
+  /**
+   * Has the disk keep configs once those that the state machine holds have grown to a part of what may wait. Members do so at
+   * different moments: a large config takes a while to be written, and the leader needs a majority that answers meanwhile.
+   */
   keepWhenMany(): void {
-    if (this.isKeeping || !this.terms.isFormed()) return;
+    if (this.isKeeping || this.isKeepPlanned || !this.terms.isFormed() || !this.holdsMany) return;
+    this.isKeepPlanned = true;
+    this.world.clock.after(this.world.random() * keepSpreadMs, () => {
+      this.isKeepPlanned = false;
+      if (!this.isKeeping && this.holdsMany) this.keep();
+    });
+  }
+
+  private get holdsMany(): boolean {
     const { configs } = this.book;
     const bytes = configs.reduce((sum, { text }) => sum + text.length, 0);
-    if (configs.length > 1 && bytes > this.terms.unkeptBytes * keepPart) this.keep();
+    return configs.length > 1 && bytes > this.terms.unkeptBytes * keepPart;
   }
 
   /** Has the disk keep the configs that the state machine still holds; it lets go of them once they are kept. */
--- a/src/record/recorder.ts
+++ b/src/record/recorder.ts
@@ -145,6 +145,8 @@
 
 /** What one frame of entries carries at most, unless a single entry is larger. Exported for its test. */
 export const batch = { entries: 1024, bytes: 256 * 1024 };
+/** By which part the bytes after which members write their snapshots differ. */
+const snapshotSpread = 0.4;
 /** For how long proposals are gathered after the last ones were added: one write and one round to the others carry many. */
 const gatherProposalsMs = 8;
 /** What is kept of the log behind a checkpoint, for followers that lag a little. */
@@ -190,6 +192,8 @@
   private readonly proposals: Array<{ text: string; done: (proposed: Proposed) => void }> = [];
   private addedProposalsMs = -Infinity;
   private willAddProposals = false;
+  /** At which part of the bytes that members may add to the log this one writes its snapshot, so that not all do so at once. */
+  private readonly snapshotPart: number;
   private checkpointing = false;
   private snapshotsTaken = 0;
   /** Set right before the process ends: what is acknowledged then can't be counted on. */
@@ -213,6 +217,7 @@
     this.place = place;
     this.meeting = meeting;
     this.waits = waits;
+    this.snapshotPart = 1 - snapshotSpread * world.random();
     this.book = book;
     this.store = store;
     this.log = world.logbook.part("record");
@@ -1050,7 +1055,7 @@
     }
     if (
       !this.checkpointing &&
-      this.writer.addedBytes > this.waits.checkpointBytes &&
+      this.writer.addedBytes > this.waits.checkpointBytes * this.snapshotPart &&
       this.state === "formed"
     )
       this.writeCheckpoint("");
--- a/test/record/farBehind.test.ts
+++ b/test/record/farBehind.test.ts
@@ -26,7 +26,7 @@
   for (let at = 0; at < 40_000; at += 1) {
     const scope = String(at).padStart(64, word());
     const job = `${word()}-${at}`;
-    const name = Array.from({ length: 14 }, word).join("").slice(0, 150);
+    const name = Array.from({ length: 22 }, word).join("").slice(0, 230);
     apply({ kind: "claim", scope, bodyHash: "a".repeat(64), job, holders: [name] });
   }
   return { book, lastIndex: index };
