--- a/src/door/keys.ts
+++ b/src/door/keys.ts
@@ -29,6 +29,8 @@
 const askAgainMs = 100;
 const releaseMs = 8000;
 const keptBodyBytes = 64 * 1024;
+/** When callers had better come back to a key whose first response is lost: once the key is free again. */
+const lostAfterMs = 120_000;
 
 const hash = (...parts: Array<string | Uint8Array>): string => {
   const sum = createHash("sha256");
@@ -40,7 +42,7 @@
   Ending.drop("The key could not be claimed in the record.", afterMs);
 
 /** What a repeat is answered with once it is known what became of the first request. */
-const repeated = (outcome: KeyedOutcome, afterMs: number): Ending | undefined => {
+const repeated = (outcome: KeyedOutcome): Ending | undefined => {
   switch (outcome.kind) {
     case "ran": {
       const { code, headers, body } = outcome.response;
@@ -55,14 +57,14 @@
         502,
         "The first request with this key ran; its response is not kept.",
         "ran",
-        afterMs,
+        lostAfterMs,
       );
     case "mayHaveRun":
       return Ending.breakdown(
         502,
-        "Nobody can tell whether the first request with this key ran.",
+        "The first request with this key may have run; its response was lost.",
         "mayHaveRun",
-        afterMs,
+        lostAfterMs,
       );
     case "inHand":
     case "neverRan":
@@ -128,9 +130,10 @@
       }
       const givenMs = Math.min(inHandWaitMs, (untilMs - startedMs) / 2);
       const outcome = yield* this.outcomeOf(scope, held, startedMs + givenMs);
-      if (outcome.kind !== "neverRan") {
+      if (outcome === "unreachable" || outcome.kind !== "neverRan") {
         this.outcomes.note(request, { kind: "neverRan" });
-        return repeated(outcome, this.afterMs) ?? this.stillInHand();
+        if (outcome === "unreachable") return this.outOfReach();
+        return repeated(outcome) ?? this.stillInHand();
       }
       replaces = held.job;
     }
@@ -168,8 +171,22 @@
     );
   }
 
+  /** The daemon that the first request went through can't be asked now; it may be soon. */
+  private outOfReach(): Ending {
+    return Ending.breakdown(
+      502,
+      "Nobody who was reached can tell whether the first request with this key ran.",
+      "mayHaveRun",
+      this.afterMs,
+    );
+  }
+
   /** What became of the request that holds a key, which is waited for while it is in hand or nobody can tell. */
-  private *outcomeOf(scope: string, held: Held, untilMs: number): Task<KeyedOutcome> {
+  private *outcomeOf(
+    scope: string,
+    held: Held,
+    untilMs: number,
+  ): Task<KeyedOutcome | "unreachable"> {
     if (held.verdict === "mayHaveRun") return { kind: "mayHaveRun" };
     if (held.verdict === "ran") return { kind: "ranNotKept" };
     const { clock } = this.world;
@@ -177,9 +194,8 @@
       const request = { scope, job: held.job };
       const outcome = yield* this.outcomes.find(request, held.holders ?? []);
       if (outcome === "unknown") return { kind: "mayHaveRun" };
-      const isInHand = outcome !== "unreachable" && outcome.kind === "inHand";
-      if (outcome !== "unreachable" && !isInHand) return outcome;
-      if (clock.nowMs() + askAgainMs > untilMs) return { kind: isInHand ? "inHand" : "mayHaveRun" };
+      if (outcome !== "unreachable" && outcome.kind !== "inHand") return outcome;
+      if (clock.nowMs() + askAgainMs > untilMs) return outcome;
       yield* Clock.rest(clock, askAgainMs);
     }
   }
