--- a/test/platform/cutOff.test.ts
+++ b/test/platform/cutOff.test.ts
@@ -10,22 +10,13 @@
 /** How long an answer may take: callers give up after a second. */
 const answerMs = 900;
 
-const beat = (stage: OrderStage, at: StageMachine, id: string, calls: number, state = "up"): Call =>
-  stage.call(
-    at,
-    "POST",
-    `backends/${id}/heartbeat`,
-    JSON.stringify({
-      svc: "one",
-      addr: `10.1.0.${id}:90`,
-      zone: "a",
-      ver: "1",
-      capacity: 2,
-      state,
-      warmLeft: "0ms",
-      calls,
-    }),
-  );
+const beat = (
+  stage: OrderStage,
+  at: StageMachine,
+  id: string,
+  calls: number,
+  state: "up" | "draining" = "up",
+): Call => stage.beat(at, { id, calls, state });
 
 const begun = (): OrderStage => {
   const stage = new OrderStage(["e:a", "e:b", "d:a", "d:b", "d:c"], [0, 1, 2]);
--- a/test/platform/orderStage.ts
+++ b/test/platform/orderStage.ts
@@ -20,6 +20,14 @@
   readonly body: string;
 }
 
+/** What a backend tells of itself. */
+export interface Heartbeat {
+  readonly id: string;
+  readonly calls: number;
+  readonly state?: "up" | "draining";
+  readonly service?: string;
+}
+
 const service = (name: string) => ({
   type: "services",
   meta: { name },
@@ -113,6 +121,21 @@
     return call;
   }
 
+  /** A heartbeat of a backend, as the platform's backends send them. */
+  beat(machine: StageMachine, { id, calls, state = "up", service = "one" }: Heartbeat): Call {
+    const body = {
+      svc: service,
+      addr: `10.1.0.${id}:90`,
+      zone: "a",
+      ver: "1",
+      capacity: 2,
+      state,
+      warmLeft: "0ms",
+      calls,
+    };
+    return this.call(machine, "POST", `backends/${id}/heartbeat`, JSON.stringify(body));
+  }
+
   order(machine: StageMachine, { target, base, body }: OrderBytes): Call {
     return this.call(machine, "POST", target, body, { "base-version": base });
   }
--- a/test/scale/keyedLoad.test.ts
+++ b/test/scale/keyedLoad.test.ts
@@ -5,7 +5,7 @@
 import type { DaemonOptions } from "../../src/machine/daemon.js";
 import { Clock } from "../../src/runtime/clock.js";
 import type { Task } from "../../src/runtime/task.js";
-import type { Call, OrderBytes } from "../platform/orderStage.js";
+import type { OrderBytes } from "../platform/orderStage.js";
 import type { StageMachine } from "../record/fleetStage.js";
 import { LimitedStage } from "./limitedStage.js";
 
@@ -146,28 +146,13 @@
     const announcing = function* (stage: KeyedStage, id: number): Task {
       for (let calls = 1; !stage.leaving.has(id); calls += 1) {
         const edge = stage.edges[(id + calls) % stage.edges.length];
-        if (edge) stage.beat(edge, id, calls, "up");
+        if (edge) stage.beat(edge, { id: `${id}`, calls, service: "ledger" });
         yield* Clock.rest(clock, beatMs);
       }
     };
     for (const id of ids) this.start(announcing(this, id));
   }
 
-  /** A heartbeat of a backend, as the platform's backends send them. */
-  beat(at: StageMachine, id: number, calls: number, state: "up" | "draining"): Call {
-    const body = {
-      svc: "ledger",
-      addr: `10.1.0.${id}:90`,
-      zone: "a",
-      ver: "1",
-      capacity: 2,
-      state,
-      warmLeft: "0ms",
-      calls,
-    };
-    return this.call(at, "POST", `backends/${id}/heartbeat`, JSON.stringify(body));
-  }
-
   /** Has backends leave, each calling one daemon after another until it is acknowledged; how long each took. */
   leave(ids: readonly number[]): number[] {
     const tookMs = ids.map(() => Infinity);
@@ -178,7 +163,12 @@
       for (let calls = 1000; ; calls += 1) {
         const edge = stage.edges[Math.floor(stage.random() * stage.edges.length)];
         if (!edge) return;
-        const call = stage.beat(edge, id, calls, "draining");
+        const call = stage.beat(edge, {
+          id: `${id}`,
+          calls,
+          state: "draining",
+          service: "ledger",
+        });
         const untilMs = clock.nowMs() + patienceMs;
         while (call.code === undefined && clock.nowMs() < untilMs) yield* Clock.rest(clock, 5);
         if (call.code === 200) {
--- a/test/tools/checkWords.test.ts
+++ b/test/tools/checkWords.test.ts
@@ -29,7 +29,7 @@
 };
 
 test("a withdrawn word in a folder that is done fails the check, in comments and inside names", () => {
-  expect(checked("/** Hands it to the forwarder. */\n").code).toBe(1);
+  expect(checked("/** Hands it to the ferry. */\n").code).toBe(1);
   expect(checked("const newContract = 1;\n").said).toContain('1: "Contract", better: registration');
   expect(checked("const checkpointBytes = 1;\n").code).toBe(1);
 });
