--- a/test/platform/orderStage.ts
+++ b/test/platform/orderStage.ts
@@ -1,4 +1,5 @@
 import { control } from "../../platform/control.js";
+import { dialect } from "../../platform/dialect.js";
 import type { Job } from "../../src/door/job.js";
 import type { Return } from "../../src/door/verdict.js";
 import type { Settings } from "../../src/machine/settings.js";
@@ -93,6 +94,9 @@
     super(machines, seeds, more);
   }
 
+  /** The platform's headers. */
+  static readonly dialect = dialect;
+
   /** Sends a request to a machine's control address; a machine that is down never answers. */
   call(
     machine: StageMachine,
--- a/test/scale/keyedLoad.test.ts
+++ b/test/scale/keyedLoad.test.ts
@@ -1,5 +1,4 @@
 import { expect, test } from "vitest";
-import { dialect } from "../../platform/dialect.js";
 import type { BackEnds } from "../../src/door/backEnds.js";
 import type { Caller } from "../../src/door/job.js";
 import type { DaemonOptions } from "../../src/machine/daemon.js";
@@ -90,7 +89,7 @@
   }
 
   protected override daemonOptions(): DaemonOptions {
-    return { backEnds: answering(this.time.clock()), dialect };
+    return { backEnds: answering(this.time.clock()), dialect: LimitedStage.dialect };
   }
 
   get edges(): StageMachine[] {
