--- a/src/door/keyedOutcomeStore.ts
+++ b/src/door/keyedOutcomeStore.ts
@@ -2,7 +2,6 @@
 import type { KeyedOutcome, KeyedRequest } from "./keyedOutcome.js";
 
 interface KeptOutcome {
-  readonly job: string;
   readonly outcome: KeyedOutcome;
   readonly bytes: number;
   readonly keptMs: number;
@@ -46,7 +45,7 @@
     const name = nameOf(scope, job);
     this.remove(name);
     const bytes = bytesOf(outcome);
-    this.kept.set(name, { job, outcome, bytes, keptMs: this.clock.nowMs() });
+    this.kept.set(name, { outcome, bytes, keptMs: this.clock.nowMs() });
     this.heldBytes += bytes;
     const oldestMs = this.clock.nowMs() - this.keepMs;
     for (const [oldest, { keptMs }] of this.kept) {
