--- a/review/x-twice/case.mjs
+++ b/review/x-twice/case.mjs
@@ -14,7 +14,7 @@
   const surplus = new WeakMap();
   let full = false;
   for (let i = 0; i < 3; i++) await deployment.addServer({ service: "arhiv", answer: (x) => {
-    const { socket } = x.response;
+    const { socket } = x.response; socket.n ??= (globalThis.k = (globalThis.k ?? 0) + 1); record.add('req', { server: x.server.id, conn: socket.n, url: x.request.url, dl: x.request.headers['deadline-ms'], id: x.tryId }); if (!socket.w) { socket.w = 1; socket.on('close', () => record.add('sockclose', { conn: socket.n })); }
     if (surplus.get(socket)) { const text = surplus.get(socket); surplus.delete(socket); socket.write(text); record.add("surplus", { server: x.server.id, before: x.tryId }); }
     if (x.request.url.startsWith("/read/") && full) {
       setTimeout(() => {
