--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -3,7 +3,14 @@
  * users' protocol. The command of a process is that of deploy/system.toml.
  */
 import { spawn } from "node:child_process";
-import { appendFileSync, mkdirSync, mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
+import {
+  appendFileSync,
+  mkdirSync,
+  mkdtempSync,
+  readFileSync,
+  rmSync,
+  writeFileSync,
+} from "node:fs";
 import { createServer as createHttpServer, request as httpRequest, Agent } from "node:http";
 import { connect, createServer } from "node:net";
 import { tmpdir } from "node:os";
@@ -152,7 +159,12 @@
     const { PATH, HOME, LANG } = process.env;
     const child = spawn(program, args, {
       cwd: ROOT,
-      env: { PATH, HOME, ...(LANG === undefined ? {} : { LANG }), DALEDOOR_BOOT: this.settingsPath },
+      env: {
+        PATH,
+        HOME,
+        ...(LANG === undefined ? {} : { LANG }),
+        DALEDOOR_BOOT: this.settingsPath,
+      },
       stdio: ["ignore", "pipe", "pipe"],
     });
     this.process = child;
@@ -275,7 +287,11 @@
         headers: { "content-type": "application/json", "base-version": base },
         body: JSON.stringify({ ver: `r${version}`, objs }),
       });
-      this.record.add("config", { version: `r${version}`, to: machine.name, status: answer.status });
+      this.record.add("config", {
+        version: `r${version}`,
+        to: machine.name,
+        status: answer.status,
+      });
       if (answer.status === 200) {
         this.version = version;
         return;
@@ -405,7 +421,10 @@
 });
 
 /** The entry of a route in a configuration. */
-export const routeEntry = (name, { host, pfx, kind, svc, deadline = "10s", targetTime = "1s" }) => ({
+export const routeEntry = (
+  name,
+  { host, pfx, kind, svc, deadline = "10s", targetTime = "1s" },
+) => ({
   type: "routes",
   meta: { name },
   spec: { host, pfx, kind, deadline, target_time: targetTime, prio: 1, svc, tries: 2 },
--- a/review/lib/pipeline-client.mjs
+++ b/review/lib/pipeline-client.mjs
@@ -17,7 +17,10 @@
         this.pending = Buffer.concat([this.pending, rest]);
         const end = this.pending.indexOf(HEAD_END);
         if (end < 0) return;
-        const [statusLine, ...lines] = this.pending.subarray(0, end).toString("latin1").split("\r\n");
+        const [statusLine, ...lines] = this.pending
+          .subarray(0, end)
+          .toString("latin1")
+          .split("\r\n");
         const headers = Object.fromEntries(
           lines.map((line) => [
             line.slice(0, line.indexOf(":")).toLowerCase(),
