--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -16,21 +16,21 @@
 } from "../lib/deployment.mjs";
 import { pipeline } from "../lib/pipeline-client.mjs";
 
-const CLIENTS = 4;
 /** Servers of each service. */
 const SERVERS = 4;
 /** The requests of one connection: downloads of the size of the site's larger ones, then reads. */
 const DOWNLOADS = 24;
 const DOWNLOAD_BYTES = 500_000;
-const READS = 100;
-const READ_BYTES = 7500;
+const READS = 120;
+const READ_BYTES = 15_000;
 const LINK_BYTES_PER_MS = 1250;
 const DEADLINE_MS = 30_000;
-const SIGTERM_AFTER_MS = 4000;
+/** SIGTERM is sent when the client has read this many bytes, somewhat less than half of the downloads. */
+const READ_BEFORE_SIGTERM_BYTES = 5_000_000;
 const GRACE_MS = Number.parseFloat(BOUNDS.grace) * 1000;
 
 /** One client: resolves to its requests, with whether each was answered completely, and to how the connection ended. */
-const useConnection = async (machine, record, number) => {
+const useConnection = async (machine, { record, onRead }) => {
   const ids = Array.from({ length: DOWNLOADS + READS }, () => newId());
   const requests = ids.map((id, index) => {
     const path = index < DOWNLOADS ? "/download/1" : "/read/1";
@@ -40,10 +40,10 @@
   const { answers, incomplete, ending } = await pipeline(machine.http, requests, {
     bytesPerMs: LINK_BYTES_PER_MS,
     untilMs: DEADLINE_MS,
+    onRead,
   });
   const last = answers.at(-1);
   record.add("client", {
-    number,
     sent: ids.length,
     answered: answers.length,
     statuses: [...new Set(answers.map(({ status }) => status))],
@@ -94,30 +94,30 @@
   await sleep(2500);
 
   const [, machine] = deployment.machines;
-  const clients = Array.from({ length: CLIENTS }, (_, index) =>
-    useConnection(machine, record, index + 1),
-  );
-  await sleep(SIGTERM_AFTER_MS);
+  let onRead;
+  let readBytes = 0;
+  const partRead = new Promise((resolve) => {
+    onRead = (bytes) => {
+      readBytes += bytes;
+      if (readBytes >= READ_BEFORE_SIGTERM_BYTES) resolve();
+    };
+  });
+  const client = useConnection(machine, { record, onRead });
+  await partRead;
   const sigtermMs = performance.now();
   if (hasTrouble) machine.signal("SIGTERM");
-  const broken = [];
-  for (const [index, client] of (await Promise.all(clients)).entries()) {
-    const { unanswered, ending, isClosedByAnswer } = client;
-    // A request behind an answer that closes the connection counts as not read.
-    if (isClosedByAnswer || ending === "the client gave up") continue;
-    const lost = unanswered.filter(
-      (id) => (finishedMs.get(id) ?? Infinity) < sigtermMs + GRACE_MS / 2,
-    );
-    record.add("unanswered", {
-      client: index + 1,
-      requests: unanswered.length,
-      answeredByServersInFirstHalfOfGrace: lost.length,
-      lost,
-    });
-    if (lost.length > 0)
-      broken.push(`LOST: client ${index + 1} lost ${lost.length} answers (${ending})`);
-  }
-  return broken;
+  const { unanswered, ending, isClosedByAnswer } = await client;
+  // A request behind an answer that closes the connection counts as not read.
+  if (isClosedByAnswer || ending === "the client gave up") return [];
+  const lost = unanswered.filter(
+    (id) => (finishedMs.get(id) ?? Infinity) < sigtermMs + GRACE_MS / 2,
+  );
+  record.add("unanswered", {
+    requests: unanswered.length,
+    answeredByServersInFirstHalfOfGrace: lost.length,
+    lost,
+  });
+  return lost.length > 0 ? [`LOST: the client lost ${lost.length} answers (${ending})`] : [];
 };
 
 await runCase(dirname(fileURLToPath(import.meta.url)), {}, check);
--- a/review/lib/pipeline-client.mjs
+++ b/review/lib/pipeline-client.mjs
@@ -47,9 +47,9 @@
 
 /**
  * Sends requests one behind the other on a new connection and reads at `bytesPerMs` until the connection ends or
- * `isDone(answers)`. Resolves to the complete answers, the incomplete one, and how the connection ended.
+ * all are answered. Resolves to the complete answers, the incomplete one, and how the connection ended.
  */
-export const pipeline = async (address, requests, { bytesPerMs, untilMs }) => {
+export const pipeline = async (address, requests, { bytesPerMs, untilMs, onRead }) => {
   const socket = await openConnection(address);
   const reader = new AnswerReader();
   return new Promise((resolve) => {
@@ -61,6 +61,7 @@
     const timeout = setTimeout(() => finish("the client gave up"), untilMs);
     socket.on("data", (bytes) => {
       reader.add(bytes);
+      onRead(bytes.length);
       if (reader.answers.length === requests.length) return finish("all answered");
       socket.pause();
       setTimeout(() => socket.resume(), bytes.length / bytesPerMs);
