--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -449,6 +449,8 @@
     });
   });
 
+const MAX_CASE_MS = 110_000;
+
 /**
  * Runs a case: exits with 1 if its rule was broken, with 0 if the rule held, and with 2 if the case could not run.
  * `check` resolves to the reasons why the rule was broken.
@@ -457,10 +459,13 @@
   const record = new Record(join(folder, "record.txt"));
   const hasTrouble = process.env["TROUBLE"] !== "0";
   const deployment = new Deployment({ record, ...options });
-  const stop = setTimeout(() => {
-    record.add("the case took too long");
+  const giveUp = (reason) => {
+    record.add(reason);
     void deployment.close().then(() => process.exit(2));
-  }, 110_000);
+  };
+  const stop = setTimeout(() => giveUp("the case took too long"), MAX_CASE_MS);
+  for (const name of ["SIGTERM", "SIGINT"])
+    process.once(name, () => giveUp("the case was stopped"));
   let code = 2;
   try {
     record.add("case started", { trouble: hasTrouble });
