Daemon: the state of a client connection is a class of its own

The requests of a connection, its listeners and the request whose response closes it stand in HttpConnection; closing was a flag for the whole connection and is now known by request, so that later changes can tell what stands before the closing response from what stands behind it.

--- a/src/daemon/http-client-connection.ts
+++ b/src/daemon/http-client-connection.ts
@@ -4,28 +4,7 @@
 import type { ClientResponse } from "../proxy/request-outcome.js";
 import type { LinkPacer, Transfer, TransferClass } from "../runtime/link-pacer.js";
 import { type Task, waitFor, runTask } from "../runtime/task.js";
-
-/** The state of one client connection, shared by its requests. */
-export interface HttpConnectionState {
-  isClosed: boolean;
-  /** Called when the connection closes. */
-  readonly closeListeners: Set<() => void>;
-  /** Requests on the connection that have no response yet, in order of arrival. */
-  readonly pending: HttpClientConnection[];
-  /** Whether a response with `connection: close` was sent; later requests on the connection count as not received. */
-  isClosing: boolean;
-  /** Called when a response on the connection ends. */
-  readonly responseListeners: Set<() => void>;
-}
-
-/** Creates the state of a newly opened connection. */
-export const createHttpConnectionState = (): HttpConnectionState => ({
-  isClosed: false,
-  closeListeners: new Set(),
-  pending: [],
-  isClosing: false,
-  responseListeners: new Set(),
-});
+import type { HttpConnection, PendingRequest } from "./http-connection.js";
 
 /** The state that all responses of one server share. */
 export interface ResponseContext {
@@ -42,26 +21,27 @@
 const RESPONSE_HEAD_BYTES = 300;
 
 /** Sends the response to one request. Large bodies take turns on the link with all other transfers. */
-export class HttpClientConnection implements ClientConnection {
+export class HttpClientConnection implements ClientConnection, PendingRequest {
   dueMs = Infinity;
+  isWaiting = false;
   private readonly request: IncomingMessage;
   private readonly response: ServerResponse;
-  private readonly connection: HttpConnectionState;
+  private readonly connection: HttpConnection;
   private readonly context: ResponseContext;
   private transfer: Transfer | undefined;
 
   constructor(
     request: IncomingMessage,
     response: ServerResponse,
-    connection: HttpConnectionState,
+    connection: HttpConnection,
     context: ResponseContext,
   ) {
     this.request = request;
     this.response = response;
     this.connection = connection;
     this.context = context;
-    connection.pending.push(this);
-    response.once("close", () => this.finish());
+    connection.add(this);
+    response.once("close", () => connection.remove(this));
   }
 
   get isClosed(): boolean {
@@ -77,7 +57,8 @@
   /** Waits until all earlier requests on the connection have their responses; false if the connection closes first. */
   *awaitEarlierResponses(): Task<boolean> {
     const { connection } = this;
-    while (connection.pending[0] !== this && !connection.isClosed) {
+    this.isWaiting = true;
+    while (!connection.isFirst(this) && !connection.isClosed) {
       yield* waitFor<true>((done) => {
         const resume = (): void => {
           connection.responseListeners.delete(resume);
@@ -88,7 +69,8 @@
         connection.closeListeners.add(resume);
       });
     }
-    return !connection.isClosed && !connection.isClosing;
+    this.isWaiting = false;
+    return !connection.isClosed && !connection.isBehindClose(this);
   }
 
   respond({ code, headers, body }: ClientResponse): void {
@@ -145,16 +127,9 @@
     }
   }
 
-  private finish(): void {
-    const { pending, responseListeners } = this.connection;
-    const index = pending.indexOf(this);
-    if (index >= 0) pending.splice(index, 1);
-    for (const listener of [...responseListeners]) listener();
-  }
-
   private sendHead(code: number, headers: Record<string, string>): void {
     const sentHeaders = this.context.isClosing() ? { ...headers, connection: "close" } : headers;
-    if (sentHeaders["connection"] === "close") this.connection.isClosing = true;
+    if (sentHeaders["connection"] === "close") this.connection.closeAfter(this);
     this.response.sendDate = false;
     this.response.writeHead(code, sentHeaders);
   }
--- a/src/daemon/http-server.ts
+++ b/src/daemon/http-server.ts
@@ -7,12 +7,8 @@
 import { LinkPacer, type TransferClass } from "../runtime/link-pacer.js";
 import { Address, ListenError } from "../runtime/network.js";
 import { type Task, waitFor } from "../runtime/task.js";
-import {
-  HttpClientConnection,
-  createHttpConnectionState,
-  type HttpConnectionState,
-  type ResponseContext,
-} from "./http-client-connection.js";
+import { HttpClientConnection, type ResponseContext } from "./http-client-connection.js";
+import { HttpConnection } from "./http-connection.js";
 import { discardBody, streamBody } from "./request-body.js";
 
 /** Limits on requests and idle connections. */
@@ -76,7 +72,7 @@
   private readonly server: Server;
   private readonly handle: (clientRequest: ProxyRequest, client: ClientConnection) => void;
   private readonly buffersWholeBodies: boolean;
-  private readonly connections = new WeakMap<Socket, HttpConnectionState>();
+  private readonly connections = new Map<Socket, HttpConnection>();
   private limits: ServerLimits = DEFAULT_LIMITS;
   private isClosing = false;
   private readonly responses: ResponseContext;
@@ -161,16 +157,16 @@
   }
 
   private onConnection(socket: Socket): void {
-    const connection = createHttpConnectionState();
-    this.connections.set(socket, connection);
-    socket.once("close", () => {
-      connection.isClosed = true;
-      for (const listener of connection.closeListeners) listener();
-    });
+    this.connections.set(socket, new HttpConnection(socket));
+    socket.once("close", () => this.connections.delete(socket));
   }
 
   private onRequest(request: IncomingMessage, response: ServerResponse): void {
-    const connection = this.connections.get(request.socket) ?? createHttpConnectionState();
+    const connection = this.connections.get(request.socket);
+    if (!connection) {
+      request.destroy();
+      return;
+    }
     const client = new HttpClientConnection(request, response, connection, this.responses);
     const { headerBytes, bodyBytes } = this.limits;
     request.on("error", () => undefined);
