--- a/src/daemon/http-connection.ts
+++ b/src/daemon/http-connection.ts
@@ -14,6 +14,10 @@
   readonly closeListeners = new Set<() => void>();
   /** Called when a response on the connection ends. */
   readonly responseListeners = new Set<() => void>();
+  /** Number of requests received so far. */
+  receivedCount = 0;
+  /** Ends the request whose body is being read; undefined if none is. */
+  private bodyFailure: (() => void) | undefined;
   private readonly pending: PendingRequest[] = [];
   /** The request whose response closes the connection; requests behind it count as not received. */
   private closingRequest: PendingRequest | undefined;
@@ -34,6 +38,7 @@
 
   /** Adds a request that was just read. */
   add(request: PendingRequest): void {
+    this.receivedCount += 1;
     this.pending.push(request);
   }
 
@@ -61,6 +66,31 @@
     this.closingRequest ??= request;
   }
 
+  /** Calls back once no request is pending, immediately if none is; never after the connection has closed. */
+  whenIdle(run: () => void): void {
+    if (this.isClosed) return;
+    if (this.pending.length === 0) return run();
+    const check = (): void => {
+      if (this.pending.length > 0) return;
+      this.responseListeners.delete(check);
+      if (!this.isClosed) run();
+    };
+    this.responseListeners.add(check);
+  }
+
+  /** Sets how the request whose body is being read ends if the rest of the body is malformed; undefined after the body. */
+  setBodyFailure(fail: (() => void) | undefined): void {
+    this.bodyFailure = fail;
+  }
+
+  /** Ends the request whose body is being read; false if none is. */
+  failBody(): boolean {
+    const { bodyFailure } = this;
+    this.bodyFailure = undefined;
+    bodyFailure?.();
+    return bodyFailure !== undefined;
+  }
+
   private onClose(): void {
     this.isClosed = true;
     for (const listener of [...this.closeListeners]) listener();
--- a/src/daemon/http-server.ts
+++ b/src/daemon/http-server.ts
@@ -1,12 +1,14 @@
 /** The HTTP/1.1 server of a daemon: limits requests, buffers small bodies and streams large ones. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
-import type { Socket } from "node:net";
+import { Socket } from "node:net";
+import type { Duplex } from "node:stream";
 import type { ClientConnection, ProxyRequest } from "../proxy/proxy-request.js";
 import { jsonResponse } from "../proxy/request-outcome.js";
 import { systemClock } from "../runtime/clock.js";
 import { LinkPacer, type TransferClass } from "../runtime/link-pacer.js";
 import { Address, ListenError } from "../runtime/network.js";
 import { type Task, waitFor } from "../runtime/task.js";
+import { handleClientError, rejectMessage } from "./client-error.js";
 import { HttpClientConnection, type ResponseContext } from "./http-client-connection.js";
 import { HttpConnection } from "./http-connection.js";
 import { discardBody, streamBody } from "./request-body.js";
@@ -44,6 +46,14 @@
 /** A body up to this size is buffered before its request is handled; the rest of a larger body is streamed. */
 export const BUFFERED_BODY_BYTES = 256 * 1024;
 
+/** The request whose body is read, with the length that its headers declare. */
+interface BodyTarget {
+  readonly response: ServerResponse;
+  readonly client: ClientConnection;
+  readonly connection: HttpConnection;
+  readonly declaredBytes: number;
+}
+
 const headersOf = (request: IncomingMessage): Record<string, string> => {
   const headers: Record<string, string> = {};
   for (const name in request.headers) {
@@ -102,6 +112,10 @@
       (request, response) => this.onRequest(request, response),
     );
     this.server.on("connection", (socket) => this.onConnection(socket));
+    this.server.on("clientError", (error, socket) => this.onClientError(error, socket));
+    this.server.on("connect", ({ socket }: IncomingMessage) =>
+      this.connections.get(socket)?.whenIdle(() => rejectMessage(socket, 405)),
+    );
     this.server.requestTimeout = 0;
     this.setLimits(DEFAULT_LIMITS);
   }
@@ -161,6 +175,16 @@
     socket.once("close", () => this.connections.delete(socket));
   }
 
+  private onClientError(error: Error, socket: Duplex): void {
+    const connection = socket instanceof Socket ? this.connections.get(socket) : undefined;
+    if (!(socket instanceof Socket) || !connection) {
+      socket.destroy();
+      return;
+    }
+    const { headerMs } = this.limits;
+    handleClientError(error, socket, connection, { clock: systemClock(), headerMs });
+  }
+
   private onRequest(request: IncomingMessage, response: ServerResponse): void {
     const connection = this.connections.get(request.socket);
     if (!connection) {
@@ -180,7 +204,7 @@
       request.resume();
       return this.forward(request, client, new Uint8Array());
     }
-    this.readBody(request, response, client, declaredBytes);
+    this.readBody(request, { response, client, connection, declaredBytes });
   }
 
   private forward(
@@ -201,9 +225,7 @@
   /** Buffers a body to its end, or up to `BUFFERED_BODY_BYTES` and streams the rest. */
   private readBody(
     request: IncomingMessage,
-    response: ServerResponse,
-    client: ClientConnection,
-    declaredBytes: number,
+    { response, client, connection, declaredBytes }: BodyTarget,
   ): void {
     const { bodyBytes } = this.limits;
     const chunks: Buffer[] = [];
@@ -224,6 +246,7 @@
       chunks.push(chunk);
       if (isStillBuffered()) return;
       isHandled = true;
+      connection.setBodyFailure(() => request.destroy());
       request.off("data", onData);
       request.pause();
       let isStreamed = false;
@@ -236,8 +259,14 @@
       const rest = streamBody(request, bufferedBytes, bodyBytes, onStart);
       this.forward(request, client, Buffer.concat(chunks), rest);
     };
+    connection.setBodyFailure(() => {
+      if (isHandled) return;
+      isHandled = true;
+      refuse(client, 400, "The request body is malformed.");
+    });
     request.on("data", onData);
     request.on("end", () => {
+      connection.setBodyFailure(undefined);
       if (isHandled || !request.complete) return;
       isHandled = true;
       this.forward(request, client, Buffer.concat(chunks));
