A stop sends all answers before it ends, and closes connections in order (LOST)

Causes, each shown by a case of test/daemon/closing-connections that fails without the change: an answer counted as sent while it waited in the HTTP library's memory, and the library's close destroys such connections; a connection was destroyed while its client still sent, which resets it; the first answer after SIGTERM closed its connection although backends worked on later requests of it; an idle connection was closed with a request unread in the kernel.

Change: a request is pending until the operating system has its whole answer, and a process ends when none is pending, or when grace is nearly over. A connection closes behind the last request that a backend may have, and reads on until its client has closed or has been silent for a second.

paced-responses: unfinishedResponses now counts every response that isn't sent, so the streamed one counts beside the buffered one (2, was 1); as strict as before.

--- a/src/daemon/http-client-connection.ts
+++ b/src/daemon/http-client-connection.ts
@@ -8,13 +8,11 @@
 
 /** The state that all responses of one server share. */
 export interface ResponseContext {
-  /** Whether responses ask clients to close their connections. */
+  /** Whether connections close with the next response. */
   isClosing(): boolean;
   /** The pacer of the link on which responses are sent. */
   readonly egress: LinkPacer;
   readonly transferClass: TransferClass;
-  /** Number of buffered responses that are being written. */
-  unfinishedResponses: number;
 }
 
 /** Approximate size of a response's status line and headers. */
@@ -41,6 +39,7 @@
     this.connection = connection;
     this.context = context;
     connection.add(this);
+    if (context.isClosing()) connection.closeAfter(this);
     response.once("close", () => connection.remove(this));
   }
 
@@ -118,18 +117,14 @@
   }
 
   private *writeBody(body: Uint8Array): Task {
-    this.context.unfinishedResponses += 1;
-    try {
-      this.beginTransfer(body.length);
-      if (yield* this.writeChunk(body)) this.end();
-    } finally {
-      this.context.unfinishedResponses -= 1;
-    }
+    this.beginTransfer(body.length);
+    if (yield* this.writeChunk(body)) this.end();
   }
 
   private sendHead(code: number, headers: Record<string, string>): void {
-    const sentHeaders = this.context.isClosing() ? { ...headers, connection: "close" } : headers;
-    if (sentHeaders["connection"] === "close") this.connection.closeAfter(this);
+    if (headers["connection"] === "close") this.connection.closeAfter(this);
+    const closes = this.connection.closesAfter(this);
+    const sentHeaders = closes ? { ...headers, connection: "close" } : headers;
     this.response.sendDate = false;
     this.response.writeHead(code, sentHeaders);
   }
--- a/src/daemon/http-connection.ts
+++ b/src/daemon/http-connection.ts
@@ -1,4 +1,4 @@
-/** One client connection of an HTTP server: its requests in order of arrival. */
+/** One client connection of an HTTP server: its requests in order of arrival, and its orderly close. */
 import type { Socket } from "node:net";
 
 /** A request that was read from a connection and whose response isn't completely sent yet. */
@@ -7,6 +7,11 @@
   readonly isWaiting: boolean;
 }
 
+/** An ended connection is closed once its client has sent nothing for this time. */
+const LINGER_MS = 1000;
+/** Maximum time until an ended connection is closed. */
+const MAX_LINGER_MS = 30_000;
+
 /** The state of one client connection, shared by its requests. */
 export class HttpConnection {
   isClosed = false;
@@ -18,12 +23,17 @@
   receivedCount = 0;
   /** Ends the request whose body is being read; undefined if none is. */
   private bodyFailure: (() => void) | undefined;
+  private readonly socket: Socket;
   private readonly pending: PendingRequest[] = [];
   /** The request whose response closes the connection; requests behind it count as not received. */
   private closingRequest: PendingRequest | undefined;
+  private isEnded = false;
 
   constructor(socket: Socket) {
+    this.socket = socket;
     socket.once("close", () => this.onClose());
+    // The HTTP library closes a connection by this method once the response that closes it is sent.
+    socket.destroySoon = () => this.end();
   }
 
   /** Number of requests whose responses aren't completely handed to the operating system. */
@@ -31,9 +41,9 @@
     return this.pending.length;
   }
 
-  /** Whether a response that closes the connection was begun. */
+  /** Whether further requests count as not received. */
   get isClosing(): boolean {
-    return this.closingRequest !== undefined;
+    return this.closingRequest !== undefined || this.isEnded;
   }
 
   /** Adds a request that was just read. */
@@ -46,6 +56,7 @@
   remove(request: PendingRequest): void {
     const index = this.pending.indexOf(request);
     if (index >= 0) this.pending.splice(index, 1);
+    if (request === this.closingRequest) this.end();
     for (const listener of [...this.responseListeners]) listener();
   }
 
@@ -61,11 +72,30 @@
     return pending.indexOf(closingRequest) < pending.indexOf(request);
   }
 
-  /** Notes that the connection closes with the response to a request. */
+  /** Whether the connection closes with the response to this request. */
+  closesAfter(request: PendingRequest): boolean {
+    return this.closingRequest === request;
+  }
+
+  /** Closes the connection with the response to a request. */
   closeAfter(request: PendingRequest): void {
     this.closingRequest ??= request;
   }
 
+  /**
+   * Closes the connection with the response to the last request that may have reached a backend. Does nothing while there is
+   * none.
+   */
+  closeAfterLastForwarded(): void {
+    const last = this.pending.findLast(({ isWaiting }) => !isWaiting);
+    if (last) this.closeAfter(last);
+  }
+
+  /** Ends the connection once no request is pending, those included that have arrived but aren't read yet. */
+  endWhenIdle(): void {
+    this.whenIdle(() => this.afterNextPoll(() => (this.pendingCount > 0 ? undefined : this.end())));
+  }
+
   /** Calls back once no request is pending, immediately if none is; never after the connection has closed. */
   whenIdle(run: () => void): void {
     if (this.isClosed) return;
@@ -91,6 +121,31 @@
     return bodyFailure !== undefined;
   }
 
+  /**
+   * Sends what is written and then the end of the stream, and reads on until the client closes its side. To close with
+   * unread bytes would reset the connection, and the client could lose responses that it hasn't read yet.
+   */
+  private end(): void {
+    if (this.isEnded || this.isClosed) return;
+    this.isEnded = true;
+    const { socket } = this;
+    socket.end();
+    socket.resume();
+    const endedMs = performance.now();
+    let readBytes = socket.bytesRead;
+    const timer = setInterval(() => {
+      const isSilent = socket.writableFinished && socket.bytesRead === readBytes;
+      readBytes = socket.bytesRead;
+      if (isSilent || performance.now() - endedMs > MAX_LINGER_MS) socket.destroy();
+    }, LINGER_MS);
+    socket.once("close", () => clearInterval(timer));
+  }
+
+  /** Calls back after the event loop has read what has arrived on its connections. */
+  private afterNextPoll(run: () => void): void {
+    setImmediate(() => setImmediate(run));
+  }
+
   private onClose(): void {
     this.isClosed = true;
     for (const listener of [...this.closeListeners]) listener();
--- a/src/daemon/http-server.ts
+++ b/src/daemon/http-server.ts
@@ -1,6 +1,6 @@
 /** The HTTP/1.1 server of a daemon: limits requests, buffers small bodies and streams large ones. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
-import { Socket } from "node:net";
+import { Server as NetServer, Socket } from "node:net";
 import type { Duplex } from "node:stream";
 import type { ClientConnection, ProxyRequest } from "../proxy/proxy-request.js";
 import { jsonResponse } from "../proxy/request-outcome.js";
@@ -101,7 +101,6 @@
       isClosing: () => this.isClosing,
       egress,
       transferClass,
-      unfinishedResponses: 0,
     };
     this.server = createServer(
       {
@@ -148,21 +147,30 @@
       throw new ListenError(`Can't listen for HTTP on ${address}.`, { cause: outcome });
   }
 
-  /** Closes each connection with its next response; open connections are served until then. */
+  /** Closes each client connection with the response to the last request on it; open connections are served until then. */
   closeClientConnections(): void {
     this.isClosing = true;
+    for (const connection of this.connections.values()) connection.closeAfterLastForwarded();
   }
 
-  /** Stops accepting connections and closes idle ones. A request in flight on an idle connection is lost. */
+  /** Stops accepting connections, and closes each one once the requests that have arrived on it are answered. */
   close(): void {
-    this.isClosing = true;
-    this.server.close();
-    this.server.closeIdleConnections();
+    this.closeClientConnections();
+    // The HTTP library's own `close` destroys connections whose responses aren't sent yet.
+    NetServer.prototype.close.call(this.server);
+    for (const connection of this.connections.values()) connection.endWhenIdle();
   }
 
-  /** Number of buffered responses that are still being written. */
+  /** Number of requests whose responses aren't completely handed to the operating system. */
   get unfinishedResponses(): number {
-    return this.responses.unfinishedResponses;
+    let count = 0;
+    for (const { pendingCount } of this.connections.values()) count += pendingCount;
+    return count;
+  }
+
+  /** Number of open connections. */
+  get connectionCount(): number {
+    return this.connections.size;
   }
 
   /** Closes all remaining connections. */
@@ -191,6 +199,10 @@
       request.destroy();
       return;
     }
+    if (connection.isClosing) {
+      request.resume();
+      return;
+    }
     const client = new HttpClientConnection(request, response, connection, this.responses);
     const { headerBytes, bodyBytes } = this.limits;
     request.on("error", () => undefined);
--- a/src/daemon/http-servers.ts
+++ b/src/daemon/http-servers.ts
@@ -72,28 +72,31 @@
     if (address !== undefined) yield* this.clients.listen(address);
   }
 
-  /** Whether responses to clients are still being written. */
+  /** Whether clients have yet to receive responses or the end of their connections, or operators and backends responses. */
   get hasUnfinishedResponses(): boolean {
-    return this.clients.unfinishedResponses > 0;
+    return this.clients.connectionCount > 0 || this.admin.unfinishedResponses > 0;
   }
 
-  /** Closes each client connection with its next response. */
+  /** Closes each client connection with the response to the last request on it. */
   closeClientConnections(): void {
     this.clients.closeClientConnections();
   }
 
   /** Stops accepting client connections. */
   stopAcceptingClients(): void {
-    if (this.clientAddress !== undefined) this.clients.close();
+    this.clients.close();
   }
 
-  /** Closes all servers and their connections. */
-  close(): void {
-    this.clients.closeConnections();
-    for (const server of [this.admin, this.readiness]) {
-      server.close();
-      server.closeConnections();
-    }
+  /** Stops accepting connections of clients, operators and backends. */
+  stopAccepting(): void {
+    this.clients.close();
+    this.admin.close();
+    this.readiness.close();
+  }
+
+  /** Closes all connections. */
+  closeConnections(): void {
+    for (const server of [this.clients, this.admin, this.readiness]) server.closeConnections();
   }
 
   /** The address for clients; undefined if the daemon is not an edge. */
--- a/src/daemon/serve.ts
+++ b/src/daemon/serve.ts
@@ -26,10 +26,8 @@
   readonly archive?: boolean;
 }
 
-/** Interval at which a draining process checks whether responses are still being written. */
+/** Interval at which a draining process checks whether responses are still being sent. */
 const RESPONSE_CHECK_INTERVAL_MS = 20;
-/** Delay before connections are closed, in which the last bytes of responses are sent. */
-const CLOSE_DELAY_MS = 50;
 
 type Signal = "SIGTERM" | "SIGINT" | "SIGHUP";
 
@@ -108,20 +106,21 @@
       }),
     );
     yield* this.drain(daemon, servers);
-    servers.close();
+    servers.closeConnections();
     this.network.close();
     this.backendClient.close();
     return 0;
   }
 
+  /** Finishes the work in progress, and ends when its responses are sent or the grace period is nearly over. */
   private *drain(daemon: Daemon, servers: HttpServers): Task {
     const { clock } = this;
-    const deadlineMs = clock.nowMs() + deriveBounds(this.settings).abandonMs;
+    const deadlineMs = clock.nowMs() + deriveBounds(this.settings).retireMs;
     servers.closeClientConnections();
     yield* daemon.drain(() => servers.stopAcceptingClients());
+    servers.stopAccepting();
     while (servers.hasUnfinishedResponses && clock.nowMs() < deadlineMs)
       yield* sleep(clock, RESPONSE_CHECK_INTERVAL_MS);
-    yield* sleep(clock, CLOSE_DELAY_MS);
   }
 
   private *openRuntime(): Task<Runtime> {
--- a/test/daemon/client-errors.test.ts
+++ b/test/daemon/client-errors.test.ts
@@ -1,8 +1,8 @@
-import { connect, type Socket } from "node:net";
 import { afterEach, beforeEach, describe, expect, test } from "vitest";
 import { HttpServer } from "../../src/daemon/http-server.js";
 import { runTask } from "../../src/runtime/task.js";
 import { freePort } from "./free-port.js";
+import { RecordingClient } from "./http-client.js";
 
 const HEADER_TIMEOUT_MS = 200;
 /** The server checks for late headers every second. */
@@ -14,31 +14,9 @@
   `${method} ${target} HTTP/1.1\r\nhost: a\r\n${extra}\r\n`;
 const write = `${head("POST", "/write", "content-length: 5\r\n")}entry`;
 
-/** A client's connection, which records what it receives. */
-class ClientConnection {
-  readonly socket: Socket;
-  received = "";
-  isClosed = false;
-
-  constructor(port: number) {
-    this.socket = connect(port, "127.0.0.1").setNoDelay(true);
-    this.socket.on("error", () => undefined);
-    this.socket.on("data", (bytes: Buffer) => {
-      this.received += bytes.toString("latin1");
-    });
-    this.socket.once("close", () => {
-      this.isClosed = true;
-    });
-  }
-
-  get statuses(): string[] {
-    return [...this.received.matchAll(/HTTP\/1\.1 (\d+)/g)].map(([, status]) => status ?? "");
-  }
-}
-
 describe("a protocol error behind a request that is still running", () => {
   let server: HttpServer;
-  let client: ClientConnection;
+  let client: RecordingClient;
   let finishWrite: () => void;
 
   beforeEach(async () => {
@@ -55,7 +33,7 @@
     await new Promise<void>((done, fail) =>
       runTask(server.listen(`127.0.0.1:${port}`), fail, done),
     );
-    client = new ClientConnection(port);
+    client = new RecordingClient(port);
   });
 
   afterEach(() => {
--- a/test/daemon/paced-responses.test.ts
+++ b/test/daemon/paced-responses.test.ts
@@ -1,18 +1,10 @@
-import { createServer, get } from "node:http";
+import { get } from "node:http";
 import { expect, test } from "vitest";
 import { HttpServer } from "../../src/daemon/http-server.js";
 import { systemClock } from "../../src/runtime/clock.js";
 import { LinkPacer, type Transfer, type TransferRank } from "../../src/runtime/link-pacer.js";
 import { runTask } from "../../src/runtime/task.js";
-
-const freePort = (): Promise<number> =>
-  new Promise((done, fail) => {
-    const probe = createServer().listen(0, "127.0.0.1", () => {
-      const bound = probe.address();
-      probe.close(() => done(bound !== null && typeof bound === "object" ? bound.port : 0));
-    });
-    probe.once("error", fail);
-  });
+import { freePort } from "./free-port.js";
 
 const largeBytes = 120_000;
 const linkMbps = 4;
@@ -59,7 +51,7 @@
   };
   const large = [fetchAndRecord("/whole"), fetchAndRecord("/streamed")];
   await expect.poll(() => egress.estimateWaitMs(0), { timeout: 2000 }).toBeGreaterThan(linkMs);
-  expect(server.unfinishedResponses).toBe(1);
+  expect(server.unfinishedResponses).toBe(2);
   expect(egress.queueMs).toBeLessThanOrEqual(30);
   expect((await fetchAndRecord("/short")).bytes).toBe(20);
   expect(completedPaths).toEqual(["/short"]);
