Fleet: real processes of the grown deployments, spoken to as the platform does, and their judge

The fleet program ran clients and all backends in its own process, in daledoor's own formats, and judged neither ACKS nor what is served.

Plans: changes, stops, both, calm. '--root' runs another build, for comparisons. Judged by the platform's words: ACKS, CONFIG, DRAIN, LOST; each check is shown to fail by a planted event, and one without anything to judge says so. A run whose harness was late is invalid and exits with 2.

--- a/src/fleet/main.ts
+++ b/src/fleet/main.ts
@@ -1,8 +1,15 @@
 /** The program that runs a fleet of real daemons under faults and checks the simulator's invariants on what it recorded. */
 import { cac } from "cac";
 import { is, number, string, type } from "superstruct";
+import { fileURLToPath } from "node:url";
 import { sleep } from "../runtime/clock.js";
 import type { Task } from "../runtime/task.js";
+import {
+  type DeploymentProfile,
+  deploymentProfiles,
+  withMachines,
+} from "./deployment/deployment-profile.js";
+import { type DeploymentPlan, runDeployment } from "./deployment/deployment-run.js";
 import { Fleet } from "./fleet.js";
 import type { FleetMachine } from "./fleet-layout.js";
 import {
@@ -20,6 +27,10 @@
   seed: number;
   calm?: boolean;
   keep?: boolean;
+  machines?: number;
+  plan: DeploymentPlan;
+  routes: number;
+  root?: string;
 }
 
 const retryCountersShape = type({
@@ -140,19 +151,47 @@
   fleet.recorder.environmentRecords.push({ kind: "recovered", atMs: clock.nowMs() });
 };
 
+/** Runs a grown deployment, and exits with 1 if a rule is broken, with 2 if the run isn't valid. */
+const runDeploymentProfile = async (
+  profile: DeploymentProfile,
+  options: Options,
+): Promise<void> => {
+  const { machines = profile.members + profile.edges } = options;
+  const violations = await runDeployment(withMachines(profile, machines), {
+    ...options,
+    root: options.root ?? fileURLToPath(new URL("../..", import.meta.url)),
+  });
+  process.exit(violations === undefined ? 2 : violations > 0 ? 1 : 0);
+};
+
 const program = cac("fleet");
 program
   .command(
     "",
     "Start a fleet of real daemons on this machine, with clients and backends, and check its invariants",
   )
-  .option("--profile <name>", "kovacic or rastro", { default: "kovacic" })
+  .option("--profile <name>", "kovacic, rastro, kovacic-grown or rastro-grown", {
+    default: "kovacic",
+  })
   .option("--seconds <count>", "How long clients send requests", { default: 60 })
   .option("--rate <part>", "Fraction of the profile's requests that is sent", { default: 1 })
   .option("--seed <number>", "Seed of clients and backends", { default: 1 })
   .option("--calm", "Inject no faults")
   .option("--keep", "Keep the folder with settings, data and logs")
+  .option("--machines <count>", "Number of machines of a grown deployment")
+  .option("--plan <name>", "What happens to a grown deployment: calm, changes, stops or both", {
+    default: "both",
+  })
+  .option("--routes <count>", "Routes that one change adds to a grown deployment", {
+    default: 1400,
+  })
+  .option(
+    "--root <folder>",
+    "The repository whose bundle a grown deployment runs; this one by default",
+  )
   .action(async (options: Options) => {
+    const deploymentProfile = deploymentProfiles.get(options.profile);
+    if (deploymentProfile) return runDeploymentProfile(deploymentProfile, options);
     const profile = findProfile(options.profile);
     if (!profile) {
       process.exitCode = 2;
