--- a/src/daemon/http-connection.ts
+++ b/src/daemon/http-connection.ts
@@ -12,6 +12,11 @@
 /** Maximum time until an ended connection is closed. */
 const MAX_LINGER_MS = 30_000;
 
+/** Calls back after the event loop has accepted the connections and read the requests that have arrived. */
+export const afterNextPoll = (run: () => void): void => {
+  setImmediate(() => setImmediate(run));
+};
+
 /** The state of one client connection, shared by its requests. */
 export class HttpConnection {
   isClosed = false;
@@ -93,7 +98,7 @@
 
   /** Ends the connection once no request is pending, those included that have arrived but aren't read yet. */
   endWhenIdle(): void {
-    this.whenIdle(() => this.afterNextPoll(() => (this.pendingCount > 0 ? undefined : this.end())));
+    this.whenIdle(() => afterNextPoll(() => (this.pendingCount > 0 ? undefined : this.end())));
   }
 
   /** Calls back once no request is pending, immediately if none is; never after the connection has closed. */
@@ -141,11 +146,6 @@
     socket.once("close", () => clearInterval(timer));
   }
 
-  /** Calls back after the event loop has read what has arrived on its connections. */
-  private afterNextPoll(run: () => void): void {
-    setImmediate(() => setImmediate(run));
-  }
-
   private onClose(): void {
     this.isClosed = true;
     for (const listener of [...this.closeListeners]) listener();
--- a/src/daemon/http-server.ts
+++ b/src/daemon/http-server.ts
@@ -10,7 +10,7 @@
 import { type Task, waitFor } from "../runtime/task.js";
 import { handleClientError, rejectMessage } from "./client-error.js";
 import { HttpClientConnection, type ResponseContext } from "./http-client-connection.js";
-import { HttpConnection } from "./http-connection.js";
+import { HttpConnection, afterNextPoll } from "./http-connection.js";
 import { discardBody, streamBody } from "./request-body.js";
 
 /** Limits on requests and idle connections. */
@@ -153,12 +153,17 @@
     for (const connection of this.connections.values()) connection.closeAfterLastForwarded();
   }
 
-  /** Stops accepting connections, and closes each one once the requests that have arrived on it are answered. */
+  /**
+   * Stops accepting connections, and closes each one once the requests that have arrived on it are answered. Connections that
+   * wait to be accepted are accepted first: to stop listening would reset them.
+   */
   close(): void {
     this.closeClientConnections();
-    // The HTTP library's own `close` destroys connections whose responses aren't sent yet.
-    NetServer.prototype.close.call(this.server);
-    for (const connection of this.connections.values()) connection.endWhenIdle();
+    afterNextPoll(() => {
+      // The HTTP library's own `close` destroys connections whose responses aren't sent yet.
+      NetServer.prototype.close.call(this.server);
+      for (const connection of this.connections.values()) connection.endWhenIdle();
+    });
   }
 
   /** Number of requests whose responses aren't completely handed to the operating system. */
--- a/src/daemon/serve.ts
+++ b/src/daemon/serve.ts
@@ -119,8 +119,8 @@
     servers.closeClientConnections();
     yield* daemon.drain(() => servers.stopAcceptingClients());
     servers.stopAccepting();
-    while (servers.hasUnfinishedResponses && clock.nowMs() < deadlineMs)
-      yield* sleep(clock, RESPONSE_CHECK_INTERVAL_MS);
+    do yield* sleep(clock, RESPONSE_CHECK_INTERVAL_MS);
+    while (servers.hasUnfinishedResponses && clock.nowMs() < deadlineMs);
   }
 
   private *openRuntime(): Task<Runtime> {
--- a/test/daemon/closing-connections.test.ts
+++ b/test/daemon/closing-connections.test.ts
@@ -1,3 +1,4 @@
+import { spawn } from "node:child_process";
 import { afterEach, beforeEach, describe, expect, test } from "vitest";
 import { HttpServer } from "../../src/daemon/http-server.js";
 import type { ClientConnection } from "../../src/proxy/proxy-request.js";
@@ -10,9 +11,15 @@
 
 const elapse = (ms: number): Promise<void> => new Promise((done) => setTimeout(done, ms));
 
+/** Keeps the event loop from running for some time. */
+const blockEventLoop = (ms: number): void => {
+  Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, ms);
+};
+
 describe("a server that closes its connections", () => {
   let server: HttpServer;
   let client: RecordingClient;
+  let port: number;
   /** The requests that wait for `respond`, by their targets. */
   let waiting: Map<string, ClientConnection>;
 
@@ -22,7 +29,7 @@
       if (clientRequest.target === "/large") respondTo(connection, LARGE_RESPONSE_BYTES);
       else waiting.set(clientRequest.target, connection);
     });
-    const port = await freePort();
+    port = await freePort();
     await new Promise<void>((done, fail) =>
       runTask(server.listen(`127.0.0.1:${port}`), fail, done),
     );
@@ -105,6 +112,24 @@
     expect(client.received).toMatch(/connection: close/i);
   });
 
+  // Guards against a reset of a client that connected and sent its request while the event loop was busy.
+  test("a connection that waits to be accepted when the server closes gets its response", async () => {
+    // The client writes its bytes without this process's event loop.
+    const request = "GET /waiting HTTP/1.1\\r\\nhost: a\\r\\n\\r\\n";
+    const program = `const s = require("net").connect(${port}, "127.0.0.1", () => s.write("${request}"));
+      s.on("data", (d) => process.stdout.write(d)); s.on("error", (e) => process.stdout.write(e.code));`;
+    const child = spawn(process.execPath, ["-e", program], { stdio: ["ignore", "pipe", "ignore"] });
+    const output: Buffer[] = [];
+    child.stdout.on("data", (bytes: Buffer) => output.push(bytes));
+    const ended = new Promise<void>((done) => child.once("exit", () => done()));
+    blockEventLoop(1000);
+    server.close();
+    await expect.poll(() => waiting.size).toBe(1);
+    respondTo(waiting.get("/waiting"), 5);
+    await ended;
+    expect(Buffer.concat(output).toString()).toMatch(/^HTTP\/1\.1 200/);
+  });
+
   test("an idle connection is closed, also if its client doesn't close its side", async () => {
     client.socket.allowHalfOpen = true;
     server.close();
