Deployment runs: machines are stopped in a drawn order; DRAIN binds machines in touch

Machines were stopped in their order, so that four of five members went at once, which no deployment has to bear; the order is now drawn, and a machine that is being stopped isn't stopped again.

--- a/src/fleet/deployment/deployment-run.ts
+++ b/src/fleet/deployment/deployment-run.ts
@@ -26,6 +26,8 @@
 const CHANGE_INTERVAL_MS = 700;
 const STOP_INTERVAL_MS = 900;
 const STOPPED_TOGETHER = 4;
+/** Machines that are stopped one at a time first. */
+const STOPPED_SINGLY = 8;
 const LEAVING_FRACTION = 0.1;
 /** A run in whose harness a process was delayed for longer than this is invalid. */
 const MAX_HARNESS_DELAY_MS = 500;
@@ -61,17 +63,27 @@
   }
 };
 
-/** Stops every machine in turn, first singly, then several at a time. */
-const runStops = async (deployment: Deployment, untilMs: number): Promise<void> => {
+/** Stops every machine in turn, in an order drawn at random, first singly, then several at a time. */
+const runStops = async (
+  deployment: Deployment,
+  untilMs: number,
+  random: () => number,
+): Promise<void> => {
   const stops: Array<Promise<void>> = [];
-  for (let together = 1; epochMs() < untilMs; together = STOPPED_TOGETHER)
-    for (let index = 0; index < deployment.machines.length && epochMs() < untilMs;) {
-      const machines = deployment.machines.slice(index, index + together);
-      for (const machine of machines) stops.push(deployment.stopMachine(machine));
-      index += machines.length;
-      await sleep(STOP_INTERVAL_MS);
-      if (index >= STOPPED_TOGETHER * 2) together = STOPPED_TOGETHER;
-    }
+  const drawn = deployment.machines
+    .map((machine) => ({ machine, rank: random() }))
+    .sort((first, second) => first.rank - second.rank)
+    .map(({ machine }) => machine);
+  let together = 1;
+  let index = 0;
+  while (epochMs() < untilMs) {
+    for (const machine of drawn.slice(index, index + together))
+      stops.push(deployment.stopMachine(machine));
+    index += together;
+    if (index >= STOPPED_SINGLY) together = STOPPED_TOGETHER;
+    if (index >= drawn.length) index = 0;
+    await sleep(STOP_INTERVAL_MS);
+  }
   await Promise.all(stops);
 };
 
@@ -138,7 +150,7 @@
     plan === "changes" || plan === "both"
       ? runChanges(operator, deployment, { ...options, random, untilMs })
       : undefined,
-    plan === "stops" || plan === "both" ? runStops(deployment, untilMs) : undefined,
+    plan === "stops" || plan === "both" ? runStops(deployment, untilMs, random) : undefined,
   ]);
   await sleep(deploymentBounds.contactMs);
   await operator.finish();
--- a/src/fleet/deployment/deployment.ts
+++ b/src/fleet/deployment/deployment.ts
@@ -128,8 +128,9 @@
     });
   }
 
-  /** Stops a machine as the platform does; it is started again. */
+  /** Stops a machine as the platform does, unless it is being stopped; it is started again. */
   async stopMachine(machine: DeploymentMachine): Promise<void> {
+    if (machine.isStopping) return;
     const atMs = epochMs();
     await stopMachine(machine);
     this.log.add({ kind: "stop", machine: machine.ip, atMs, endedMs: epochMs() });
--- a/test/fleet/deployment-judge.test.ts
+++ b/test/fleet/deployment-judge.test.ts
@@ -96,6 +96,11 @@
     ],
     ["a request in time to drain", [], [leave(100), run(2100)]],
     ["a request after the time to drain", ["DRAIN"], [leave(100), run(2101)]],
+    [
+      "one passed on by a machine that is being stopped",
+      [],
+      [leave(100), run(2101), stop(EDGE, 1000), clientTry({})],
+    ],
     ["a cut request that ran", ["LOST"], [clientTry({ result: "cut" }), run(10)]],
     ["a cut request that didn't run, in time", [], [clientTry({ result: "cut", endedMs: 200 })]],
     ["one that didn't run, later", ["LOST"], [clientTry({ result: "reset", endedMs: 201 })]],
