--- a/src/replication/leadership/election-driver.ts
+++ b/src/replication/leadership/election-driver.ts
@@ -23,6 +23,10 @@
 import type { LogWriter } from "../log/log-writer.js";
 import type { NodeEvent, NodeEventQueue } from "../node-event.js";
 import type { ReplicationTimeouts } from "../replication-timeouts.js";
+import { HeartbeatGaps } from "./heartbeat-gaps.js";
+
+/** A timer that is later than this shows that the process didn't run, and may have unread heartbeats. */
+const MAX_TIMER_DELAY_MS = 30;
 
 /** The dependencies of an election driver. */
 export interface ElectionDriverOptions {
@@ -40,23 +44,33 @@
 /** Drives the node in the roles of follower, pre-candidate and candidate, and handles vote requests. */
 export class ElectionDriver {
   private readonly options: ElectionDriverOptions;
+  private readonly gaps: HeartbeatGaps;
 
   constructor(options: ElectionDriverOptions) {
     this.options = options;
+    this.gaps = new HeartbeatGaps(options.timeouts);
   }
 
-  /** Runs the follower role until the node changes its role. */
+  /**
+   * Runs the follower role until the node changes its role. Time in which this process didn't run is no evidence against the
+   * leader: heartbeats that arrived meanwhile are read first.
+   */
   *runFollower(): Task {
-    const { runtime, consensus, events, handle } = this.options;
+    const { runtime, consensus, events, timeouts, handle } = this.options;
     const { clock } = runtime;
     let deadlineMs = consensus.current.lastLeaderContactMs + this.electionTimeoutMs();
     while (consensus.current.role === "follower") {
       const event = yield* events.takeUntil(clock, deadlineMs);
-      const lastContactMs = consensus.current.lastLeaderContactMs;
+      const { lastLeaderContactMs: lastContactMs, knownLeader } = consensus.current;
       if (event) handle(event);
-      if (consensus.current.lastLeaderContactMs !== lastContactMs)
-        deadlineMs = consensus.current.lastLeaderContactMs + this.electionTimeoutMs();
-      else if (clock.nowMs() >= deadlineMs) {
+      const contactMs = consensus.current.lastLeaderContactMs;
+      const lateMs = clock.nowMs() - deadlineMs;
+      if (contactMs !== lastContactMs) {
+        if (knownLeader !== "" && knownLeader === consensus.current.knownLeader)
+          this.gaps.record(contactMs - lastContactMs);
+        deadlineMs = contactMs + this.electionTimeoutMs();
+      } else if (lateMs > MAX_TIMER_DELAY_MS) deadlineMs = clock.nowMs() + timeouts.heartbeatMs;
+      else if (lateMs >= 0) {
         this.onTimeout(lastContactMs);
         if (consensus.current.role === "follower")
           deadlineMs = clock.nowMs() + this.electionTimeoutMs();
@@ -108,7 +122,8 @@
   private electionTimeoutMs(): number {
     const { runtime, timeouts } = this.options;
     const { electionMinMs, electionMaxMs } = timeouts;
-    return electionMinMs + runtime.random() * (electionMaxMs - electionMinMs);
+    const spreadMs = electionMaxMs - electionMinMs;
+    return Math.max(electionMinMs, this.gaps.patienceMs) + runtime.random() * spreadMs;
   }
 
   private onTimeout(lastContactMs: number): void {
