--- a/src/fleet/deployment/deployment-run.ts
+++ b/src/fleet/deployment/deployment-run.ts
@@ -109,11 +109,21 @@
     printLine(`             ${violation}`);
 };
 
-/** Prints the longest delays of the harness's processes; whether they were short enough for the run to count. */
+/**
+ * Prints the longest delays of the harness's processes while clients sent requests; whether they were short enough for the run
+ * to count.
+ */
 const printHarness = (events: readonly DeploymentEvent[]): boolean => {
+  let fromMs = Infinity;
+  let toMs = -Infinity;
+  for (const event of events)
+    if (event.kind === "try") {
+      fromMs = Math.min(fromMs, event.sentMs);
+      toMs = Math.max(toMs, event.sentMs);
+    }
   const longest = new Map<string, number>();
   for (const event of events)
-    if (event.kind === "delay")
+    if (event.kind === "delay" && event.atMs >= fromMs && event.atMs <= toMs)
       longest.set(event.process, Math.max(longest.get(event.process) ?? 0, event.delayMs));
   const text = [...longest]
     .map(([name, delayMs]) => `${name} ${Math.round(delayMs)} ms`)
