--- a/test/daemon/http-server.test.ts
+++ b/test/daemon/http-server.test.ts
@@ -1,20 +1,14 @@
-import { createServer } from "node:http";
 import { connect } from "node:net";
 import { expect, test } from "vitest";
 import { HttpServer } from "../../src/daemon/http-server.js";
 import { runTask } from "../../src/runtime/task.js";
+import { freePort } from "./free-port.js";
 
 test("a request sent on an open connection just before the server starts closing client connections gets its response", async () => {
   const server = new HttpServer((clientRequest, client) =>
     client.respond({ code: 200, headers: {}, body: Buffer.from(clientRequest.target) }),
   );
-  const port = await new Promise<number>((done, fail) => {
-    const probe = createServer().listen(0, "127.0.0.1", () => {
-      const bound = probe.address();
-      probe.close(() => done(bound !== null && typeof bound === "object" ? bound.port : 0));
-    });
-    probe.once("error", fail);
-  });
+  const port = await freePort();
   await new Promise<void>((done, fail) => runTask(server.listen(`127.0.0.1:${port}`), fail, done));
   const received: string[] = [];
   const socket = connect(port, "127.0.0.1");
--- a/test/daemon/limits.test.ts
+++ b/test/daemon/limits.test.ts
@@ -1,8 +1,8 @@
 import { connect } from "node:net";
-import { createServer } from "node:http";
 import { afterAll, expect, test } from "vitest";
 import { HttpServer } from "../../src/daemon/http-server.js";
 import { runTask } from "../../src/runtime/task.js";
+import { freePort } from "./free-port.js";
 
 const handledRequests: string[] = [];
 const server = new HttpServer(
@@ -15,15 +15,6 @@
   { bufferWholeBodies: false },
 );
 
-const freePort = (): Promise<number> =>
-  new Promise((done, fail) => {
-    const probe = createServer().listen(0, "127.0.0.1", () => {
-      const bound = probe.address();
-      probe.close(() => done(bound !== null && typeof bound === "object" ? bound.port : 0));
-    });
-    probe.once("error", fail);
-  });
-
 const listening = freePort().then(async (port) => {
   await new Promise<void>((done, fail) => runTask(server.listen(`127.0.0.1:${port}`), fail, done));
   return port;
--- a/test/platform/edge-fixture.ts
+++ b/test/platform/edge-fixture.ts
@@ -1,18 +1,9 @@
 /** A fixture of the proxy with real connections to clients and backends. */
-import { createServer } from "node:http";
 import { connect, type Socket } from "node:net";
 import { HttpServer } from "../../src/daemon/http-server.js";
 import { runTask } from "../../src/runtime/task.js";
 import { RawBackendFixture } from "./raw-backend-fixture.js";
-
-const freePort = (): Promise<number> =>
-  new Promise((done, fail) => {
-    const probe = createServer().listen(0, "127.0.0.1", () => {
-      const bound = probe.address();
-      probe.close(() => done(bound !== null && typeof bound === "object" ? bound.port : 0));
-    });
-    probe.once("error", fail);
-  });
+import { freePort } from "../daemon/free-port.js";
 
 /** A client's connection, which records the bytes it receives. */
 export class RawClient {
