--- a/src/daemon/http-server.ts
+++ b/src/daemon/http-server.ts
@@ -41,6 +41,8 @@
 };
 /** The parser's limit on the size of headers, above any value that `headerBytes` may have. */
 const MAX_PARSED_HEADER_BYTES = 256 * 1024;
+/** Maximum number of connections that wait to be accepted. */
+const BACKLOG = 1024;
 /** Interval at which connections are checked for the timeout of their headers. */
 const CONNECTION_CHECK_INTERVAL_MS = 1000;
 /** A body up to this size is buffered before its request is handled; the rest of a larger body is streamed. */
@@ -85,6 +87,7 @@
   private readonly connections = new Map<Socket, HttpConnection>();
   private limits: ServerLimits = DEFAULT_LIMITS;
   private isClosing = false;
+  private acceptedCount = 0;
   private readonly responses: ResponseContext;
 
   constructor(
@@ -141,7 +144,7 @@
     const { server } = this;
     const outcome = yield* waitFor<Error | "listening">((done) => {
       server.once("error", done);
-      server.listen({ ...Address.parse(address), backlog: 1024 }, () => done("listening"));
+      server.listen({ ...Address.parse(address), backlog: BACKLOG }, () => done("listening"));
     });
     if (outcome !== "listening")
       throw new ListenError(`Can't listen for HTTP on ${address}.`, { cause: outcome });
@@ -159,7 +162,7 @@
    */
   close(): void {
     this.closeClientConnections();
-    afterNextPoll(() => {
+    this.whenAllAccepted(() => {
       // The HTTP library's own `close` destroys connections whose responses aren't sent yet.
       NetServer.prototype.close.call(this.server);
       for (const connection of this.connections.values()) connection.endWhenIdle();
@@ -183,7 +186,17 @@
     this.server.closeAllConnections();
   }
 
+  /** Calls back once a poll of the event loop, which accepts one connection at a time, has accepted none. */
+  private whenAllAccepted(run: () => void, remainingPolls = BACKLOG): void {
+    const { acceptedCount } = this;
+    afterNextPoll(() => {
+      if (acceptedCount === this.acceptedCount || remainingPolls === 0) run();
+      else this.whenAllAccepted(run, remainingPolls - 1);
+    });
+  }
+
   private onConnection(socket: Socket): void {
+    this.acceptedCount += 1;
     this.connections.set(socket, new HttpConnection(socket));
     socket.once("close", () => this.connections.delete(socket));
   }
--- a/test/daemon/closing-connections.test.ts
+++ b/test/daemon/closing-connections.test.ts
@@ -9,6 +9,8 @@
 /** More than the buffers of a loopback connection hold. */
 const LARGE_RESPONSE_BYTES = 30_000_000;
 
+const WAITING_CLIENTS = 20;
+
 const elapse = (ms: number): Promise<void> => new Promise((done) => setTimeout(done, ms));
 
 /** Keeps the event loop from running for some time. */
@@ -112,22 +114,27 @@
     expect(client.received).toMatch(/connection: close/i);
   });
 
-  // Guards against a reset of a client that connected and sent its request while the event loop was busy.
-  test("a connection that waits to be accepted when the server closes gets its response", async () => {
-    // The client writes its bytes without this process's event loop.
-    const request = "GET /waiting HTTP/1.1\\r\\nhost: a\\r\\n\\r\\n";
-    const program = `const s = require("net").connect(${port}, "127.0.0.1", () => s.write("${request}"));
-      s.on("data", (d) => process.stdout.write(d)); s.on("error", (e) => process.stdout.write(e.code));`;
+  // Guards against resets of clients that connected and sent their requests while the event loop was busy.
+  test("connections that wait to be accepted when the server closes get their responses", async () => {
+    // The clients write their bytes without this process's event loop.
+    const program = `for (let number = 0; number < ${WAITING_CLIENTS}; number += 1) {
+        const socket = require("net").connect(${port}, "127.0.0.1");
+        socket.write("GET /waiting" + number + " HTTP/1.1\\r\\nhost: a\\r\\n\\r\\n");
+        socket.on("data", (bytes) => process.stdout.write(bytes + "\\n"));
+        socket.on("error", (error) => process.stdout.write(error.code + "\\n"));
+      }`;
     const child = spawn(process.execPath, ["-e", program], { stdio: ["ignore", "pipe", "ignore"] });
     const output: Buffer[] = [];
     child.stdout.on("data", (bytes: Buffer) => output.push(bytes));
     const ended = new Promise<void>((done) => child.once("exit", () => done()));
     blockEventLoop(1000);
     server.close();
-    await expect.poll(() => waiting.size).toBe(1);
-    respondTo(waiting.get("/waiting"), 5);
+    await expect.poll(() => waiting.size).toBe(WAITING_CLIENTS);
+    for (const connection of waiting.values()) respondTo(connection, 5);
     await ended;
-    expect(Buffer.concat(output).toString()).toMatch(/^HTTP\/1\.1 200/);
+    const text = Buffer.concat(output).toString();
+    expect(text.match(/HTTP\/1\.1 200/g)).toHaveLength(WAITING_CLIENTS);
+    expect(text).not.toContain("ECONNRESET");
   });
 
   test("an idle connection is closed, also if its client doesn't close its side", async () => {
