--- a/src/fleet/deployment/deployment-operator.ts
+++ b/src/fleet/deployment/deployment-operator.ts
@@ -42,6 +42,8 @@
   private lastVersion = 0;
   private markerNumber = 0;
   private readonly probes: Array<Promise<void>> = [];
+  /** Versions of changes that got no clear answer, on top of the newest one or on one like them; they may be in force. */
+  private readonly unclearVersions = new Set<string>();
 
   constructor(deployment: Deployment, random: () => number) {
     this.deployment = deployment;
@@ -183,7 +185,7 @@
             CALL_TIMEOUT_MS * 3,
           );
           answer = status === 200 ? (/"ver":"(r\d+)"/.exec(body)?.[1] ?? "") : `status ${status}`;
-          if (answer === `r${this.version}`) return "";
+          if (answer === `r${this.version}` || this.unclearVersions.has(answer)) return "";
           await this.pause(FIRST_PAUSE_MS * 5);
         }
         return `${name}: ${answer}`;
@@ -250,7 +252,11 @@
       pauseMs *= PAUSE_GROWTH;
     }
     const isDone = status === 200;
-    if (isDone && order.isValid) this.version = Math.max(this.version, order.version);
+    if (isDone && order.isValid) {
+      this.version = Math.max(this.version, order.version);
+      this.unclearVersions.clear();
+    } else if (order.isValid && !FINAL_STATUSES.has(status))
+      this.unclearVersions.add(`r${order.version}`);
     log.add({
       kind: "change",
       version: order.version,
