--- a/src/daemon/serve.ts
+++ b/src/daemon/serve.ts
@@ -119,6 +119,7 @@
     servers.closeClientConnections();
     yield* daemon.drain(() => servers.stopAcceptingClients());
     servers.stopAccepting();
+    this.pacers.egress.release();
     do yield* sleep(clock, RESPONSE_CHECK_INTERVAL_MS);
     while (servers.hasUnfinishedResponses && clock.nowMs() < deadlineMs);
   }
--- a/src/runtime/link-pacer.ts
+++ b/src/runtime/link-pacer.ts
@@ -66,6 +66,7 @@
   private emptyAtMs = -Infinity;
   private readonly waiting: WaitingTurn[] = [];
   private hasTimer = false;
+  private isReleased = false;
   private remainingBulkBytes = 0;
 
   /** Maximum number of bytes written in one turn. */
@@ -144,8 +145,17 @@
     };
   }
 
+  /**
+   * Ends the pacing: all waiting turns are granted, and later ones at once. A process that ends hands its last responses to the
+   * operating system this way, which sends them at the link's rate also after the process has ended.
+   */
+  release(): void {
+    this.isReleased = true;
+    for (let turn = this.dequeueTurn(); turn !== undefined; turn = this.dequeueTurn()) turn.run();
+  }
+
   private enqueueTurn(turn: WaitingTurn): () => void {
-    if (!this.isPaced) {
+    if (!this.isPaced || this.isReleased) {
       turn.run();
       return () => undefined;
     }
--- a/test/daemon/paced-responses.test.ts
+++ b/test/daemon/paced-responses.test.ts
@@ -51,7 +51,7 @@
   };
   const large = [fetchAndRecord("/whole"), fetchAndRecord("/streamed")];
   await expect.poll(() => egress.estimateWaitMs(0), { timeout: 2000 }).toBeGreaterThan(linkMs);
-  expect(server.unfinishedResponses).toBe(2);
+  await expect.poll(() => server.unfinishedResponses, { timeout: 2000 }).toBe(2);
   expect(egress.queueMs).toBeLessThanOrEqual(30);
   expect((await fetchAndRecord("/short")).bytes).toBe(20);
   expect(completedPaths).toEqual(["/short"]);
@@ -119,3 +119,25 @@
   }
   expect(egress.classes).toEqual(["control", "response"]);
 });
+
+// Guards against responses that a stopping process holds back for the link until its grace period is over, and then cuts.
+test("once the pacing ends, waiting responses are handed over at once, and the clients receive them whole", async () => {
+  const egress = new LinkPacer(systemClock(), linkMbps);
+  const server = new HttpServer(
+    (_clientRequest, client) =>
+      client.respond({ code: 200, headers: {}, body: Buffer.alloc(largeBytes, "x") }),
+    { bufferWholeBodies: false, egress },
+  );
+  const port = await freePort();
+  await new Promise<void>((done, fail) => runTask(server.listen(`127.0.0.1:${port}`), fail, done));
+  const fetches = Array.from({ length: 20 }, () => fetchBody(port, "/whole"));
+  await expect.poll(() => server.unfinishedResponses, { timeout: 2000 }).toBe(20);
+  server.close();
+  egress.release();
+  for (const { bytes, tookMs } of await Promise.all(fetches)) {
+    expect(bytes).toBe(largeBytes);
+    expect(tookMs).toBeLessThan(linkMs * 20);
+  }
+  expect(server.unfinishedResponses).toBe(0);
+  server.closeConnections();
+});
