A rejected connection is ended as any other: read on for a while, then closed

Found on reading the change again: after 400, 405, 408 or 431 the server sent the end of the stream past HttpConnection.end, so a client that ignored it kept its connection, with a descriptor, for good.

Change: the text goes out by HttpConnection.endWith, which ends in the one place that lingers and closes.

--- a/src/daemon/client-error.ts
+++ b/src/daemon/client-error.ts
@@ -14,9 +14,8 @@
   "code" in error && typeof error.code === "string" ? error.code : "";
 
 /** Sends a response to a message that can't be handled as a request, and closes the connection. */
-export const rejectMessage = (socket: Socket, status: number): void => {
-  if (!socket.writable) return;
-  socket.end(
+export const rejectMessage = (connection: HttpConnection, status: number): void => {
+  connection.endWith(
     `HTTP/1.1 ${status} ${STATUS_CODES[status] ?? ""}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`,
   );
 };
@@ -25,17 +24,12 @@
  * Handles headers that weren't complete in time. While responses to earlier requests are pending the connection may not be
  * read at all, so the time begins anew once they are sent.
  */
-const onHeaderTimeout = (
-  socket: Socket,
-  connection: HttpConnection,
-  clock: Clock,
-  headerMs: number,
-): void => {
-  if (connection.pendingCount === 0) return rejectMessage(socket, 408);
+const onHeaderTimeout = (connection: HttpConnection, clock: Clock, headerMs: number): void => {
+  if (connection.pendingCount === 0) return rejectMessage(connection, 408);
   const { receivedCount } = connection;
   connection.whenIdle(() =>
     clock.after(headerMs, () => {
-      if (connection.receivedCount === receivedCount) rejectMessage(socket, 408);
+      if (connection.receivedCount === receivedCount) rejectMessage(connection, 408);
     }),
   );
 };
@@ -48,12 +42,12 @@
   { clock, headerMs }: { readonly clock: Clock; readonly headerMs: number },
 ): void => {
   const code = errorCodeOf(error);
-  if (code === HEADER_TIMEOUT_CODE) return onHeaderTimeout(socket, connection, clock, headerMs);
+  if (code === HEADER_TIMEOUT_CODE) return onHeaderTimeout(connection, clock, headerMs);
   if (!code.startsWith(PARSER_ERROR_PREFIX)) {
     socket.destroy();
     return;
   }
   if (connection.failBody()) return;
   const status = code === HEADER_OVERFLOW_CODE ? 431 : 400;
-  connection.whenIdle(() => rejectMessage(socket, status));
+  connection.whenIdle(() => rejectMessage(connection, status));
 };
--- a/src/daemon/http-connection.ts
+++ b/src/daemon/http-connection.ts
@@ -126,6 +126,13 @@
     return bodyFailure !== undefined;
   }
 
+  /** Sends a last text that answers no request, and ends the connection. */
+  endWith(text: string): void {
+    if (!this.socket.writable) return;
+    this.socket.write(text);
+    this.end();
+  }
+
   /**
    * Sends what is written and then the end of the stream, and reads on until the client closes its side. To close with
    * unread bytes would reset the connection, and the client could lose responses that it hasn't read yet.
--- a/src/daemon/http-server.ts
+++ b/src/daemon/http-server.ts
@@ -115,9 +115,10 @@
     );
     this.server.on("connection", (socket) => this.onConnection(socket));
     this.server.on("clientError", (error, socket) => this.onClientError(error, socket));
-    this.server.on("connect", ({ socket }: IncomingMessage) =>
-      this.connections.get(socket)?.whenIdle(() => rejectMessage(socket, 405)),
-    );
+    this.server.on("connect", ({ socket }: IncomingMessage) => {
+      const connection = this.connections.get(socket);
+      connection?.whenIdle(() => rejectMessage(connection, 405));
+    });
     this.server.requestTimeout = 0;
     this.setLimits(DEFAULT_LIMITS);
   }
--- a/test/daemon/client-errors.test.ts
+++ b/test/daemon/client-errors.test.ts
@@ -96,4 +96,12 @@
     await expect.poll(() => client.isClosed, { timeout: 4000 }).toBe(true);
     expect(client.statuses).toEqual(["408"]);
   });
+
+  // Guards against connections that stay open for good, each with a descriptor, after an error that their clients ignore.
+  test("a rejected connection is closed, also if its client doesn't close its side", async () => {
+    client.socket.allowHalfOpen = true;
+    client.socket.write("no request at all\r\n\r\n");
+    await expect.poll(() => client.statuses).toEqual(["400"]);
+    await expect.poll(() => server.connectionCount, { timeout: 4000 }).toBe(0);
+  });
 });
