--- a/review/lib-2/stage.mjs
+++ b/review/lib-2/stage.mjs
@@ -144,7 +144,7 @@
       "ncpu = 1",
       "memMb = 350",
       "maxFds = 4100",
-      "netMbps = 1000.0",
+      `netMbps = ${(this.hasDisk ? stage.netMbps.disk : stage.netMbps.other).toFixed(2)}`,
       ...(this.hasDisk ? ["diskMb = 64"] : []),
       "[network]",
       `portRange = [${port},${port + 15}]`,
@@ -273,8 +273,7 @@
     response.on("error", () => undefined);
     if (wanted !== undefined && wanted !== this.id)
       return void response.writeHead(421, { "try-id": request.headers["try-id"] ?? "" }).end();
-    if (request.url === "/healthz")
-      return void response.writeHead(200, { backend: this.id }).end();
+    if (request.url === "/healthz") return void response.writeHead(200, { backend: this.id }).end();
     const chunks = [];
     request.on("data", (chunk) => chunks.push(chunk));
     request.on("end", () => {
@@ -303,6 +302,8 @@
     this.isClosing = false;
     this.version = 0;
     this.seeds = [];
+    /** The rate of the links of machines with and without a disk, as the settings tell it. */
+    this.netMbps = { disk: 1000, other: 1000 };
     writeFileSync(recordPath, "");
   }
 
@@ -398,7 +399,13 @@
 });
 
 /** The entry of a route. */
-export const route = (name, pfx, kind, svc, { deadline = "5000ms", targetTime = "1000ms" } = {}) => ({
+export const route = (
+  name,
+  pfx,
+  kind,
+  svc,
+  { deadline = "5000ms", targetTime = "1000ms" } = {},
+) => ({
   type: "routes",
   meta: { name },
   spec: {
