--- a/review/5/case.mjs
+++ b/review/5/case.mjs
@@ -11,8 +11,8 @@
 const NET_MBPS = { disk: 100, other: 2.87 };
 const DRAIN_MS = 2000;
 const DEADLINE_MS = 6000;
-/** How long a leaving backend serves on beyond `drain`. */
-const SERVE_ON_MS = 1000;
+/** How long a leaving backend serves on beyond `drain`, in turn. */
+const SERVE_ON_MS = [3000, 1000];
 const CLIENTS_PER_EDGE = 9;
 const BODY_KB = 160;
 const BACKENDS = 3;
@@ -50,13 +50,13 @@
 };
 
 /** Lets a backend leave as the protocol says: draining until acknowledged, serving on, deregistering, ending. */
-const leave = async (stage, backend) => {
+const leave = async (stage, backend, serveOnMs) => {
   backend.state = "draining";
   let machine;
   while (machine === undefined) machine = await backend.beat();
   backend.ackMs = performance.now();
   stage.record("backend: draining acknowledged", { backend: backend.id, by: machine.name });
-  await sleep(DRAIN_MS + SERVE_ON_MS);
+  await sleep(DRAIN_MS + serveOnMs);
   const path = `/daledoor/backends/${backend.id}/deregister`;
   const { status } = await send(stage.machines[0].at("ctl"), { method: "POST", path });
   stage.record("backend: ends", { backend: backend.id, deregistered: status });
@@ -67,7 +67,7 @@
   dirname(fileURLToPath(import.meta.url)),
   async (stage, hasTrouble) => {
     stage.netMbps = NET_MBPS;
-    await stage.prepare(3, 2);
+    await stage.prepare(3, 3);
     for (const machine of stage.machines) {
       machine.restartMs = 500;
       machine.start();
@@ -119,7 +119,8 @@
       await sleep(LEAVE_GAP_MS);
       if (!hasTrouble) continue;
       await addBackend();
-      leaving.push(leave(stage, stage.backends[number]));
+      const serveOnMs = SERVE_ON_MS[number % SERVE_ON_MS.length];
+      leaving.push(leave(stage, stage.backends[number], serveOnMs));
     }
     await Promise.all([...clients, ...leaving]);
     const lost = failed.filter((id) => !ran.has(id));
