--- a/review/lib-2/stage.mjs
+++ b/review/lib-2/stage.mjs
@@ -440,6 +440,7 @@
   };
   setTimeout(() => giveUp("the run took too long"), MAX_RUN_MS).unref();
   for (const name of ["SIGINT", "SIGTERM"]) process.once(name, () => giveUp(name));
+  process.on("uncaughtException", (error) => giveUp(String(error)));
   let code = 2;
   try {
     stage.record("case started", { trouble: hasTrouble });
