--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -26,6 +26,7 @@
 import { EdgeCounts } from "../retry-budget/edge-counts.js";
 import { LoadBalancer } from "../load-balancing/load-balancer.js";
 import { type Bounds, deriveBounds } from "./bounds.js";
+import { readHeapUsage, type RetainedAmounts } from "./memory-usage.js";
 import type { DaemonOptions, IncomingAdminRequest, IncomingRequest } from "./daemon-options.js";
 import { sleep } from "../runtime/clock.js";
 import { createLinkPacers, type LinkPacer } from "../runtime/link-pacer.js";
@@ -358,6 +359,20 @@
     return "";
   }
 
+  /** What this daemon retains in memory. */
+  get retained(): RetainedAmounts {
+    return {
+      log: this.replicationNode?.retained,
+      outcomeBytes: this.outcomes.storedBytes,
+      requests: this.proxy.activeRequestCount,
+    };
+  }
+
+  private doorStatus(): Record<string, unknown> {
+    const capacities = Object.fromEntries(this.budget.capacities);
+    return { inHand: this.proxy.activeRequestCount, ...this.proxy.counters, capacities };
+  }
+
   private status(): Record<string, unknown> {
     return {
       ...this.daemonInfo(),
@@ -368,19 +383,9 @@
       grants: this.clusterView.leaseRenewals,
       droppedFrames: this.rpc.protocolViolations,
       record: this.replicationNode?.status ?? null,
-      door: this.roles.includes("edge")
-        ? {
-            inHand: this.proxy.activeRequestCount,
-            ...this.proxy.counters,
-            capacities: Object.fromEntries(this.budget.capacities),
-          }
-        : null,
-      collector: this.countAggregator
-        ? {
-            refused: this.countAggregator.refusedPushes,
-            coverage: this.countAggregator.latest?.coverage ?? null,
-          }
-        : null,
+      memory: { ...readHeapUsage(), retained: this.retained },
+      door: this.roles.includes("edge") ? this.doorStatus() : null,
+      collector: this.countAggregator?.status ?? null,
     };
   }
 }
--- a/src/daemon/serve.ts
+++ b/src/daemon/serve.ts
@@ -13,7 +13,7 @@
 import { deriveBounds } from "./bounds.js";
 import { Daemon } from "./daemon.js";
 import { HttpServers } from "./http-servers.js";
-import { monitorProcess } from "./process-monitor.js";
+import { monitorHeap, monitorProcess } from "./process-monitor.js";
 import type { Settings } from "./settings.js";
 import { SettingsFile } from "./settings-file.js";
 import { SettingsReloader } from "./settings-reloader.js";
@@ -96,6 +96,10 @@
     );
     runTask(reloader.run(clock), this.fail);
     runTask(monitorProcess(clock, this.log), this.fail);
+    runTask(
+      monitorHeap(clock, this.log, () => daemon.retained),
+      this.fail,
+    );
     const signals = processSignals();
     signals.subscribe(clock.scheduler, (name) => {
       if (name === "SIGHUP") reloader.reload();
--- a/src/proxy/idempotency/outcome-replicator.ts
+++ b/src/proxy/idempotency/outcome-replicator.ts
@@ -50,6 +50,11 @@
     this.replicas = replicas;
   }
 
+  /** The size of the outcomes that this daemon stores, in bytes. */
+  get storedBytes(): number {
+    return this.cache.storedBytes;
+  }
+
   /** Serves the requests of other daemons to store outcomes and to look them up. */
   serve(): void {
     const { cache } = this;
--- a/src/replication/history/history-service.ts
+++ b/src/replication/history/history-service.ts
@@ -8,6 +8,7 @@
 import type { AcceptedConfig } from "../../state/accepted-config.js";
 import type { StateMachine } from "../../state/state-machine.js";
 import type { LogWriter } from "../log/log-writer.js";
+import { totalTextLength } from "../retained-log.js";
 import { CONFIGS_PER_FILE, ConfigHistory, type SequenceRange } from "./config-history.js";
 
 /** Timeout of a request for configs to another member, in ms. */
@@ -55,9 +56,6 @@
   readonly isMissingEverywhere: boolean;
 }
 
-const totalTextLength = (configs: readonly AcceptedConfig[]): number =>
-  configs.reduce((sum, { text }) => sum + text.length, 0);
-
 const ignoreResult = (): void => undefined;
 
 /** The history of accepted configs of one member. */
--- a/src/replication/log/log-writer.ts
+++ b/src/replication/log/log-writer.ts
@@ -52,6 +52,11 @@
     return this.lastFailure;
   }
 
+  /** The number of requests that wait for the one in progress. */
+  get queuedRequests(): number {
+    return this.queue.size;
+  }
+
   /** The number of completed syncs. */
   get completedSyncs(): number {
     return this.syncCount;
--- a/src/replication/replication-node.ts
+++ b/src/replication/replication-node.ts
@@ -34,6 +34,7 @@
 import type { ProposalResult } from "./proposals/proposal.js";
 import { ProposalQueue } from "./proposals/proposal-queue.js";
 import { serveReplicationRpc } from "./replication-rpc.js";
+import { measureRetainedLog, type RetainedLog } from "./retained-log.js";
 import type { ReplicationTimeouts } from "./replication-timeouts.js";
 import { SnapshotInstaller } from "./snapshot/snapshot-installer.js";
 import { SnapshotWriter } from "./snapshot/snapshot-writer.js";
@@ -171,6 +172,12 @@
     };
   }
 
+  /** What this node retains in memory. */
+  get retained(): RetainedLog {
+    const { stateMachine, writer, events } = this;
+    return measureRetainedLog({ log: this.state.log, stateMachine, writer, events });
+  }
+
   /** The received bytes of an incomplete snapshot from the leader. */
   get receivedSnapshotBytes(): number {
     return this.installer.receivedBytes;
--- a/src/retry-budget/count-aggregator.ts
+++ b/src/retry-budget/count-aggregator.ts
@@ -115,6 +115,11 @@
     return { counts, ageMs: this.runtime.clock.nowMs() - atMs, coverage };
   }
 
+  /** The status for operators. */
+  get status(): { refused: number; coverage: CountCoverage | null } {
+    return { refused: this.refusedPushes, coverage: this.latest?.coverage ?? null };
+  }
+
   /** Pushes the merged counts to the root every `pushMs`, or earlier if a child requests it. */
   *run(pushMs: number): Task {
     const { clock } = this.runtime;
