--- a/src/fleet/deployment/backends-process.ts
+++ b/src/fleet/deployment/backends-process.ts
@@ -1,7 +1,7 @@
 /** The worker process that runs a share of a deployment's backends. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { RandomDraw } from "../../simulation/random-draw.js";
-import { deploymentBounds, deploymentProfiles, withMachines } from "./deployment-profile.js";
+import { deploymentProfiles, withMachines } from "./deployment-profile.js";
 import { EventLog, epochMs, watchEventLoop } from "./event-log.js";
 import { sendHarnessRequest } from "./harness-request.js";
 import { onCommand, readWorkerOptions, type WorkerCommand } from "./worker-protocol.js";
@@ -76,7 +76,7 @@
       calls,
       ...(ackMs === undefined ? {} : { ackMs }),
     });
-    await sleep(deploymentBounds.drainMs + SERVE_ON_MS);
+    await sleep(profile.bounds.drainMs + SERVE_ON_MS);
     if (how === "drain") await this.deregister();
     this.close();
   }
--- a/src/fleet/deployment/deployment-judge.ts
+++ b/src/fleet/deployment/deployment-judge.ts
@@ -1,5 +1,5 @@
 /** Judges the events of a deployment run by the platform's rules. */
-import { deploymentBounds } from "./deployment-profile.js";
+import type { DeploymentBounds } from "./deployment-profile.js";
 import type {
   ChangeEvent,
   DeploymentEvent,
@@ -21,7 +21,6 @@
   readonly toMs: number;
 }
 
-const { ackMs, drainMs, graceMs, contactMs, lossSlackMs } = deploymentBounds;
 const ACK_PER_ROUTE_MS = 3;
 /** A machine's process starts again within this time after its end. */
 const RESTART_MS = 2000;
@@ -40,6 +39,7 @@
 
 /** All events of a run, sorted out by kind. */
 export class DeploymentJudge {
+  private readonly bounds: DeploymentBounds;
   private readonly changes: ChangeEvent[] = [];
   private readonly leaves: LeaveEvent[] = [];
   private readonly probes: ProbeEvent[] = [];
@@ -47,8 +47,15 @@
   private readonly runs = new Map<string, { backend: string; atMs: number; endMs: number }>();
   private readonly stops = new Map<string, Span[]>();
   private readonly memberStops: Span[] = [];
-
-  constructor(events: readonly DeploymentEvent[], members: ReadonlySet<string>) {
+  /** Spans around unplanned losses of any machine. */
+  private readonly losses: Span[] = [];
+
+  constructor(
+    events: readonly DeploymentEvent[],
+    members: ReadonlySet<string>,
+    bounds: DeploymentBounds,
+  ) {
+    this.bounds = bounds;
     for (const event of events) this.add(event, members);
     for (const event of events)
       if (event.kind === "runEnd") {
@@ -93,10 +100,11 @@
     else if (event.kind === "try") this.tries.push(event);
     else if (event.kind === "run")
       this.runs.set(event.id, { backend: event.backend, atMs: event.atMs, endMs: Infinity });
-    else if (event.kind === "stop") {
-      const span = { fromMs: event.atMs, toMs: event.endedMs + RESTART_MS + contactMs };
+    else if (event.kind === "stop" || event.kind === "loss") {
+      const span = { fromMs: event.atMs, toMs: event.endedMs + RESTART_MS + this.bounds.contactMs };
       this.stops.set(event.machine, [...(this.stops.get(event.machine) ?? []), span]);
       if (members.has(event.machine)) this.memberStops.push(span);
+      if (event.kind === "loss") this.losses.push(span);
     }
   }
 
@@ -107,6 +115,7 @@
   }
 
   private judgeOrders(): RuleResult {
+    const { ackMs } = this.bounds;
     const judged = this.changes.filter(
       ({ isValid, sentMs, status }) =>
         isValid && status !== 412 && !overlaps(this.memberStops, sentMs, sentMs + ackMs),
@@ -123,6 +132,7 @@
   }
 
   private judgeLeaves(): RuleResult {
+    const { ackMs } = this.bounds;
     const judged = this.leaves.filter(
       ({ saidMs }) => !overlaps(this.memberStops, saidMs, saidMs + ackMs),
     );
@@ -177,6 +187,7 @@
   }
 
   private judgeDrain(): RuleResult {
+    const { drainMs } = this.bounds;
     const leftMs = new Map(
       this.leaves.flatMap(({ backend, ackMs: ackedMs }) =>
         ackedMs === undefined ? [] : [[backend, ackedMs]],
@@ -209,6 +220,8 @@
   }
 
   private isLost({ id, machine, sentMs, endedMs }: TryEvent): boolean {
+    const { graceMs, lossSlackMs } = this.bounds;
+    if (overlaps(this.losses, sentMs - this.bounds.contactMs, endedMs)) return false;
     const run = this.runs.get(id);
     if (!run) return endedMs - sentMs > lossSlackMs;
     const stop = (this.stops.get(machine) ?? []).find(
--- a/src/fleet/deployment/deployment-machine.ts
+++ b/src/fleet/deployment/deployment-machine.ts
@@ -1,10 +1,10 @@
 /** The machines of a deployment: their settings as the platform writes them, and their processes. */
 import { spawn, type ChildProcess } from "node:child_process";
 import { createWriteStream } from "node:fs";
-import { mkdir, readFile, writeFile } from "node:fs/promises";
+import { mkdir, readFile, rm, writeFile } from "node:fs/promises";
 import { createServer } from "node:net";
-import { join } from "node:path";
-import { type DeploymentProfile, deploymentBounds } from "./deployment-profile.js";
+import { dirname, join } from "node:path";
+import type { DeploymentProfile } from "./deployment-profile.js";
 
 /** The ports of a machine; they are the same on all machines. */
 export interface MachinePorts {
@@ -25,12 +25,15 @@
   /** Number of ends of its process that nobody ordered. */
   unorderedEnds: number;
   isStopping: boolean;
+  /** How long its process stays down after its next end, in ms. */
+  downMs: number;
+  /** Whether its data folder is emptied after the next end of its process. */
+  losesDisk: boolean;
 }
 
 const PEER_PORTS = 16;
 const PORTS_PER_MACHINE = 3 + PEER_PORTS;
 const RESTART_DELAY_MS = 300;
-const MEMBER_LINK_MBPS = 100;
 
 const isPortFree = (host: string, port: number): Promise<boolean> =>
   new Promise((resolve) => {
@@ -59,14 +62,19 @@
 const toml = (value: string | number | boolean): string =>
   typeof value === "string" ? JSON.stringify(value) : String(value);
 
+const dataFolder = (folder: string, { name }: { readonly name: string }): string =>
+  join(folder, name, "data");
+
 const settingsText = (
   machine: DeploymentMachine,
   profile: DeploymentProfile,
   options: { ports: MachinePorts; seeds: readonly string[]; folder: string },
 ): string => {
   const { ports, seeds, folder } = options;
-  const { ackMs, applyMs, drainMs, graceMs, contactMs, lossSlackMs } = deploymentBounds;
-  const datadir = machine.isMember ? [`datadir = ${toml(join(folder, machine.name, "data"))}`] : [];
+  const { ackMs, applyMs, drainMs, graceMs, contactMs, lossSlackMs, catchUpMs, skewMs } =
+    profile.bounds;
+  const { cpu, linkMbps } = machine.isMember ? profile.memberSize : profile.edgeSize;
+  const datadir = machine.isMember ? [`datadir = ${toml(dataFolder(folder, machine))}`] : [];
   const lines = [
     "[self]",
     `node = ${toml(machine.name)}`,
@@ -80,11 +88,11 @@
     "bootstrap = true",
     ...datadir,
     "[self.limits]",
-    `cpuQuota = ${machine.isMember ? 0.675 : 0.27}`,
+    `cpuQuota = ${cpu}`,
     "ncpu = 1",
-    "memMb = 250",
+    `memMb = ${profile.memoryMb}`,
     "maxFds = 4100",
-    `netMbps = ${machine.isMember ? MEMBER_LINK_MBPS : profile.edgeLinkMbps}`,
+    `netMbps = ${linkMbps}`,
     "diskMb = 64",
     "[network]",
     `portRange = [${ports.firstPeer},${ports.firstPeer + PEER_PORTS - 1}]`,
@@ -102,7 +110,7 @@
     "[terms]",
     'guarantees = ["base","drain","config","cost","retry","recover","health","pool","keys"]',
     "[terms.tolerate]",
-    "machines = 2",
+    `machines = ${profile.tolerated}`,
     "zones = 0",
     "regions = 0",
     "[terms.bounds]",
@@ -110,16 +118,16 @@
     `addrReuse = "2s"`,
     `contact = "${contactMs}ms"`,
     `ack = "${ackMs}ms"`,
-    `sync_time = "6s"`,
+    `sync_time = "${catchUpMs}ms"`,
     `drain = "${drainMs}ms"`,
     `grace = "${graceMs}ms"`,
     `lossSlack = "${lossSlackMs}ms"`,
     `apply = "${applyMs}ms"`,
     `downgrade = "250ms"`,
-    `skewMax = "5000ms"`,
+    `skewMax = "${skewMs}ms"`,
     "retryRatio = 0.2",
     `retryWindow = "10s"`,
-    "retryExtra = 184",
+    `retryExtra = ${profile.retryExtra}`,
     `keyWindow = "60s"`,
     `recovery = "15s"`,
   ];
@@ -145,6 +153,8 @@
       process: undefined,
       unorderedEnds: 0,
       isStopping: false,
+      downMs: RESTART_DELAY_MS,
+      losesDisk: false,
     };
   });
   const seeds = machines.slice(0, 3).map(({ ip }) => `${ip}:${ports.control}`);
@@ -183,20 +193,57 @@
     if (isOver()) return;
     if (!machine.isStopping) machine.unorderedEnds += 1;
     machine.isStopping = false;
-    setTimeout(() => {
-      if (!isOver()) startMachine(machine, command, isOver);
-    }, RESTART_DELAY_MS);
+    void restartMachine(machine, command, isOver);
   });
 };
 
+/** Starts a machine's process again after its down time, with an empty disk if it lost it. */
+const restartMachine = async (
+  machine: DeploymentMachine,
+  command: readonly string[],
+  isOver: () => boolean,
+): Promise<void> => {
+  const { downMs, losesDisk, settingsFile } = machine;
+  machine.downMs = RESTART_DELAY_MS;
+  machine.losesDisk = false;
+  const folder = dataFolder(dirname(settingsFile), { name: "" });
+  if (losesDisk) await rm(folder, { recursive: true });
+  await mkdir(folder, { recursive: true });
+  await new Promise((resolve) => setTimeout(resolve, downMs));
+  if (!isOver()) startMachine(machine, command, isOver);
+};
+
+/** Sets in the settings files that the system has started before. */
+export const endFirstStart = async (machines: readonly DeploymentMachine[]): Promise<void> => {
+  for (const { settingsFile } of machines) {
+    const text = await readFile(settingsFile, "utf8");
+    await writeFile(settingsFile, text.replace("bootstrap = true", "bootstrap = false"));
+  }
+};
+
+/** Kills a machine's process; it starts again after `downMs`, with an empty disk if `losesDisk`. Resolves when it has ended. */
+export const killMachine = async (
+  machine: DeploymentMachine,
+  { downMs, losesDisk }: { readonly downMs: number; readonly losesDisk: boolean },
+): Promise<void> => {
+  const child = machine.process;
+  if (!child || child.exitCode !== null || child.signalCode !== null) return;
+  machine.isStopping = true;
+  machine.downMs = downMs;
+  machine.losesDisk = losesDisk;
+  const ended = new Promise<void>((resolve) => child.once("exit", () => resolve()));
+  child.kill("SIGKILL");
+  await ended;
+};
+
 /** Stops a machine's process as the platform does: SIGTERM, and SIGKILL after `grace`. Resolves when it has ended. */
-export const stopMachine = async (machine: DeploymentMachine): Promise<void> => {
+export const stopMachine = async (machine: DeploymentMachine, graceMs: number): Promise<void> => {
   const child = machine.process;
   if (!child || child.exitCode !== null || child.signalCode !== null) return;
   machine.isStopping = true;
   const ended = new Promise<void>((resolve) => child.once("exit", () => resolve()));
   child.kill("SIGTERM");
-  const timer = setTimeout(() => child.kill("SIGKILL"), deploymentBounds.graceMs);
+  const timer = setTimeout(() => child.kill("SIGKILL"), graceMs);
   await ended;
   clearTimeout(timer);
 };
--- a/src/fleet/deployment/deployment-operator.ts
+++ b/src/fleet/deployment/deployment-operator.ts
@@ -1,6 +1,5 @@
 /** The operator of a deployment: sends configurations to daemons chosen at random, and checks which are in force. */
 import type { Deployment } from "./deployment.js";
-import { deploymentBounds } from "./deployment-profile.js";
 import { epochMs } from "./event-log.js";
 import { type HarnessResponse, sendHarnessRequest } from "./harness-request.js";
 
@@ -176,7 +175,7 @@
     const { machines, ports } = this.deployment;
     const answers = await Promise.all(
       machines.map(async ({ name, ip }) => {
-        const untilMs = epochMs() + deploymentBounds.contactMs + GIVE_UP_MS;
+        const untilMs = epochMs() + this.deployment.profile.bounds.contactMs + GIVE_UP_MS;
         let answer = "nothing";
         while (epochMs() < untilMs) {
           const { status, body } = await this.follow(
@@ -295,7 +294,7 @@
   /** Probes the added and the removed route at some daemons, once the change must be in force. */
   private probeLater(version: number, added: string, removed: string | undefined): void {
     const run = async (): Promise<void> => {
-      await this.pause(deploymentBounds.applyMs);
+      await this.pause(this.deployment.profile.bounds.applyMs);
       const { machines } = this.deployment;
       const first = Math.floor(this.random() * machines.length);
       const probed = [...machines.slice(first), ...machines].slice(0, PROBED_MACHINES);
--- a/src/fleet/deployment/deployment-run.ts
+++ b/src/fleet/deployment/deployment-run.ts
@@ -3,12 +3,13 @@
 import { printLine } from "../report.js";
 import { Deployment } from "./deployment.js";
 import { DeploymentJudge, type RuleResult } from "./deployment-judge.js";
+import { DeploymentLosses } from "./deployment-losses.js";
 import { DeploymentOperator } from "./deployment-operator.js";
-import { type DeploymentProfile, deploymentBounds } from "./deployment-profile.js";
+import type { DeploymentProfile } from "./deployment-profile.js";
 import { type DeploymentEvent, epochMs, readEvents } from "./event-log.js";
 
 /** What happens to a deployment while its clients send requests. */
-export type DeploymentPlan = "calm" | "changes" | "stops" | "both";
+export type DeploymentPlan = "calm" | "changes" | "stops" | "both" | "losses";
 
 /** The options of a run. */
 export interface DeploymentRunOptions {
@@ -19,11 +20,12 @@
   readonly plan: DeploymentPlan;
   /** Routes that one change adds at a third of the run. */
   readonly routes: number;
+  /** Longest pause between two changes, in ms. */
+  readonly changeGap: number;
 }
 
 const READY_TIMEOUT_MS = 60_000;
 const SETTLE_MS = 5000;
-const CHANGE_INTERVAL_MS = 700;
 const STOP_INTERVAL_MS = 900;
 const STOPPED_TOGETHER = 4;
 /** Machines that are stopped one at a time first. */
@@ -41,7 +43,7 @@
   deployment: Deployment,
   options: DeploymentRunOptions & { readonly random: () => number; readonly untilMs: number },
 ): Promise<void> => {
-  const { random, untilMs, routes, seconds } = options;
+  const { random, untilMs, routes, seconds, changeGap } = options;
   const startedMs = epochMs();
   const backends = deployment.profile.services.reduce((sum, service) => sum + service.backends, 0);
   let hasAddedRoutes = false;
@@ -59,7 +61,7 @@
     else if (draw < 0.9) await operator.sendInvalid();
     else if ((await operator.race()) > 1)
       printLine("BROKEN CONFIG: both of two racing changes won");
-    await sleep(CHANGE_INTERVAL_MS * random());
+    await sleep(changeGap * random());
   }
 };
 
@@ -133,6 +135,23 @@
   return isValid;
 };
 
+/** Prints the largest resident memory of each member, and of all machines without disks. */
+const printMemory = (
+  { machines, profile }: Deployment,
+  events: readonly DeploymentEvent[],
+): void => {
+  const largest = new Map<string, number>();
+  for (const event of events)
+    if (event.kind === "memory")
+      largest.set(event.machine, Math.max(largest.get(event.machine) ?? 0, event.residentMb));
+  const ofMachine = ({ ip }: { readonly ip: string }): number => Math.round(largest.get(ip) ?? 0);
+  const members = machines.filter(({ isMember }) => isMember);
+  const edges = machines.filter(({ isMember }) => !isMember);
+  const text = members.map((machine) => `${machine.name} ${ofMachine(machine)} MB`).join(", ");
+  const edgeMb = Math.max(0, ...edges.map(ofMachine));
+  printLine(`memory, at most: ${text}, edges ${edgeMb} MB; the limit is ${profile.memoryMb} MB`);
+};
+
 /** Runs a deployment; resolves to the number of violations, or undefined if the run isn't valid. */
 export const runDeployment = async (
   profile: DeploymentProfile,
@@ -152,17 +171,19 @@
     await deployment.end();
     return undefined;
   }
+  await deployment.endFirstStart();
   deployment.startClients();
   const untilMs = epochMs() + options.seconds * 1000;
   const { plan } = options;
   await Promise.all([
     sleep(options.seconds * 1000),
-    plan === "changes" || plan === "both"
+    plan === "changes" || plan === "both" || plan === "losses"
       ? runChanges(operator, deployment, { ...options, random, untilMs })
       : undefined,
     plan === "stops" || plan === "both" ? runStops(deployment, untilMs, random) : undefined,
+    plan === "losses" ? new DeploymentLosses(deployment, random).run(untilMs) : undefined,
   ]);
-  await sleep(deploymentBounds.contactMs);
+  await sleep(deployment.profile.bounds.contactMs);
   await operator.finish();
   const readBack = await operator.readBack();
   await deployment.stopWorkers();
@@ -177,7 +198,7 @@
   { events, readBack }: { events: readonly DeploymentEvent[]; readBack: readonly string[] },
 ): number | undefined => {
   const members = deployment.machines.filter(({ isMember }) => isMember).map(({ ip }) => ip);
-  const judge = new DeploymentJudge(events, new Set(members));
+  const judge = new DeploymentJudge(events, new Set(members), deployment.profile.bounds);
   const counts = [...judge.resultCounts()].map(([name, count]) => `${name}: ${count}`).join(", ");
   printLine(`tries: ${counts}; served ${(judge.servedFraction() * 100).toFixed(1)}%`);
   const results = [
@@ -196,6 +217,7 @@
     },
   ];
   for (const result of results) printResult(result);
+  printMemory(deployment, events);
   if (!printHarness(events)) return undefined;
   return results.reduce((sum, { violations }) => sum + violations.length, 0);
 };
--- a/src/fleet/deployment/deployment.ts
+++ b/src/fleet/deployment/deployment.ts
@@ -7,7 +7,9 @@
 import {
   createMachines,
   type DeploymentMachine,
+  endFirstStart,
   findNetwork,
+  killMachine,
   type MachinePorts,
   readDeployCommand,
   startMachine,
@@ -16,6 +18,7 @@
 import type { DeploymentProfile } from "./deployment-profile.js";
 import { EventLog, epochMs, watchEventLoop } from "./event-log.js";
 import { sendHarnessRequest } from "./harness-request.js";
+import { watchMemory } from "./memory-watch.js";
 import type { WorkerCommand, WorkerOptions } from "./worker-protocol.js";
 
 /** The options of a run that concern its processes. */
@@ -107,6 +110,7 @@
     for (let index = 0; index < CLIENT_PROCESSES; index += 1)
       this.clients.push(this.fork("clients", index, CLIENT_PROCESSES));
     void this.checkReadiness();
+    void watchMemory(this, () => this.isOver);
   }
 
   /** Starts backends and their heartbeats. */
@@ -132,10 +136,27 @@
   async stopMachine(machine: DeploymentMachine): Promise<void> {
     if (machine.isStopping) return;
     const atMs = epochMs();
-    await stopMachine(machine);
+    await stopMachine(machine, this.profile.bounds.graceMs);
     this.log.add({ kind: "stop", machine: machine.ip, atMs, endedMs: epochMs() });
   }
 
+  /** Tells the machines that the system has started before: from now on an empty disk is a lost one. */
+  endFirstStart(): Promise<void> {
+    return endFirstStart(this.machines);
+  }
+
+  /** Kills a machine's process, unless it is being stopped; it is started again after `downMs`. */
+  async killMachine(
+    machine: DeploymentMachine,
+    options: { readonly downMs: number; readonly losesDisk: boolean },
+  ): Promise<void> {
+    if (machine.isStopping) return;
+    const atMs = epochMs();
+    await killMachine(machine, options);
+    const { downMs, losesDisk } = options;
+    this.log.add({ kind: "loss", machine: machine.ip, atMs, endedMs: atMs + downMs, losesDisk });
+  }
+
   /** Stops the clients, waits for their last responses, and ends the workers. */
   async stopWorkers(): Promise<void> {
     for (const workers of [this.clients, this.backends]) {
--- a/src/fleet/deployment/event-log.ts
+++ b/src/fleet/deployment/event-log.ts
@@ -81,6 +81,24 @@
   endedMs: number(),
 });
 
+/** A process of the system that was killed; `endedMs` is the time at which it is started again. */
+const lossShape = type({
+  kind: literal("loss"),
+  machine: string(),
+  atMs: number(),
+  endedMs: number(),
+  losesDisk: boolean(),
+});
+
+/** The resident memory of a process of the system. */
+const memoryShape = type({
+  kind: literal("memory"),
+  machine: string(),
+  processId: number(),
+  atMs: number(),
+  residentMb: number(),
+});
+
 /** The longest time for which a process of the harness didn't get to its events, over one second. */
 const delayShape = type({
   kind: literal("delay"),
@@ -97,6 +115,8 @@
   changeShape,
   probeShape,
   stopShape,
+  lossShape,
+  memoryShape,
   delayShape,
 ]);
 
--- a/src/fleet/main.ts
+++ b/src/fleet/main.ts
@@ -30,6 +30,7 @@
   machines?: number;
   plan: DeploymentPlan;
   routes: number;
+  changeGap: number;
   root?: string;
 }
 
@@ -151,7 +152,7 @@
   fleet.recorder.environmentRecords.push({ kind: "recovered", atMs: clock.nowMs() });
 };
 
-/** Runs a grown deployment, and exits with 1 if a rule is broken, with 2 if the run isn't valid. */
+/** Runs a deployment of the platform, and exits with 1 if a rule is broken, with 2 if the run isn't valid. */
 const runDeploymentProfile = async (
   profile: DeploymentProfile,
   options: Options,
@@ -170,7 +171,7 @@
     "",
     "Start a fleet of real daemons on this machine, with clients and backends, and check its invariants",
   )
-  .option("--profile <name>", "kovacic, rastro, kovacic-grown or rastro-grown", {
+  .option("--profile <name>", "kovacic, rastro, kovacic-grown, rastro-grown or ptice-vrata", {
     default: "kovacic",
   })
   .option("--seconds <count>", "How long clients send requests", { default: 60 })
@@ -178,16 +179,21 @@
   .option("--seed <number>", "Seed of clients and backends", { default: 1 })
   .option("--calm", "Inject no faults")
   .option("--keep", "Keep the folder with settings, data and logs")
-  .option("--machines <count>", "Number of machines of a grown deployment")
-  .option("--plan <name>", "What happens to a grown deployment: calm, changes, stops or both", {
-    default: "both",
-  })
-  .option("--routes <count>", "Routes that one change adds to a grown deployment", {
+  .option("--machines <count>", "Number of machines of a deployment of the platform")
+  .option(
+    "--plan <name>",
+    "What happens to a deployment of the platform: calm, changes, stops, both or losses",
+    {
+      default: "both",
+    },
+  )
+  .option("--routes <count>", "Routes that one change adds to a deployment of the platform", {
     default: 1400,
   })
+  .option("--change-gap <ms>", "Longest pause between two changes", { default: 700 })
   .option(
     "--root <folder>",
-    "The repository whose bundle a grown deployment runs; this one by default",
+    "The repository whose bundle a deployment of the platform runs; this one by default",
   )
   .action(async (options: Options) => {
     const deploymentProfile = deploymentProfiles.get(options.profile);
--- a/test/fleet/deployment-judge.test.ts
+++ b/test/fleet/deployment-judge.test.ts
@@ -6,6 +6,16 @@
   TryEvent,
 } from "../../src/fleet/deployment/event-log.js";
 
+const bounds = {
+  ackMs: 4000,
+  applyMs: 2000,
+  drainMs: 2000,
+  graceMs: 6000,
+  contactMs: 3000,
+  lossSlackMs: 200,
+  catchUpMs: 6000,
+  skewMs: 5000,
+};
 const MEMBER = "127.0.0.1";
 const EDGE = "127.0.0.2";
 
@@ -60,7 +70,7 @@
 
 /** The rules that the events break. */
 const broken = (...events: DeploymentEvent[]): string[] =>
-  new DeploymentJudge(events, new Set([MEMBER]))
+  new DeploymentJudge(events, new Set([MEMBER]), bounds)
     .results()
     .filter(({ violations }) => violations.length > 0)
     .map(({ rule }) => rule);
@@ -129,7 +139,7 @@
   });
 
   test("rules without events have nothing to judge", () => {
-    const results = new DeploymentJudge([], new Set()).results();
+    const results = new DeploymentJudge([], new Set(), bounds).results();
     expect(results.filter(({ judged }) => judged > 0)).toEqual([]);
   });
 });
