Members retain unreleased configurations as deltas, and no longer end with a full heap

What callers saw: after all members were killed at once, reads and changes of the configuration had no 200 any more.

Cause: a member that replays its log applies all committed entries in one piece and retained the whole text of each configuration until an event behind that released them: a log of 1.5 MB of deltas became 3,000 texts of 100 KB. Class: bounded in its compact form, expanded without a bound, and released asynchronously.

Change: ConfigBacklog keeps the first and the newest text and the entries between as the log has them; readers get one text at a time; the history writes in batches. The stored forms are unchanged. Tests that set or read StateMachine.configs use the backlog; their expectations are as before.

--- a/src/fleet/deployment/deployment-losses.ts
+++ b/src/fleet/deployment/deployment-losses.ts
@@ -50,6 +50,17 @@
     );
   }
 
+  /** The end of a day: right after a change all members are killed at the same time, and one of them loses its disk. */
+  async loseAllMembersAndOneDisk(): Promise<void> {
+    const wiped = this.pick(this.members);
+    const downMs = this.between(MIN_DOWN_MS, MAX_DOWN_MS);
+    await Promise.all(
+      this.members.map((machine) =>
+        this.deployment.killMachine(machine, { downMs, losesDisk: machine === wiped }),
+      ),
+    );
+  }
+
   /** Kills some machines without disks. */
   async killEdges(): Promise<void> {
     const edges = this.deployment.machines.filter(({ isMember }) => !isMember);
--- a/src/fleet/deployment/deployment-run.ts
+++ b/src/fleet/deployment/deployment-run.ts
@@ -9,7 +9,7 @@
 import { type DeploymentEvent, epochMs, readEvents } from "./event-log.js";
 
 /** What happens to a deployment while its clients send requests. */
-export type DeploymentPlan = "calm" | "changes" | "stops" | "both" | "losses";
+export type DeploymentPlan = "calm" | "changes" | "stops" | "both" | "losses" | "closing";
 
 /** The options of a run. */
 export interface DeploymentRunOptions {
@@ -175,14 +175,16 @@
   deployment.startClients();
   const untilMs = epochMs() + options.seconds * 1000;
   const { plan } = options;
+  const losses = new DeploymentLosses(deployment, random);
   await Promise.all([
     sleep(options.seconds * 1000),
-    plan === "changes" || plan === "both" || plan === "losses"
+    plan === "changes" || plan === "both" || plan === "losses" || plan === "closing"
       ? runChanges(operator, deployment, { ...options, random, untilMs })
       : undefined,
     plan === "stops" || plan === "both" ? runStops(deployment, untilMs, random) : undefined,
-    plan === "losses" ? new DeploymentLosses(deployment, random).run(untilMs) : undefined,
+    plan === "losses" ? losses.run(untilMs) : undefined,
   ]);
+  if (plan === "closing") await losses.loseAllMembersAndOneDisk();
   await sleep(deployment.profile.bounds.contactMs);
   await operator.finish();
   const readBack = await operator.readBack();
--- a/src/fleet/main.ts
+++ b/src/fleet/main.ts
@@ -182,7 +182,7 @@
   .option("--machines <count>", "Number of machines of a deployment of the platform")
   .option(
     "--plan <name>",
-    "What happens to a deployment of the platform: calm, changes, stops, both or losses",
+    "What happens to a deployment of the platform: calm, changes, stops, both, losses or closing",
     {
       default: "both",
     },
--- a/src/replication/history/config-history.ts
+++ b/src/replication/history/config-history.ts
@@ -22,6 +22,9 @@
 /** Maximum length of the configs' text in one transmitted piece, in UTF-16 code units; a single larger config exceeds it. */
 const MAX_PIECE_TEXT_LENGTH = 1024 * 1024;
 
+/** Length of the configs' text from which a batch is written, in UTF-16 code units. */
+const MAX_BATCH_TEXT_LENGTH = 4 * 1024 * 1024;
+
 /** A range of sequences, inclusive. */
 export interface SequenceRange {
   readonly from: number;
@@ -144,10 +147,19 @@
   }
 
   /** Adds configs in the order of their sequences, except those already stored. They are durable once this has ended. */
-  *add(configs: readonly AcceptedConfig[]): Task {
-    const missing = configs.filter(({ sequence }) => !this.findFile(sequence));
-    for (let added = 0; added < missing.length;)
-      added += yield* this.addToFile(missing.slice(added));
+  *add(configs: Iterable<AcceptedConfig>): Task {
+    let batch: AcceptedConfig[] = [];
+    let textLength = 0;
+    for (const config of configs) {
+      if (this.findFile(config.sequence)) continue;
+      batch.push(config);
+      textLength += config.text.length;
+      if (batch.length < CONFIGS_PER_FILE && textLength < MAX_BATCH_TEXT_LENGTH) continue;
+      yield* this.addBatch(batch);
+      batch = [];
+      textLength = 0;
+    }
+    yield* this.addBatch(batch);
   }
 
   /** Removes the oldest files until the rest is within the quota; returns the removed sequences. */
@@ -197,7 +209,7 @@
   }
 
   /** Encodes as many of the configs as one transmitted piece may contain. */
-  static packPiece(configs: readonly AcceptedConfig[]): Uint8Array {
+  static packPiece(configs: Iterable<AcceptedConfig>): Uint8Array {
     const pieces: Buffer[] = [];
     let textLength = 0;
     for (const config of configs) {
@@ -221,6 +233,11 @@
     return Math.max(MIN_FULL_FILE_BYTES, this.quotaBytes * MAX_FILE_QUOTA_FRACTION);
   }
 
+  private *addBatch(configs: readonly AcceptedConfig[]): Task {
+    for (let added = 0; added < configs.length;)
+      added += yield* this.addToFile(configs.slice(added));
+  }
+
   /** Adds as many configs as fit into one file; returns their number. */
   private *addToFile(configs: readonly AcceptedConfig[]): Task<number> {
     const [first] = configs;
--- a/src/replication/history/history-service.ts
+++ b/src/replication/history/history-service.ts
@@ -8,7 +8,6 @@
 import type { AcceptedConfig } from "../../state/accepted-config.js";
 import type { StateMachine } from "../../state/state-machine.js";
 import type { LogWriter } from "../log/log-writer.js";
-import { totalTextLength } from "../retained-log.js";
 import { CONFIGS_PER_FILE, ConfigHistory, type SequenceRange } from "./config-history.js";
 
 /** Timeout of a request for configs to another member, in ms. */
@@ -118,13 +117,13 @@
   /** Writes the configs in the state machine to disk, after which the state machine releases them. */
   persist(): void {
     const { stateMachine, history, writer, onReleased } = this.options;
-    const { configs } = stateMachine;
-    const newest = configs.at(-1)?.sequence ?? 0;
+    const { configBacklog } = stateMachine;
+    const newest = configBacklog.newest?.sequence ?? 0;
     this.lastWriteFailed = false;
     if (newest <= history.newestSequence) return onReleased(history.newestSequence);
     this.isPersisting = true;
     writer.attempt(
-      () => history.add(configs),
+      () => history.add(configBacklog.read()),
       (succeeded) => {
         this.isPersisting = false;
         this.lastWriteFailed = !succeeded;
@@ -138,9 +137,7 @@
   /** Reads one accepted config, from this member or another one. */
   *read(sequence: number): Task<ConfigRead> {
     const { stateMachine, history } = this.options;
-    const ownConfig =
-      stateMachine.configs.find((config) => config.sequence === sequence) ??
-      (yield* history.read(sequence));
+    const ownConfig = stateMachine.configBacklog.find(sequence) ?? (yield* history.read(sequence));
     if (ownConfig) return { kind: "found", config: ownConfig };
     if (sequence <= this.unavailableUpTo) return { kind: "removed" };
     const { configs, isMissingEverywhere } = yield* this.fetch(sequence);
@@ -151,8 +148,8 @@
 
   private get isLarge(): boolean {
     const { stateMachine, maxPendingBytes } = this.options;
-    const { configs } = stateMachine;
-    return configs.length > 1 && totalTextLength(configs) > maxPendingBytes * PERSIST_FRACTION;
+    const { size, textLength } = stateMachine.configBacklog;
+    return size > 1 && textLength > maxPendingBytes * PERSIST_FRACTION;
   }
 
   private *readPiece(from: number): Task<DecodedMessage<typeof rpcMethods.history.response>> {
@@ -160,10 +157,12 @@
     if (!isFormed()) return { configs: new Uint8Array() };
     const stored = yield* history.readPiece(from);
     if (stored.length > 0) return { configs: stored };
-    const { configs } = stateMachine;
-    const first = configs.findIndex(({ sequence }) => sequence === from);
+    const { configBacklog } = stateMachine;
+    const isContained = from >= (configBacklog.firstSequence ?? Infinity);
     return {
-      configs: first < 0 ? new Uint8Array() : ConfigHistory.packPiece(configs.slice(first)),
+      configs: isContained
+        ? ConfigHistory.packPiece(configBacklog.readFrom(from))
+        : new Uint8Array(),
     };
   }
 
@@ -232,7 +231,7 @@
 
   private missingOnDisk(): SequenceRange | undefined {
     const { stateMachine, history } = this.options;
-    return history.findMissingBelow(stateMachine.configs[0]?.sequence ?? 1);
+    return history.findMissingBelow(stateMachine.configBacklog.firstSequence ?? 1);
   }
 
   private *store(configs: AcceptedConfig[]): Task {
@@ -271,9 +270,9 @@
   /** Bounds the pending text while the disk refuses writes: beyond the limit only the newest config is retained. */
   private dropPending(): void {
     const { stateMachine, maxPendingBytes, onReleased } = this.options;
-    const { configs } = stateMachine;
-    const upTo = configs.at(-2)?.sequence;
-    if (totalTextLength(configs) <= maxPendingBytes || upTo === undefined) return;
+    const { size, textLength, newest } = stateMachine.configBacklog;
+    if (textLength <= maxPendingBytes || size < 2 || !newest) return;
+    const upTo = newest.sequence - 1;
     this.log.warn("history write failed, pending configs dropped", { upTo });
     onReleased(upTo);
   }
--- a/src/replication/replication-node.ts
+++ b/src/replication/replication-node.ts
@@ -391,6 +391,7 @@
         return;
       case "configsReleased":
         this.stateMachine.releaseConfigs(event.upToSequence);
+        this.history.persistWhenLarge();
         return;
     }
   }
--- a/src/replication/retained-log.ts
+++ b/src/replication/retained-log.ts
@@ -1,11 +1,12 @@
 /** What a node of the replicated log retains in memory. */
 import type { ReplicatedLog } from "../consensus/replicated-log.js";
-import type { AcceptedConfig } from "../state/accepted-config.js";
+import type { ConfigBacklog } from "../state/config-backlog.js";
 
 /** What a node retains in memory of the log and its state. */
 export interface RetainedLog {
-  /** Configurations with their texts, the active one included. */
+  /** Configurations that are not released yet, the active one included. */
   readonly configs: number;
+  /** The length of their complete texts, most of which are retained as deltas. */
   readonly configChars: number;
   readonly entries: number;
   readonly entryChars: number;
@@ -18,28 +19,24 @@
 /** The parts of a node that retain something. */
 export interface RetainingParts {
   readonly log: ReplicatedLog;
-  readonly stateMachine: { readonly configs: readonly AcceptedConfig[] };
+  readonly stateMachine: { readonly configBacklog: ConfigBacklog };
   readonly writer: { readonly queuedRequests: number };
   readonly events: { readonly size: number };
 }
 
-/** The total length of the texts of log entries or configurations. */
-export const totalTextLength = (items: ReadonlyArray<{ readonly text: string }>): number =>
-  items.reduce((sum, { text }) => sum + text.length, 0);
-
 /** Counts what a node retains. */
 export const measureRetainedLog = ({
   log,
-  stateMachine: { configs },
+  stateMachine: { configBacklog },
   writer,
   events,
 }: RetainingParts): RetainedLog => {
   const entries = log.entriesFrom(log.baseIndex + 1);
   return {
-    configs: configs.length,
-    configChars: totalTextLength(configs),
+    configs: configBacklog.size,
+    configChars: configBacklog.textLength,
     entries: entries.length,
-    entryChars: totalTextLength(entries),
+    entryChars: entries.reduce((sum, { text }) => sum + text.length, 0),
     queuedWrites: writer.queuedRequests,
     queuedEvents: events.size,
   };
--- a/src/replication/snapshot/snapshot-writer.ts
+++ b/src/replication/snapshot/snapshot-writer.ts
@@ -61,8 +61,10 @@
 
   /** Writes a snapshot up to the applied index if the log exceeds the threshold and no snapshot is being written. */
   writeIfDue(appliedIndex: number): void {
-    const { writer, formation } = this.options;
+    const { writer, formation, stateMachine } = this.options;
     if (this.isWriting || writer.logBytes <= this.thresholdBytes || !formation.isFormed) return;
+    // The log is the only place of configurations that neither the history nor the snapshot contains.
+    if (stateMachine.exceedsSnapshot) return;
     this.write(appliedIndex, { completesRejoin: false });
   }
 
--- a/src/state/config-table.ts
+++ b/src/state/config-table.ts
@@ -8,7 +8,7 @@
   type AcceptedConfig,
   type ConfigNumbers,
 } from "./accepted-config.js";
-import { decodeConfigPayload } from "./config-payload.js";
+import { ConfigBacklog } from "./config-backlog.js";
 import { IdAllocator } from "./id-allocator.js";
 import type { Journal } from "./journal.js";
 import type { LogCommandOf } from "./log-command.js";
@@ -19,6 +19,12 @@
 /** Maximum number of retained change ids, by which the retry of an accepted change gets the same outcome. */
 const MAX_CHANGE_IDS = 2000;
 
+/**
+ * Maximum length of the configurations' texts in a snapshot, in UTF-16 code units; the active one may exceed it. A member that gets
+ * a snapshot without older ones fetches them for its history.
+ */
+const MAX_SNAPSHOT_TEXT_LENGTH = 4 * 1024 * 1024;
+
 /** An accepted configuration without its text. */
 export type RecentConfig = Omit<AcceptedConfig, "text" | "index">;
 
@@ -44,7 +50,7 @@
 /** The table of accepted configurations. */
 export class ConfigTable {
   /** Configurations that this member's history may not contain yet, followed by the active one. */
-  accepted: AcceptedConfig[] = [];
+  readonly backlog = new ConfigBacklog();
   /** The last configurations, without their texts. */
   recent: RecentConfig[] = [];
   private changes = new Map<string, ConfigNumbers>();
@@ -58,7 +64,7 @@
 
   /** The active configuration. */
   get active(): AcceptedConfig | undefined {
-    return this.accepted.at(-1);
+    return this.backlog.newest;
   }
 
   /** The active version, or 0 for none. */
@@ -79,15 +85,23 @@
     return oldest ? versionOf(oldest) - 1 : 0;
   }
 
-  /** Drops the configurations up to a sequence, which the history contains; retains the active one. */
-  release(upToSequence: number): void {
-    this.accepted = this.retainedAfter(upToSequence);
+  /** Whether a snapshot would lack configurations that this member's history may not contain. */
+  get exceedsSnapshot(): boolean {
+    return this.backlog.size > 1 && this.backlog.textLength > MAX_SNAPSHOT_TEXT_LENGTH;
   }
 
-  /** The stored form of the table, without the configurations up to `historyUpTo`, which the history contains. */
+  /**
+   * The stored form of the table, without the configurations up to `historyUpTo`, which the history contains, and without the
+   * oldest beyond `MAX_SNAPSHOT_TEXT_LENGTH`.
+   */
   toStored(historyUpTo: number): StoredConfigTable {
+    const from = Math.max(
+      historyUpTo + 1,
+      this.backlog.firstSequenceWithin(MAX_SNAPSHOT_TEXT_LENGTH),
+    );
+    const configs = [...this.backlog.readFrom(Math.min(from, this.active?.sequence ?? 0))];
     return {
-      configs: this.retainedAfter(historyUpTo).map(storedConfig),
+      configs: configs.map(storedConfig),
       recent: this.recent,
       changes: [...this.changes].map(([changeId, numbers]) => ({ changeId, ...numbers })),
     };
@@ -95,7 +109,7 @@
 
   /** Loads a stored table. */
   restore({ configs, recent, changes }: StoredConfigTable): void {
-    this.accepted = configs;
+    this.backlog.restore(configs);
     this.recent =
       recent ??
       configs.map(({ sequence, version, changeId, acceptedAt }) => ({
@@ -121,13 +135,11 @@
     if (command.expected !== activeSequence || version <= this.version)
       return { lost: this.version };
     const numbers = configNumbers(activeSequence + 1, version);
-    this.accepted.push({
-      ...numbers,
-      index,
-      changeId,
-      acceptedAt,
-      ...decodeConfigPayload(command, this.active?.text),
-    });
+    const { text, packedText, delta, packedDelta } = command;
+    this.backlog.add(
+      { ...numbers, index, changeId, acceptedAt },
+      { text, packedText, delta, packedDelta },
+    );
     this.recent = [
       ...this.recent.slice(1 - MAX_RECENT_CONFIGS),
       { ...numbers, changeId, acceptedAt },
@@ -165,10 +177,4 @@
       reusableIds,
     );
   }
-
-  private retainedAfter(sequence: number): AcceptedConfig[] {
-    return this.accepted.filter(
-      (config, index) => config.sequence > sequence || index === this.accepted.length - 1,
-    );
-  }
 }
--- a/src/state/state-machine.ts
+++ b/src/state/state-machine.ts
@@ -2,6 +2,7 @@
 import { array, create, number, optional, string, tuple, type } from "superstruct";
 import type { Members } from "../consensus/members.js";
 import type { AcceptedConfig } from "./accepted-config.js";
+import type { ConfigBacklog } from "./config-backlog.js";
 import { ConfigTable, configTableShape, type RecentConfig } from "./config-table.js";
 import { IdAllocator } from "./id-allocator.js";
 import type { IdempotencyClaim } from "./idempotency-claim.js";
@@ -52,12 +53,13 @@
   private readonly appliedHooks = new Set<AppliedHook>();
 
   /** Configurations that this member's history may not contain yet, followed by the active one. */
-  get configs(): AcceptedConfig[] {
-    return this.configTable.accepted;
+  get configBacklog(): ConfigBacklog {
+    return this.configTable.backlog;
   }
 
-  set configs(configs: AcceptedConfig[]) {
-    this.configTable.accepted = configs;
+  /** Whether a snapshot would lack configurations that this member's history may not contain. */
+  get exceedsSnapshot(): boolean {
+    return this.configTable.exceedsSnapshot;
   }
 
   /** The last accepted configurations, without their texts. */
@@ -139,7 +141,7 @@
 
   /** Drops the configurations up to a sequence, which the history contains; retains the active one. */
   releaseConfigs(upTo: number): void {
-    this.configTable.release(upTo);
+    this.configTable.backlog.release(upTo);
   }
 
   /** The text of a snapshot, without the configurations up to `historyUpTo`, which the history contains. */
--- a/test/compatibility/stored-data.ts
+++ b/test/compatibility/stored-data.ts
@@ -81,7 +81,7 @@
 /** The whole state of a state machine in the form of the expected state. */
 const describeState = (stateMachine: StateMachine, changeIds: readonly string[]) => ({
   version: stateMachine.version,
-  configurations: stateMachine.configs.map(describeConfiguration),
+  configurations: [...stateMachine.configBacklog.read()].map(describeConfiguration),
   listing: stateMachine.recentConfigs.map(({ sequence, version, changeId, acceptedAt }) => ({
     sequence,
     version: version ?? null,
--- a/test/replication/disk-limit.test.ts
+++ b/test/replication/disk-limit.test.ts
@@ -216,8 +216,9 @@
   }
   const newest = files * 64 + 1;
   const stateMachine = new StateMachine();
-  stateMachine.configs = [createAcceptedConfig(newest, config.next())];
-  stateMachine.recentConfigs = stateMachine.configs.map(({ sequence, changeId, acceptedAt }) => ({
+  const configs = [createAcceptedConfig(newest, config.next())];
+  stateMachine.configBacklog.restore(configs);
+  stateMachine.recentConfigs = configs.map(({ sequence, changeId, acceptedAt }) => ({
     sequence,
     changeId,
     acceptedAt,
--- a/test/replication/far-behind-members.test.ts
+++ b/test/replication/far-behind-members.test.ts
@@ -51,7 +51,7 @@
     entries: [],
   };
   const first = new StateMachine();
-  first.configs = largest.stateMachine.configs;
+  first.configBacklog.restore([...largest.stateMachine.configBacklog.read()]);
   const largestState: DurableState = {
     ...durableState,
     lastIndex: largest.lastIndex,
--- a/test/replication/versions.test.ts
+++ b/test/replication/versions.test.ts
@@ -44,7 +44,9 @@
     { lost: 30 },
     { accepted: 7 },
   ]);
-  expect(stateMachine.configs.map(({ sequence, version }) => [sequence, version])).toEqual([
+  expect(
+    [...stateMachine.configBacklog.read()].map(({ sequence, version }) => [sequence, version]),
+  ).toEqual([
     [1, 7],
     [2, 8],
     [3, 30],
