--- a/src/runtime/queue.ts
+++ b/src/runtime/queue.ts
@@ -7,19 +7,28 @@
 /** An unbounded queue: an item goes to the first waiting taker, or is retained for the next one. */
 export class Queue<T> {
   private readonly items: T[] = [];
-  private takers: Array<(item: T) => boolean> = [];
+  /** The takers that wait for an item, the first of them first. */
+  private readonly takers = new Set<(item: T) => void>();
 
   /** Number of items in the queue. */
   get size(): number {
     return this.items.length;
   }
 
+  /** Number of takers that wait for an item. */
+  get waitingTakers(): number {
+    return this.takers.size;
+  }
+
   /** Adds an item. */
   put(item: T): void {
-    for (let taker = this.takers.shift(); taker !== undefined; taker = this.takers.shift()) {
-      if (taker(item)) return;
+    const [taker] = this.takers;
+    if (!taker) {
+      this.items.push(item);
+      return;
     }
-    this.items.push(item);
+    this.takers.delete(taker);
+    taker(item);
   }
 
   /** Adds an item only if the queue is empty, for signals of which one is as good as several. */
@@ -34,24 +43,24 @@
 
   /** Waits for the next item. */
   *take(): Task<T> {
-    return yield* waitFor<T>((done) => this.addTaker(done));
+    return yield* waitFor<T>((done) => {
+      if (!this.passFirst(done)) this.takers.add(done);
+    });
   }
 
   /** Waits for the next item until the clock reads `untilMs`; `undefined` without one. */
   *takeUntil(clock: Clock, untilMs: number): Task<T | undefined> {
     return yield* waitFor<T | undefined>((done) => {
-      let isWaiting = true;
+      if (this.passFirst(done)) return;
+      const taker = (item: T): void => {
+        cancel();
+        done(item);
+      };
       const cancel = clock.after(untilMs - clock.nowMs(), () => {
-        isWaiting = false;
+        this.takers.delete(taker);
         done(undefined);
       });
-      this.addTaker(
-        (item) => {
-          cancel();
-          done(item);
-        },
-        () => isWaiting,
-      );
+      this.takers.add(taker);
     });
   }
 
@@ -63,17 +72,11 @@
     );
   }
 
-  /** Passes the next item to `done` if the taker is still waiting then. */
-  private addTaker(done: (item: T) => void, isWaiting: () => boolean = () => true): void {
+  /** Passes the first item to `done`, if there is one. */
+  private passFirst(done: (item: T) => void): boolean {
     const [first] = this.items.splice(0, 1);
-    if (first !== undefined) {
-      done(first);
-      return;
-    }
-    this.takers.push((item) => {
-      if (!isWaiting()) return false;
-      done(item);
-      return true;
-    });
+    if (first === undefined) return false;
+    done(first);
+    return true;
   }
 }
