A late response that names another request, or none, no longer speaks for the next write

Cause: only responses that are forwarded were compared with their request; one after the deadline is drained, and its connection was used again unmarked.

--- a/src/proxy/attempt-runner.ts
+++ b/src/proxy/attempt-runner.ts
@@ -20,6 +20,7 @@
   SERVICE_HEADER,
   type BackendAttempt,
   type BackendClient,
+  type ResponseIdentity,
 } from "./upstream/backend-client.js";
 
 /** An attempt that the retry handler requests. */
@@ -55,6 +56,11 @@
 
 const noCancel = (): void => undefined;
 
+const identifyResponse = (echoedId: string | undefined, requestId: string): ResponseIdentity => {
+  if (echoedId === undefined) return "none";
+  return echoedId === requestId ? "own" : "other";
+};
+
 /** Sends attempts to backends. */
 export class AttemptRunner {
   private readonly options: AttemptRunnerOptions;
@@ -126,6 +132,8 @@
       deadlineMs,
       dueMs: client.dueMs,
       isAtMostOnce: !route.repeatable,
+      identifyResponse: (responseHeaders) =>
+        identifyResponse(responseHeaders[this.options.headerNames.requestIdEcho], requestId),
       ...(route.repeatable && client.onClosed
         ? { onClientClosed: (callback) => client.onClosed?.(callback) ?? noCancel }
         : {}),
--- a/src/proxy/upstream/backend-client.ts
+++ b/src/proxy/upstream/backend-client.ts
@@ -60,6 +60,9 @@
 /** Creates the result of an attempt that failed before a response head. */
 export const openFailure = (cause: OpenFailureCause): OpenFailure => ({ kind: "failed", cause });
 
+/** Which request a response names as its own. */
+export type ResponseIdentity = "own" | "other" | "none";
+
 /** One attempt at a backend. */
 export interface BackendAttempt {
   readonly address: string;
@@ -74,6 +77,11 @@
    * first.
    */
   readonly dueMs?: number | undefined;
+  /**
+   * Whether a response with these headers carries the id of this attempt, that of another request, or none. Absent if responses
+   * that miss the deadline aren't awaited.
+   */
+  identifyResponse?(headers: BackendResponse["headers"]): ResponseIdentity;
   /** Whether it must run at most once. It then uses no connection that carried a response without a request id. */
   readonly isAtMostOnce?: boolean;
   /**
--- a/src/proxy/upstream/http-exchange.ts
+++ b/src/proxy/upstream/http-exchange.ts
@@ -9,6 +9,7 @@
   type BackendAttempt,
   type BackendResponse,
   type OpenResult,
+  type ResponseIdentity,
 } from "./backend-client.js";
 import type { BackendConnection } from "./backend-connection.js";
 import type { ConnectionPool } from "./connection-pool.js";
@@ -53,6 +54,8 @@
   private readonly done: (result: ExchangeResult) => void;
   private readonly reader: ResponseReader;
   private isLate = false;
+  /** Which request the response names, if its head came after the deadline. */
+  private lateIdentity: ResponseIdentity = "own";
   private isEnded = false;
   private cancelDeadline = noCancel;
   private cancelDrain = noCancel;
@@ -66,7 +69,7 @@
     this.reader = new ResponseReader({
       ingress: options.pacers.ingress,
       dueMs: attempt.dueMs ?? attempt.deadlineMs,
-      onHead: (head) => done(this.createResult(head)),
+      onHead: (head) => this.onHead(head),
       onEnd: (isComplete) => this.end(isComplete),
     });
   }
@@ -94,6 +97,12 @@
     );
   }
 
+  private onHead(head: ReceivedHead | ReceiveFailure): void {
+    if (this.isLate && head.kind === "head")
+      this.lateIdentity = this.attempt.identifyResponse?.(head.headers) ?? "none";
+    this.done(this.createResult(head));
+  }
+
   private createResult(head: ReceivedHead | ReceiveFailure): ExchangeResult {
     if (head.kind === "head") return openedResponse(this.createResponse(head));
     if (this.reader.hasStarted) return openFailure(this.isLate ? "late" : "lost");
@@ -120,8 +129,10 @@
     this.cancelDeadline();
     this.cancelClientClosed();
     this.cancelDrain();
-    if (isComplete) pool.release(this.connection);
-    else pool.close(this.connection);
+    // The response to this attempt may still come, in the place of the next one.
+    if (!isComplete || this.lateIdentity === "other") return pool.close(this.connection);
+    if (this.lateIdentity === "none") this.connection.hasUnidentifiedResponse = true;
+    pool.release(this.connection);
   }
 
   /** Discards the response, and resets its connection if the response hasn't ended. */
