The rest of a body that was thrown away is an error to whoever asks for it later (UNASKED)

Cause: once the client had its 504, the rest was read and thrown away; the body's stream then ended and was complete, and the request to the backend was finished with it.

--- a/src/daemon/http-server.ts
+++ b/src/daemon/http-server.ts
@@ -11,7 +11,7 @@
 import { handleClientError, rejectMessage } from "./client-error.js";
 import { HttpClientConnection, type ResponseContext } from "./http-client-connection.js";
 import { HttpConnection, afterNextPoll } from "./http-connection.js";
-import { discardBody, streamBody } from "./request-body.js";
+import { discardBody, RequestBodyAbortedError, streamBody } from "./request-body.js";
 
 /** Limits on requests and idle connections. */
 export interface ServerLimits {
@@ -280,12 +280,16 @@
       connection.setBodyFailure(() => request.destroy());
       request.off("data", onData);
       request.pause();
-      let isStreamed = false;
+      let remainder: "unread" | "streamed" | "discarded" = "unread";
       response.once("close", () => {
-        if (!isStreamed) discardBody(request, bufferedBytes, bodyBytes);
+        if (remainder === "streamed") return;
+        remainder = "discarded";
+        discardBody(request, bufferedBytes, bodyBytes);
       });
       const onStart = (): void => {
-        isStreamed = true;
+        if (remainder === "discarded")
+          throw new RequestBodyAbortedError("The request was answered before its body was read.");
+        remainder = "streamed";
       };
       const rest = streamBody(request, bufferedBytes, bodyBytes, onStart);
       this.forward(request, client, Buffer.concat(chunks), rest);
--- a/src/daemon/request-body.ts
+++ b/src/daemon/request-body.ts
@@ -25,8 +25,8 @@
 };
 
 /**
- * Yields the chunks of a body after its buffered bytes; calls `onStart` when the first one is requested. Throws a
- * RequestBodyAbortedError if the body exceeds the limit or the client aborts it.
+ * Yields the chunks of a body after its buffered bytes; calls `onStart` when the first one is requested, and throws what that
+ * throws. Throws a RequestBodyAbortedError if the body exceeds the limit or the client aborts it.
  */
 export const streamBody = async function* (
   request: IncomingMessage,
