--- a/src/proxy/attempt-runner.ts
+++ b/src/proxy/attempt-runner.ts
@@ -138,6 +138,7 @@
         ? { onClientClosed: (callback) => client.onClosed?.(callback) ?? noCancel }
         : {}),
       maySend: () => this.confirmSend(attempt),
+      mayStillSend: () => this.isStillAllowed(attempt),
     };
   }
 
--- a/src/proxy/upstream/backend-client.ts
+++ b/src/proxy/upstream/backend-client.ts
@@ -31,7 +31,8 @@
  * Why an attempt got no response head.
  *
  * - No byte was sent: `refused` (no process listens at the address), `foreign` (another service listens there),
- *   `unreached` (no connection opened in time), `withdrawn` (the attempt was no longer allowed when the connection opened).
+ *   `unreached` (no connection opened in time), `withdrawn` (the attempt was no longer allowed when the connection opened or its
+ *   first byte could be sent).
  * - Bytes were sent: `lost` (the connection failed), `late` (the deadline passed).
  */
 export type OpenFailureCause = "refused" | "foreign" | "unreached" | "withdrawn" | "lost" | "late";
@@ -91,6 +92,11 @@
   onClientClosed?(callback: () => void): () => void;
   /** Whether it may still be sent. Called when the connection is open, right before the first byte. */
   maySend(): boolean;
+  /**
+   * Whether it may still be sent; called right before the first byte if a large body has waited for its turn on the link. By
+   * default it may.
+   */
+  mayStillSend?(): boolean;
 }
 
 /** Sends requests to backends. */
--- a/src/proxy/upstream/http-exchange.ts
+++ b/src/proxy/upstream/http-exchange.ts
@@ -57,6 +57,9 @@
   /** Which request the response names, if its head came after the deadline. */
   private lateIdentity: ResponseIdentity = "own";
   private isEnded = false;
+  private isBodySent = false;
+  /** Whether the attempt was no longer allowed when its first byte could be sent. */
+  private isWithdrawn = false;
   private cancelDeadline = noCancel;
   private cancelDrain = noCancel;
   private cancelClientClosed = noCancel;
@@ -91,12 +94,22 @@
         method: request.method,
         path: request.path,
         headers: requestHeaders(request, pacers.egress),
-        body: requestBody(request, pacers.egress, dueMs),
+        body: requestBody(request, pacers.egress, dueMs, {
+          mayStart: () => this.mayStart(),
+          onSent: () => {
+            this.isBodySent = true;
+          },
+        }),
       },
       this.reader,
     );
   }
 
+  private mayStart(): boolean {
+    this.isWithdrawn = this.isLate || this.attempt.mayStillSend?.() === false;
+    return !this.isWithdrawn;
+  }
+
   private onHead(head: ReceivedHead | ReceiveFailure): void {
     if (this.isLate && head.kind === "head")
       this.lateIdentity = this.attempt.identifyResponse?.(head.headers) ?? "none";
@@ -105,6 +118,7 @@
 
   private createResult(head: ReceivedHead | ReceiveFailure): ExchangeResult {
     if (head.kind === "head") return openedResponse(this.createResponse(head));
+    if (this.isWithdrawn) return openFailure("withdrawn");
     if (this.reader.hasStarted) return openFailure(this.isLate ? "late" : "lost");
     const isInvalidRequest = head.error instanceof errors.InvalidArgumentError;
     return isInvalidRequest ? openFailure("unreached") : { kind: "connectionEnded" };
@@ -146,12 +160,13 @@
   private expire(): void {
     const { clock, drainsLateResponses } = this.options;
     this.isLate = true;
-    if (!drainsLateResponses) {
-      this.cancel();
-      return;
+    if (!drainsLateResponses) return this.cancel();
+    // An unfinished body must not reach its end after the client was told that the request is late.
+    if (!this.isBodySent) this.cancel();
+    else {
+      this.reader.drain();
+      this.cancelDrain = clock.after(DRAIN_TIMEOUT_MS, () => this.cancel());
     }
-    this.reader.drain();
-    this.cancelDrain = clock.after(DRAIN_TIMEOUT_MS, () => this.cancel());
     this.done(openFailure("late"));
   }
 }
--- a/test/proxy/upstream/paced-backends.test.ts
+++ b/test/proxy/upstream/paced-backends.test.ts
@@ -130,3 +130,65 @@
     });
   });
 });
+
+describe("large requests that wait for their turn on a paced link", () => {
+  const largeBody = Buffer.alloc(1_500_000, "x");
+  /** A backend that records the paths of the requests that reach it, and of those that it read to the end. */
+  const createRecordingBackend = (reached: string[], complete: string[]): Server =>
+    createServer((incoming, outgoing) => {
+      reached.push(incoming.url ?? "");
+      incoming.on("error", () => undefined).resume();
+      incoming.once("end", () => {
+        if (!incoming.complete) return;
+        complete.push(incoming.url ?? "");
+        outgoing.end("done");
+      });
+    });
+
+  // Guards against requests that reach a backend after its time to drain: it leaves while they wait.
+  test("a request that is no longer allowed at its first turn is not sent", async () => {
+    const reached: string[] = [];
+    const server = createRecordingBackend(reached, []);
+    await withBackend(server, LINK_MBPS, async (client, address) => {
+      const first = sendRequest(client, address, "/first", largeBody);
+      let isAllowed = true;
+      const attempt = {
+        ...createAttempt(address, clock.nowMs() + TIMEOUT_MS + 1, {
+          method: "POST",
+          path: "/second",
+          body: largeBody,
+        }),
+        mayStillSend: () => isAllowed,
+      };
+      const second = runToEnd(client.send(attempt));
+      await new Promise((resolve) => setTimeout(resolve, 200));
+      isAllowed = false;
+      expect(await second).toEqual({ kind: "failed", cause: "withdrawn" });
+      expect((await first).text).toBe("done");
+      expect(reached).toEqual(["/first"]);
+    });
+  });
+
+  // Guards against uploads that run although their client was told that they are late, or of which a part runs as the whole.
+  test("a request whose body is unfinished at its deadline is cut off", async () => {
+    const reached: string[] = [];
+    const complete: string[] = [];
+    const server = createRecordingBackend(reached, complete);
+    await withBackend(server, LINK_MBPS, async (client, address) => {
+      let isRemainderRead = false;
+      const bodyRemainder = (async function* (): AsyncGenerator<Uint8Array> {
+        isRemainderRead = true;
+        yield Buffer.from("the rest");
+        await Promise.resolve();
+      })();
+      const attempt = createAttempt(address, clock.nowMs() + 1600, { method: "POST", path: "/" });
+      const request = { ...attempt.request, body: largeBody, bodyRemainder };
+      const result = await runToEnd(client.send({ ...attempt, request }));
+      expect(result).toEqual({ kind: "failed", cause: "late" });
+      await new Promise((resolve) => setTimeout(resolve, 600));
+      expect(reached).toEqual(["/"]);
+      expect(complete).toEqual([]);
+      expect(isRemainderRead).toBe(false);
+    });
+  });
+});
