--- a/src/fleet/fleet-layout.ts
+++ b/src/fleet/fleet-layout.ts
@@ -20,11 +20,11 @@
   exitCode: number | null | undefined;
 }
 
-/** The folder, machines and backend ports of a fleet that hasn't started. */
+/** The folder, machines and backend addresses of a fleet that hasn't started. */
 export interface FleetLayout {
   readonly folder: string;
   readonly machines: FleetMachine[];
-  readonly backendPorts: number[];
+  readonly backendAddresses: string[];
 }
 
 /**
@@ -32,7 +32,7 @@
  *
  * All of them are open at the same time while they are chosen, so that no port is returned twice.
  */
-const findFreePorts = async (count: number): Promise<number[]> => {
+const findFreePorts = async (host: string, count: number): Promise<number[]> => {
   const servers = await Promise.all(
     Array.from(
       { length: count },
@@ -40,7 +40,7 @@
         new Promise<{ port: number; close: () => Promise<void> }>((resolve, reject) => {
           const server = createServer();
           server.once("error", reject);
-          server.listen(0, "127.0.0.1", () => {
+          server.listen(0, host, () => {
             const address = server.address();
             const port = address !== null && typeof address === "object" ? address.port : 0;
             resolve({
@@ -84,13 +84,20 @@
   return file;
 };
 
+/** Draws a loopback address, since ports that were free on a shared one may be taken by another process meanwhile. */
+const drawHost = (): string => {
+  const part = (): number => 1 + Math.floor(Math.random() * 250);
+  return `127.${part()}.${part()}.${part()}`;
+};
+
 /** Reserves ports for a fleet and writes its settings files to a new folder. */
 export const createFleetLayout = async (profile: Profile): Promise<FleetLayout> => {
   const folder = await mkdtemp(join(tmpdir(), "daledoor-fleet-"));
   const machineCount = profile.diskMachines + profile.disklessMachines;
   const backendCount = Object.values(profile.backends).reduce((sum, count) => sum + count, 0);
-  const ports = await findFreePorts(machineCount * PORTS_PER_MACHINE + backendCount);
-  const addressAt = (portIndex: number): string => `127.0.0.1:${ports[portIndex] ?? 0}`;
+  const host = drawHost();
+  const ports = await findFreePorts(host, machineCount * PORTS_PER_MACHINE + backendCount);
+  const addressAt = (portIndex: number): string => `${host}:${ports[portIndex] ?? 0}`;
   const machines: FleetMachine[] = [];
   for (let index = 0; index < machineCount; index += 1) {
     const settings = createSettings(profile, folder, index, addressAt);
@@ -103,5 +110,6 @@
       exitCode: undefined,
     });
   }
-  return { folder, machines, backendPorts: ports.slice(machineCount * PORTS_PER_MACHINE) };
+  const backendPorts = ports.slice(machineCount * PORTS_PER_MACHINE);
+  return { folder, machines, backendAddresses: backendPorts.map((port) => `${host}:${port}`) };
 };
--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -54,7 +54,7 @@
     rateFactor: number,
     folder: string,
     machines: FleetMachine[],
-    backendPorts: number[],
+    backendAddresses: readonly string[],
   ) {
     this.profile = profile;
     this.folder = folder;
@@ -66,13 +66,13 @@
         traffic.bodyBytes,
       ]),
     );
-    const ports = [...backendPorts];
+    const addresses = [...backendAddresses];
     this.testBackends = Object.entries(profile.backends).flatMap(([service, count]) =>
       Array.from(
         { length: count },
         (_, index) =>
           new TestBackend(
-            `127.0.0.1:${ports.shift() ?? 0}`,
+            addresses.shift() ?? "",
             profile.zones[index % profile.zones.length] ?? "",
             service,
             this.recorder,
@@ -86,8 +86,8 @@
 
   /** Creates a fleet with free ports and new settings files, without starting a process. */
   static async create(profile: Profile, seed: number, rateFactor: number): Promise<Fleet> {
-    const { folder, machines, backendPorts } = await createFleetLayout(profile);
-    return new Fleet(profile, seed, rateFactor, folder, machines, backendPorts);
+    const { folder, machines, backendAddresses } = await createFleetLayout(profile);
+    return new Fleet(profile, seed, rateFactor, folder, machines, backendAddresses);
   }
 
   /** Starts daemons, backends, heartbeats and readiness checks. */
