An error that ends a daemon is logged with its message, and no longer as an empty object

The trace before this commit showed 'daemon failed' with err {}: the logger had no serializer for errors, so that no log of ours ever said why a daemon ended. Test: fleet/fleet, a daemon whose port is taken ends with exit code 1 and logs the address.

--- a/src/runtime/logger.ts
+++ b/src/runtime/logger.ts
@@ -21,7 +21,13 @@
   machine: string,
   level: LogLevel,
 ): LoggerFactory & { setLevel(level: LogLevel): void } {
-  const log = bunyan.createLogger({ name: "daledoor", machine, level, stream: process.stderr });
+  const log = bunyan.createLogger({
+    name: "daledoor",
+    machine,
+    level,
+    stream: process.stderr,
+    serializers: { err: bunyan.stdSerializers.err },
+  });
   return {
     setLevel: (changed) => log.level(changed),
     component: (name) => ({
--- a/test/fleet/fleet.test.ts
+++ b/test/fleet/fleet.test.ts
@@ -1,4 +1,6 @@
 import { spawn } from "node:child_process";
+import { readFile } from "node:fs/promises";
+import { createServer } from "node:net";
 import { create, is, number, string, type } from "superstruct";
 import { expect, test } from "vitest";
 import { daemonProgram, Fleet } from "../../src/fleet/fleet.js";
@@ -143,6 +145,27 @@
   }
 });
 
+/** Guards against a daemon that ends without saying why: its log had an empty error. */
+test("real processes: a daemon whose port is taken ends with exit code 1 and logs the address", async () => {
+  const fleet = await Fleet.create({ ...smallProfile, disklessMachines: 0 }, 3, 1);
+  const [machine] = fleet.machines;
+  if (!machine) throw new Error("the fleet has no machine");
+  const { peers } = machine.settings;
+  const [host = "", port = ""] = peers.split(":");
+  const server = createServer();
+  await new Promise<void>((resolve) => server.listen(Number(port), host, resolve));
+  try {
+    fleet.boot(machine);
+    await expect.poll(() => machine.exitCode, { timeout: 20_000 }).toBe(1);
+    await expect
+      .poll(() => readFile(`${machine.settingsFile}.log`, "utf8"), { timeout: 20_000 })
+      .toContain(peers);
+  } finally {
+    server.close();
+    await fleet.shutDown(false);
+  }
+});
+
 /** Guards against a daemon that starts with invalid settings, or reports only the first invalid one. */
 test("real processes: invalid settings end the daemon with exit code 2 and an error for each", async () => {
   const child = spawn(
